Thin whole path: reducer, entry daemon, stand-ins, command line, demo

Cause: the project had no code. Ruled out: a home instance with handed-over ownership needs agreement on who owns a key, which nothing of ours may provide; claims in the platform's table cost a synced write a job. The claim groups of src/core/registrar.ts need neither. Change: the first form of every part. Conclusion: the path is whole; promises are not proved yet, nothing is tested.

--- /dev/null
+++ b/bench/control.ts
@@ -0,0 +1,41 @@
+/** Calls to stand-ins and administration listeners. */
+
+/** Sends JSON to a loopback port and returns the JSON answered. */
+export async function callControl<T>(
+  port: number,
+  path: string,
+  { method = "POST", body, key }: {
+    method?: string;
+    body?: unknown;
+    key?: string;
+  } = {},
+): Promise<T> {
+  const response = await fetch(`http://127.0.0.1:${port}${path}`, {
+    method,
+    headers: {
+      "content-type": "application/json",
+      ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+    },
+    ...(method === "GET" ? {} : { body: JSON.stringify(body ?? {}) }),
+    signal: AbortSignal.timeout(5_000),
+  });
+  return await response.json() as T;
+}
+
+/** Waits until a condition holds. */
+export async function until(
+  what: string,
+  condition: () => Promise<boolean> | boolean,
+  { timeoutMs = 15_000 }: { timeoutMs?: number } = {},
+): Promise<void> {
+  const endMs = Date.now() + timeoutMs;
+  while (Date.now() < endMs) {
+    try {
+      if (await condition()) return;
+    } catch {
+      // Not there yet.
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  throw new Error(`timed out: ${what}`);
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,35 @@
+#!/usr/bin/env node
+/** The command line. */
+
+import { defineCommand, runMain } from "citty";
+import { configCommand, settingsCommand } from "./config_commands.ts";
+import { entryCommand } from "./entry_command.ts";
+import {
+  drainCommand,
+  jobCommand,
+  servicesCommand,
+  stateCommand,
+  submitCommand,
+  teamsCommand,
+} from "./instance_commands.ts";
+
+const main = defineCommand({
+  meta: {
+    name: "bronzemill",
+    version: "0.1.0",
+    description: "A dispatcher for sub-second tasks",
+  },
+  subCommands: {
+    entry: entryCommand,
+    settings: settingsCommand,
+    config: configCommand,
+    services: servicesCommand,
+    teams: teamsCommand,
+    state: stateCommand,
+    drain: drainCommand,
+    submit: submitCommand,
+    job: jobCommand,
+  },
+});
+
+await runMain(main);
--- /dev/null
+++ b/src/core/placement.ts
@@ -0,0 +1,263 @@
+/**
+ * Placement: which task goes next, and to which upstream. Policies are entries
+ * of one lookup table; `stretch` is the product's, the others are baselines.
+ */
+
+import { assert } from "./debug.ts";
+import type { PolicyName } from "./schemas.ts";
+import type { CoreState, Flow, Job, Step, Task, Upstream } from "./types.ts";
+import { borrowFor, returnUnused } from "./borrowing.ts";
+import { isFlooding, takeTask } from "./flows.ts";
+import { freeOwnedSlots, isUsable } from "./upstreams.ts";
+import { emit, nextSequence, randomBelow } from "./utilities.ts";
+
+/** A slot for one send. */
+interface Place {
+  readonly upstream: Upstream;
+  /** The slot of the peer that lent it, or null for an owned slot. */
+  readonly borrowedFrom: string | null;
+}
+
+interface Policy {
+  /** Whether sends wait for a free slot, or queue at the upstream. */
+  readonly waitsForSlots: boolean;
+  readonly pickJob: (state: CoreState, service: string) => Job | null;
+  readonly pickPlace: (state: CoreState, service: string) => Place | null;
+}
+
+const policies: Record<PolicyName, Policy> = {
+  stretch: {
+    waitsForSlots: true,
+    pickJob: pickByStretch,
+    pickPlace: pickFreeSlot,
+  },
+  fifo: {
+    waitsForSlots: true,
+    pickJob: pickOldest,
+    pickPlace: pickFreeSlot,
+  },
+  random: {
+    waitsForSlots: false,
+    pickJob: pickOldest,
+    pickPlace: pickRandom,
+  },
+  roundRobin: {
+    waitsForSlots: false,
+    pickJob: pickOldest,
+    pickPlace: pickRoundRobin,
+  },
+  powerOfTwo: {
+    waitsForSlots: false,
+    pickJob: pickOldest,
+    pickPlace: pickOfTwo,
+  },
+};
+
+function policyOf(state: CoreState): Policy {
+  return policies[state.configuration?.policy ?? "stretch"];
+}
+
+/** Sends as many queued tasks of a service as slots allow. */
+export function dispatch(step: Step, service: string): void {
+  const { state } = step;
+  const policy = policyOf(state);
+  for (;;) {
+    const job = policy.pickJob(state, service);
+    if (job === null) break;
+    const place = policy.pickPlace(state, service);
+    if (place === null) {
+      if (policy.waitsForSlots) borrowFor(step, service);
+      return;
+    }
+    const task = takeTask(state, job);
+    if (task !== undefined) sendTask(step, { job, task, place });
+    else if (place.borrowedFrom !== null) giveBack(state, place);
+  }
+  returnUnused(step, service);
+}
+
+function giveBack(state: CoreState, place: Place): void {
+  const { id, service } = place.upstream;
+  const lender = place.borrowedFrom ?? "";
+  state.borrowed.get(service)?.push({ upstreamId: id, lender });
+}
+
+function sendTask(
+  step: Step,
+  { job, task, place }: { job: Job; task: Task; place: Place },
+): void {
+  const { state } = step;
+  const { upstream } = place;
+  assert(task.state === "queued", "task_sent_once", task.taskId);
+  assert(!upstream.leaving, "leaving_gets_no_work", upstream.id);
+  assert(job.state === "running", "send_needs_running_job", job.jobId);
+  const sendId = `${task.taskId}/${nextSequence(state)}`;
+  task.state = "sent";
+  task.sends += 1;
+  task.sentAtMs = state.nowMs;
+  upstream.inFlight += 1;
+  if (place.borrowedFrom === null) upstream.inFlightOwned += 1;
+  if (upstream.ejections > 0) upstream.probeInFlight = true;
+  const flow = state.flows.get(job.flow);
+  if (flow !== undefined) flow.inFlight += 1;
+  state.counters.tasksSent += 1;
+  state.sends.set(sendId, {
+    sendId,
+    jobId: job.jobId,
+    taskIndex: task.index,
+    upstreamId: upstream.id,
+    borrowedFrom: place.borrowedFrom,
+    sentAtMs: state.nowMs,
+  });
+  emit(step, {
+    type: "sendTask",
+    sendId,
+    taskId: task.taskId,
+    key: `${job.scopedKey ?? job.jobId}#${task.index}`,
+    upstreamId: upstream.id,
+    address: upstream.address,
+    service: job.service,
+    kind: job.kind,
+    payload: task.payload,
+    timeoutMs: Math.max(1, job.deadlineAtMs - state.nowMs),
+  });
+}
+
+/** Slots of a service that this instance owns and may use. */
+export function usableSlots(state: CoreState, service: string): number {
+  let slots = 0;
+  for (const upstream of state.upstreams.values()) {
+    if (upstream.service === service && isUsable(state, upstream)) {
+      slots += upstream.ownedSlots;
+    }
+  }
+  return slots;
+}
+
+/** Owned slots of a service that are free to use or lend. */
+export function freeSlots(state: CoreState, service: string): number {
+  let slots = 0;
+  for (const upstream of state.upstreams.values()) {
+    if (upstream.service === service && isUsable(state, upstream)) {
+      slots += freeOwnedSlots(upstream);
+    }
+  }
+  return slots;
+}
+
+/**
+ * The job whose answer is latest against its ideal. A flow that floods gets
+ * its usual slots as any other, and beyond them only what leaves headroom.
+ */
+function pickByStretch(state: CoreState, service: string): Job | null {
+  let best: Job | null = null;
+  let bestStretch = -1;
+  let spare: Job | null = null;
+  let spareStretch = -1;
+  for (const flow of state.flows.values()) {
+    if (flow.service !== service || flow.waiting.length === 0) continue;
+    const job = latestOf(state, flow);
+    if (job === null) continue;
+    const stretch = stretchOf(state, job);
+    if (isWithinShare(flow)) {
+      if (stretch > bestStretch) [best, bestStretch] = [job, stretch];
+    } else if (stretch > spareStretch) [spare, spareStretch] = [job, stretch];
+  }
+  if (best !== null) return best;
+  return spare !== null && leavesHeadroom(state, service) ? spare : null;
+}
+
+function isWithinShare(flow: Flow): boolean {
+  return !isFlooding(flow) || flow.inFlight < flow.usualSlots;
+}
+
+function leavesHeadroom(state: CoreState, service: string): boolean {
+  const percent = state.configuration?.limits.headroomPercent ?? 0;
+  const keep = usableSlots(state, service) * percent / 100;
+  return freeSlots(state, service) > keep;
+}
+
+/** How much more urgency weighs, a step of it. */
+const URGENCY_WEIGHT = 0.05;
+
+function stretchOf(state: CoreState, job: Job): number {
+  const waitedMs = state.nowMs - job.receivedAtMs;
+  const urgency = 1 + URGENCY_WEIGHT * job.urgency;
+  return urgency * waitedMs / job.expectedMs;
+}
+
+function latestOf(state: CoreState, flow: Flow): Job | null {
+  let latest: Job | null = null;
+  let latestStretch = -1;
+  for (const job of flow.waiting) {
+    const stretch = stretchOf(state, job);
+    if (stretch > latestStretch) [latest, latestStretch] = [job, stretch];
+  }
+  return latest;
+}
+
+function pickOldest(state: CoreState, service: string): Job | null {
+  let oldest: Job | null = null;
+  for (const flow of state.flows.values()) {
+    const job = flow.service === service ? flow.waiting[0] : undefined;
+    if (job === undefined) continue;
+    if (oldest === null || job.receivedAtMs < oldest.receivedAtMs) oldest = job;
+  }
+  return oldest;
+}
+
+function pickFreeSlot(state: CoreState, service: string): Place | null {
+  let best: Upstream | null = null;
+  let bestShare = 0;
+  for (const upstream of state.upstreams.values()) {
+    if (upstream.service !== service || !isUsable(state, upstream)) continue;
+    const share = freeOwnedSlots(upstream) / Math.max(1, upstream.ownedSlots);
+    if (share > bestShare) [best, bestShare] = [upstream, share];
+  }
+  if (best !== null) return { upstream: best, borrowedFrom: null };
+  return pickBorrowed(state, service);
+}
+
+function pickBorrowed(state: CoreState, service: string): Place | null {
+  const borrowed = state.borrowed.get(service) ?? [];
+  for (let at = borrowed.length - 1; at >= 0; at -= 1) {
+    const slot = borrowed[at];
+    const upstream = state.upstreams.get(slot?.upstreamId ?? "");
+    if (slot === undefined || upstream === undefined) continue;
+    if (!isUsable(state, upstream)) continue;
+    borrowed.splice(at, 1);
+    return { upstream, borrowedFrom: slot.lender };
+  }
+  return null;
+}
+
+function candidates(state: CoreState, service: string): Upstream[] {
+  return [...state.upstreams.values()].filter((upstream) =>
+    upstream.service === service && state.guards.mayReceiveWork(upstream)
+  );
+}
+
+function ownPlace(upstream: Upstream | undefined): Place | null {
+  return upstream === undefined ? null : { upstream, borrowedFrom: null };
+}
+
+function pickRandom(state: CoreState, service: string): Place | null {
+  const all = candidates(state, service);
+  if (all.length === 0) return null;
+  return ownPlace(all[randomBelow(state, all.length)]);
+}
+
+function pickRoundRobin(state: CoreState, service: string): Place | null {
+  const all = candidates(state, service);
+  state.roundRobinNext += 1;
+  return ownPlace(all[state.roundRobinNext % Math.max(1, all.length)]);
+}
+
+function pickOfTwo(state: CoreState, service: string): Place | null {
+  const all = candidates(state, service);
+  if (all.length === 0) return null;
+  const first = all[randomBelow(state, all.length)];
+  const second = all[randomBelow(state, all.length)];
+  if (first === undefined || second === undefined) return null;
+  return ownPlace(first.inFlight <= second.inFlight ? first : second);
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,325 @@
+/**
+ * An entry instance as a library: the shell that feeds the reducer with events
+ * and carries out its effects. The daemon in `src/cli/` is a thin wrapper.
+ */
+
+import VError from "verror";
+import { createAdminListener } from "../admin/admin_listener.ts";
+import { documentOfRow } from "../admin/accept.ts";
+import { createCore, reduce } from "../core/reduce.ts";
+import type { CoreEvent, CoreState, Effect } from "../core/types.ts";
+import {
+  type ClockHost,
+  CONFIGURATION_ROW,
+  incarnationRow,
+  type PeerHost,
+  type PlatformHost,
+  type UpstreamHost,
+} from "../host/hosts.ts";
+import { createClock } from "../host/clock.ts";
+import { createPeerTransport } from "../host/peer_transport.ts";
+import { createPlatformClient } from "../host/platform_client.ts";
+import { createUpstreamClient } from "../host/upstream_client.ts";
+import type { InstanceSettings, Settings } from "../settings/schema.ts";
+import { createAccessTable } from "./access.ts";
+import { createCallerListener } from "./caller_listener.ts";
+import { closeListener, listen } from "./http.ts";
+import { createLogger, type Logger } from "./log.ts";
+import { startMetrics } from "./metrics.ts";
+
+/** The entry instance could not be started. */
+export class EntryError extends VError {}
+
+/** What an entry instance is made from; hosts default to the real ones. */
+export interface EntryOptions {
+  readonly settings: Settings;
+  readonly slot: string;
+  readonly clock?: ClockHost;
+  readonly upstreams?: UpstreamHost;
+  readonly platform?: PlatformHost;
+  readonly log?: Logger;
+}
+
+/** A running entry instance. */
+export interface Entry {
+  readonly state: CoreState;
+  /** Starts to drain; resolves once everything in progress was answered. */
+  readonly drain: () => Promise<void>;
+  /** Stops at once; what was in progress is cut off. */
+  readonly stop: () => Promise<void>;
+  /** Resolves once a drain has ended, whoever asked for it. */
+  readonly stopped: Promise<void>;
+}
+
+function instanceOf(settings: Settings, slot: string): InstanceSettings {
+  const instance = settings.instances.find((row) => row.slot === slot);
+  if (instance !== undefined) return instance;
+  const known = settings.instances.map((row) => row.slot).join(", ");
+  throw new EntryError("no instance %s in the settings (%s)", slot, known);
+}
+
+/**
+ * Starts an entry instance.
+ *
+ * @example
+ * ```ts
+ * const entry = await startEntry({ settings, slot: "poa-1" });
+ * await entry.drain();
+ * ```
+ */
+export async function startEntry(options: EntryOptions): Promise<Entry> {
+  const { settings, slot } = options;
+  const instance = instanceOf(settings, slot);
+  const clock = options.clock ?? createClock();
+  const log = options.log ?? createLogger(settings.log);
+  const platform = options.platform ??
+    createPlatformClient(settings.platform.address, {
+      timeoutMs: settings.platform.timeoutMs,
+    });
+  const upstreams = options.upstreams ?? createUpstreamClient();
+  const incarnation = clock.wallMs();
+  const state = createCore({
+    self: { slot, incarnation, availabilityZone: instance.availabilityZone },
+    slots: settings.instances.map((row) => ({
+      slot: row.slot,
+      availabilityZone: row.availabilityZone,
+    })),
+    nowMs: clock.nowMs(),
+    wallMs: incarnation,
+    seed: incarnation % 0x7fffffff,
+  });
+  let onStopped = () => {};
+  const stopped = new Promise<void>((resolve) => {
+    onStopped = resolve;
+  });
+  let peers: PeerHost | null = null;
+
+  function dispatch(event: CoreEvent): void {
+    for (const effect of reduce(state, event)) perform(effect);
+  }
+
+  const performers: {
+    [T in Effect["type"]]: (effect: Extract<Effect, { type: T }>) => void;
+  } = {
+    replyCaller: ({ requestId, reply }) => callers.reply(requestId, reply),
+    sendTask: (effect) => {
+      const { sendId } = effect;
+      void upstreams.send(effect).then((outcome) => {
+        const nowMs = clock.nowMs();
+        dispatch({ type: "sendEnded", nowMs, sendId, outcome });
+      });
+    },
+    sendPeer: ({ slot, message }) => peers?.send(slot, message),
+    log: ({ level, part, text }) => log[level](part, text),
+    drained: () => void finish(),
+  };
+
+  function perform(effect: Effect): void {
+    const performer = performers[effect.type] as (effect: Effect) => void;
+    performer(effect);
+  }
+
+  const access = createAccessTable(
+    settings.admin.operatorKeysSha256,
+    () => state.configuration,
+  );
+  const freezes = createFreezeWatch(clock, settings.entry.tickMs);
+  const callers = createCallerListener({
+    clock,
+    receivedMs: freezes.receivedMs,
+    access,
+    dispatch,
+    isReady: () => state.configuration !== null && state.drain === "none",
+    onError: (error) => log.error("callers", String(error)),
+  }, settings.entry);
+  const admin = createAdminListener({
+    clock,
+    access,
+    platform,
+    state,
+    dispatch,
+    log,
+    measures: () => measuresOf(peers),
+  }, settings.entry);
+
+  const isVirgin = await registerIncarnation(platform, { slot, incarnation });
+  if (isVirgin) dispatch({ type: "virginBoot", nowMs: clock.nowMs() });
+  peers = await createPeerTransport({
+    self: { slot, incarnation },
+    listen: instance.peerAddress,
+    peers: peerAddresses(settings, slot),
+    handlers: {
+      onMessage: (from, message) =>
+        dispatch({ type: "peerMessage", nowMs: clock.nowMs(), from, message }),
+      onDown: (down) =>
+        dispatch({ type: "peerDown", nowMs: clock.nowMs(), slot: down }),
+      onMalformed: () => {
+        state.counters.messagesMalformed += 1;
+      },
+    },
+  });
+  const ticker = setInterval(() => {
+    freezes.noteTick();
+    const wallMs = clock.wallMs();
+    dispatch({ type: "tick", nowMs: clock.nowMs(), wallMs });
+  }, settings.entry.tickMs);
+  const stopPolling = startPolling({
+    settings,
+    clock,
+    platform,
+    state,
+    dispatch,
+  });
+  const stopMetrics = startMetrics(settings.metrics, state);
+  await listen(admin, instance.adminAddress);
+  await listen(callers.server, settings.entry.listen ?? instance.callerAddress);
+  log.info("entry", `${slot} is listening at ${instance.callerAddress}`);
+
+  async function close(): Promise<void> {
+    clearInterval(ticker);
+    stopPolling();
+    stopMetrics();
+    await peers?.close();
+    await upstreams.close();
+    await platform.close();
+  }
+
+  async function finish(): Promise<void> {
+    await closeListener(callers.server);
+    await peers?.flush();
+    admin.closeAllConnections();
+    await closeListener(admin);
+    await close();
+    log.info("entry", `${slot} has drained`);
+    onStopped();
+  }
+
+  return {
+    state,
+    stopped,
+    async drain() {
+      dispatch({ type: "drainRequested", nowMs: clock.nowMs() });
+      await stopped;
+    },
+    async stop() {
+      callers.server.closeAllConnections();
+      admin.closeAllConnections();
+      await Promise.all([closeListener(callers.server), closeListener(admin)]);
+      await close();
+      onStopped();
+    },
+  };
+}
+
+function peerAddresses(
+  settings: Settings,
+  self: string,
+): Map<string, string> {
+  return new Map(
+    settings.instances
+      .filter((row) => row.slot !== self)
+      .map((row) => [row.slot, row.peerDialAddress ?? row.peerAddress]),
+  );
+}
+
+function measuresOf(peers: PeerHost | null): object {
+  const { user, system } = process.cpuUsage();
+  return {
+    cpuMs: Math.round((user + system) / 1_000),
+    rssMb: Math.round(process.memoryUsage.rss() / 1_048_576),
+    peerTraffic: peers?.trafficBytes() ?? { sent: 0, received: 0 },
+  };
+}
+
+/**
+ * Writes that this incarnation runs. True only where the platform says that no
+ * incarnation of the slot ran before: then no claim can have been lost.
+ */
+async function registerIncarnation(
+  platform: PlatformHost,
+  { slot, incarnation }: { slot: string; incarnation: number },
+): Promise<boolean> {
+  const key = incarnationRow(slot);
+  try {
+    const row = await platform.readRow(key);
+    const value = { incarnation };
+    const { version } = row;
+    await platform.writeRow(key, { value, expectedVersion: version });
+    return version === 0;
+  } catch {
+    return false;
+  }
+}
+
+/** A gap between ticks of this many tick lengths counts as a freeze. */
+const FREEZE_TICKS = 10;
+/** For so long after a freeze, what arrives may have waited through it. */
+const AFTER_FREEZE_MS = 1_000;
+
+/**
+ * Dates requests that may have waited in a socket while the process was frozen
+ * at the freeze's beginning: a late attempt must not pass for a fresh one.
+ */
+function createFreezeWatch(clock: ClockHost, tickMs: number): {
+  noteTick: () => void;
+  receivedMs: () => number;
+} {
+  let lastTickMs = clock.nowMs();
+  let frozenAtMs = 0;
+  let resumedAtMs = -Infinity;
+  return {
+    noteTick() {
+      const nowMs = clock.nowMs();
+      if (nowMs - lastTickMs > tickMs * FREEZE_TICKS) {
+        frozenAtMs = lastTickMs;
+        resumedAtMs = nowMs;
+      }
+      lastTickMs = nowMs;
+    },
+    receivedMs() {
+      const nowMs = clock.nowMs();
+      return nowMs - resumedAtMs < AFTER_FREEZE_MS ? frozenAtMs : nowMs;
+    },
+  };
+}
+
+interface PollingHost {
+  readonly settings: Settings;
+  readonly clock: ClockHost;
+  readonly platform: PlatformHost;
+  readonly state: CoreState;
+  readonly dispatch: (event: CoreEvent) => void;
+}
+
+/** Reads the membership list and the configuration again and again. */
+function startPolling(host: PollingHost): () => void {
+  const { settings, platform, state } = host;
+  let timer: NodeJS.Timeout;
+  let stopped = false;
+
+  async function poll(): Promise<void> {
+    try {
+      const list = await platform.readMembership();
+      host.dispatch({
+        type: "membershipRead",
+        nowMs: host.clock.nowMs(),
+        membershipVersion: list.version,
+        upstreams: list.upstreams,
+      });
+      const row = await platform.readRow(CONFIGURATION_ROW);
+      const document = documentOfRow(row);
+      if (document !== null && document.version !== state.document?.version) {
+        const nowMs = host.clock.nowMs();
+        host.dispatch({ type: "configurationRead", nowMs, document });
+      }
+    } catch {
+      // An outage: what is in force stays in force, peers tell the rest.
+    }
+    if (!stopped) timer = setTimeout(poll, settings.platform.pollMs);
+  }
+  void poll();
+  return () => {
+    stopped = true;
+    clearTimeout(timer);
+  };
+}
--- /dev/null
+++ b/src/entry/http.ts
@@ -0,0 +1,185 @@
+/** What the HTTP listeners share: bodies, replies, routes, access keys. */
+
+import { createHash } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import VError from "verror";
+import type { z } from "zod";
+import {
+  type DiagnosticName,
+  Diagnostics,
+  formatDiagnostic,
+} from "../core/diagnostics.ts";
+import { parseAddress } from "../host/address.ts";
+
+/** A request that cannot be served, with what to tell its sender. */
+export class RequestError extends VError {
+  constructor(readonly diagnostic: DiagnosticName, readonly argument = "") {
+    super(
+      { name: "RequestError" },
+      "%s",
+      formatDiagnostic(diagnostic, argument),
+    );
+  }
+}
+
+/** The body of every error: stable code, sentence, and whether it ran. */
+export function errorBody(diagnostic: DiagnosticName, argument = ""): {
+  code: number;
+  error: string;
+  message: string;
+  ran: string;
+} {
+  const { code, ran } = Diagnostics[diagnostic];
+  const message = formatDiagnostic(diagnostic, argument);
+  return { code, error: diagnostic, message, ran };
+}
+
+/** Sends a JSON reply, if the connection still stands. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  { body, headers = {} }: { body: unknown; headers?: Record<string, string> },
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    ...headers,
+  });
+  response.end(text);
+}
+
+/** Sends what a diagnostic says. */
+export function sendDiagnostic(
+  response: ServerResponse,
+  diagnostic: DiagnosticName,
+  argument = "",
+): void {
+  const { status } = Diagnostics[diagnostic];
+  const retry = status === 429 || status === 503;
+  sendJson(response, status, {
+    body: errorBody(diagnostic, argument),
+    ...(retry ? { headers: { "retry-after": "1" } } : {}),
+  });
+}
+
+/** Reads a whole body of at most so many bytes. */
+export async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    length += chunk.length;
+    if (length > maxBytes) {
+      throw new RequestError("bodyTooLarge", String(maxBytes));
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Parses and checks a JSON body; the error names the field. */
+export function parseBody<T>(schema: z.ZodType<T>, text: string): T {
+  let content: unknown;
+  try {
+    content = JSON.parse(text);
+  } catch {
+    throw new RequestError("invalidRequest", "the body is not JSON");
+  }
+  const parsed = schema.safeParse(content);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  const field = issue?.path.map(String).join(".") || "body";
+  throw new RequestError("invalidRequest", `${field}: ${issue?.message}`);
+}
+
+/** The SHA-256 of a text, in hexadecimal. */
+export function sha256Hex(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+/** The hash of the request's bearer key, or null where it has none. */
+export function bearerHash(request: IncomingMessage): string | null {
+  const header = request.headers.authorization ?? "";
+  const match = /^Bearer (\S{1,200})$/.exec(header);
+  return match?.[1] === undefined ? null : sha256Hex(match[1]);
+}
+
+/** What a request is served with. */
+export interface RouteContext {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+  /** The parts of the path that the route's pattern captured. */
+  readonly captured: readonly string[];
+}
+
+/** One path and method of a listener. */
+export interface Route {
+  readonly method: string;
+  readonly pattern: RegExp;
+  readonly handle: (context: RouteContext) => Promise<void> | void;
+}
+
+/** A listener over a table of routes. */
+export function createListener(
+  routes: readonly Route[],
+  { maxHeaderBytes, maxConnections, onError }: {
+    maxHeaderBytes: number;
+    maxConnections: number;
+    onError: (error: unknown) => void;
+  },
+): Server {
+  const server = createServer(
+    { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: 30_000 },
+    (request, response) => {
+      serve(routes, request, response).catch((error) => {
+        if (error instanceof RequestError) {
+          const { diagnostic, argument } = error;
+          sendDiagnostic(response, diagnostic, argument);
+        } else onError(error);
+        if (!request.complete) response.once("finish", () => request.destroy());
+      });
+    },
+  );
+  server.maxConnections = maxConnections;
+  return server;
+}
+
+async function serve(
+  routes: readonly Route[],
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const url = new URL(request.url ?? "/", "http://localhost");
+  for (const { method, pattern, handle } of routes) {
+    const match = pattern.exec(url.pathname);
+    if (request.method !== method || match === null) continue;
+    await handle({ request, response, url, captured: match.slice(1) });
+    return;
+  }
+  throw new RequestError("notFound");
+}
+
+/** Starts to listen at an address of the settings. */
+export function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = parseAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => resolve());
+  });
+}
+
+/** Stops listening and waits for requests in progress to be answered. */
+export function closeListener(server: Server): Promise<void> {
+  server.closeIdleConnections();
+  return new Promise((resolve) => server.close(() => resolve()));
+}
--- /dev/null
+++ b/src/settings/nearest.ts
@@ -0,0 +1,40 @@
+/** Finds the name that somebody who mistyped one most likely meant. */
+
+/** Names further apart than this are no help. */
+const MAX_DISTANCE = 3;
+
+/** The number of single-character edits between two words. */
+export function editDistance(a: string, b: string): number {
+  let row = Array.from({ length: b.length + 1 }, (_, index) => index);
+  for (let i = 1; i <= a.length; i += 1) {
+    const next = [i];
+    for (let j = 1; j <= b.length; j += 1) {
+      const replaced = (row[j - 1] ?? 0) + (a[i - 1] === b[j - 1] ? 0 : 1);
+      const edited = Math.min(row[j] ?? 0, next[j - 1] ?? 0) + 1;
+      next.push(Math.min(replaced, edited));
+    }
+    row = next;
+  }
+  return row[b.length] ?? 0;
+}
+
+/**
+ * The known name nearest to a mistyped one, or null when none is near.
+ *
+ * @example
+ * ```ts
+ * nearestName("listn", ["listen", "slot"]); // "listen"
+ * ```
+ */
+export function nearestName(
+  name: string,
+  known: readonly string[],
+): string | null {
+  let best: string | null = null;
+  let bestDistance = MAX_DISTANCE + 1;
+  for (const candidate of known) {
+    const distance = editDistance(name, candidate);
+    if (distance < bestDistance) [best, bestDistance] = [candidate, distance];
+  }
+  return best;
+}
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,69 @@
+/** The schema of an entry instance's settings file. */
+
+import { z } from "zod";
+
+const addressSchema = z.string().regex(
+  /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
+  "expected an IP number and a port, such as 127.0.0.1:7101",
+);
+const zoneSchema = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/);
+
+const entrySchema = z.strictObject({
+  /** The instance that this process is; `--slot` goes before it. */
+  slot: z.string().optional(),
+  /** Where callers connect; the instance's own row goes before it. */
+  listen: addressSchema.optional(),
+  maxBodyBytes: z.int().positive().default(1_048_576),
+  maxHeaderBytes: z.int().positive().default(16_384),
+  maxConnections: z.int().positive().default(2_000),
+  drainDeadlineMs: z.int().positive().default(60_000),
+  tickMs: z.int().positive().default(20),
+});
+
+const instanceSchema = z.strictObject({
+  slot: z.string().regex(/^[a-z][a-z0-9-]{0,62}$/),
+  availabilityZone: zoneSchema,
+  callerAddress: addressSchema,
+  adminAddress: addressSchema,
+  peerAddress: addressSchema,
+  /** Where peers reach it, if that differs from where it listens. */
+  peerDialAddress: addressSchema.optional(),
+});
+
+const platformSchema = z.strictObject({
+  address: addressSchema,
+  pollMs: z.int().positive().default(500),
+  timeoutMs: z.int().positive().default(1_000),
+});
+
+const adminSchema = z.strictObject({
+  /** SHA-256 of each operator's bearer key, in hexadecimal. */
+  operatorKeysSha256: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
+});
+
+const logSchema = z.strictObject({
+  level: z.enum(["error", "warn", "info", "debug"]).default("info"),
+  json: z.boolean().default(false),
+});
+
+const metricsSchema = z.strictObject({
+  host: z.string(),
+  port: z.int().min(1).max(65_535),
+  prefix: z.string().default("bronzemill."),
+});
+
+/** The schema of a base file with its overlay applied. */
+export const settingsSchema = z.strictObject({
+  entry: entrySchema.prefault({}),
+  instances: z.array(instanceSchema).min(1),
+  platform: platformSchema,
+  admin: adminSchema.prefault({}),
+  log: logSchema.prefault({}),
+  metrics: metricsSchema.optional(),
+  /** What `bronzemill config apply` proposes; instances do not read it. */
+  configuration: z.record(z.string(), z.json()).default({}),
+});
+/** Settings of one entry instance. */
+export type Settings = z.infer<typeof settingsSchema>;
+/** One row of the table of entry instances. */
+export type InstanceSettings = Settings["instances"][number];
