--- a/src/core/attach.ts
+++ b/src/core/attach.ts
@@ -1,7 +1,14 @@
 /** Questions about jobs that another instance holds. */
 
 import type { Answer, InstanceRef, PeerMessageOf } from "./schemas.ts";
-import type { CoreEventOf, Job, Step, Waiter } from "./types.ts";
+import type {
+  AttachWait,
+  CoreEventOf,
+  CoreState,
+  Job,
+  Step,
+  Waiter,
+} from "./types.ts";
 import { onHolderSilent } from "./claiming.ts";
 import { cancelJob, endJob } from "./jobs.ts";
 import { emit, nextId, sendPeer } from "./utilities.ts";
@@ -9,11 +16,18 @@
 /** How long a holder that is not known to be alive has to answer. */
 export const ATTACH_TIMEOUT_MS = 1_500;
 
+/** A question is asked again this often: cut links lose messages. */
+const ATTACH_AGAIN_MS = 500;
+
 /** The slot that a job id names: ids read `slot.incarnation.number`. */
 export function slotOfJob(jobId: string): string {
   return jobId.split(".")[0] ?? "";
 }
 
+function incarnationOfJob({ holderJobId }: AttachWait): number {
+  return Number(holderJobId.split(".")[1]);
+}
+
 /** Asks the holder of a job for its answer, and returns the question's id. */
 export function askHolder(
   step: Step,
@@ -28,23 +42,31 @@
 ): string {
   const { state } = step;
   const attachId = nextId(state);
-  state.attaches.set(attachId, {
+  const attach: AttachWait = {
     attachId,
     target: holder,
+    team,
+    firstAskedAtMs: state.nowMs,
     askedAtMs: state.nowMs,
     jobId: job?.jobId ?? null,
     requestId: requestId ?? null,
     holderJobId,
     wait,
-  });
-  sendPeer(step, holder, {
+  };
+  state.attaches.set(attachId, attach);
+  sendAttach(step, attach);
+  return attachId;
+}
+
+function sendAttach(step: Step, attach: AttachWait): void {
+  attach.askedAtMs = step.state.nowMs;
+  sendPeer(step, attach.target, {
     type: "attach",
-    attachId,
-    jobId: holderJobId,
-    team,
-    wait,
+    attachId: attach.attachId,
+    jobId: attach.holderJobId,
+    team: attach.team,
+    wait: attach.wait,
   });
-  return attachId;
 }
 
 /** Answers a peer that asks for a job of this instance. */
@@ -63,11 +85,17 @@
     ...(visible && ended !== undefined ? { answer: ended } : {}),
   });
   if (visible && ended === undefined && message.wait) {
-    const { attachId } = message;
-    job.waiters.push({ kind: "peer", slot: from.slot, attachId });
+    addPeerWaiter(job, from.slot, message.attachId);
   }
 }
 
+function addPeerWaiter(job: Job, slot: string, attachId: string): void {
+  const known = job.waiters.some((waiter) =>
+    waiter.kind === "peer" && waiter.attachId === attachId
+  );
+  if (!known) job.waiters.push({ kind: "peer", slot, attachId });
+}
+
 /** Takes in a holder's answer. */
 export function onAttachReply(
   step: Step,
@@ -194,18 +222,28 @@
   });
 }
 
+/** Whether the job that asks has ended meanwhile, at its deadline say. */
+function isMoot(state: CoreState, wait: AttachWait): boolean {
+  if (wait.jobId === null) return false;
+  return state.jobs.get(wait.jobId)?.state !== "claiming";
+}
+
 /** Gives up questions whose target is gone, or was never heard again. */
 export function checkAttaches(step: Step): void {
   const { state } = step;
   for (const wait of [...state.attaches.values()]) {
     const peer = state.peers.get(wait.target);
     const heardMs = peer?.lastHeardMs ?? -Infinity;
-    const silentSinceMs = Math.max(heardMs, wait.askedAtMs);
-    if (state.nowMs - silentSinceMs <= ATTACH_TIMEOUT_MS) continue;
-    onAttachReply(step, {
-      type: "attachReply",
-      attachId: wait.attachId,
-      known: false,
-    });
+    const silentSinceMs = Math.max(heardMs, wait.firstAskedAtMs);
+    const silent = state.nowMs - silentSinceMs > ATTACH_TIMEOUT_MS;
+    // A later incarnation answers heartbeats, but holds nothing of the former.
+    const replaced = (peer?.incarnation ?? 0) > incarnationOfJob(wait);
+    if (silent || replaced) {
+      const { attachId } = wait;
+      onAttachReply(step, { type: "attachReply", attachId, known: false });
+    } else if (isMoot(state, wait)) state.attaches.delete(wait.attachId);
+    else if (state.nowMs - wait.askedAtMs >= ATTACH_AGAIN_MS) {
+      sendAttach(step, wait);
+    }
   }
 }
--- a/src/core/borrowing.ts
+++ b/src/core/borrowing.ts
@@ -1,6 +1,6 @@
 /** Slots that idle instances lend to busy ones, on request. */
 
-import type { InstanceRef, PeerMessageOf } from "./schemas.ts";
+import type { BorrowedCount, InstanceRef, PeerMessageOf } from "./schemas.ts";
 import type { CoreState, Peer, Step } from "./types.ts";
 import { dispatch, freeSlots } from "./placement.ts";
 import { freeOwnedSlots, isLivePeer, isUsable } from "./upstreams.ts";
@@ -8,6 +8,8 @@
 
 /** The shortest time between two rounds of asking for one service. */
 const BORROW_EVERY_MS = 10;
+/** How long after a loan a borrower's word is taken as settled. */
+const RECONCILE_AFTER_MS = 1_000;
 /** How many peers are asked in one round. */
 const BORROW_PEERS = 3;
 
@@ -73,6 +75,10 @@
     upstream.lentTo.set(from.slot, lent + take);
     for (let i = 0; i < take; i += 1) upstreamIds.push(upstream.id);
   }
+  const peer = state.peers.get(from.slot);
+  if (peer !== undefined && upstreamIds.length > 0) {
+    peer.lastLentMs = state.nowMs;
+  }
   sendPeer(step, from.slot, { type: "lend", service, upstreamIds });
 }
 
@@ -123,6 +129,43 @@
   for (const service of services) dispatch(step, service);
 }
 
+/** The slots in use here that peers lent, by lender and upstream. */
+export function borrowedCounts(state: CoreState): BorrowedCount[] {
+  const counts = new Map<string, BorrowedCount>();
+  for (const { borrowedFrom, upstreamId } of state.sends.values()) {
+    if (borrowedFrom === null) continue;
+    const count = getOrInsert(counts, `${borrowedFrom} ${upstreamId}`, () => ({
+      lender: borrowedFrom,
+      upstreamId,
+      slots: 0,
+    }));
+    count.slots += 1;
+  }
+  return [...counts.values()];
+}
+
+/**
+ * Takes back lent slots that the borrower does not use: a message that lent or
+ * returned them was lost. Slots lent a moment ago may still be on their way.
+ */
+export function reconcileLent(
+  state: CoreState,
+  peer: Peer,
+  counts: readonly BorrowedCount[],
+): void {
+  if (state.nowMs - peer.lastLentMs < RECONCILE_AFTER_MS) return;
+  for (const upstream of state.upstreams.values()) {
+    const lent = upstream.lentTo.get(peer.slot);
+    if (lent === undefined) continue;
+    const used = counts.find((count) =>
+      count.lender === state.self.slot && count.upstreamId === upstream.id
+    )?.slots ?? 0;
+    if (used === 0) {
+      upstream.lentTo.delete(peer.slot);
+    } else upstream.lentTo.set(peer.slot, Math.min(lent, used));
+  }
+}
+
 /** Takes back whatever a peer held that is gone. */
 export function reclaimLent(state: CoreState, slot: string): void {
   for (const upstream of state.upstreams.values()) upstream.lentTo.delete(slot);
--- a/src/core/chain.ts
+++ b/src/core/chain.ts
@@ -38,6 +38,18 @@
   return ![a.owner, a.witness].some((s) => s === b.owner || s === b.witness);
 }
 
+/**
+ * The availability zone that a caller's key names: `poa:0192` is at home in
+ * poa. Every attempt of a key names the same zone, since the key does.
+ */
+export function homeZoneOf(
+  slots: readonly Slot[],
+  key: string,
+): string | null {
+  const zone = key.slice(0, Math.max(0, key.indexOf(":")));
+  return zonesOf(slots).includes(zone) ? zone : null;
+}
+
 /**
  * The groups of a key, in the order in which every attempt asks them: first in
  * the home zone, then groups that share no slot with an earlier one.
--- a/src/core/claiming.ts
+++ b/src/core/claiming.ts
@@ -7,7 +7,7 @@
 import type { DiagnosticName } from "./diagnostics.ts";
 import type { GroupRole, PeerMessageOf } from "./schemas.ts";
 import type { ClaimAttempt, ClaimGroup, Job, Step } from "./types.ts";
-import { chainOf } from "./chain.ts";
+import { chainOf, homeZoneOf } from "./chain.ts";
 import type { ClaimReply } from "./guards.ts";
 import { askHolder } from "./attach.ts";
 import { admitJob } from "./admission.ts";
@@ -25,16 +25,15 @@
 export function beginClaim(
   step: Step,
   job: Job,
-  homeZone: string | null,
+  key: string,
 ): void {
   const { state } = step;
   assert(job.scopedKey !== null, "claim_has_key", job.jobId);
-  const known = state.slots.some((slot) => slot.availabilityZone === homeZone);
   job.claim = {
     claimId: "",
     chain: chainOf(state.slots, {
       key: job.scopedKey,
-      homeZone: known ? homeZone : null,
+      homeZone: homeZoneOf(state.slots, key),
     }),
     chainIndex: 0,
     stage: "claiming",
--- a/src/core/drain.ts
+++ b/src/core/drain.ts
@@ -10,6 +10,9 @@
 /** A drain lasts at least so long: the balancer has to notice first. */
 export const DRAIN_NOTICE_MS = 1_000;
 
+/** A gap between ticks that is longer than this counts as a freeze. */
+const FREEZE_GAP_MS = 200;
+
 /** Starts to drain: peers are told at once. */
 export function onDrainRequested(step: Step): void {
   const { state } = step;
@@ -24,6 +27,9 @@
 export function checkDrain(step: Step): void {
   const { state } = step;
   if (state.drain !== "draining") return;
+  const gapMs = state.nowMs - state.lastTickMs;
+  // After a freeze, requests may wait unread: they are to be read first.
+  if (gapMs > FREEZE_GAP_MS) state.drainSinceMs = state.nowMs;
   if (state.nowMs - state.drainSinceMs < DRAIN_NOTICE_MS) return;
   let open = 0;
   for (const job of state.jobs.values()) if (job.state !== "ended") open += 1;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -31,7 +31,7 @@
   }
   const job = createJob(step, event, scopedKey);
   if (scopedKey === null) admitJob(step, job);
-  else beginClaim(step, job, event.submission.homeZone ?? null);
+  else beginClaim(step, job, event.key ?? "");
 }
 
 function flowNameOf(event: CoreEventOf<"callerSubmit">): string {
@@ -129,7 +129,7 @@
     scopedKey,
     payloadHash: event.payloadHash,
     attempt: event.attempt,
-    createdWallMs: submission.createdAtMs ?? null,
+    createdWallMs: event.keyCreatedMs,
     receivedAtMs: event.nowMs,
     receivedWallMs: event.wallMs,
     deadlineAtMs: event.nowMs + deadlineMs,
@@ -186,11 +186,7 @@
   return Diagnostics[diagnostic].ran === "no" ? "refused" : "failed";
 }
 
-function answerOf(
-  step: Step,
-  job: Job,
-  diagnostic: DiagnosticName | undefined,
-): Answer {
+function answerOf(job: Job, diagnostic: DiagnosticName | undefined): Answer {
   const state = diagnostic === undefined ? "complete" : stateOfEnd(diagnostic);
   if (state === "refused") {
     const certain = job.tasks.every((task) => task.state === "queued");
@@ -232,7 +228,7 @@
   forgetQueued(state, job);
   if (job.claim !== null) state.claimsById.delete(job.claim.claimId);
   job.claim = null;
-  job.answer = answer ?? answerOf(step, job, diagnostic);
+  job.answer = answer ?? answerOf(job, diagnostic);
   job.state = "ended";
   job.endedAtMs = state.nowMs;
   state.counters[endCounters[job.answer.state]] += 1;
@@ -266,8 +262,8 @@
 /** Cancels a job; tasks that were sent run on, the others never start. */
 export function cancelJob(step: Step, job: Job): void {
   if (job.state === "ended") return;
-  if (job.state === "claiming" && job.attempt !== 1) {
-    // Another holder may have run it: this instance can't say it did not.
+  if (job.state === "claiming") {
+    // Another attempt may have run it: this instance can't say it did not.
     endJob(step, job, { diagnostic: "outcomeUnknown" });
     return;
   }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -2,7 +2,7 @@
 
 import type { InstanceRef, PeerMessageOf } from "./schemas.ts";
 import type { CoreState, Peer, Step } from "./types.ts";
-import { reclaimLent } from "./borrowing.ts";
+import { borrowedCounts, reclaimLent, reconcileLent } from "./borrowing.ts";
 import { requestIfBehind } from "./configuration.ts";
 import { freeSlots } from "./placement.ts";
 import { onPartnerHeard } from "./registrar.ts";
@@ -53,6 +53,7 @@
   peer.membershipVersion = message.membershipVersion;
   peer.loads = message.loads;
   if (!peer.leaving) onPartnerHeard(step, from, message.virgin);
+  reconcileLent(state, peer, message.borrowed);
   requestIfBehind(step, from, message.configurationVersion);
   if (message.membershipVersion > state.membershipVersion) {
     sendPeer(step, from.slot, { type: "membershipRequest" });
@@ -109,6 +110,7 @@
       freeSlots: freeSlots(state, service),
       queuedTasks: queuedOf(state, service),
     })),
+    borrowed: borrowedCounts(state),
   };
 }
 
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -106,6 +106,7 @@
     patches: new Map(),
     drain: "none",
     drainSinceMs: 0,
+    lastTickMs: nowMs,
     lastHeartbeatMs: -Infinity,
     lastShareSampleMs: nowMs,
     lastExpiryMs: nowMs,
@@ -145,6 +146,7 @@
       configurationVersion: -1,
       membershipVersion: -1,
       loads: [],
+      lastLentMs: -Infinity,
     });
   }
   return peers;
@@ -266,6 +268,7 @@
     expireRecords(state);
   }
   checkDrain(step);
+  state.lastTickMs = state.nowMs;
 }
 
 function servicesWithWork(state: CoreState): Set<string> {
--- a/src/core/schemas.ts
+++ b/src/core/schemas.ts
@@ -86,8 +86,6 @@
   kind: nameSchema,
   urgency: z.int().min(0).max(9).default(5),
   idempotent: z.boolean().default(false),
-  homeZone: nameSchema.optional(),
-  createdAtMs: z.int().nonnegative().optional(),
   deadlineMs: z.number().min(1).max(600_000).optional(),
   tasks: z.array(
     z.strictObject({
@@ -196,6 +194,14 @@
 /** One instance's load on one service, as heartbeats carry it. */
 export type ServiceLoad = z.infer<typeof serviceLoadSchema>;
 
+const borrowedCountSchema = z.object({
+  lender: z.string(),
+  upstreamId: z.string(),
+  slots: z.number(),
+});
+/** How many slots of one upstream an instance uses that a peer lent. */
+export type BorrowedCount = z.infer<typeof borrowedCountSchema>;
+
 /** The schema of an upstream as the membership list names it. */
 export const upstreamMemberSchema = z.object({
   id: z.string(),
@@ -266,6 +272,8 @@
     membershipVersion: z.number(),
     leavingUpstreams: z.array(z.string()),
     loads: z.array(serviceLoadSchema),
+    /** Slots in use here that peers lent. */
+    borrowed: z.array(borrowedCountSchema),
   }),
   z.object({
     type: z.literal("borrow"),
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -47,6 +47,8 @@
       readonly team: string;
       readonly key: string | null;
       readonly attempt: number | null;
+      /** When the key was made, where it tells. */
+      readonly keyCreatedMs: number | null;
       readonly payloadHash: string;
       readonly wait: boolean;
       readonly submission: Submission;
@@ -256,6 +258,7 @@
   configurationVersion: number;
   membershipVersion: number;
   loads: ServiceLoad[];
+  lastLentMs: number;
 }
 
 /** A claim this instance remembers as registrar. */
@@ -353,6 +356,7 @@
   configuration: Configuration | null;
   drain: "none" | "draining" | "drained";
   drainSinceMs: number;
+  lastTickMs: number;
   lastHeartbeatMs: number;
   lastShareSampleMs: number;
   lastExpiryMs: number;
@@ -364,7 +368,9 @@
 export interface AttachWait {
   readonly attachId: string;
   readonly target: string;
-  readonly askedAtMs: number;
+  readonly team: string;
+  readonly firstAskedAtMs: number;
+  askedAtMs: number;
   /** The job of ours that turned out to be held elsewhere, if any. */
   readonly jobId: string | null;
   readonly requestId: string | null;
--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -113,7 +113,8 @@
 }
 
 /** Hex digits of a version 7 UUID's timestamp, in milliseconds. */
-const UUID7 = /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-/i;
+const UUID7 =
+  /(?:^|:)([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-/i;
 
 /** When a key was made, where it is a version 7 UUID (RFC 9562). */
 export function keyCreatedMs(key: string | null): number | null {
@@ -149,7 +150,6 @@
     const text = await readBody(request, limits.maxBodyBytes);
     const submission = parseBody(submissionSchema, text);
     const { service, kind, idempotent, tasks } = submission;
-    const createdAtMs = submission.createdAtMs ?? keyCreatedMs(key);
     host.dispatch({
       type: "callerSubmit",
       nowMs: receivedMs,
@@ -158,14 +158,12 @@
       team,
       key,
       attempt,
+      keyCreatedMs: keyCreatedMs(key),
       payloadHash: sha256Hex(
         JSON.stringify([service, kind, idempotent, tasks]),
       ),
       wait: url.searchParams.get("wait") !== "false",
-      submission: {
-        ...submission,
-        ...(createdAtMs === null ? {} : { createdAtMs }),
-      },
+      submission,
     });
   }
 
