A refusal no longer answers a later attempt that joined its job

Ruled out: refusing to join (a second claim by the same instance would race itself). Change: a job that others wait for no longer speaks as a first attempt.

--- a/src/core/attach.ts
+++ b/src/core/attach.ts
@@ -93,6 +93,8 @@
   const known = job.waiters.some((waiter) =>
     waiter.kind === "peer" && waiter.attachId === attachId
   );
+  // A refusal would speak of this job's attempt only, not of the peer's.
+  job.attempt = null;
   if (!known) job.waiters.push({ kind: "peer", slot, attachId });
 }
 
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -91,6 +91,8 @@
     });
     return true;
   }
+  // A refusal would speak of the first attempt only, not of this one.
+  if (event.attempt !== 1) job.attempt = null;
   addCallerWaiter(step, job, event);
   return true;
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -193,7 +193,8 @@
   readonly urgency: number;
   readonly scopedKey: string | null;
   readonly payloadHash: string;
-  readonly attempt: number | null;
+  /** The attempt this job speaks for; null once others wait for it too. */
+  attempt: number | null;
   readonly createdWallMs: number | null;
   readonly receivedAtMs: number;
   readonly receivedWallMs: number;
