--- /dev/null
+++ b/src/admin/accept_test.ts
@@ -0,0 +1,119 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import type { Json } from "../core/schemas.ts";
+import type { PlatformHost, TableRow } from "../host/hosts.ts";
+import {
+  type Acceptance,
+  acceptProposal,
+  checkProposal,
+  InvalidConfigurationError,
+  type Proposal,
+} from "./accept.ts";
+
+const base = { services: {}, teams: {} };
+
+function proposal(expectedVersion: number, changeId: string): Proposal {
+  return { expectedVersion, changeId, base, overlays: {} };
+}
+
+/** A table that can lose the answers of its next writes. */
+function fakePlatform(): PlatformHost & { loseAnswers: number } {
+  const table = new Map<string, TableRow>();
+  const read = (key: string) => table.get(key) ?? { value: null, version: 0 };
+  const platform = {
+    loseAnswers: 0,
+    readRow: (key: string) => Promise.resolve(read(key)),
+    writeRow(key: string, row: { value: Json; expectedVersion: number }) {
+      const current = read(key);
+      if (current.version !== row.expectedVersion) {
+        return Promise.resolve({ kind: "conflict" as const, row: current });
+      }
+      const version = current.version + 1;
+      table.set(key, { value: row.value, version });
+      if (platform.loseAnswers > 0) {
+        platform.loseAnswers -= 1;
+        return Promise.reject(new Error("the answer was lost"));
+      }
+      return Promise.resolve({ kind: "written" as const, version });
+    },
+    readMembership: () => Promise.resolve({ version: 1, upstreams: [] }),
+    close: () => Promise.resolve(),
+  };
+  return platform;
+}
+
+function summary(acceptance: Acceptance): string {
+  return acceptance.kind === "accepted"
+    ? `accepted ${acceptance.document.version}`
+    : `conflict at ${acceptance.version}`;
+}
+
+const races: { name: string; proposals: Proposal[]; ends: string[] }[] = [
+  {
+    name: "one operator after another",
+    proposals: [proposal(0, "a"), proposal(1, "b")],
+    ends: ["accepted 1", "accepted 2"],
+  },
+  {
+    name: "two on the same version",
+    proposals: [proposal(0, "a"), proposal(0, "b")],
+    ends: ["accepted 1", "conflict at 1"],
+  },
+  {
+    name: "the same change again",
+    proposals: [proposal(0, "a"), proposal(0, "a")],
+    ends: ["accepted 1", "accepted 1"],
+  },
+];
+
+for (const { name, proposals, ends } of races) {
+  test(`accept: ${name}`, async () => {
+    const platform = fakePlatform();
+    const told: string[] = [];
+    for (const each of proposals) {
+      told.push(summary(await acceptProposal(platform, each)));
+    }
+    expect(told).toEqual(ends);
+  });
+}
+
+test("accept: a lost answer is resolved by reading, not by writing", async () => {
+  const platform = fakePlatform();
+  platform.loseAnswers = 1;
+  const told = summary(await acceptProposal(platform, proposal(0, "a")));
+  expect(told).toEqual("accepted 1");
+  const row = await platform.readRow("configuration/current");
+  expect(row.version).toEqual(1);
+});
+
+const invalid: { name: string; change: Partial<Proposal>; place: string }[] = [
+  {
+    name: "an unknown field",
+    change: { base: { ...base, servcies: {} } },
+    place: "base",
+  },
+  {
+    name: "a limit out of range in an overlay",
+    change: { overlays: { poa: { limits: { headroomPercent: 90 } } } },
+    place: "overlays.poa.limits.headroomPercent",
+  },
+  {
+    name: "an overlay of no zone",
+    change: { overlays: { nowhere: {} } },
+    place: "overlays.nowhere",
+  },
+];
+
+for (const { name, change, place } of invalid) {
+  test(`check: ${name}`, () => {
+    const checked = { ...proposal(0, "a"), ...change };
+    let message = "";
+    try {
+      checkProposal(checked, ["poa"]);
+    } catch (error) {
+      expect(error).toBeA(InvalidConfigurationError);
+      message = (error as Error).message;
+    }
+    expect(message.startsWith(place)).toEqual(true);
+  });
+}
--- /dev/null
+++ b/src/core/jobs_test.ts
@@ -0,0 +1,176 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import type { CoreState, Effect, SendOutcome } from "./types.ts";
+import { reduce } from "./reduce.ts";
+import { effectsOf, submit, testCore } from "./testing.ts";
+
+function withUpstreams(count: number): CoreState {
+  const core = testCore("poa-1");
+  reduce(core, {
+    type: "membershipRead",
+    nowMs: 0,
+    membershipVersion: 1,
+    upstreams: Array.from({ length: count }, (_, index) => ({
+      id: `x${index}`,
+      service: "oficina",
+      availabilityZone: "poa",
+      address: "127.0.0.1:1",
+      slots: 2,
+      state: "live" as const,
+    })),
+  });
+  return core;
+}
+
+function answers(effects: readonly Effect[]): (string | undefined)[] {
+  return effectsOf(effects, "replyCaller").map(({ reply }) =>
+    reply.kind === "answer"
+      ? reply.answer.diagnostic ?? reply.answer.state
+      : reply.kind
+  );
+}
+
+const done = (taskId: string): SendOutcome => ({
+  kind: "done",
+  taskId,
+  result: "r",
+});
+
+/** How the only task's send ends, and what the caller is told. */
+const outcomes: {
+  name: string;
+  outcome: (taskId: string) => SendOutcome;
+  told: string[];
+  sends: number;
+}[] = [
+  { name: "done", outcome: done, told: ["complete"], sends: 1 },
+  {
+    name: "failed",
+    outcome: (taskId) => ({ kind: "failed", taskId, detail: "" }),
+    told: ["taskFailed"],
+    sends: 1,
+  },
+  {
+    name: "a reset after sending is not tried again",
+    outcome: () => ({ kind: "unknown", detail: "reset" }),
+    told: ["taskUnknown"],
+    sends: 1,
+  },
+  {
+    name: "refused before the start is tried again",
+    outcome: () => ({ kind: "notRun", detail: "refused" }),
+    told: [],
+    sends: 2,
+  },
+  {
+    name: "another task's answer is unknown",
+    outcome: (taskId) => done(`${taskId}0`),
+    told: ["taskUnknown"],
+    sends: 1,
+  },
+];
+
+for (const { name, outcome, told, sends } of outcomes) {
+  test(`send ended: ${name}`, () => {
+    const core = withUpstreams(2);
+    const [send] = effectsOf(reduce(core, submit({ nowMs: 1 })), "sendTask");
+    if (send === undefined) throw new Error("nothing was sent");
+    const event = {
+      type: "sendEnded",
+      nowMs: 5,
+      sendId: send.sendId,
+      outcome: outcome(send.taskId),
+    } as const;
+    const effects = reduce(core, event);
+    expect(answers(effects)).toEqual(told);
+    expect(core.counters.tasksSent).toEqual(sends);
+  });
+}
+
+test("a second answer to one send is counted and dropped", () => {
+  const core = withUpstreams(1);
+  const [send] = effectsOf(reduce(core, submit({ nowMs: 1 })), "sendTask");
+  const outcome = done(send?.taskId ?? "");
+  const sendId = send?.sendId ?? "";
+  reduce(core, { type: "sendEnded", nowMs: 5, sendId, outcome });
+  const again = reduce(core, { type: "sendEnded", nowMs: 6, sendId, outcome });
+  expect(again).toEqual([]);
+  expect(core.counters.answersUnmatched).toEqual(1);
+});
+
+const deadlines = [
+  { name: "nothing was sent", upstreams: 0, told: ["noUpstream"] },
+  { name: "a task was sent", upstreams: 1, told: ["deadlineExceeded"] },
+];
+
+for (const { name, upstreams, told } of deadlines) {
+  test(`deadline: ${name}`, () => {
+    const core = withUpstreams(upstreams);
+    reduce(core, submit({ nowMs: 1 }));
+    const nowMs = 30_002;
+    const effects = reduce(core, { type: "tick", nowMs, wallMs: nowMs });
+    expect(answers(effects)).toEqual(told);
+  });
+}
+
+test("cancel while claiming is answered as unknown", () => {
+  const core = withUpstreams(1);
+  reduce(core, submit({ nowMs: 1, key: "k", attempt: 1 }));
+  const jobIds = [...core.jobs.keys()];
+  const event = {
+    type: "callerCancel",
+    nowMs: 2,
+    requestId: "c",
+    team: "benches",
+    jobIds,
+  } as const;
+  expect(answers(reduce(core, event))).toEqual(["outcomeUnknown", "accepted"]);
+});
+
+test("another team cannot cancel a job", () => {
+  const core = withUpstreams(1);
+  reduce(core, submit({ nowMs: 1 }));
+  const jobIds = [...core.jobs.keys()];
+  const event = {
+    type: "callerCancel",
+    nowMs: 2,
+    requestId: "c",
+    team: "couriers",
+    jobIds,
+  } as const;
+  expect(answers(reduce(core, event))).toEqual(["accepted"]);
+});
+
+test("a later attempt that joins is not told 'not run' of the first", () => {
+  const core = withUpstreams(1);
+  reduce(core, submit({ nowMs: 1, key: "k", attempt: 1 }));
+  reduce(core, submit({ nowMs: 9, key: "k", attempt: 2, requestId: "r2" }));
+  let effects: Effect[] = [];
+  for (let nowMs = 20; nowMs < 2_000; nowMs += 20) {
+    effects = effects.concat(reduce(core, { type: "tick", nowMs, wallMs: 0 }));
+  }
+  expect(answers(effects)).toEqual(["outcomeUnknown", "outcomeUnknown"]);
+});
+
+test("a first attempt alone is told that nothing was run", () => {
+  const core = withUpstreams(1);
+  reduce(core, submit({ nowMs: 1, key: "caxias:k", attempt: 1 }));
+  let effects: Effect[] = [];
+  for (let nowMs = 20; nowMs < 2_000; nowMs += 20) {
+    effects = effects.concat(reduce(core, { type: "tick", nowMs, wallMs: 0 }));
+  }
+  expect(answers(effects)).toEqual(["registrarsUnreachable"]);
+});
+
+test("a drain that was frozen waits for requests that lie unread", () => {
+  const core = withUpstreams(1);
+  reduce(core, { type: "tick", nowMs: 20, wallMs: 0 });
+  reduce(core, { type: "drainRequested", nowMs: 30 });
+  const resumed = reduce(core, { type: "tick", nowMs: 5_000, wallMs: 0 });
+  expect(effectsOf(resumed, "drained").length).toEqual(0);
+  let effects: Effect[] = [];
+  for (let nowMs = 5_020; nowMs <= 6_020; nowMs += 20) {
+    effects = effects.concat(reduce(core, { type: "tick", nowMs, wallMs: 0 }));
+  }
+  expect(effectsOf(effects, "drained").length).toEqual(1);
+});
--- a/src/core/upstreams.ts
+++ b/src/core/upstreams.ts
@@ -134,7 +134,8 @@
 /** One entry a slot, so that neighbours are of different upstreams. */
 function slotUnits(state: CoreState, service: string): Upstream[] {
   const upstreams = [...state.upstreams.values()]
-    .filter((upstream) => upstream.service === service && !upstream.leaving)
+    .filter((upstream) => upstream.service === service)
+    .filter((upstream) => state.guards.mayReceiveWork(upstream))
     .sort((a, b) => (a.id < b.id ? -1 : 1));
   const units: Upstream[] = [];
   const most = Math.max(0, ...upstreams.map((upstream) => upstream.slots));
--- /dev/null
+++ b/src/settings/load_test.ts
@@ -0,0 +1,69 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { loadSettings, SettingsError } from "./load.ts";
+
+const examples = fileURLToPath(new URL("../../../examples/", import.meta.url));
+const sites = [
+  { site: "sul", zones: ["poa", "caxias", "pelotas"] },
+  { site: "fes", zones: ["bab-boujloud", "talaa-kebira", "andalous"] },
+];
+
+for (const { site, zones } of sites) {
+  for (const zone of zones) {
+    test(`settings: the example ${site} with ${zone} is valid`, () => {
+      const base = join(examples, site, "base.yaml");
+      const overlay = join(examples, site, `${zone}.yaml`);
+      expect(loadSettings(base, { overlay }).settings.instances.length)
+        .toEqual(7);
+    });
+  }
+}
+
+const faults = [
+  {
+    name: "a mistyped field",
+    from: "  maxBodyBytes",
+    to: "  listn: 127.0.0.1:1\n  maxBodyBytes",
+    said: ["base.yaml:4: entry.listn: ", "did you mean listen?"],
+  },
+  {
+    name: "a value of the wrong type",
+    from: "maxBodyBytes: 1048576",
+    to: "maxBodyBytes: many",
+    said: ["base.yaml:4: entry.maxBodyBytes: "],
+  },
+  {
+    name: "a mistyped section of the configuration",
+    from: "  services:",
+    to: "  servces:",
+    said: ["configuration.servces: ", "did you mean services?"],
+  },
+  {
+    name: "text that is no YAML",
+    from: "entry:",
+    to: "entry: [",
+    said: ["base.yaml:"],
+  },
+];
+
+for (const { name, from, to, said } of faults) {
+  test(`settings: ${name}`, () => {
+    const folder = mkdtempSync(join(tmpdir(), "bronzemill-test-"));
+    const file = join(folder, "base.yaml");
+    const text = readFileSync(join(examples, "sul", "base.yaml"), "utf8");
+    writeFileSync(file, text.replace(from, to));
+    let message = "";
+    try {
+      loadSettings(file);
+    } catch (error) {
+      expect(error).toBeA(SettingsError);
+      message = (error as Error).message;
+    }
+    rmSync(folder, { recursive: true });
+    for (const part of said) expect(message.includes(part)).toEqual(true);
+  });
+}
