--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -24,6 +24,8 @@
   readonly executorsPerZone?: number;
   readonly slotsPerExecutor?: number;
   readonly policy?: PolicyName;
+  /** The services that upstreams serve in turn. */
+  readonly services?: readonly string[];
   /** One-way latency between availability zones. */
   readonly zoneLatencyMs?: number;
   readonly verbose?: boolean;
@@ -99,16 +101,17 @@
 
 function upstreamList(
   zones: readonly string[],
-  { portBase, executors, slots }: {
+  { portBase, executors, slots, services }: {
     portBase: number;
     executors: number;
     slots: number;
+    services: readonly string[];
   },
 ): UpstreamMember[] {
   return zones.flatMap((availabilityZone, zone) =>
     Array.from({ length: executors }, (_, index) => ({
       id: `${availabilityZone}-x${index}`,
-      service: index % 2 === 0 ? "oficina" : "vigil-desk",
+      service: services[index % services.length] ?? "",
       availabilityZone,
       address: `127.0.0.1:${
         portBase + PORTS.executor + zone * EXECUTOR_PORTS_PER_ZONE + index
@@ -217,7 +220,13 @@
   }
 
   writeSettings();
-  const upstreams = upstreamList(zones, { portBase, executors, slots });
+  const services = options.services ?? ["oficina", "vigil-desk"];
+  const upstreams = upstreamList(zones, {
+    portBase,
+    executors,
+    slots,
+    services,
+  });
   const upstreamPorts = new Map<string, number>();
   await standin("platform", [portBase + PORTS.platform]);
   for (const [index, zone] of zones.entries()) {
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -79,6 +79,22 @@
   { share: 0.01, least: 61, most: 170 },
 ];
 
+/** The mean number of tasks in a job. */
+export function meanJobTasks(): number {
+  return jobSizes.reduce(
+    (sum, { share, least, most }) => sum + share * (least + most) / 2,
+    0,
+  );
+}
+
+/** The mean run time of a kind's tasks, long ones and the cap included. */
+export function meanRunMs(meanMs: number): number {
+  const scale = meanMs - MIN_RUN_MS;
+  const capped = scale * (1 - Math.exp(-(MAX_RUN_MS - MIN_RUN_MS) / scale));
+  const long = (LONG_MIN_MS + LONG_MAX_MS) / 2;
+  return (1 - LONG_SHARE) * (MIN_RUN_MS + capped) + LONG_SHARE * long;
+}
+
 /** Draws jobs from a seed. */
 export interface Workload {
   readonly random: RandomGenerator;
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -3,7 +3,7 @@
 import type { Flow, Job, Step } from "./types.ts";
 import { enqueueJob, isFlooding } from "./flows.ts";
 import { endJob } from "./jobs.ts";
-import { dispatch, usableSlots } from "./placement.ts";
+import { dispatch, refusesEarly, usableSlots } from "./placement.ts";
 
 /** The shortest queue, as time to work it off, that is ever refused. */
 const MIN_QUEUE_MS = 1_000;
@@ -23,7 +23,8 @@
 export function isOverloaded(step: Step, flowName: string): boolean {
   const { state } = step;
   const flow = state.flows.get(flowName);
-  if (flow === undefined || !isFlooding(flow)) return false;
+  if (flow === undefined || !refusesEarly(state)) return false;
+  if (!isFlooding(flow)) return false;
   const ratio = state.configuration?.limits.maxQueueRatio ?? 1;
   const limitMs = Math.max(MIN_QUEUE_MS, ratio * flow.meanRunMs);
   return queueMs(step, flow) > limitMs;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -21,6 +21,8 @@
 interface Policy {
   /** Whether sends wait for a free slot, or queue at the upstream. */
   readonly waitsForSlots: boolean;
+  /** Whether work is refused that could only wait. */
+  readonly refusesEarly: boolean;
   readonly pickJob: (state: CoreState, service: string) => Job | null;
   readonly pickPlace: (state: CoreState, service: string) => Place | null;
 }
@@ -28,26 +30,31 @@
 const policies: Record<PolicyName, Policy> = {
   stretch: {
     waitsForSlots: true,
+    refusesEarly: true,
     pickJob: pickByStretch,
     pickPlace: pickFreeSlot,
   },
   fifo: {
     waitsForSlots: true,
+    refusesEarly: false,
     pickJob: pickOldest,
     pickPlace: pickFreeSlot,
   },
   random: {
     waitsForSlots: false,
+    refusesEarly: false,
     pickJob: pickOldest,
     pickPlace: pickRandom,
   },
   roundRobin: {
     waitsForSlots: false,
+    refusesEarly: false,
     pickJob: pickOldest,
     pickPlace: pickRoundRobin,
   },
   powerOfTwo: {
     waitsForSlots: false,
+    refusesEarly: false,
     pickJob: pickOldest,
     pickPlace: pickOfTwo,
   },
@@ -57,6 +64,11 @@
   return policies[state.configuration?.policy ?? "stretch"];
 }
 
+/** Whether the policy in force refuses work that could only wait. */
+export function refusesEarly(state: CoreState): boolean {
+  return policyOf(state).refusesEarly;
+}
+
 /** Sends as many queued tasks of a service as slots allow. */
 export function dispatch(step: Step, service: string): void {
   const { state } = step;
