A flood is counted in jobs, not slots

Cause: one job of many tasks raised its flow's demand past three times the usual and the next job of the flow was refused under steady load. Ruled out: a longer average (it also finds floods later). Change: open jobs, recent against usual, decide what a flood is.

--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -7,6 +7,9 @@
 /** The folder that the compiled tree lies in. */
 const DIST = fileURLToPath(new URL("..", import.meta.url));
 
+/** Processor profiles of every process go there, where it is set. */
+const profileFolder = process.env["BENCH_PROFILE_DIR"];
+
 /** A process of a fleet. */
 export interface FleetProcess {
   readonly name: string;
@@ -25,7 +28,11 @@
   script: string,
   { args, verbose = false }: { args: readonly string[]; verbose?: boolean },
 ): FleetProcess {
-  const child = spawn(process.execPath, [`${DIST}${script}`, ...args], {
+  const profiling = profileFolder === undefined
+    ? []
+    : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`];
+  const node = [...profiling, `${DIST}${script}`, ...args];
+  const child = spawn(process.execPath, node, {
     stdio: ["ignore", "pipe", verbose ? "inherit" : "ignore"],
   });
   started.add(child);
--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -13,10 +13,10 @@
 const FLOOD_WEIGHT = 0.0002;
 /** How many samples a new flow is averaged over before weights apply. */
 const WARMUP_SAMPLES = 30;
-/** Demand at this many times the usual counts as a flood. */
+/** This many times the usual number of jobs counts as a flood. */
 const FLOOD_FACTOR = 3;
-/** Demand below this many slots is never a flood. */
-const FLOOD_MIN_SLOTS = 8;
+/** Fewer jobs than this are never a flood. */
+const FLOOD_MIN_JOBS = 6;
 /** Weight of one run in a flow's learned run time. */
 const RUN_WEIGHT = 0.02;
 
@@ -35,7 +35,9 @@
     meanRunMs:
       state.configuration?.services[service]?.kinds[kind]?.expectedMs ?? 300,
     usualSlots: 0,
-    recentSlots: 0,
+    openJobs: 0,
+    usualJobs: 0,
+    recentJobs: 0,
     samples: 0,
   }));
 }
@@ -53,6 +55,7 @@
   const flow = state.flows.get(job.flow);
   if (flow === undefined) return;
   flow.waiting.push(job);
+  flow.openJobs += 1;
   flow.queuedTasks += job.tasks.length;
 }
 
@@ -97,15 +100,24 @@
   removeWaiting(flow, job);
 }
 
+/** Notes that a job that was enqueued has ended. */
+export function closeJob(state: CoreState, job: Job): void {
+  const flow = state.flows.get(job.flow);
+  if (flow !== undefined) flow.openJobs -= 1;
+}
+
 /** Learns from one run of a task. */
 export function learnRun(flow: Flow, ranMs: number): void {
   flow.meanRunMs += RUN_WEIGHT * (ranMs - flow.meanRunMs);
 }
 
-/** Whether a flow wants far more than it usually does. */
+/**
+ * Whether a flow brings far more jobs than it usually does. Jobs are counted,
+ * not slots: one job of many tasks is no flood.
+ */
 export function isFlooding(flow: Flow): boolean {
-  const bar = Math.max(FLOOD_MIN_SLOTS, flow.usualSlots * FLOOD_FACTOR);
-  return flow.samples >= WARMUP_SAMPLES && flow.recentSlots > bar;
+  const bar = Math.max(FLOOD_MIN_JOBS, flow.usualJobs * FLOOD_FACTOR);
+  return flow.samples >= WARMUP_SAMPLES && flow.recentJobs > bar;
 }
 
 /** Samples every flow's demand. */
@@ -118,9 +130,10 @@
 function sampleFlow(flow: Flow): void {
   const demand = flow.inFlight + flow.queuedTasks;
   flow.samples += 1;
-  flow.recentSlots += RECENT_WEIGHT * (demand - flow.recentSlots);
+  flow.recentJobs += RECENT_WEIGHT * (flow.openJobs - flow.recentJobs);
   const warming = flow.samples <= WARMUP_SAMPLES;
   const settled = isFlooding(flow) ? FLOOD_WEIGHT : USUAL_WEIGHT;
   const weight = warming ? 1 / flow.samples : settled;
   flow.usualSlots += weight * (demand - flow.usualSlots);
+  flow.usualJobs += weight * (flow.openJobs - flow.usualJobs);
 }
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -7,7 +7,7 @@
 import { admitJob, isOverloaded } from "./admission.ts";
 import { tellWaiter } from "./attach.ts";
 import { beginClaim, checkClaimTimeout, tellOutcome } from "./claiming.ts";
-import { expectedJobMs, flowOf, forgetQueued } from "./flows.ts";
+import { closeJob, expectedJobMs, flowOf, forgetQueued } from "./flows.ts";
 import { emit, nextId } from "./utilities.ts";
 
 /** The largest answer, in characters, that registrars keep for replay. */
@@ -228,6 +228,7 @@
   const { state } = step;
   assert(job.state !== "ended", "job_ends_once", job.jobId);
   forgetQueued(state, job);
+  if (job.state === "running") closeJob(state, job);
   if (job.claim !== null) state.claimsById.delete(job.claim.claimId);
   job.claim = null;
   job.answer = answer ?? answerOf(job, diagnostic);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -304,8 +304,12 @@
   meanRunMs: number;
   /** Learned usual slots wanted by this flow, on this instance. */
   usualSlots: number;
-  /** Slots wanted over the last second or so. */
-  recentSlots: number;
+  /** Jobs that were admitted and have not ended. */
+  openJobs: number;
+  /** Learned usual number of open jobs. */
+  usualJobs: number;
+  /** Open jobs over the last second or so. */
+  recentJobs: number;
   samples: number;
 }
 
