Floods are told by arrivals; their queue no longer stops loans

Cause: jobs of the other kinds stay open while one floods, so they counted as floods too and were held to their usual slots; and a lender with a flood's queue never lent, so large jobs had one instance's slots only (seen in the list of late jobs: small ones of every kind, throughout the flood). Ruled out: a saturated load generator (2.8 s busy of 23 s by profile). Change: recent against usual arrivals decide; loans look at work within share.

--- a/src/core/borrowing.ts
+++ b/src/core/borrowing.ts
@@ -2,6 +2,7 @@
 
 import type { BorrowedCount, InstanceRef, PeerMessageOf } from "./schemas.ts";
 import type { CoreState, Peer, Step } from "./types.ts";
+import { queuedWithinShare } from "./flows.ts";
 import { dispatch, freeSlots } from "./placement.ts";
 import { freeOwnedSlots, isLivePeer, isUsable } from "./upstreams.ts";
 import { getOrInsert, sendPeer } from "./utilities.ts";
@@ -18,7 +19,7 @@
   const { state } = step;
   const askedAtMs = state.borrowAskedAtMs.get(service) ?? -Infinity;
   if (state.nowMs - askedAtMs < BORROW_EVERY_MS) return;
-  let wanted = queuedTasks(state, service);
+  let wanted = queuedWithinShare(state, service);
   if (wanted === 0) return;
   for (const peer of lendersOf(state, service).slice(0, BORROW_PEERS)) {
     const load = peer.loads.find((entry) => entry.service === service);
@@ -32,14 +33,6 @@
   }
 }
 
-function queuedTasks(state: CoreState, service: string): number {
-  let queued = 0;
-  for (const flow of state.flows.values()) {
-    if (flow.service === service) queued += flow.queuedTasks;
-  }
-  return queued;
-}
-
 /** Live peers with free slots: of this zone first, then the most free. */
 function lendersOf(state: CoreState, service: string): Peer[] {
   const zone = state.self.availabilityZone;
@@ -63,7 +56,8 @@
 ): void {
   const { state } = step;
   const { service } = message;
-  const busy = queuedTasks(state, service) > 0 || state.drain !== "none";
+  const queued = queuedWithinShare(state, service);
+  const busy = queued > 0 || state.drain !== "none";
   const upstreamIds: string[] = [];
   let wanted = busy ? 0 : Math.min(message.slots, freeSlots(state, service));
   for (const upstream of state.upstreams.values()) {
--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -13,10 +13,10 @@
 const FLOOD_WEIGHT = 0.0002;
 /** How many samples a new flow is averaged over before weights apply. */
 const WARMUP_SAMPLES = 30;
-/** This many times the usual number of jobs counts as a flood. */
+/** Jobs at this many times their usual rate count as a flood. */
 const FLOOD_FACTOR = 3;
-/** Fewer jobs than this are never a flood. */
-const FLOOD_MIN_JOBS = 6;
+/** Fewer jobs a sample than this are never a flood. */
+const FLOOD_MIN_ARRIVALS = 0.8;
 /** Weight of one run in a flow's learned run time. */
 const RUN_WEIGHT = 0.02;
 
@@ -35,9 +35,9 @@
     meanRunMs:
       state.configuration?.services[service]?.kinds[kind]?.expectedMs ?? 300,
     usualSlots: 0,
-    openJobs: 0,
-    usualJobs: 0,
-    recentJobs: 0,
+    arrivals: 0,
+    usualArrivals: 0,
+    recentArrivals: 0,
     samples: 0,
   }));
 }
@@ -55,7 +55,6 @@
   const flow = state.flows.get(job.flow);
   if (flow === undefined) return;
   flow.waiting.push(job);
-  flow.openJobs += 1;
   flow.queuedTasks += job.tasks.length;
 }
 
@@ -100,24 +99,39 @@
   removeWaiting(flow, job);
 }
 
-/** Notes that a job that was enqueued has ended. */
-export function closeJob(state: CoreState, job: Job): void {
-  const flow = state.flows.get(job.flow);
-  if (flow !== undefined) flow.openJobs -= 1;
-}
-
 /** Learns from one run of a task. */
 export function learnRun(flow: Flow, ranMs: number): void {
   flow.meanRunMs += RUN_WEIGHT * (ranMs - flow.meanRunMs);
 }
 
 /**
- * Whether a flow brings far more jobs than it usually does. Jobs are counted,
- * not slots: one job of many tasks is no flood.
+ * Whether a flow brings far more jobs than it usually does. Arrivals are
+ * counted, not slots: one job of many tasks is no flood, and neither is a flow
+ * whose jobs stay open because another one floods.
  */
 export function isFlooding(flow: Flow): boolean {
-  const bar = Math.max(FLOOD_MIN_JOBS, flow.usualJobs * FLOOD_FACTOR);
-  return flow.samples >= WARMUP_SAMPLES && flow.recentJobs > bar;
+  const usual = flow.usualArrivals * FLOOD_FACTOR;
+  const bar = Math.max(FLOOD_MIN_ARRIVALS, usual);
+  return flow.samples >= WARMUP_SAMPLES && flow.recentArrivals > bar;
+}
+
+/**
+ * Whether the flow may take any slot: all may but one that floods, which gets
+ * its usual slots as before and beyond them only what others leave.
+ */
+export function isWithinShare(flow: Flow): boolean {
+  return !isFlooding(flow) || flow.inFlight < flow.usualSlots;
+}
+
+/** Queued tasks of a service, those of floods beyond their share left out. */
+export function queuedWithinShare(state: CoreState, service: string): number {
+  let queued = 0;
+  for (const flow of state.flows.values()) {
+    if (flow.service === service && isWithinShare(flow)) {
+      queued += flow.queuedTasks;
+    }
+  }
+  return queued;
 }
 
 /** Samples every flow's demand. */
@@ -130,10 +144,12 @@
 function sampleFlow(flow: Flow): void {
   const demand = flow.inFlight + flow.queuedTasks;
   flow.samples += 1;
-  flow.recentJobs += RECENT_WEIGHT * (flow.openJobs - flow.recentJobs);
+  const { arrivals } = flow;
+  flow.arrivals = 0;
+  flow.recentArrivals += RECENT_WEIGHT * (arrivals - flow.recentArrivals);
   const warming = flow.samples <= WARMUP_SAMPLES;
   const settled = isFlooding(flow) ? FLOOD_WEIGHT : USUAL_WEIGHT;
   const weight = warming ? 1 / flow.samples : settled;
   flow.usualSlots += weight * (demand - flow.usualSlots);
-  flow.usualJobs += weight * (flow.openJobs - flow.usualJobs);
+  flow.usualArrivals += weight * (arrivals - flow.usualArrivals);
 }
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -7,7 +7,7 @@
 import { admitJob, isOverloaded } from "./admission.ts";
 import { tellWaiter } from "./attach.ts";
 import { beginClaim, checkClaimTimeout, tellOutcome } from "./claiming.ts";
-import { closeJob, expectedJobMs, flowOf, forgetQueued } from "./flows.ts";
+import { expectedJobMs, flowOf, forgetQueued } from "./flows.ts";
 import { emit, nextId } from "./utilities.ts";
 
 /** The largest answer, in characters, that registrars keep for replay. */
@@ -25,6 +25,7 @@
   }
   const scopedKey = event.key === null ? null : `${event.team}/${event.key}`;
   if (scopedKey !== null && joinKnownJob(step, event, scopedKey)) return;
+  flowOf(step.state, flowNameOf(event), event.submission).arrivals += 1;
   if (maySkipClaim(event) && isOverloaded(step, flowNameOf(event))) {
     refuse(step, event, "overloaded");
     return;
@@ -228,7 +229,6 @@
   const { state } = step;
   assert(job.state !== "ended", "job_ends_once", job.jobId);
   forgetQueued(state, job);
-  if (job.state === "running") closeJob(state, job);
   if (job.claim !== null) state.claimsById.delete(job.claim.claimId);
   job.claim = null;
   job.answer = answer ?? answerOf(job, diagnostic);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,7 +7,7 @@
 import type { PolicyName } from "./schemas.ts";
 import type { CoreState, Flow, Job, Step, Task, Upstream } from "./types.ts";
 import { borrowFor, returnUnused } from "./borrowing.ts";
-import { isFlooding, takeTask } from "./flows.ts";
+import { isWithinShare, takeTask } from "./flows.ts";
 import { freeOwnedSlots, isUsable } from "./upstreams.ts";
 import { emit, nextSequence, randomBelow } from "./utilities.ts";
 
@@ -179,10 +179,6 @@
   return spare !== null && leavesHeadroom(state, service) ? spare : null;
 }
 
-function isWithinShare(flow: Flow): boolean {
-  return !isFlooding(flow) || flow.inFlight < flow.usualSlots;
-}
-
 function leavesHeadroom(state: CoreState, service: string): boolean {
   const percent = state.configuration?.limits.headroomPercent ?? 0;
   const keep = usableSlots(state, service) * percent / 100;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -304,12 +304,12 @@
   meanRunMs: number;
   /** Learned usual slots wanted by this flow, on this instance. */
   usualSlots: number;
-  /** Jobs that were admitted and have not ended. */
-  openJobs: number;
-  /** Learned usual number of open jobs. */
-  usualJobs: number;
-  /** Open jobs over the last second or so. */
-  recentJobs: number;
+  /** Jobs that arrived since the last sample, refused ones too. */
+  arrivals: number;
+  /** Learned usual arrivals in one sample. */
+  usualArrivals: number;
+  /** Arrivals in one sample, over the last second or so. */
+  recentArrivals: number;
   samples: number;
 }
 
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -46,9 +46,8 @@
       inFlight: flow.inFlight,
       meanRunMs: Math.round(flow.meanRunMs),
       usualSlots: Math.round(flow.usualSlots * 10) / 10,
-      openJobs: flow.openJobs,
-      usualJobs: Math.round(flow.usualJobs * 10) / 10,
-      recentJobs: Math.round(flow.recentJobs * 10) / 10,
+      usualArrivals: Math.round(flow.usualArrivals * 100) / 100,
+      recentArrivals: Math.round(flow.recentArrivals * 100) / 100,
     })),
     upstreams: [...state.upstreams.values()].slice(0, MAX_LISTED).map((u) => ({
       id: u.id,
