A flood leaves the other kinds' idle usual slots alone

Cause: long tasks of the flood held the slots that the other kinds' usual work came back to; 17 tasks at once waited for as many to end. Ruled out: a wider headroom (it is paid by every kind, at all times it floods). Change: beyond its share a flood takes a slot only if the others' idle usual slots and the headroom stay free.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,7 +7,7 @@
 import type { PolicyName } from "./schemas.ts";
 import type { CoreState, Flow, Job, Step, Task, Upstream } from "./types.ts";
 import { borrowFor, returnUnused } from "./borrowing.ts";
-import { isWithinShare, takeTask } from "./flows.ts";
+import { isFlooding, isWithinShare, takeTask } from "./flows.ts";
 import { freeOwnedSlots, isUsable } from "./upstreams.ts";
 import { emit, nextSequence, randomBelow } from "./utilities.ts";
 
@@ -181,8 +181,19 @@
 
 function leavesHeadroom(state: CoreState, service: string): boolean {
   const percent = state.configuration?.limits.headroomPercent ?? 0;
-  const keep = usableSlots(state, service) * percent / 100;
-  return freeSlots(state, service) > keep;
+  const headroom = usableSlots(state, service) * percent / 100;
+  const unused = unusedShare(state, service);
+  return freeSlots(state, service) > headroom + unused;
+}
+
+/** Usual slots of the flows that do not flood, as far as they lie idle. */
+function unusedShare(state: CoreState, service: string): number {
+  let unused = 0;
+  for (const flow of state.flows.values()) {
+    if (flow.service !== service || isFlooding(flow)) continue;
+    unused += Math.max(0, flow.usualSlots - flow.inFlight);
+  }
+  return unused;
 }
 
 /** How much more urgency weighs, a step of it. */
