Control at the design size: regions, bounded heartbeats, shares on change

Cause: heartbeats went to every instance, slots were shared anew five times a second, and lent slots were looked for in every upstream. Ruled out: gossip through a few peers (loads are stale by several hops). Change: heartbeats go to the region's instances and to partners, less often the more there are; slots are shared when the live instances change; lent slots are kept by peer; membership is kept for the region only.

--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -38,7 +38,7 @@
 
 async function main(): Promise<void> {
   const tally = createTally();
-  const portBase = 20_000 + (process.pid % 60) * 400;
+  const portBase = 20_000 + (process.pid % 25) * 400;
   say("starting the platform, upstreams of three zones and seven instances");
   const fleet = await startFleet({ portBase, zoneLatencyMs: 0.5 });
   const caller = createCaller(fleet.balancerPort);
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -91,8 +91,8 @@
 ): void {
   const { slot } = core.self;
   for (const upstream of core.upstreams.values()) {
-    const lent = [...upstream.lentTo.values()].reduce((a, b) => a + b, 0);
-    if (upstream.inFlight !== 0 || upstream.inFlightOwned !== 0 || lent !== 0) {
+    const { inFlight, inFlightOwned, lentSlots } = upstream;
+    if (inFlight !== 0 || inFlightOwned !== 0 || lentSlots !== 0) {
       throw new Violation(`${slot} lost a slot of ${upstream.id}`);
     }
   }
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -5,17 +5,19 @@
  */
 
 import { defineCommand, runMain } from "citty";
-import type { Slot } from "../src/core/types.ts";
+import type { CoreState, Effect, Slot } from "../src/core/types.ts";
 import type { PeerMessage, UpstreamMember } from "../src/core/schemas.ts";
 import { peerMessageSchema } from "../src/core/schemas.ts";
 import { createCore, reduce } from "../src/core/reduce.ts";
-import type { CoreState } from "../src/core/types.ts";
 import { createCaller } from "./caller.ts";
 import { callControl } from "./control.ts";
 import { type Fleet, OPERATOR_KEY, startFleet } from "./fleet.ts";
 import { createWorkload, workKinds } from "./workload.ts";
 
-const PORT_BASE = 40_000;
+const PORT_BASE = 29_000;
+/** The shape of the design size: 13 zones in 4 regions. */
+const INSTANCES_PER_ZONE = 12;
+const ZONES_PER_REGION = 4;
 /** Run times are divided by this much, so that rates are not slot-bound. */
 const SPEED_UP = 0.02;
 const RATES = [20, 60, 120, 200];
@@ -127,12 +129,13 @@
 /** A core among so many instances, in zones of twelve. */
 function coreAmong(instances: number, upstreams: number): CoreState {
   const slots: Slot[] = Array.from({ length: instances }, (_, index) => ({
-    slot: `z${Math.floor(index / 12)}-${index % 12}`,
-    availabilityZone: `z${Math.floor(index / 12)}`,
+    slot: `z${Math.floor(index / INSTANCES_PER_ZONE)}-${index}`,
+    availabilityZone: `z${Math.floor(index / INSTANCES_PER_ZONE)}`,
+    region: `r${Math.floor(index / INSTANCES_PER_ZONE / ZONES_PER_REGION)}`,
   }));
   const self = { ...slots[0]!, incarnation: 1 };
   const core = createCore({ self, slots, nowMs: 0, wallMs: 0, seed: 1 });
-  const zones = Math.ceil(instances / 12);
+  const zones = Math.ceil(instances / INSTANCES_PER_ZONE);
   reduce(core, {
     type: "configurationRead",
     nowMs: 0,
@@ -172,6 +175,7 @@
     ready: true,
     configurationVersion: 1,
     membershipVersion: 1,
+    periodMs: 250,
     leavingUpstreams: [],
     loads: [{ service: "oficina", freeSlots: 5, queuedTasks: 0 }],
     borrowed: [],
@@ -187,9 +191,11 @@
       sentBytes += JSON.stringify(effect.message).length;
       messages += 1;
     }
-    if (nowMs % 200 !== 0) continue;
     for (const peer of core.peers.values()) {
-      if (!hearsFrom(core, peer.availabilityZone, peer.slot)) continue;
+      // Each peer is heard as often as it is told.
+      if (peer.nextHeartbeatMs !== nowMs + periodOf(effects, peer.slot)) {
+        continue;
+      }
       const message = peerMessageSchema.parse(
         JSON.parse(JSON.stringify(heartbeat)),
       );
@@ -208,8 +214,13 @@
   });
 }
 
-function hearsFrom(core: CoreState, _zone: string, slot: string): boolean {
-  return core.peers.has(slot);
+/** The period that a heartbeat sent in this step names, or none. */
+function periodOf(effects: readonly Effect[], slot: string): number {
+  for (const effect of effects) {
+    if (effect.type !== "sendPeer" || effect.slot !== slot) continue;
+    if (effect.message.type === "heartbeat") return effect.message.periodMs;
+  }
+  return NaN;
 }
 
 /** Memory of claims: what one record takes. */
@@ -239,8 +250,9 @@
     });
   }
   globalThis.gc?.();
+  const { size } = core.groups.get(group)?.records ?? new Map();
   const bytes = (process.memoryUsage().heapUsed - before) / count;
-  print({ slope: "claims", count, bytesPerClaim: Math.round(bytes) });
+  print({ slope: "claims", count: size, bytesPerClaim: Math.round(bytes) });
 }
 
 const command = defineCommand({
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -35,6 +35,7 @@
   Array.from({ length: Number(count) }, (_, index) => ({
     slot: `${zone}-${index + 1}`,
     availabilityZone: String(zone),
+    region: "south",
   }))
 );
 
--- a/src/core/borrowing.ts
+++ b/src/core/borrowing.ts
@@ -4,7 +4,8 @@
 import type { CoreState, Peer, Step } from "./types.ts";
 import { queuedWithinShare } from "./flows.ts";
 import { dispatch, freeSlots } from "./placement.ts";
-import { freeOwnedSlots, isLivePeer, isUsable } from "./upstreams.ts";
+import { isLivePeer, ownedUpstreams } from "./slot_sharing.ts";
+import { freeOwnedSlots, isUsable } from "./upstreams.ts";
 import { getOrInsert, sendPeer } from "./utilities.ts";
 
 /** The shortest time between two rounds of asking for one service. */
@@ -58,22 +59,57 @@
   const { service } = message;
   const queued = queuedWithinShare(state, service);
   const busy = queued > 0 || state.drain !== "none";
+  const peer = state.peers.get(from.slot);
+  if (peer === undefined) return;
+  const free = busy ? 0 : freeSlots(state, service);
+  const lent = lendSlots(state, peer, {
+    service,
+    slots: Math.min(message.slots, free),
+  });
+  sendPeer(step, from.slot, {
+    type: "lend",
+    service,
+    upstreamIds: lent,
+    freeSlots: free - lent.length,
+  });
+}
+
+/** Notes slots as lent to a peer; returns an upstream's id for each. */
+function lendSlots(
+  state: CoreState,
+  peer: Peer,
+  { service, slots }: { service: string; slots: number },
+): string[] {
   const upstreamIds: string[] = [];
-  let wanted = busy ? 0 : Math.min(message.slots, freeSlots(state, service));
-  for (const upstream of state.upstreams.values()) {
-    if (upstream.service !== service || !isUsable(state, upstream)) continue;
-    const take = Math.min(wanted, freeOwnedSlots(upstream));
+  for (const upstream of ownedUpstreams(state, service)) {
+    if (!isUsable(state, upstream)) continue;
+    const left = slots - upstreamIds.length;
+    const take = Math.min(left, freeOwnedSlots(upstream));
     if (take <= 0) continue;
-    wanted -= take;
-    const lent = upstream.lentTo.get(from.slot) ?? 0;
-    upstream.lentTo.set(from.slot, lent + take);
+    setLent(state, peer, upstream.id, lentOf(peer, upstream.id) + take);
     for (let i = 0; i < take; i += 1) upstreamIds.push(upstream.id);
   }
-  const peer = state.peers.get(from.slot);
-  if (peer !== undefined && upstreamIds.length > 0) {
-    peer.lastLentMs = state.nowMs;
+  if (upstreamIds.length > 0) peer.lastLentMs = state.nowMs;
+  return upstreamIds;
+}
+
+function lentOf(peer: Peer, upstreamId: string): number {
+  return peer.lent.get(upstreamId) ?? 0;
+}
+
+/** Sets how many slots of an upstream a peer holds; the sum follows. */
+function setLent(
+  state: CoreState,
+  peer: Peer,
+  upstreamId: string,
+  slots: number,
+): void {
+  const upstream = state.upstreams.get(upstreamId);
+  if (upstream !== undefined) {
+    upstream.lentSlots += slots - lentOf(peer, upstreamId);
   }
-  sendPeer(step, from.slot, { type: "lend", service, upstreamIds });
+  if (slots === 0) peer.lent.delete(upstreamId);
+  else peer.lent.set(upstreamId, slots);
 }
 
 /** Uses the slots that a peer lent, and returns what is not needed. */
@@ -84,6 +120,9 @@
 ): void {
   const { state } = step;
   if (message.upstreamIds.length === 0) state.counters.borrowsEmpty += 1;
+  const loads = state.peers.get(from.slot)?.loads ?? [];
+  const load = loads.find((entry) => entry.service === message.service);
+  if (load !== undefined) load.freeSlots = message.freeSlots;
   const borrowed = getOrInsert(state.borrowed, message.service, () => []);
   for (const upstreamId of message.upstreamIds) {
     borrowed.push({ upstreamId, lender: from.slot });
@@ -111,14 +150,15 @@
   from: InstanceRef,
   message: PeerMessageOf<"returnSlots">,
 ): void {
+  const { state } = step;
+  const peer = state.peers.get(from.slot);
+  if (peer === undefined) return;
   const services = new Set<string>();
   for (const upstreamId of message.upstreamIds) {
-    const upstream = step.state.upstreams.get(upstreamId);
-    if (upstream === undefined) continue;
-    const lent = upstream.lentTo.get(from.slot) ?? 0;
-    if (lent <= 1) upstream.lentTo.delete(from.slot);
-    else upstream.lentTo.set(from.slot, lent - 1);
-    services.add(upstream.service);
+    const left = Math.max(0, lentOf(peer, upstreamId) - 1);
+    setLent(state, peer, upstreamId, left);
+    const service = state.upstreams.get(upstreamId)?.service;
+    if (service !== undefined) services.add(service);
   }
   for (const service of services) dispatch(step, service);
 }
@@ -148,19 +188,19 @@
   counts: readonly BorrowedCount[],
 ): void {
   if (state.nowMs - peer.lastLentMs < RECONCILE_AFTER_MS) return;
-  for (const upstream of state.upstreams.values()) {
-    const lent = upstream.lentTo.get(peer.slot);
-    if (lent === undefined) continue;
+  for (const [upstreamId, lent] of [...peer.lent]) {
     const used = counts.find((count) =>
-      count.lender === state.self.slot && count.upstreamId === upstream.id
+      count.lender === state.self.slot && count.upstreamId === upstreamId
     )?.slots ?? 0;
-    if (used === 0) {
-      upstream.lentTo.delete(peer.slot);
-    } else upstream.lentTo.set(peer.slot, Math.min(lent, used));
+    setLent(state, peer, upstreamId, Math.min(lent, used));
   }
 }
 
 /** Takes back whatever a peer held that is gone. */
 export function reclaimLent(state: CoreState, slot: string): void {
-  for (const upstream of state.upstreams.values()) upstream.lentTo.delete(slot);
+  const peer = state.peers.get(slot);
+  if (peer === undefined) return;
+  for (const upstreamId of [...peer.lent.keys()]) {
+    setLent(state, peer, upstreamId, 0);
+  }
 }
--- a/src/core/borrowing_test.ts
+++ b/src/core/borrowing_test.ts
@@ -33,7 +33,7 @@
 }
 
 function lent(core: CoreState): number {
-  return core.upstreams.get("x")?.lentTo.get("poa-2") ?? 0;
+  return core.upstreams.get("x")?.lentSlots ?? 0;
 }
 
 const loans = [
--- a/src/core/chain.ts
+++ b/src/core/chain.ts
@@ -18,6 +18,11 @@
   return [...new Set(slots.map((slot) => slot.availabilityZone))].sort();
 }
 
+/** The region that a zone lies in; empty for a zone of no instance. */
+export function regionOfZone(slots: readonly Slot[], zone: string): string {
+  return slots.find((slot) => slot.availabilityZone === zone)?.region ?? "";
+}
+
 function zoneOf(slots: readonly Slot[], name: string): string {
   return slots.find((slot) => slot.slot === name)?.availabilityZone ?? "";
 }
--- a/src/core/drain.ts
+++ b/src/core/drain.ts
@@ -2,9 +2,9 @@
 
 import { assert } from "./debug.ts";
 import type { Step } from "./types.ts";
-import { sendHeartbeats } from "./membership.ts";
+import { sendAllHeartbeats } from "./membership.ts";
 import { handOverGroups } from "./registrar.ts";
-import { shareSlots } from "./upstreams.ts";
+import { shareSlots } from "./slot_sharing.ts";
 import { emit } from "./utilities.ts";
 
 /** A drain lasts at least so long: the balancer has to notice first. */
@@ -20,7 +20,7 @@
   state.drain = "draining";
   state.drainSinceMs = state.nowMs;
   shareSlots(state);
-  sendHeartbeats(step);
+  sendAllHeartbeats(step);
 }
 
 /** Ends the drain once nothing is in progress. */
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -6,11 +6,16 @@
 import { requestIfBehind } from "./configuration.ts";
 import { freeSlots } from "./placement.ts";
 import { onPartnerHeard } from "./registrar.ts";
-import { isLivePeer, markLeaving, shareSlots } from "./upstreams.ts";
+import { shareIfChanged } from "./slot_sharing.ts";
+import { markLeaving } from "./upstreams.ts";
 import { sendPeer } from "./utilities.ts";
 
-/** How often an instance tells its peers that it lives. */
-export const HEARTBEAT_MS = 200;
+/** How often a heartbeat is sent to each peer, while peers are few. */
+export const HEARTBEAT_MS = 250;
+/** So many peers of the own zone are told at that rate. */
+const NEAR_PEERS = 12;
+/** So many peers of the region's other zones, and partners, are. */
+const FAR_PEERS = 6;
 
 /** Notes that a peer was heard from; a new incarnation is another instance. */
 export function noteHeard(step: Step, from: InstanceRef): boolean {
@@ -45,13 +50,13 @@
   const { state } = step;
   const peer = state.peers.get(from.slot);
   if (peer === undefined) return;
-  const wasLive = isLivePeer(state, peer);
   peer.virgin = message.virgin;
   peer.ready = message.ready;
   peer.leaving ||= message.leaving;
   peer.configurationVersion = message.configurationVersion;
   peer.membershipVersion = message.membershipVersion;
   peer.loads = message.loads;
+  peer.periodMs = message.periodMs;
   if (!peer.leaving) onPartnerHeard(step, from, message.virgin);
   reconcileLent(state, peer, message.borrowed);
   requestIfBehind(step, from, message.configurationVersion);
@@ -62,7 +67,7 @@
     const upstream = state.upstreams.get(upstreamId);
     if (upstream !== undefined) markLeaving(step, upstream);
   }
-  if (isLivePeer(state, peer) !== wasLive) shareSlots(state);
+  for (const slot of shareIfChanged(state)) reclaimLent(state, slot);
 }
 
 /** A connection to a peer was lost: it is suspected at once, not dead. */
@@ -72,24 +77,65 @@
   peer.connected = false;
 }
 
-/** Sends heartbeats when they are due, and notices peers gone silent. */
+/** Sends heartbeats that are due, and notices peers gone silent. */
 export function checkPeers(step: Step): void {
   const { state } = step;
-  if (state.nowMs - state.lastHeartbeatMs < HEARTBEAT_MS) return;
-  state.lastHeartbeatMs = state.nowMs;
-  sendHeartbeats(step);
-  for (const peer of state.peers.values()) {
-    if (!isLivePeer(state, peer)) reclaimLent(state, peer.slot);
+  const due = [...state.peers.values()]
+    .filter((peer) => state.nowMs >= peer.nextHeartbeatMs);
+  if (due.length === 0) return;
+  const periods = periodsOf(state);
+  sendHeartbeats(step, due.filter((peer) => periods.has(peer.slot)), periods);
+  for (const peer of due) {
+    const periodMs = periods.get(peer.slot) ?? Infinity;
+    peer.nextHeartbeatMs = state.nowMs + periodMs;
   }
-  shareSlots(state);
+  for (const slot of shareIfChanged(state)) reclaimLent(state, slot);
 }
 
-/** Tells every peer how this instance stands. */
-export function sendHeartbeats(step: Step): void {
-  const { state } = step;
-  const message = heartbeatOf(state);
+/**
+ * How often each peer is told, in milliseconds: the region's instances and the
+ * partners of claim groups only, and the more there are the less often, so that
+ * an instance's traffic does not grow with their number.
+ */
+function periodsOf(state: CoreState): Map<string, number> {
+  const { self } = state;
+  const partners = new Set(
+    [...state.groups.values()].flatMap((group) => [group.owner, group.witness]),
+  );
+  const near: Peer[] = [];
+  const far: Peer[] = [];
   for (const peer of state.peers.values()) {
-    sendPeer(step, peer.slot, message);
+    if (peer.availabilityZone === self.availabilityZone) near.push(peer);
+    else if (peer.region === self.region || partners.has(peer.slot)) {
+      far.push(peer);
+    }
+  }
+  const nearMs = HEARTBEAT_MS * Math.max(1, near.length / NEAR_PEERS);
+  const farMs = HEARTBEAT_MS * Math.max(1, far.length / FAR_PEERS);
+  return new Map([
+    ...near.map((peer) => [peer.slot, nearMs] as const),
+    ...far.map((peer) => [peer.slot, farMs] as const),
+  ]);
+}
+
+/** Tells every peer that is told at all how this instance stands. */
+export function sendAllHeartbeats(step: Step): void {
+  const periods = periodsOf(step.state);
+  const told = [...step.state.peers.values()]
+    .filter((peer) => periods.has(peer.slot));
+  sendHeartbeats(step, told, periods);
+}
+
+function sendHeartbeats(
+  step: Step,
+  peers: readonly Peer[],
+  periods: ReadonlyMap<string, number>,
+): void {
+  if (peers.length === 0) return;
+  const message = heartbeatOf(step.state);
+  for (const { slot } of peers) {
+    const periodMs = Math.round(periods.get(slot) ?? HEARTBEAT_MS);
+    sendPeer(step, slot, { ...message, periodMs });
   }
 }
 
@@ -102,9 +148,8 @@
     ready: state.configuration !== null,
     configurationVersion: state.document?.version ?? -1,
     membershipVersion: state.membershipVersion,
-    leavingUpstreams: [...state.upstreams.values()]
-      .filter((upstream) => upstream.leaving)
-      .map((upstream) => upstream.id),
+    periodMs: HEARTBEAT_MS,
+    leavingUpstreams: [...state.leavingUpstreams],
     loads: services.map((service) => ({
       service,
       freeSlots: freeSlots(state, service),
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -8,6 +8,7 @@
 import type { CoreState, Flow, Job, Step, Task, Upstream } from "./types.ts";
 import { borrowFor, returnUnused } from "./borrowing.ts";
 import { isFlooding, isWithinShare, takeTask } from "./flows.ts";
+import { ownedUpstreams } from "./slot_sharing.ts";
 import { freeOwnedSlots, isUsable } from "./upstreams.ts";
 import { emit, nextSequence, randomBelow } from "./utilities.ts";
 
@@ -138,10 +139,8 @@
 /** Slots of a service that this instance owns and may use. */
 export function usableSlots(state: CoreState, service: string): number {
   let slots = 0;
-  for (const upstream of state.upstreams.values()) {
-    if (upstream.service === service && isUsable(state, upstream)) {
-      slots += upstream.ownedSlots;
-    }
+  for (const upstream of ownedUpstreams(state, service)) {
+    if (isUsable(state, upstream)) slots += upstream.ownedSlots;
   }
   return slots;
 }
@@ -149,10 +148,8 @@
 /** Owned slots of a service that are free to use or lend. */
 export function freeSlots(state: CoreState, service: string): number {
   let slots = 0;
-  for (const upstream of state.upstreams.values()) {
-    if (upstream.service === service && isUsable(state, upstream)) {
-      slots += freeOwnedSlots(upstream);
-    }
+  for (const upstream of ownedUpstreams(state, service)) {
+    if (isUsable(state, upstream)) slots += freeOwnedSlots(upstream);
   }
   return slots;
 }
@@ -228,8 +225,8 @@
 function pickFreeSlot(state: CoreState, service: string): Place | null {
   let best: Upstream | null = null;
   let bestShare = 0;
-  for (const upstream of state.upstreams.values()) {
-    if (upstream.service !== service || !isUsable(state, upstream)) continue;
+  for (const upstream of ownedUpstreams(state, service)) {
+    if (!isUsable(state, upstream)) continue;
     const share = freeOwnedSlots(upstream) / Math.max(1, upstream.ownedSlots);
     if (share > bestShare) [best, bestShare] = [upstream, share];
   }
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -97,6 +97,9 @@
     attaches: new Map(),
     sends: new Map(),
     upstreams: new Map(),
+    leavingUpstreams: new Set(),
+    owned: new Map(),
+    sharers: new Set(),
     borrowed: new Map(),
     borrowAskedAtMs: new Map(),
     flows: new Map(),
@@ -107,7 +110,6 @@
     drain: "none",
     drainSinceMs: 0,
     lastTickMs: nowMs,
-    lastHeartbeatMs: -Infinity,
     lastShareSampleMs: nowMs,
     lastExpiryMs: nowMs,
     roundRobinNext: 0,
@@ -146,7 +148,10 @@
       configurationVersion: -1,
       membershipVersion: -1,
       loads: [],
+      lent: new Map(),
       lastLentMs: -Infinity,
+      periodMs: 0,
+      nextHeartbeatMs: 0,
     });
   }
   return peers;
--- a/src/core/schemas.ts
+++ b/src/core/schemas.ts
@@ -270,6 +270,7 @@
     ready: z.boolean(),
     configurationVersion: z.number(),
     membershipVersion: z.number(),
+    periodMs: z.number(),
     leavingUpstreams: z.array(z.string()),
     loads: z.array(serviceLoadSchema),
     /** Slots in use here that peers lent. */
@@ -284,6 +285,8 @@
     type: z.literal("lend"),
     service: z.string(),
     upstreamIds: z.array(z.string()),
+    /** Slots that the lender has free after this. */
+    freeSlots: z.number(),
   }),
   z.object({
     type: z.literal("returnSlots"),
--- a/src/core/testing.ts
+++ b/src/core/testing.ts
@@ -7,10 +7,10 @@
 
 /** Three instances of one zone and one of another. */
 export const testSlots: readonly Slot[] = [
-  { slot: "poa-1", availabilityZone: "poa" },
-  { slot: "poa-2", availabilityZone: "poa" },
-  { slot: "caxias-1", availabilityZone: "caxias" },
-  { slot: "caxias-2", availabilityZone: "caxias" },
+  { slot: "poa-1", availabilityZone: "poa", region: "south" },
+  { slot: "poa-2", availabilityZone: "poa", region: "south" },
+  { slot: "caxias-1", availabilityZone: "caxias", region: "south" },
+  { slot: "caxias-2", availabilityZone: "caxias", region: "south" },
 ];
 
 /** A core of a slot at time zero, with a configuration in force. */
@@ -57,6 +57,7 @@
     ready: true,
     configurationVersion: 1,
     membershipVersion: -1,
+    periodMs: 250,
     leavingUpstreams: [],
     loads: [],
     borrowed: [],
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -22,6 +22,8 @@
 export interface Slot {
   readonly slot: string;
   readonly availabilityZone: string;
+  /** Slots are shared and lent within a region. */
+  readonly region: string;
 }
 
 /** How an upstream's part in a send ended. */
@@ -234,7 +236,8 @@
   inFlightOwned: number;
   /** Sends in progress from this instance, on owned and borrowed slots. */
   inFlight: number;
-  readonly lentTo: Map<string, number>;
+  /** Owned slots that peers hold. */
+  lentSlots: number;
   failureRate: number;
   consecutiveFailures: number;
   ejectedUntilMs: number;
@@ -259,7 +262,12 @@
   configurationVersion: number;
   membershipVersion: number;
   loads: ServiceLoad[];
+  /** Slots lent to it, by upstream. */
+  readonly lent: Map<string, number>;
   lastLentMs: number;
+  /** How often it sends heartbeats here. */
+  periodMs: number;
+  nextHeartbeatMs: number;
 }
 
 /** A claim this instance remembers as registrar. */
@@ -351,6 +359,11 @@
   readonly attaches: Map<string, AttachWait>;
   readonly sends: Map<string, Send>;
   readonly upstreams: Map<string, Upstream>;
+  readonly leavingUpstreams: Set<string>;
+  /** The upstreams that this instance owns slots of, by service. */
+  readonly owned: Map<string, Upstream[]>;
+  /** The instances among which slots are shared now. */
+  sharers: ReadonlySet<string>;
   readonly borrowed: Map<string, BorrowedSlot[]>;
   readonly borrowAskedAtMs: Map<string, number>;
   readonly flows: Map<string, Flow>;
@@ -362,7 +375,6 @@
   drain: "none" | "draining" | "drained";
   drainSinceMs: number;
   lastTickMs: number;
-  lastHeartbeatMs: number;
   lastShareSampleMs: number;
   lastExpiryMs: number;
   roundRobinNext: number;
--- a/src/core/upstreams.ts
+++ b/src/core/upstreams.ts
@@ -1,9 +1,10 @@
-/** Upstreams: who owns their slots, their health, and who may get work. */
+/** Upstreams: the list of them, their health, and which may get work. */
 
 import type { UpstreamMember } from "./schemas.ts";
-import type { CoreState, Peer, SendOutcome, Upstream } from "./types.ts";
-import { emit, getOrInsert, hashText } from "./utilities.ts";
-import type { Step } from "./types.ts";
+import type { CoreState, SendOutcome, Step, Upstream } from "./types.ts";
+import { regionOfZone } from "./chain.ts";
+import { shareSlots } from "./slot_sharing.ts";
+import { emit, getOrInsert } from "./utilities.ts";
 
 /** Failures in a row after which an upstream gets no work for a while. */
 const EJECT_AFTER_FAILURES = 3;
@@ -13,8 +14,6 @@
 const EJECT_LONGEST_MS = 30_000;
 /** The largest share of a zone's upstreams that may be out at once. */
 const EJECT_MAX_SHARE = 0.5;
-/** A peer that was silent for longer does not count when slots are shared. */
-export const PEER_LIVE_MS = 1_000;
 
 /** Takes in a membership list; leaving is sticky and survives older lists. */
 export function adoptMembership(
@@ -24,8 +23,12 @@
 ): void {
   const { state } = step;
   state.membershipVersion = membershipVersion;
-  const named = new Set(members.map((member) => member.id));
-  for (const member of members) {
+  const { region } = state.self;
+  const near = members.filter((member) =>
+    regionOfZone(state.slots, member.availabilityZone) === region
+  );
+  const named = new Set(near.map((member) => member.id));
+  for (const member of near) {
     const upstream = getOrInsert(
       state.upstreams,
       member.id,
@@ -36,7 +39,9 @@
   for (const upstream of state.upstreams.values()) {
     if (named.has(upstream.id)) continue;
     markLeaving(step, upstream);
-    if (upstream.inFlight === 0) state.upstreams.delete(upstream.id);
+    if (upstream.inFlight > 0) continue;
+    state.upstreams.delete(upstream.id);
+    state.leavingUpstreams.delete(upstream.id);
   }
   shareSlots(state);
 }
@@ -52,7 +57,7 @@
     ownedSlots: 0,
     inFlightOwned: 0,
     inFlight: 0,
-    lentTo: new Map(),
+    lentSlots: 0,
     failureRate: 0,
     consecutiveFailures: 0,
     ejectedUntilMs: 0,
@@ -65,6 +70,7 @@
 export function markLeaving(step: Step, upstream: Upstream): void {
   if (upstream.leaving) return;
   upstream.leaving = true;
+  step.state.leavingUpstreams.add(upstream.id);
   emit(step, {
     type: "log",
     level: "info",
@@ -73,120 +79,10 @@
   });
 }
 
-/** Whether a peer counts among those that share slots now. */
-export function isLivePeer(state: CoreState, peer: Peer): boolean {
-  const heard = state.nowMs - peer.lastHeardMs <= PEER_LIVE_MS;
-  return heard && peer.ready && !peer.leaving;
-}
-
-interface Sharer {
-  readonly slot: string;
-  readonly availabilityZone: string;
-}
-
-function liveSharers(state: CoreState): Sharer[] {
-  const peers: Sharer[] = [...state.peers.values()]
-    .filter((peer) => isLivePeer(state, peer));
-  const self = state.drain === "none" ? [state.self] : [];
-  return [...peers, ...self].sort((a, b) => (a.slot < b.slot ? -1 : 1));
-}
-
-/**
- * Shares every upstream's slots between the live instances, so that each gets
- * the same number and as many as can be of its own availability zone. All
- * instances work this out alike from the same lists; where lists differ for a
- * moment, an upstream queues a task or idles a slot.
- */
-export function shareSlots(state: CoreState): void {
-  const sharers = liveSharers(state);
-  for (const upstream of state.upstreams.values()) upstream.ownedSlots = 0;
-  const services = new Set<string>();
-  for (const upstream of state.upstreams.values()) {
-    services.add(upstream.service);
-  }
-  for (const service of services) shareService(state, service, sharers);
-}
-
-function shareService(
-  state: CoreState,
-  service: string,
-  sharers: readonly Sharer[],
-): void {
-  const zones = new Set(sharers.map((sharer) => sharer.availabilityZone));
-  const units = slotUnits(state, service)
-    .filter((upstream) => zones.has(upstream.availabilityZone));
-  const share = Math.floor(units.length / Math.max(1, sharers.length));
-  const left = new Map(sharers.map((sharer) => [sharer.slot, share]));
-  const surplus: Upstream[] = [];
-  for (const zone of [...zones].sort()) {
-    const local = sharers.filter((s) => s.availabilityZone === zone);
-    const own = units.filter((upstream) => upstream.availabilityZone === zone);
-    surplus.push(...dealSlots(state, own, { sharers: local, left }));
-  }
-  const rest = dealSlots(state, surplus, { sharers, left });
-  // The remainder goes round by hash, one slot each.
-  rest.forEach((upstream, index) => {
-    const at = (hashText(service) + index) % sharers.length;
-    if (sharers[at]?.slot === state.self.slot) upstream.ownedSlots += 1;
-  });
-}
-
-/** One entry a slot, so that neighbours are of different upstreams. */
-function slotUnits(state: CoreState, service: string): Upstream[] {
-  const upstreams = [...state.upstreams.values()]
-    .filter((upstream) => upstream.service === service)
-    .filter((upstream) => state.guards.mayReceiveWork(upstream))
-    .sort((a, b) => (a.id < b.id ? -1 : 1));
-  const units: Upstream[] = [];
-  const most = Math.max(0, ...upstreams.map((upstream) => upstream.slots));
-  for (let round = 0; round < most; round += 1) {
-    units.push(...upstreams.filter((upstream) => upstream.slots > round));
-  }
-  return units;
-}
-
-/** Deals slots round robin up to each sharer's share; returns the rest. */
-function dealSlots(
-  state: CoreState,
-  units: readonly Upstream[],
-  { sharers, left }: {
-    sharers: readonly Sharer[];
-    left: Map<string, number>;
-  },
-): Upstream[] {
-  const rest: Upstream[] = [];
-  let turn = 0;
-  for (const upstream of units) {
-    const taker = nextTaker(sharers, left, turn);
-    if (taker === null) {
-      rest.push(upstream);
-      continue;
-    }
-    turn = taker + 1;
-    const slot = sharers[taker]?.slot ?? "";
-    left.set(slot, (left.get(slot) ?? 0) - 1);
-    if (slot === state.self.slot) upstream.ownedSlots += 1;
-  }
-  return rest;
-}
-
-function nextTaker(
-  sharers: readonly Sharer[],
-  left: ReadonlyMap<string, number>,
-  turn: number,
-): number | null {
-  for (let step = 0; step < sharers.length; step += 1) {
-    const at = (turn + step) % sharers.length;
-    if ((left.get(sharers[at]?.slot ?? "") ?? 0) > 0) return at;
-  }
-  return null;
-}
-
 /** Owned slots that are neither in use nor lent. */
 export function freeOwnedSlots(upstream: Upstream): number {
-  let lent = 0;
-  for (const count of upstream.lentTo.values()) lent += count;
-  return Math.max(0, upstream.ownedSlots - upstream.inFlightOwned - lent);
+  const { ownedSlots, inFlightOwned, lentSlots } = upstream;
+  return Math.max(0, ownedSlots - inFlightOwned - lentSlots);
 }
 
 /** Whether an upstream may get one more task now. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -7,7 +7,7 @@
 import { createAdminListener } from "../admin/admin_listener.ts";
 import { documentOfRow } from "../admin/accept.ts";
 import { createCore, reduce } from "../core/reduce.ts";
-import type { CoreEvent, CoreState, Effect } from "../core/types.ts";
+import type { CoreEvent, CoreState, Effect, Slot } from "../core/types.ts";
 import {
   type ClockHost,
   CONFIGURATION_ROW,
@@ -79,11 +79,8 @@
   const upstreams = options.upstreams ?? createUpstreamClient();
   const incarnation = clock.wallMs();
   const state = createCore({
-    self: { slot, incarnation, availabilityZone: instance.availabilityZone },
-    slots: settings.instances.map((row) => ({
-      slot: row.slot,
-      availabilityZone: row.availabilityZone,
-    })),
+    self: { ...placeOf(instance), incarnation },
+    slots: settings.instances.map(placeOf),
     nowMs: clock.nowMs(),
     wallMs: incarnation,
     seed: incarnation % 0x7fffffff,
@@ -211,6 +208,10 @@
   };
 }
 
+function placeOf({ slot, availabilityZone, region }: InstanceSettings): Slot {
+  return { slot, availabilityZone, region };
+}
+
 function peerAddresses(
   settings: Settings,
   self: string,
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -23,6 +23,8 @@
 const instanceSchema = z.strictObject({
   slot: z.string().regex(/^[a-z][a-z0-9-]{0,62}$/),
   availabilityZone: zoneSchema,
+  /** Slots are shared and lent within a region only. */
+  region: zoneSchema.default("main"),
   callerAddress: addressSchema,
   adminAddress: addressSchema,
   peerAddress: addressSchema,
