Busy instances lend their next free slots to later work of peers

Ruled out: more peers asked for free slots (there are none); handing whole jobs over (their claims and answers would move with them). Change: a request for slots says how late the work is and stands for 60 ms; the lender serves the latest, its own or a peer's. An empty answer is no longer sent; requests that nothing came of are counted as wasted.

--- a/src/core/borrowing.ts
+++ b/src/core/borrowing.ts
@@ -1,12 +1,12 @@
 /** Slots that idle instances lend to busy ones, on request. */
 
 import type { BorrowedCount, InstanceRef, PeerMessageOf } from "./schemas.ts";
-import type { CoreState, Peer, Step } from "./types.ts";
+import type { CoreState, Job, Peer, Step } from "./types.ts";
 import { queuedWithinShare } from "./flows.ts";
-import { dispatch, freeSlots } from "./placement.ts";
-import { isLivePeer, ownedUpstreams } from "./slot_sharing.ts";
-import { freeOwnedSlots, isUsable } from "./upstreams.ts";
-import { getOrInsert, sendPeer } from "./utilities.ts";
+import { dispatch, freeSlots, freestUpstream } from "./placement.ts";
+import { isLivePeer } from "./slot_sharing.ts";
+import { latestOf, latestWithinShare, stretchOf } from "./stretch.ts";
+import { getOrInsert, randomBelow, sendPeer } from "./utilities.ts";
 
 /** The shortest time between two rounds of asking for one service. */
 const BORROW_EVERY_MS = 10;
@@ -15,13 +15,42 @@
 /** How many peers are asked in one round. */
 const BORROW_PEERS = 3;
 
-/** Asks the peers with the most free slots for as many as the queue needs. */
+/** Work that waited less than this, against its ideal, asks no busy peer. */
+const LOAN_MIN_STRETCH = 0.1;
+/** How many busy peers are asked to lend their next free slots. */
+const LOAN_PEERS = 2;
+/** How long such a request stands. */
+const LOAN_WAIT_MS = 60;
+/** The most slots that one such request asks for. */
+const LOAN_MAX_SLOTS = 8;
+
+/** Asks peers for as many slots as the queue needs. */
 export function borrowFor(step: Step, service: string): void {
   const { state } = step;
-  const askedAtMs = state.borrowAskedAtMs.get(service) ?? -Infinity;
-  if (state.nowMs - askedAtMs < BORROW_EVERY_MS) return;
+  const job = latestWithinShare(state, service);
+  if (job === null) return;
+  askFreePeers(step, service, job);
+  if (stretchOf(state, job) >= LOAN_MIN_STRETCH) {
+    askBusyPeers(step, service, job);
+  }
+}
+
+/** Whether a wish still stands at the peer; a second one adds nothing. */
+function isAsked(state: CoreState, peer: Peer): boolean {
+  return state.nowMs < peer.askedUntilMs;
+}
+
+/** Whether so much time has passed since the last round of that name. */
+function isDue(state: CoreState, round: string, everyMs: number): boolean {
+  const askedAtMs = state.borrowAskedAtMs.get(round) ?? -Infinity;
+  return state.nowMs - askedAtMs >= everyMs;
+}
+
+/** Asks the peers with the most free slots. */
+function askFreePeers(step: Step, service: string, job: Job): void {
+  const { state } = step;
+  if (!isDue(state, service, BORROW_EVERY_MS)) return;
   let wanted = queuedWithinShare(state, service);
-  if (wanted === 0) return;
   for (const peer of lendersOf(state, service).slice(0, BORROW_PEERS)) {
     const load = peer.loads.find((entry) => entry.service === service);
     if (load === undefined || wanted <= 0) break;
@@ -29,17 +58,51 @@
     wanted -= slots;
     load.freeSlots -= slots;
     state.borrowAskedAtMs.set(service, state.nowMs);
-    state.counters.borrowsAsked += 1;
-    sendPeer(step, peer.slot, { type: "borrow", service, slots });
+    sendBorrow(step, peer, { service, job, slots });
   }
 }
 
+/** Asks peers without free slots for their next, if the job is later. */
+function askBusyPeers(step: Step, service: string, job: Job): void {
+  const { state } = step;
+  const round = `${service} busy`;
+  if (!isDue(state, round, LOAN_WAIT_MS)) return;
+  state.borrowAskedAtMs.set(round, state.nowMs);
+  const peers = [...state.peers.values()].filter((peer) =>
+    isLivePeer(state, peer) && !isAsked(state, peer)
+  );
+  const queued = queuedWithinShare(state, service);
+  const slots = Math.min(LOAN_MAX_SLOTS, Math.ceil(queued / LOAN_PEERS));
+  for (let left = LOAN_PEERS; left > 0 && peers.length > 0; left -= 1) {
+    const [peer] = peers.splice(randomBelow(state, peers.length), 1);
+    if (peer !== undefined) sendBorrow(step, peer, { service, job, slots });
+  }
+}
+
+function sendBorrow(
+  step: Step,
+  peer: Peer,
+  { service, job, slots }: { service: string; job: Job; slots: number },
+): void {
+  const { state } = step;
+  state.counters.borrowsAsked += 1;
+  peer.askedUntilMs = state.nowMs + LOAN_WAIT_MS;
+  sendPeer(step, peer.slot, {
+    type: "borrow",
+    service,
+    slots,
+    waitedMs: state.nowMs - job.receivedAtMs,
+    expectedMs: job.expectedMs,
+    urgency: job.urgency,
+  });
+}
+
 /** Live peers with free slots: of this zone first, then the most free. */
 function lendersOf(state: CoreState, service: string): Peer[] {
   const zone = state.self.availabilityZone;
   const scored: { peer: Peer; near: number; free: number }[] = [];
   for (const peer of state.peers.values()) {
-    if (!isLivePeer(state, peer)) continue;
+    if (!isLivePeer(state, peer) || isAsked(state, peer)) continue;
     const load = peer.loads.find((entry) => entry.service === service);
     const free = load?.freeSlots ?? 0;
     const near = peer.availabilityZone === zone ? 1 : 0;
@@ -49,7 +112,7 @@
   return scored.map((entry) => entry.peer);
 }
 
-/** Lends free slots to a peer; an empty answer says there are none. */
+/** Lends slots to a peer: free ones now, others as its work's turn comes. */
 export function onBorrow(
   step: Step,
   from: InstanceRef,
@@ -57,40 +120,71 @@
 ): void {
   const { state } = step;
   const { service } = message;
-  const queued = queuedWithinShare(state, service);
-  const busy = queued > 0 || state.drain !== "none";
-  const peer = state.peers.get(from.slot);
-  if (peer === undefined) return;
-  const free = busy ? 0 : freeSlots(state, service);
-  const lent = lendSlots(state, peer, {
-    service,
-    slots: Math.min(message.slots, free),
+  if (!state.peers.has(from.slot)) return;
+  const requests = getOrInsert(state.loanRequests, service, () => []);
+  const earlier = requests.findIndex(({ slot }) => slot === from.slot);
+  const [replaced] = earlier >= 0 ? requests.splice(earlier, 1) : [];
+  if (replaced?.lent === 0) state.counters.borrowsEmpty += 1;
+  if (state.drain !== "none") return;
+  requests.push({
+    slot: from.slot,
+    slots: message.slots,
+    lent: 0,
+    receivedAtMs: state.nowMs - message.waitedMs,
+    expectedMs: message.expectedMs,
+    urgency: message.urgency,
+    expiresAtMs: state.nowMs + LOAN_WAIT_MS,
   });
-  sendPeer(step, from.slot, {
-    type: "lend",
+  dispatch(step, service);
+}
+
+/** Lends one slot where a peer's work is later than any here. */
+export function serveLoanRequest(step: Step, service: string): boolean {
+  const { state } = step;
+  const requests = state.loanRequests.get(service);
+  if (requests === undefined || requests.length === 0) return false;
+  const request = latestOf(state, requests);
+  const job = latestWithinShare(state, service);
+  if (request === null) return false;
+  const ours = job === null ? -Infinity : stretchOf(state, job);
+  if (ours >= stretchOf(state, request)) return false;
+  const upstream = freestUpstream(state, service);
+  const peer = state.peers.get(request.slot);
+  if (upstream === null || peer === undefined) return false;
+  setLent(state, peer, upstream.id, lentOf(peer, upstream.id) + 1);
+  peer.lastLentMs = state.nowMs;
+  request.lent += 1;
+  request.slots -= 1;
+  if (request.slots === 0) requests.splice(requests.indexOf(request), 1);
+  const loan = getOrInsert(step.loans, `${peer.slot} ${service}`, () => ({
+    slot: peer.slot,
     service,
-    upstreamIds: lent,
-    freeSlots: free - lent.length,
-  });
+    upstreamIds: [],
+  }));
+  loan.upstreamIds.push(upstream.id);
+  return true;
 }
 
-/** Notes slots as lent to a peer; returns an upstream's id for each. */
-function lendSlots(
-  state: CoreState,
-  peer: Peer,
-  { service, slots }: { service: string; slots: number },
-): string[] {
-  const upstreamIds: string[] = [];
-  for (const upstream of ownedUpstreams(state, service)) {
-    if (!isUsable(state, upstream)) continue;
-    const left = slots - upstreamIds.length;
-    const take = Math.min(left, freeOwnedSlots(upstream));
-    if (take <= 0) continue;
-    setLent(state, peer, upstream.id, lentOf(peer, upstream.id) + take);
-    for (let i = 0; i < take; i += 1) upstreamIds.push(upstream.id);
+/** Sends the loans that were made in this step, one message a peer. */
+export function sendLoans(step: Step): void {
+  for (const { slot, service, upstreamIds } of step.loans.values()) {
+    const left = freeSlots(step.state, service);
+    const message = { type: "lend", service, upstreamIds, freeSlots: left };
+    sendPeer(step, slot, message as PeerMessageOf<"lend">);
+  }
+  step.loans.clear();
+}
+
+/** Drops requests that stood long enough. */
+export function expireLoanRequests(state: CoreState): void {
+  for (const [service, requests] of state.loanRequests) {
+    const kept = requests.filter(({ expiresAtMs, lent }) => {
+      const stands = state.nowMs < expiresAtMs;
+      if (!stands && lent === 0) state.counters.borrowsEmpty += 1;
+      return stands;
+    });
+    state.loanRequests.set(service, kept);
   }
-  if (upstreamIds.length > 0) peer.lastLentMs = state.nowMs;
-  return upstreamIds;
 }
 
 function lentOf(peer: Peer, upstreamId: string): number {
@@ -119,9 +213,12 @@
   message: PeerMessageOf<"lend">,
 ): void {
   const { state } = step;
-  if (message.upstreamIds.length === 0) state.counters.borrowsEmpty += 1;
-  const loads = state.peers.get(from.slot)?.loads ?? [];
-  const load = loads.find((entry) => entry.service === message.service);
+  const peer = state.peers.get(from.slot);
+  // A lender with slots to spare may be asked again at once.
+  if (peer !== undefined && message.freeSlots > 0) {
+    peer.askedUntilMs = state.nowMs;
+  }
+  const load = peer?.loads.find((entry) => entry.service === message.service);
   if (load !== undefined) load.freeSlots = message.freeSlots;
   const borrowed = getOrInsert(state.borrowed, message.service, () => []);
   for (const upstreamId of message.upstreamIds) {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -5,8 +5,9 @@
 
 import { assert } from "./debug.ts";
 import type { PolicyName } from "./schemas.ts";
-import type { CoreState, Flow, Job, Step, Task, Upstream } from "./types.ts";
-import { borrowFor, returnUnused } from "./borrowing.ts";
+import type { CoreState, Job, Step, Task, Upstream } from "./types.ts";
+import { borrowFor, returnUnused, serveLoanRequest } from "./borrowing.ts";
+import { latestJob, latestWithinShare } from "./stretch.ts";
 import { isFlooding, isWithinShare, takeTask } from "./flows.ts";
 import { ownedUpstreams } from "./slot_sharing.ts";
 import { freeOwnedSlots, isUsable } from "./upstreams.ts";
@@ -75,6 +76,7 @@
   const { state } = step;
   const policy = policyOf(state);
   for (;;) {
+    if (policy.waitsForSlots && serveLoanRequest(step, service)) continue;
     const job = policy.pickJob(state, service);
     if (job === null) break;
     const place = policy.pickPlace(state, service);
@@ -159,21 +161,9 @@
  * its usual slots as any other, and beyond them only what leaves headroom.
  */
 function pickByStretch(state: CoreState, service: string): Job | null {
-  let best: Job | null = null;
-  let bestStretch = -1;
-  let spare: Job | null = null;
-  let spareStretch = -1;
-  for (const flow of state.flows.values()) {
-    if (flow.service !== service || flow.waiting.length === 0) continue;
-    const job = latestOf(state, flow);
-    if (job === null) continue;
-    const stretch = stretchOf(state, job);
-    if (isWithinShare(flow)) {
-      if (stretch > bestStretch) [best, bestStretch] = [job, stretch];
-    } else if (stretch > spareStretch) [spare, spareStretch] = [job, stretch];
-  }
-  if (best !== null) return best;
-  return spare !== null && leavesHeadroom(state, service) ? spare : null;
+  const best = latestWithinShare(state, service);
+  if (best !== null || !leavesHeadroom(state, service)) return best;
+  return latestJob(state, service, (flow) => !isWithinShare(flow));
 }
 
 function leavesHeadroom(state: CoreState, service: string): boolean {
@@ -193,25 +183,6 @@
   return unused;
 }
 
-/** How much more urgency weighs, a step of it. */
-const URGENCY_WEIGHT = 0.05;
-
-function stretchOf(state: CoreState, job: Job): number {
-  const waitedMs = state.nowMs - job.receivedAtMs;
-  const urgency = 1 + URGENCY_WEIGHT * job.urgency;
-  return urgency * waitedMs / job.expectedMs;
-}
-
-function latestOf(state: CoreState, flow: Flow): Job | null {
-  let latest: Job | null = null;
-  let latestStretch = -1;
-  for (const job of flow.waiting) {
-    const stretch = stretchOf(state, job);
-    if (stretch > latestStretch) [latest, latestStretch] = [job, stretch];
-  }
-  return latest;
-}
-
 function pickOldest(state: CoreState, service: string): Job | null {
   let oldest: Job | null = null;
   for (const flow of state.flows.values()) {
@@ -223,6 +194,16 @@
 }
 
 function pickFreeSlot(state: CoreState, service: string): Place | null {
+  const upstream = freestUpstream(state, service);
+  if (upstream !== null) return { upstream, borrowedFrom: null };
+  return pickBorrowed(state, service);
+}
+
+/** The upstream with the largest share of its owned slots free, or null. */
+export function freestUpstream(
+  state: CoreState,
+  service: string,
+): Upstream | null {
   let best: Upstream | null = null;
   let bestShare = 0;
   for (const upstream of ownedUpstreams(state, service)) {
@@ -230,8 +211,7 @@
     const share = freeOwnedSlots(upstream) / Math.max(1, upstream.ownedSlots);
     if (share > bestShare) [best, bestShare] = [upstream, share];
   }
-  if (best !== null) return { upstream: best, borrowedFrom: null };
-  return pickBorrowed(state, service);
+  return best;
 }
 
 function pickBorrowed(state: CoreState, service: string): Place | null {
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -22,7 +22,13 @@
   onCallerCancel,
   onCallerQuery,
 } from "./attach.ts";
-import { onBorrow, onLend, onReturnSlots } from "./borrowing.ts";
+import {
+  expireLoanRequests,
+  onBorrow,
+  onLend,
+  onReturnSlots,
+  sendLoans,
+} from "./borrowing.ts";
 import { onClaimReply } from "./claiming.ts";
 import {
   adoptDocument,
@@ -101,6 +107,7 @@
     owned: new Map(),
     sharers: new Set(),
     borrowed: new Map(),
+    loanRequests: new Map(),
     borrowAskedAtMs: new Map(),
     flows: new Map(),
     membershipVersion: -1,
@@ -150,6 +157,7 @@
       loads: [],
       lent: new Map(),
       lastLentMs: -Infinity,
+      askedUntilMs: -Infinity,
       periodMs: 0,
       nextHeartbeatMs: 0,
     });
@@ -267,6 +275,7 @@
   checkJobs(step);
   checkAttaches(step);
   sampleFlows(state);
+  expireLoanRequests(state);
   for (const service of servicesWithWork(state)) dispatch(step, service);
   if (state.nowMs - state.lastExpiryMs >= EXPIRE_EVERY_MS) {
     state.lastExpiryMs = state.nowMs;
@@ -286,17 +295,19 @@
 
 /** Applies one event to the state, and returns what the shell has to do. */
 export function reduce(state: CoreState, event: CoreEvent): Effect[] {
-  const step: Step = { state, effects: [], toSelf: [] };
+  const step: Step = { state, effects: [], toSelf: [], loans: new Map() };
   state.nowMs = Math.max(state.nowMs, event.nowMs);
   const handler = eventHandlers[event.type] as (
     step: Step,
     event: CoreEvent,
   ) => void;
   handler(step, event);
+  sendLoans(step);
   const self = selfRef(state);
   for (let next = 0; next < step.toSelf.length; next += 1) {
     const message = step.toSelf[next];
     if (message !== undefined) handlePeerMessage(step, self, message);
   }
+  sendLoans(step);
   return step.effects;
 }
--- a/src/core/schemas.ts
+++ b/src/core/schemas.ts
@@ -280,6 +280,10 @@
     type: z.literal("borrow"),
     service: z.string(),
     slots: z.number(),
+    /** What the slots are for, to be weighed against the lender's work. */
+    waitedMs: z.number(),
+    expectedMs: z.number().positive(),
+    urgency: z.number(),
   }),
   z.object({
     type: z.literal("lend"),
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -251,6 +251,24 @@
   readonly lender: string;
 }
 
+/** A peer's wish for slots, which stands for a moment. */
+export interface LoanRequest {
+  readonly slot: string;
+  slots: number;
+  lent: number;
+  readonly receivedAtMs: number;
+  readonly expectedMs: number;
+  readonly urgency: number;
+  readonly expiresAtMs: number;
+}
+
+/** Slots lent to one peer within one step. */
+export interface Loan {
+  readonly slot: string;
+  readonly service: string;
+  readonly upstreamIds: string[];
+}
+
 /** One peer as this instance sees it. */
 export interface Peer extends Slot {
   incarnation: number | null;
@@ -265,6 +283,8 @@
   /** Slots lent to it, by upstream. */
   readonly lent: Map<string, number>;
   lastLentMs: number;
+  /** A wish for slots stands there until then. */
+  askedUntilMs: number;
   /** How often it sends heartbeats here. */
   periodMs: number;
   nextHeartbeatMs: number;
@@ -365,6 +385,7 @@
   /** The instances among which slots are shared now. */
   sharers: ReadonlySet<string>;
   readonly borrowed: Map<string, BorrowedSlot[]>;
+  readonly loanRequests: Map<string, LoanRequest[]>;
   readonly borrowAskedAtMs: Map<string, number>;
   readonly flows: Map<string, Flow>;
   membershipVersion: number;
@@ -401,4 +422,6 @@
   readonly effects: Effect[];
   /** Messages of this instance to itself, handled within the same step. */
   readonly toSelf: PeerMessage[];
+  /** Loans of this step that were not sent yet, by peer and service. */
+  readonly loans: Map<string, Loan>;
 }
