An attempt that a refusal overtook is answered as unknown; runs made harsher

Ruled out: keeping the verdict for numbered attempts only (the numbers of others in flight are not known to the registrar).

--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -30,6 +30,9 @@
 /** A kind of fault. */
 export type FaultKind = typeof faultKinds[number];
 
+/** Those that strike instances and their memory of claims. */
+export const instanceFaultKinds = ["kill", "freeze", "drain"] as const;
+
 /** Instances are started again after at most this long. */
 const RESTART_MAX_MS = 1_500;
 
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -2,7 +2,12 @@
 
 import fc from "fast-check";
 import type { Guards } from "../src/core/guards.ts";
-import { type Fault, faultHandlers, faultKinds } from "./faults.ts";
+import {
+  type Fault,
+  faultHandlers,
+  faultKinds,
+  instanceFaultKinds,
+} from "./faults.ts";
 import { markings, submitJob } from "./fake_callers.ts";
 import { createWorld, Violation, type World } from "./world.ts";
 
@@ -29,7 +34,10 @@
   jobs: fc.integer({ min: 10, max: MAX_JOBS }),
   faults: fc.array(
     fc.record({
-      kind: fc.constantFrom(...faultKinds),
+      kind: fc.oneof(
+        { weight: 1, arbitrary: fc.constantFrom(...faultKinds) },
+        { weight: 1, arbitrary: fc.constantFrom(...instanceFaultKinds) },
+      ),
       atMs: fc.integer({ min: START_MS, max: START_MS + ACTIVE_MS }),
       durationMs: fc.integer({ min: 50, max: MAX_FAULT_MS }),
       target: fc.nat({ max: 20 }),
--- a/src/core/claiming.ts
+++ b/src/core/claiming.ts
@@ -162,7 +162,8 @@
   amnesic: judgeAmnesic,
   conflict: (step, job) => endClaim(step, job, "keyConflict"),
   expired: (step, job) => endClaim(step, job, "keyExpired"),
-  superseded: (step, job) => endClaim(step, job, "overloaded"),
+  // An attempt after the refusal may have run since.
+  superseded: (step, job) => endClaim(step, job, "outcomeUnknown"),
 };
 
 function judgeClaim(step: Step, job: Job, reply: ClaimReply): void {
--- a/src/core/jobs_test.ts
+++ b/src/core/jobs_test.ts
@@ -1,8 +1,9 @@
 import { test } from "node:test";
 import { expect } from "earl";
+import type { PeerMessage } from "./schemas.ts";
 import type { CoreState, Effect, SendOutcome } from "./types.ts";
 import { reduce } from "./reduce.ts";
-import { effectsOf, submit, testCore } from "./testing.ts";
+import { effectsOf, fromPeer, submit, testCore } from "./testing.ts";
 
 function withUpstreams(count: number): CoreState {
   const core = testCore("poa-1");
@@ -162,6 +163,24 @@
   expect(answers(effects)).toEqual(["registrarsUnreachable"]);
 });
 
+test("an attempt that a refusal overtook is answered as unknown", () => {
+  const core = withUpstreams(1);
+  const sent = reduce(core, submit({ nowMs: 1, key: "caxias:k", attempt: 1 }));
+  const [claim] = effectsOf(sent, "sendPeer").map(({ message }) => message);
+  if (claim?.type !== "claim") throw new Error("nothing was claimed");
+  const reply: PeerMessage = {
+    type: "claimReply",
+    claimId: claim.claimId,
+    group: claim.group,
+    role: claim.role,
+    verdict: "superseded",
+    registrar: { slot: claim.group, incarnation: 1 },
+    partner: null,
+  };
+  const effects = reduce(core, fromPeer(claim.group, reply, { nowMs: 3 }));
+  expect(answers(effects)).toEqual(["outcomeUnknown"]);
+});
+
 test("a drain that was frozen waits for requests that lie unread", () => {
   const core = withUpstreams(1);
   reduce(core, { type: "tick", nowMs: 20, wallMs: 0 });
