--- a/bench/load.ts
+++ b/bench/load.ts
@@ -142,8 +142,10 @@
   arrivals: Arrival[],
 ): Arrival[] {
   const { workload, durationMs } = run;
+  let highestRate = 0;
   let wantedMs = 0;
   for (let atMs = 0; atMs < durationMs; atMs += STEP_MS) {
+    highestRate = Math.max(highestRate, rateAt(atMs));
     wantedMs += rateAt(atMs) * STEP_MS / 1_000 * meanSlotMs(work);
   }
   let workMs = arrivals.reduce((sum, { job }) => sum + slotMs(job), 0);
@@ -152,11 +154,10 @@
     const [left] = arrivals.splice(at, 1);
     if (left !== undefined) workMs -= slotMs(left.job);
   }
-  const spare = arrivals.length;
   while (workMs < wantedMs) {
     const job = workload.nextJob(work);
-    const near = arrivals[Math.floor(workload.unit() * spare)];
-    const atMs = near?.atMs ?? workload.unit() * durationMs;
+    const atMs = workload.unit() * durationMs;
+    if (workload.unit() * highestRate > rateAt(atMs)) continue;
     if (workMs + slotMs(job) > wantedMs * LOAD_TOLERANCE) continue;
     arrivals.push({ atMs, job });
     workMs += slotMs(job);
