Try: priority by predicted ratio, estimates half declared half learned

Change: work is ordered by (waited + next task's estimate) over the slowest task's estimate; the longest task goes first.

--- a/src/core/borrowing.ts
+++ b/src/core/borrowing.ts
@@ -15,8 +15,8 @@
 /** How many peers are asked in one round. */
 const BORROW_PEERS = 3;
 
-/** Work that waited less than this, against its ideal, asks no busy peer. */
-const LOAN_MIN_STRETCH = 0.1;
+/** Work headed for less than this ratio to its ideal asks no busy peer. */
+const LOAN_MIN_STRETCH = 1.05;
 /** How many busy peers are asked to lend their next free slots. */
 const LOAN_PEERS = 2;
 /** How long such a request stands. */
@@ -92,6 +92,7 @@
     service,
     slots,
     waitedMs: state.nowMs - job.receivedAtMs,
+    nextRunMs: job.nextRunMs,
     expectedMs: job.expectedMs,
     urgency: job.urgency,
   });
@@ -131,6 +132,7 @@
     slots: message.slots,
     lent: 0,
     receivedAtMs: state.nowMs - message.waitedMs,
+    nextRunMs: message.nextRunMs,
     expectedMs: message.expectedMs,
     urgency: message.urgency,
     expiresAtMs: state.nowMs + LOAN_WAIT_MS,
@@ -146,8 +148,8 @@
   const request = latestOf(state, requests);
   const job = latestWithinShare(state, service);
   if (request === null) return false;
-  const ours = job === null ? -Infinity : stretchOf(state, job);
-  if (ours >= stretchOf(state, request)) return false;
+  // Its own work goes first where both are as late.
+  if (job !== null && latestOf(state, [job, request]) === job) return false;
   const upstream = freestUpstream(state, service);
   const peer = state.peers.get(request.slot);
   if (upstream === null || peer === undefined) return false;
--- a/src/core/borrowing_test.ts
+++ b/src/core/borrowing_test.ts
@@ -34,7 +34,8 @@
     service: "oficina",
     slots,
     waitedMs,
-    expectedMs: 1_000,
+    nextRunMs: 300,
+    expectedMs: 300,
     urgency: 5,
   };
   const effects = reduce(core, fromPeer("poa-2", message, { nowMs }));
--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -43,11 +43,12 @@
 }
 
 /**
- * The expected run time of a job's slowest task, in milliseconds. Run times are
- * close to exponential, so the slowest of n grows with the harmonic number.
+ * The estimated run time of a task. Declared times are often off by as much as
+ * tasks of one kind differ, so the learned mean and the declared time weigh
+ * alike, as factors.
  */
-export function expectedJobMs(flow: Flow, tasks: number): number {
-  return flow.meanRunMs * (1 + Math.log(tasks));
+export function estimateMs(flow: Flow, declaredMs: number | undefined): number {
+  return Math.sqrt(flow.meanRunMs * (declaredMs ?? flow.meanRunMs));
 }
 
 /** Puts a job's unsent tasks into its flow's queue. */
@@ -61,17 +62,27 @@
 /** Takes the next unsent task of a job out of the queue. */
 export function takeTask(state: CoreState, job: Job): Task | undefined {
   const flow = state.flows.get(job.flow);
-  while (job.nextQueued < job.tasks.length) {
-    const task = job.tasks[job.nextQueued];
+  const task = nextTask(job);
+  if (task !== undefined) {
     job.nextQueued += 1;
-    if (task?.state !== "queued") continue;
-    if (flow !== undefined) {
-      flow.queuedTasks -= 1;
-      if (job.nextQueued >= job.tasks.length) removeWaiting(flow, job);
+    if (flow !== undefined) flow.queuedTasks -= 1;
+  }
+  if (flow !== undefined && nextTask(job) === undefined) {
+    removeWaiting(flow, job);
+  }
+  return task;
+}
+
+/** The next unsent task; its place and estimate become the job's. */
+function nextTask(job: Job): Task | undefined {
+  while (job.nextQueued < job.sendOrder.length) {
+    const task = job.tasks[job.sendOrder[job.nextQueued] ?? -1];
+    if (task?.state === "queued") {
+      job.nextRunMs = task.estimatedMs;
+      return task;
     }
-    return task;
+    job.nextQueued += 1;
   }
-  if (flow !== undefined) removeWaiting(flow, job);
   return undefined;
 }
 
@@ -80,7 +91,9 @@
   const flow = state.flows.get(job.flow);
   if (flow === undefined) return;
   flow.queuedTasks += 1;
-  job.nextQueued = Math.min(job.nextQueued, task.index);
+  const place = job.sendOrder.indexOf(task.index);
+  job.nextQueued = Math.min(job.nextQueued, place);
+  job.nextRunMs = Math.max(job.nextRunMs, task.estimatedMs);
   if (!flow.waiting.includes(job)) flow.waiting.unshift(job);
 }
 
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -7,7 +7,7 @@
 import { admitJob, isOverloaded } from "./admission.ts";
 import { tellWaiter } from "./attach.ts";
 import { beginClaim, checkClaimTimeout, tellOutcome } from "./claiming.ts";
-import { expectedJobMs, flowOf, forgetQueued } from "./flows.ts";
+import { estimateMs, flowOf, forgetQueued } from "./flows.ts";
 import { emit, nextId } from "./utilities.ts";
 
 /** The largest answer, in characters, that registrars keep for replay. */
@@ -122,6 +122,13 @@
   const limits = state.configuration?.limits;
   const deadlineMs = submission.deadlineMs ?? limits?.defaultDeadlineMs ?? 0;
   const flow = flowOf(state, flowNameOf(event), submission);
+  const tasks = submission.tasks.map((task, index) => ({
+    ...createTask(jobId, index, task.payload),
+    estimatedMs: estimateMs(flow, task.declaredMs),
+  }));
+  const sendOrder = tasks.map((task) => task.index)
+    .sort((a, b) => estimateAt(tasks, b) - estimateAt(tasks, a));
+  const longestMs = estimateAt(tasks, sendOrder[0] ?? 0);
   const job: Job = {
     jobId,
     team: event.team,
@@ -136,16 +143,16 @@
     receivedAtMs: event.nowMs,
     receivedWallMs: event.wallMs,
     deadlineAtMs: event.nowMs + deadlineMs,
-    tasks: submission.tasks.map((task, index) =>
-      createTask(jobId, index, task)
-    ),
+    tasks,
+    sendOrder,
     waiters: [],
     state: "claiming",
     claim: null,
     grantedGroup: null,
     nextQueued: 0,
     unfinished: submission.tasks.length,
-    expectedMs: expectedJobMs(flow, submission.tasks.length),
+    nextRunMs: longestMs,
+    expectedMs: longestMs,
     answer: null,
     endedAtMs: 0,
   };
@@ -159,13 +166,12 @@
 function createTask(
   jobId: string,
   index: number,
-  task: { payload: Json; declaredMs?: number | undefined },
-): Task {
+  payload: Json,
+): Omit<Task, "estimatedMs"> {
   return {
     taskId: `${jobId}#${index}`,
     index,
-    payload: task.payload,
-    declaredMs: task.declaredMs ?? null,
+    payload,
     state: "queued",
     sends: 0,
     sentAtMs: 0,
@@ -173,6 +179,13 @@
   };
 }
 
+function estimateAt(
+  tasks: readonly { estimatedMs: number }[],
+  index: number,
+): number {
+  return tasks[index]?.estimatedMs ?? 0;
+}
+
 const endOfTask: Record<TaskState, TaskEnd> = {
   queued: "notStarted",
   notStarted: "notStarted",
--- a/src/core/schemas.ts
+++ b/src/core/schemas.ts
@@ -282,6 +282,7 @@
     slots: z.number(),
     /** What the slots are for, to be weighed against the lender's work. */
     waitedMs: z.number(),
+    nextRunMs: z.number(),
     expectedMs: z.number().positive(),
     urgency: z.number(),
   }),
--- a/src/core/stretch.ts
+++ b/src/core/stretch.ts
@@ -6,18 +6,26 @@
 /** What is known of work that waits, here or at a peer that asks for slots. */
 export interface Waiting {
   readonly receivedAtMs: number;
+  readonly nextRunMs: number;
   readonly expectedMs: number;
   readonly urgency: number;
 }
 
 /** How much more urgency weighs, a step of it. */
-const URGENCY_WEIGHT = 0.05;
+const URGENCY_WEIGHT = 0.01;
 
-/** How long work has waited, in units of its expected run time. */
+/**
+ * The ratio of answer time to ideal that the work is headed for if its next
+ * task starts now. A short task of a long job can wait, a lone one can't.
+ */
 export function stretchOf(state: CoreState, work: Waiting): number {
   const waitedMs = state.nowMs - work.receivedAtMs;
-  const urgency = 1 + URGENCY_WEIGHT * work.urgency;
-  return urgency * waitedMs / work.expectedMs;
+  return (waitedMs + work.nextRunMs) / work.expectedMs;
+}
+
+/** The same, with urgent work counted as later than it is. */
+function priorityOf(state: CoreState, work: Waiting): number {
+  return stretchOf(state, work) * (1 + URGENCY_WEIGHT * work.urgency);
 }
 
 /** The work that has waited longest against its ideal, or null. */
@@ -26,10 +34,10 @@
   waiting: Iterable<W>,
 ): W | null {
   let latest: W | null = null;
-  let latestStretch = -Infinity;
+  let highest = -Infinity;
   for (const work of waiting) {
-    const stretch = stretchOf(state, work);
-    if (stretch > latestStretch) [latest, latestStretch] = [work, stretch];
+    const priority = priorityOf(state, work);
+    if (priority > highest) [latest, highest] = [work, priority];
   }
   return latest;
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -152,7 +152,8 @@
   readonly taskId: string;
   readonly index: number;
   readonly payload: Json;
-  readonly declaredMs: number | null;
+  /** Estimated run time. */
+  readonly estimatedMs: number;
   state: TaskState;
   sends: number;
   sentAtMs: number;
@@ -206,9 +207,15 @@
   state: "claiming" | "running" | "ended";
   claim: ClaimAttempt | null;
   grantedGroup: ClaimGroup | null;
+  /** Indices of the tasks, the longest by estimate first. */
+  readonly sendOrder: readonly number[];
+  /** The place in that order of the first task that may be unsent. */
   nextQueued: number;
   unfinished: number;
-  expectedMs: number;
+  /** Estimated run time of the next unsent task. */
+  nextRunMs: number;
+  /** Estimated run time of the slowest task. */
+  readonly expectedMs: number;
   answer: Answer | null;
   endedAtMs: number;
 }
@@ -257,6 +264,7 @@
   slots: number;
   lent: number;
   readonly receivedAtMs: number;
+  readonly nextRunMs: number;
   readonly expectedMs: number;
   readonly urgency: number;
   readonly expiresAtMs: number;
