--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -26,14 +26,14 @@
   if (flow === undefined || !refusesEarly(state)) return false;
   if (!isFlooding(flow)) return false;
   const ratio = state.configuration?.limits.maxQueueRatio ?? 1;
-  const limitMs = Math.max(MIN_QUEUE_MS, ratio * flow.meanRunMs);
+  const limitMs = Math.max(MIN_QUEUE_MS, ratio * flow.runs.meanMs);
   return queueMs(step, flow) > limitMs;
 }
 
 /** How long the flow's queue takes to work off with the slots left to it. */
 function queueMs(step: Step, flow: Flow): number {
   const slots = slotsLeftTo(step, flow);
-  return flow.queuedTasks * flow.meanRunMs / Math.max(1, slots);
+  return flow.queuedTasks * flow.runs.meanMs / Math.max(1, slots);
 }
 
 function slotsLeftTo(step: Step, flow: Flow): number {
--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -1,6 +1,7 @@
 /** Flows: one team's work of one kind, its queue, run times and usual share. */
 
 import type { CoreState, Flow, Job, Task } from "./types.ts";
+import { createEstimate } from "./estimates.ts";
 import { getOrInsert } from "./utilities.ts";
 
 /** How often demand is sampled, in milliseconds. */
@@ -17,8 +18,6 @@
 const FLOOD_FACTOR = 3;
 /** Fewer jobs a sample than this are never a flood. */
 const FLOOD_MIN_ARRIVALS = 0.8;
-/** Weight of one run in a flow's learned run time. */
-const RUN_WEIGHT = 0.02;
 
 /** The flow of that name, made when work of a new kind arrives. */
 export function flowOf(
@@ -32,8 +31,9 @@
     waiting: [],
     queuedTasks: 0,
     inFlight: 0,
-    meanRunMs:
+    runs: createEstimate(
       state.configuration?.services[service]?.kinds[kind]?.expectedMs ?? 300,
+    ),
     usualSlots: 0,
     arrivals: 0,
     usualArrivals: 0,
@@ -42,15 +42,6 @@
   }));
 }
 
-/**
- * The estimated run time of a task. Declared times are often off by as much as
- * tasks of one kind differ, so the learned mean and the declared time weigh
- * alike, as factors.
- */
-export function estimateMs(flow: Flow, declaredMs: number | undefined): number {
-  return Math.sqrt(flow.meanRunMs * (declaredMs ?? flow.meanRunMs));
-}
-
 /** Puts a job's unsent tasks into its flow's queue. */
 export function enqueueJob(state: CoreState, job: Job): void {
   const flow = state.flows.get(job.flow);
@@ -112,11 +103,6 @@
   removeWaiting(flow, job);
 }
 
-/** Learns from one run of a task. */
-export function learnRun(flow: Flow, ranMs: number): void {
-  flow.meanRunMs += RUN_WEIGHT * (ranMs - flow.meanRunMs);
-}
-
 /**
  * Whether a flow brings far more jobs than it usually does. Arrivals are
  * counted, not slots: one job of many tasks is no flood, and neither is a flow
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -7,7 +7,8 @@
 import { admitJob, isOverloaded } from "./admission.ts";
 import { tellWaiter } from "./attach.ts";
 import { beginClaim, checkClaimTimeout, tellOutcome } from "./claiming.ts";
-import { estimateMs, flowOf, forgetQueued } from "./flows.ts";
+import { estimateSlowestMs, estimateTaskMs } from "./estimates.ts";
+import { flowOf, forgetQueued } from "./flows.ts";
 import { emit, nextId } from "./utilities.ts";
 
 /** The largest answer, in characters, that registrars keep for replay. */
@@ -124,7 +125,8 @@
   const flow = flowOf(state, flowNameOf(event), submission);
   const tasks = submission.tasks.map((task, index) => ({
     ...createTask(jobId, index, task.payload),
-    estimatedMs: estimateMs(flow, task.declaredMs),
+    declaredMs: task.declaredMs ?? null,
+    estimatedMs: estimateTaskMs(flow.runs, task.declaredMs ?? null),
   }));
   const sendOrder = tasks.map((task) => task.index)
     .sort((a, b) => estimateAt(tasks, b) - estimateAt(tasks, a));
@@ -152,7 +154,7 @@
     nextQueued: 0,
     unfinished: submission.tasks.length,
     nextRunMs: longestMs,
-    expectedMs: longestMs,
+    expectedMs: estimateSlowestMs(flow.runs, tasks.length, longestMs),
     answer: null,
     endedAtMs: 0,
   };
@@ -167,7 +169,7 @@
   jobId: string,
   index: number,
   payload: Json,
-): Omit<Task, "estimatedMs"> {
+): Omit<Task, "estimatedMs" | "declaredMs"> {
   return {
     taskId: `${jobId}#${index}`,
     index,
--- a/src/core/sends.ts
+++ b/src/core/sends.ts
@@ -9,7 +9,8 @@
   Task,
   Upstream,
 } from "./types.ts";
-import { learnRun, requeueTask } from "./flows.ts";
+import { learnRun } from "./estimates.ts";
+import { requeueTask } from "./flows.ts";
 import { abandonJob, endJob } from "./jobs.ts";
 import { dispatch } from "./placement.ts";
 import { noteOutcome } from "./upstreams.ts";
@@ -83,7 +84,10 @@
 
 function learnFrom(step: Step, job: Job, send: Send): void {
   const flow = step.state.flows.get(job.flow);
-  if (flow !== undefined) learnRun(flow, step.state.nowMs - send.sentAtMs);
+  const task = job.tasks[send.taskIndex];
+  if (flow === undefined || task === undefined) return;
+  const ranMs = step.state.nowMs - send.sentAtMs;
+  learnRun(flow.runs, ranMs, task.declaredMs);
 }
 
 function settle(step: Step, { job, task, outcome }: Ended): void {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -2,6 +2,7 @@
 
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { DiagnosticName } from "./diagnostics.ts";
+import type { RunEstimate } from "./estimates.ts";
 import type { Guards } from "./guards.ts";
 import type {
   Answer,
@@ -152,6 +153,7 @@
   readonly taskId: string;
   readonly index: number;
   readonly payload: Json;
+  readonly declaredMs: number | null;
   /** Estimated run time. */
   readonly estimatedMs: number;
   state: TaskState;
@@ -336,8 +338,7 @@
   readonly waiting: Job[];
   queuedTasks: number;
   inFlight: number;
-  /** Learned run time of a task in milliseconds. */
-  meanRunMs: number;
+  readonly runs: RunEstimate;
   /** Learned usual slots wanted by this flow, on this instance. */
   usualSlots: number;
   /** Jobs that arrived since the last sample, refused ones too. */
