Order work by lateness over the tasks it still needs

Cause: at full load, slots given to a large job make many small ones late. Change: lateness, with a tenth of the next task's time counted as waited, over the tasks left.

--- a/src/core/borrowing.ts
+++ b/src/core/borrowing.ts
@@ -15,8 +15,8 @@
 /** How many peers are asked in one round. */
 const BORROW_PEERS = 3;
 
-/** Work headed for less than this ratio to its ideal asks no busy peer. */
-const LOAN_MIN_STRETCH = 1.05;
+/** Work that is less late than this asks no busy peer. */
+const LOAN_MIN_STRETCH = 0.01;
 /** How many busy peers are asked to lend their next free slots. */
 const LOAN_PEERS = 2;
 /** How long such a request stands. */
@@ -95,6 +95,7 @@
     nextRunMs: job.nextRunMs,
     expectedMs: job.expectedMs,
     urgency: job.urgency,
+    tasksLeft: job.tasksLeft,
   });
 }
 
@@ -135,6 +136,7 @@
     nextRunMs: message.nextRunMs,
     expectedMs: message.expectedMs,
     urgency: message.urgency,
+    tasksLeft: message.tasksLeft,
     expiresAtMs: state.nowMs + LOAN_WAIT_MS,
   });
   dispatch(step, service);
--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -56,6 +56,7 @@
   const task = nextTask(job);
   if (task !== undefined) {
     job.nextQueued += 1;
+    job.tasksLeft -= 1;
     if (flow !== undefined) flow.queuedTasks -= 1;
   }
   if (flow !== undefined && nextTask(job) === undefined) {
@@ -84,6 +85,7 @@
   flow.queuedTasks += 1;
   const place = job.sendOrder.indexOf(task.index);
   job.nextQueued = Math.min(job.nextQueued, place);
+  job.tasksLeft += 1;
   job.nextRunMs = Math.max(job.nextRunMs, task.estimatedMs);
   if (!flow.waiting.includes(job)) flow.waiting.unshift(job);
 }
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -154,6 +154,7 @@
     nextQueued: 0,
     unfinished: submission.tasks.length,
     nextRunMs: longestMs,
+    tasksLeft: tasks.length,
     expectedMs: estimateSlowestMs(flow.runs, tasks.length, longestMs),
     answer: null,
     endedAtMs: 0,
--- a/src/core/schemas.ts
+++ b/src/core/schemas.ts
@@ -285,6 +285,7 @@
     nextRunMs: z.number(),
     expectedMs: z.number().positive(),
     urgency: z.number(),
+    tasksLeft: z.number(),
   }),
   z.object({
     type: z.literal("lend"),
--- a/src/core/stretch.ts
+++ b/src/core/stretch.ts
@@ -9,18 +9,24 @@
   readonly nextRunMs: number;
   readonly expectedMs: number;
   readonly urgency: number;
+  /** Tasks that were not sent yet. */
+  readonly tasksLeft: number;
 }
 
+/** The share of a task's run time that counts as waited from the start. */
+const HEAD_START = 0.1;
 /** How much more urgency weighs, a step of it. */
 const URGENCY_WEIGHT = 0.01;
 
 /**
- * The ratio of answer time to ideal that the work is headed for if its next
- * task starts now. A short task of a long job can wait, a lone one can't.
+ * How late work is against its ideal. A job with many tasks left counts as less
+ * late: the slots it would take serve more jobs that need few.
  */
 export function stretchOf(state: CoreState, work: Waiting): number {
   const waitedMs = state.nowMs - work.receivedAtMs;
-  return (waitedMs + work.nextRunMs) / work.expectedMs;
+  const headStartMs = HEAD_START * work.nextRunMs;
+  const stretch = (waitedMs + headStartMs) / work.expectedMs;
+  return stretch / Math.max(1, work.tasksLeft);
 }
 
 /** The same, with urgent work counted as later than it is. */
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -216,6 +216,8 @@
   unfinished: number;
   /** Estimated run time of the next unsent task. */
   nextRunMs: number;
+  /** Tasks that were not sent yet. */
+  tasksLeft: number;
   /** Estimated run time of the slowest task. */
   readonly expectedMs: number;
   answer: Answer | null;
@@ -269,6 +271,7 @@
   readonly nextRunMs: number;
   readonly expectedMs: number;
   readonly urgency: number;
+  readonly tasksLeft: number;
   readonly expiresAtMs: number;
 }
 
