--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -6,6 +6,7 @@
 import { parse, stringify } from "yaml";
 import type { PolicyName, UpstreamMember } from "../src/core/schemas.ts";
 import type { InstanceSettings } from "../src/settings/schema.ts";
+import { CONFIGURATION_ROW } from "../src/host/hosts.ts";
 import { callControl, until } from "./control.ts";
 import {
   type FleetProcess,
@@ -55,6 +56,13 @@
   readonly applyConfiguration: (
     change: (base: Record<string, unknown>) => void,
   ) => Promise<number>;
+  /** The newest accepted version, as the platform's table holds it. */
+  readonly newestVersion: () => Promise<number>;
+  /** Instances that do not have a version in force within a time. */
+  readonly lateInForce: (
+    entries: readonly FleetEntry[],
+    options: { version: number; withinMs: number },
+  ) => Promise<FleetEntry[]>;
   readonly stop: () => Promise<void>;
 }
 
@@ -122,6 +130,25 @@
   );
 }
 
+async function lateInForce(
+  entries: readonly FleetEntry[],
+  { version, withinMs }: { version: number; withinMs: number },
+): Promise<FleetEntry[]> {
+  const late: FleetEntry[] = [];
+  await Promise.all(entries.map(async (entry) => {
+    const has = async () => {
+      const { configurationVersion } = await callControl<
+        { configurationVersion: number }
+      >(entry.adminPort, "/v1/state", { method: "GET", key: OPERATOR_KEY });
+      return configurationVersion >= version;
+    };
+    const options = { timeoutMs: withinMs };
+    await until(`${entry.slot} has version ${version}`, has, options)
+      .catch(() => late.push(entry));
+  }));
+  return late;
+}
+
 /** Starts a fleet and waits until every entry instance is ready. */
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
   const { portBase, verbose = false, policy = "stretch" } = options;
@@ -275,6 +302,14 @@
     upstreams,
     startEntry,
     applyConfiguration,
+    async newestVersion() {
+      const path = `/table/${encodeURIComponent(CONFIGURATION_ROW)}`;
+      const row = await callControl<{ version: number }>(portBase, path, {
+        method: "GET",
+      });
+      return row.version;
+    },
+    lateInForce,
     async stop() {
       await Promise.all(entries.map((entry) => terminate(entry.process)));
       await Promise.all(standins.map(kill));
