A claim does not wait for a registrar that is known to be gone

Cause: with one member of a group dead or drained, every claim of its keys waited 150 ms before sealing. Ruled out: a shorter wait for all (a slow registrar is no dead one). Task timeouts use the HTTP client's own timers.

--- a/bench/chaos.ts
+++ b/bench/chaos.ts
@@ -257,12 +257,24 @@
   await countCrossZone(fleet, tally, { jobs, refused });
   const agreed = await agreesInTheEnd(fleet);
   const { configurationLate, faults } = chaos;
-  const line = { ...tally, configurationLate, agreed, faults };
+  const errors = countErrors(ends.map(({ end }) => end));
+  const line = { ...tally, configurationLate, agreed, faults, errors };
   process.stdout.write(`${JSON.stringify(line)}\n`);
   const broken = isBroken(tally) || configurationLate > 0 || !agreed;
   process.exitCode = broken ? 1 : 0;
 }
 
+/** What callers were told last, by the error's name. */
+function countErrors(ends: readonly JobEnd[]): Record<string, number> {
+  const errors: Record<string, number> = {};
+  for (const { state, error } of ends) {
+    if (state === "complete") continue;
+    const name = `${state} ${error}`;
+    errors[name] = (errors[name] ?? 0) + 1;
+  }
+  return errors;
+}
+
 /** With every fault over, all instances have the newest configuration. */
 async function agreesInTheEnd(fleet: Fleet): Promise<boolean> {
   const version = await fleet.newestVersion();
--- a/src/core/claiming.ts
+++ b/src/core/claiming.ts
@@ -149,8 +149,22 @@
   if (claim.stage === "attaching" || claim.claimId !== reply.claimId) return;
   claim.heardAny = true;
   claim.replies.set(reply.role, reply);
-  if (claim.stage === "claiming") judgeClaim(step, job, reply);
-  else judgeSeal(step, job, reply);
+  if (claim.stage === "sealing") {
+    judgeSeal(step, job, reply);
+    return;
+  }
+  judgeClaim(step, job, reply);
+  if (isWaitingForLost(step, job, reply)) sealAfterSilence(step, job);
+}
+
+/** Whether only a registrar that is known to be gone has not answered yet. */
+function isWaitingForLost(step: Step, job: Job, reply: ClaimReply): boolean {
+  const { claim } = job;
+  if (claim === null || claim.claimId !== reply.claimId) return false;
+  if (claim.stage !== "claiming" || claim.replies.size !== 1) return false;
+  const other = reply.role === "owner" ? "witness" : "owner";
+  const peer = step.state.peers.get(groupAt(claim)[other]);
+  return peer !== undefined && peer.lost;
 }
 
 type ReplyHandler = (step: Step, job: Job, reply: ClaimReply) => void;
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -27,7 +27,7 @@
   }
   if (peer.incarnation !== from.incarnation) resetPeer(state, peer, from);
   peer.lastHeardMs = state.nowMs;
-  peer.connected = true;
+  peer.lost = peer.leaving;
   return true;
 }
 
@@ -53,6 +53,7 @@
   peer.virgin = message.virgin;
   peer.ready = message.ready;
   peer.leaving ||= message.leaving;
+  peer.lost = peer.leaving;
   peer.configurationVersion = message.configurationVersion;
   peer.membershipVersion = message.membershipVersion;
   peer.loads = message.loads;
@@ -74,7 +75,7 @@
 export function onPeerDown(step: Step, slot: string): void {
   const peer = step.state.peers.get(slot);
   if (peer === undefined) return;
-  peer.connected = false;
+  peer.lost = true;
 }
 
 /** Sends heartbeats that are due, and notices peers gone silent. */
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -148,7 +148,7 @@
       ...slot,
       incarnation: null,
       lastHeardMs: -Infinity,
-      connected: false,
+      lost: false,
       virgin: false,
       leaving: false,
       ready: false,
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -286,7 +286,8 @@
 export interface Peer extends Slot {
   incarnation: number | null;
   lastHeardMs: number;
-  connected: boolean;
+  /** Its connection closed, or it left, and it was not heard from since. */
+  lost: boolean;
   virgin: boolean;
   leaving: boolean;
   ready: boolean;
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -26,7 +26,7 @@
     peers: [...state.peers.values()].map((peer) => ({
       slot: peer.slot,
       incarnation: peer.incarnation,
-      connected: peer.connected,
+      lost: peer.lost,
       ready: peer.ready,
       leaving: peer.leaving,
       silentMs: finite(state.nowMs - peer.lastHeardMs),
--- a/src/host/upstream_client.ts
+++ b/src/host/upstream_client.ts
@@ -78,7 +78,7 @@
 
   return {
     async send(effect) {
-      const signal = AbortSignal.timeout(Math.ceil(effect.timeoutMs));
+      const timeoutMs = Math.ceil(effect.timeoutMs);
       try {
         const response = await poolOf(effect.address).request({
           method: "POST",
@@ -91,7 +91,8 @@
             taskId: effect.taskId,
             payload: effect.payload,
           }),
-          signal,
+          headersTimeout: timeoutMs,
+          bodyTimeout: timeoutMs,
         });
         return outcomeOfAnswer(response.statusCode, await response.body.text());
       } catch (error) {
