Failures of an upstream count together over instances; files split

Ruled out: one failure ejects (an ordinary failure would). Change: heartbeats carry failures in a row; with its own they eject at three, unless a send from here succeeded in the last 500 ms; the first time out is 5 s, and one instance probes.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -25,8 +25,6 @@
 const WARMUP_MS = 4_000;
 /** Jobs end within this time, whatever happens. */
 const DEADLINE_MS = 8_000;
-/** How long the fleet rests between two policies. */
-const REST_MS = 1_500;
 const CONNECTIONS_PER_INSTANCE = 200;
 const PORT_BASE = 30_000;
 
@@ -187,11 +185,12 @@
   },
 });
 
-async function runScenario(
-  scenario: Scenario,
-  names: readonly PolicyName[],
-  { seed, seconds }: { seed: string; seconds: string },
-): Promise<void> {
+interface Bench {
+  readonly fleet: Fleet;
+  readonly callers: readonly Caller[];
+}
+
+async function startBench(): Promise<Bench> {
   const fleet = await startFleet({
     portBase: PORT_BASE,
     services: ["oficina"],
@@ -203,20 +202,32 @@
   for (const port of fleet.upstreamPorts.values()) {
     await callControl(port, "/record", { body: { record: false } });
   }
+  return { fleet, callers };
+}
+
+async function stopBench({ fleet, callers }: Bench): Promise<void> {
+  await Promise.all(callers.map((caller) => caller.close()));
+  await fleet.kill();
+}
+
+async function runScenario(
+  scenario: Scenario,
+  names: readonly PolicyName[],
+  { seed, seconds }: { seed: string; seconds: string },
+): Promise<void> {
   for (const policy of names) {
+    // Every policy has a fleet of its own: a flood leaves work behind.
+    const bench = await startBench();
     const line = await measure({
-      fleet,
-      callers,
+      ...bench,
       scenario,
       policy,
       seed: Number(seed),
       seconds: Number(seconds),
     });
     process.stdout.write(`${JSON.stringify(line)}\n`);
-    await new Promise((resolve) => setTimeout(resolve, REST_MS));
+    await stopBench(bench);
   }
-  await Promise.all(callers.map((caller) => caller.close()));
-  await fleet.stop();
 }
 
 await runMain(command);
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -63,6 +63,9 @@
     entries: readonly FleetEntry[],
     options: { version: number; withinMs: number },
   ) => Promise<FleetEntry[]>;
+  /** Ends every process at once. */
+  readonly kill: () => Promise<void>;
+  /** Drains every instance, then ends the stand-ins. */
   readonly stop: () => Promise<void>;
 }
 
@@ -310,6 +313,11 @@
       return row.version;
     },
     lateInForce,
+    async kill() {
+      await Promise.all(entries.map((entry) => kill(entry.process)));
+      await Promise.all(standins.map(kill));
+      rmSync(folder, { recursive: true });
+    },
     async stop() {
       await Promise.all(entries.map((entry) => terminate(entry.process)));
       await Promise.all(standins.map(kill));
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,7 +1,7 @@
 /** Open-loop load: jobs arrive when they are due, however slow answers are. */
 
 import { build, type Histogram } from "hdr-histogram-js";
-import { bodyOf, type Caller } from "./caller.ts";
+import type { Caller } from "./caller.ts";
 import {
   meanJobTasks,
   meanRunMs,
@@ -234,8 +234,3 @@
   const value = result.ratios.getValueAtPercentile(percentile) / RATIO_SCALE;
   return Math.round(value * 1_000) / 1_000;
 }
-
-/** The bytes of a job's request, for reports on traffic. */
-export function requestBytes(job: WorkJob): number {
-  return bodyOf(job).length;
-}
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -21,6 +21,9 @@
 process.on("exit", () => {
   for (const child of started) child.kill("SIGKILL");
 });
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
 
 /** Starts a compiled script; its log lines are dropped unless asked for. */
 export function startScript(
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -180,6 +180,7 @@
     membershipVersion: 1,
     periodMs: 250,
     leavingUpstreams: [],
+    suspects: [],
     loads: [{ service: "oficina", freeSlots: 5, queuedTasks: 0 }],
     borrowed: [],
   };
--- a/src/core/drain.ts
+++ b/src/core/drain.ts
@@ -3,7 +3,7 @@
 import { assert } from "./debug.ts";
 import type { Step } from "./types.ts";
 import { sendAllHeartbeats } from "./membership.ts";
-import { handOverGroups } from "./registrar.ts";
+import { handOverGroups } from "./handover.ts";
 import { shareSlots } from "./slot_sharing.ts";
 import { emit } from "./utilities.ts";
 
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -2,12 +2,13 @@
 
 import type { InstanceRef, PeerMessageOf } from "./schemas.ts";
 import type { CoreState, Peer, Step } from "./types.ts";
-import { borrowedCounts, reclaimLent, reconcileLent } from "./borrowing.ts";
+import { borrowedCounts } from "./borrowing.ts";
+import { reclaimLent, reconcileLent } from "./lending.ts";
 import { requestIfBehind } from "./configuration.ts";
 import { freeSlots } from "./placement.ts";
 import { onPartnerHeard } from "./registrar.ts";
 import { shareIfChanged } from "./slot_sharing.ts";
-import { markLeaving } from "./upstreams.ts";
+import { markLeaving, noteSuspects, suspectsOf } from "./upstreams.ts";
 import { sendPeer } from "./utilities.ts";
 
 /** How often a heartbeat is sent to each peer, while peers are few. */
@@ -68,6 +69,7 @@
     const upstream = state.upstreams.get(upstreamId);
     if (upstream !== undefined) markLeaving(step, upstream);
   }
+  noteSuspects(state, peer, message.suspects);
   for (const slot of shareIfChanged(state)) reclaimLent(state, slot);
 }
 
@@ -151,6 +153,7 @@
     membershipVersion: state.membershipVersion,
     periodMs: HEARTBEAT_MS,
     leavingUpstreams: [...state.leavingUpstreams],
+    suspects: suspectsOf(state),
     loads: services.map((service) => ({
       service,
       freeSlots: freeSlots(state, service),
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -6,7 +6,8 @@
 import { assert } from "./debug.ts";
 import type { PolicyName } from "./schemas.ts";
 import type { CoreState, Job, Step, Task, Upstream } from "./types.ts";
-import { borrowFor, returnUnused, serveLoanRequest } from "./borrowing.ts";
+import { borrowFor, returnUnused } from "./borrowing.ts";
+import { serveLoanRequest } from "./lending.ts";
 import { latestJob, latestWithinShare } from "./stretch.ts";
 import { isFlooding, isWithinShare, takeTask } from "./flows.ts";
 import { ownedUpstreams } from "./slot_sharing.ts";
--- a/src/core/reduce.ts
+++ b/src/core/reduce.ts
@@ -22,13 +22,13 @@
   onCallerCancel,
   onCallerQuery,
 } from "./attach.ts";
+import { onLend } from "./borrowing.ts";
 import {
   expireLoanRequests,
   onBorrow,
-  onLend,
   onReturnSlots,
   sendLoans,
-} from "./borrowing.ts";
+} from "./lending.ts";
 import { onClaimReply } from "./claiming.ts";
 import {
   adoptDocument,
@@ -47,11 +47,11 @@
   onPeerDown,
 } from "./membership.ts";
 import { dispatch } from "./placement.ts";
+import { onHandover } from "./handover.ts";
 import {
   createGroups,
   expireRecords,
   onClaim,
-  onHandover,
   onOutcome,
   onSeal,
   onVirginBoot,
@@ -156,6 +156,7 @@
       membershipVersion: -1,
       loads: [],
       lent: new Map(),
+      suspects: new Map(),
       lastLentMs: -Infinity,
       askedUntilMs: -Infinity,
       periodMs: 0,
--- a/src/core/registrar.ts
+++ b/src/core/registrar.ts
@@ -7,7 +7,6 @@
 
 import { assert } from "./debug.ts";
 import type {
-  ClaimRecordCopy,
   GroupRole,
   InstanceRef,
   PeerMessageOf,
@@ -15,15 +14,13 @@
 } from "./schemas.ts";
 import type { ClaimRecord, CoreState, GroupState, Step } from "./types.ts";
 import { groupOf } from "./chain.ts";
+import { sendRecords } from "./handover.ts";
 import { sameInstance, selfRef, sendPeer } from "./utilities.ts";
 
 type Claim = PeerMessageOf<"claim">;
 
 /** How long a refusal is remembered against attempts that were overtaken. */
 export const RELEASE_RETENTION_MS = 30_000;
-/** How many records one handover message carries. */
-export const HANDOVER_PART_RECORDS = 200;
-
 /** Creates the groups that this instance is a member of. */
 export function createGroups(
   slots: CoreState["slots"],
@@ -52,7 +49,8 @@
   return state.configuration?.limits.claimRetentionMs ?? 600_000;
 }
 
-function partnerSlot(group: GroupState): string {
+/** The slot that this instance shares the group with. */
+export function partnerSlot(group: GroupState): string {
   return group.role === "owner" ? group.witness : group.owner;
 }
 
@@ -84,7 +82,8 @@
   }
 }
 
-function holds(
+/** Whether a record belongs to this holder's job. */
+export function holds(
   record: ClaimRecord,
   holder: InstanceRef,
   jobId: string,
@@ -296,109 +295,6 @@
   if (group.records.size > 0 || !first) sendRecords(step, group, false);
 }
 
-/** Sends the group's records to the partner, oldest first, in parts. */
-export function sendRecords(
-  step: Step,
-  group: GroupState,
-  leaving: boolean,
-): void {
-  const { state } = step;
-  const records = [...group.records.values()].map((record) =>
-    copyRecord(state, record)
-  );
-  const parts = Math.max(1, Math.ceil(records.length / HANDOVER_PART_RECORDS));
-  for (let part = 0; part < parts; part += 1) {
-    const start = part * HANDOVER_PART_RECORDS;
-    sendPeer(step, partnerSlot(group), {
-      type: "handover",
-      group: group.group,
-      part,
-      parts,
-      records: records.slice(start, start + HANDOVER_PART_RECORDS),
-      formedAgeMs: finiteOrNull(state.nowMs - group.formedAtMs),
-      memoryAgeMs: finiteOrNull(state.nowMs - group.memorySinceMs),
-      leaving,
-    });
-  }
-}
-
-function finiteOrNull(value: number): number | null {
-  return Number.isFinite(value) ? value : null;
-}
-
-function momentOf(state: CoreState, ageMs: number | null): number {
-  return ageMs === null ? -Infinity : state.nowMs - ageMs;
-}
-
-function copyRecord(state: CoreState, record: ClaimRecord): ClaimRecordCopy {
-  return {
-    key: record.key,
-    payloadHash: record.payloadHash,
-    jobId: record.jobId,
-    holder: record.holder,
-    state: record.state,
-    ageMs: state.nowMs - record.recordedAtMs,
-    ...(record.answer === null ? {} : { answer: record.answer }),
-  };
-}
-
-/** Takes over records from the partner: it leaves, or this instance is new. */
-export function onHandover(
-  step: Step,
-  from: InstanceRef,
-  message: PeerMessageOf<"handover">,
-): void {
-  const { state } = step;
-  const group = state.groups.get(message.group);
-  if (group === undefined || partnerSlot(group) !== from.slot) return;
-  if (from.incarnation <= group.departedIncarnation) return;
-  for (const copy of message.records) mergeRecord(state, group, copy);
-  // A lost part leaves a gap: the rest may be used, but proves nothing.
-  const next = message.part === 0 ? 0 : group.handoverParts;
-  group.handoverParts = message.part === next ? next + 1 : 0;
-  if (group.handoverParts !== message.parts) return;
-  if (message.leaving) {
-    const paired = group.partner?.incarnation === from.incarnation;
-    group.cleanHandover = paired;
-    group.departedIncarnation = from.incarnation;
-    group.partner = null;
-    return;
-  }
-  const memoryMs = momentOf(state, message.memoryAgeMs);
-  const formedMs = momentOf(state, message.formedAgeMs);
-  group.memorySinceMs = Math.min(group.memorySinceMs, memoryMs);
-  group.formedAtMs = Math.min(group.formedAtMs, formedMs);
-}
-
-/** Hands every group over before this instance leaves, and forgets them. */
-export function handOverGroups(step: Step): void {
-  const { state } = step;
-  for (const group of state.groups.values()) sendRecords(step, group, true);
-  state.groups.clear();
-}
-
-function mergeRecord(
-  state: CoreState,
-  group: GroupState,
-  copy: ClaimRecordCopy,
-): void {
-  const known = group.records.get(copy.key);
-  const agrees = known === undefined ||
-    (known.state === copy.state && holds(known, copy.holder, copy.jobId));
-  // Members that disagree on a key cannot both have granted it, so it was not
-  // started in this group: sealing it is safe whichever was right.
-  group.records.set(copy.key, {
-    key: copy.key,
-    payloadHash: copy.payloadHash,
-    jobId: copy.jobId,
-    holder: copy.holder,
-    state: agrees ? copy.state : "sealed",
-    recordedAtMs: state.nowMs - copy.ageMs,
-    ownerConfirmed: true,
-    answer: copy.answer ?? known?.answer ?? null,
-  });
-}
-
 /** A fresh boot: no incarnation of this slot ran within the retention. */
 export function onVirginBoot(step: Step): void {
   const { state } = step;
--- a/src/core/schemas.ts
+++ b/src/core/schemas.ts
@@ -202,6 +202,13 @@
 /** How many slots of one upstream an instance uses that a peer lent. */
 export type BorrowedCount = z.infer<typeof borrowedCountSchema>;
 
+const suspectSchema = z.object({
+  upstreamId: z.string(),
+  failures: z.number(),
+});
+/** How many sends to an upstream failed in a row, as one instance saw it. */
+export type Suspect = z.infer<typeof suspectSchema>;
+
 /** The schema of an upstream as the membership list names it. */
 export const upstreamMemberSchema = z.object({
   id: z.string(),
@@ -272,6 +279,8 @@
     membershipVersion: z.number(),
     periodMs: z.number(),
     leavingUpstreams: z.array(z.string()),
+    /** Upstreams whose last sends from there failed. */
+    suspects: z.array(suspectSchema),
     loads: z.array(serviceLoadSchema),
     /** Slots in use here that peers lent. */
     borrowed: z.array(borrowedCountSchema),
--- a/src/core/testing.ts
+++ b/src/core/testing.ts
@@ -59,6 +59,7 @@
     membershipVersion: -1,
     periodMs: 250,
     leavingUpstreams: [],
+    suspects: [],
     loads: [],
     borrowed: [],
   };
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -251,6 +251,7 @@
   lentSlots: number;
   failureRate: number;
   consecutiveFailures: number;
+  lastSuccessMs: number;
   ejectedUntilMs: number;
   ejections: number;
   probeInFlight: boolean;
@@ -297,6 +298,8 @@
   /** Slots lent to it, by upstream. */
   readonly lent: Map<string, number>;
   lastLentMs: number;
+  /** Failures in a row that it saw, by upstream. */
+  suspects: ReadonlyMap<string, number>;
   /** A wish for slots stands there until then. */
   askedUntilMs: number;
   /** How often it sends heartbeats here. */
--- a/src/core/upstreams.ts
+++ b/src/core/upstreams.ts
@@ -1,15 +1,17 @@
 /** Upstreams: the list of them, their health, and which may get work. */
 
-import type { UpstreamMember } from "./schemas.ts";
-import type { CoreState, SendOutcome, Step, Upstream } from "./types.ts";
+import type { Suspect, UpstreamMember } from "./schemas.ts";
+import type { CoreState, Peer, SendOutcome, Step, Upstream } from "./types.ts";
 import { regionOfZone } from "./chain.ts";
-import { shareSlots } from "./slot_sharing.ts";
-import { emit, getOrInsert } from "./utilities.ts";
+import { isLivePeer, shareSlots } from "./slot_sharing.ts";
+import { emit, getOrInsert, rendezvousOrder } from "./utilities.ts";
 
 /** Failures in a row after which an upstream gets no work for a while. */
 const EJECT_AFTER_FAILURES = 3;
 /** The first time out of rotation; it doubles with each failed probe. */
-const EJECT_FIRST_MS = 1_000;
+const EJECT_FIRST_MS = 5_000;
+/** A success this recent weighs more than failures elsewhere. */
+const TRUST_MS = 500;
 /** The longest time out of rotation. */
 const EJECT_LONGEST_MS = 30_000;
 /** The largest share of a zone's upstreams that may be out at once. */
@@ -60,6 +62,7 @@
     lentSlots: 0,
     failureRate: 0,
     consecutiveFailures: 0,
+    lastSuccessMs: -Infinity,
     ejectedUntilMs: 0,
     ejections: 0,
     probeInFlight: false,
@@ -88,9 +91,56 @@
 /** Whether an upstream may get one more task now. */
 export function isUsable(state: CoreState, upstream: Upstream): boolean {
   if (!state.guards.mayReceiveWork(upstream)) return false;
+  if (upstream.ejections === 0) return true;
   if (state.nowMs < upstream.ejectedUntilMs) return false;
   // Back from ejection, it gets one task at a time until one succeeds.
-  return upstream.ejections === 0 || !upstream.probeInFlight;
+  return !upstream.probeInFlight && mayProbe(state, upstream);
+}
+
+/** One instance probes; the others wait until it no longer suspects. */
+function mayProbe(state: CoreState, upstream: Upstream): boolean {
+  const [prober] = rendezvousOrder(upstream.id, [...state.sharers]);
+  const self = state.self.slot;
+  return prober === self || failuresAtPeers(state, upstream.id) === 0;
+}
+
+/** Failures in a row that live peers saw, added up. */
+function failuresAtPeers(state: CoreState, upstreamId: string): number {
+  let failures = 0;
+  for (const peer of state.peers.values()) {
+    const seen = peer.suspects.get(upstreamId) ?? 0;
+    if (seen > 0 && isLivePeer(state, peer)) failures += seen;
+  }
+  return failures;
+}
+
+/** The upstreams whose last sends from here failed, for heartbeats. */
+export function suspectsOf(state: CoreState): Suspect[] {
+  const suspects: Suspect[] = [];
+  for (const upstream of state.upstreams.values()) {
+    const { id, consecutiveFailures } = upstream;
+    if (consecutiveFailures === 0) continue;
+    suspects.push({ upstreamId: id, failures: consecutiveFailures });
+  }
+  return suspects;
+}
+
+/** Takes in what a peer suspects; failures anywhere count together. */
+export function noteSuspects(
+  state: CoreState,
+  peer: Peer,
+  suspects: readonly Suspect[],
+): void {
+  peer.suspects = new Map(
+    suspects.map(({ upstreamId, failures }) => [upstreamId, failures]),
+  );
+  for (const { upstreamId } of suspects) {
+    const upstream = state.upstreams.get(upstreamId);
+    if (upstream === undefined || upstream.ejections > 0) continue;
+    // What just succeeded from here is not given up on others' word.
+    const trusted = state.nowMs - upstream.lastSuccessMs < TRUST_MS;
+    if (!trusted) judge(state, upstream);
+  }
 }
 
 /** Notes how a send ended, for the upstream's health. */
@@ -103,11 +153,19 @@
   if (outcome.kind === "done") {
     upstream.consecutiveFailures = 0;
     upstream.ejections = 0;
+    upstream.lastSuccessMs = state.nowMs;
     return;
   }
   upstream.consecutiveFailures += 1;
+  judge(state, upstream);
+}
+
+/** Takes an upstream out of rotation if enough sends in a row failed. */
+function judge(state: CoreState, upstream: Upstream): void {
+  const own = upstream.consecutiveFailures;
+  const failures = own + failuresAtPeers(state, upstream.id);
   const probing = upstream.ejections > 0;
-  const over = upstream.consecutiveFailures >= EJECT_AFTER_FAILURES;
+  const over = failures >= EJECT_AFTER_FAILURES;
   if ((over || probing) && mayEject(state, upstream)) eject(state, upstream);
 }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -5,12 +5,10 @@
 
 import VError from "verror";
 import { createAdminListener } from "../admin/admin_listener.ts";
-import { documentOfRow } from "../admin/accept.ts";
 import { createCore, reduce } from "../core/reduce.ts";
 import type { CoreEvent, CoreState, Effect, Slot } from "../core/types.ts";
 import {
   type ClockHost,
-  CONFIGURATION_ROW,
   incarnationRow,
   type PeerHost,
   type PlatformHost,
@@ -22,10 +20,12 @@
 import { createUpstreamClient } from "../host/upstream_client.ts";
 import type { InstanceSettings, Settings } from "../settings/schema.ts";
 import { createAccessTable } from "./access.ts";
+import { createFreezeWatch } from "./freeze_watch.ts";
 import { createCallerListener } from "./caller_listener.ts";
 import { closeListener, listen } from "./http.ts";
 import { createLogger, type Logger } from "./log.ts";
 import { startMetrics } from "./metrics.ts";
+import { startPolling } from "./polling.ts";
 
 /** The entry instance could not be started. */
 export class EntryError extends VError {}
@@ -251,76 +251,3 @@
     return false;
   }
 }
-
-/** A gap between ticks of this many tick lengths counts as a freeze. */
-const FREEZE_TICKS = 10;
-/** For so long after a freeze, what arrives may have waited through it. */
-const AFTER_FREEZE_MS = 1_000;
-
-/**
- * Dates requests that may have waited in a socket while the process was frozen
- * at the freeze's beginning: a late attempt must not pass for a fresh one.
- */
-function createFreezeWatch(clock: ClockHost, tickMs: number): {
-  noteTick: () => void;
-  receivedMs: () => number;
-} {
-  let lastTickMs = clock.nowMs();
-  let frozenAtMs = 0;
-  let resumedAtMs = -Infinity;
-  return {
-    noteTick() {
-      const nowMs = clock.nowMs();
-      if (nowMs - lastTickMs > tickMs * FREEZE_TICKS) {
-        frozenAtMs = lastTickMs;
-        resumedAtMs = nowMs;
-      }
-      lastTickMs = nowMs;
-    },
-    receivedMs() {
-      const nowMs = clock.nowMs();
-      return nowMs - resumedAtMs < AFTER_FREEZE_MS ? frozenAtMs : nowMs;
-    },
-  };
-}
-
-interface PollingHost {
-  readonly settings: Settings;
-  readonly clock: ClockHost;
-  readonly platform: PlatformHost;
-  readonly state: CoreState;
-  readonly dispatch: (event: CoreEvent) => void;
-}
-
-/** Reads the membership list and the configuration again and again. */
-function startPolling(host: PollingHost): () => void {
-  const { settings, platform, state } = host;
-  let timer: NodeJS.Timeout;
-  let stopped = false;
-
-  async function poll(): Promise<void> {
-    try {
-      const list = await platform.readMembership();
-      host.dispatch({
-        type: "membershipRead",
-        nowMs: host.clock.nowMs(),
-        membershipVersion: list.version,
-        upstreams: list.upstreams,
-      });
-      const row = await platform.readRow(CONFIGURATION_ROW);
-      const document = documentOfRow(row);
-      if (document !== null && document.version !== state.document?.version) {
-        const nowMs = host.clock.nowMs();
-        host.dispatch({ type: "configurationRead", nowMs, document });
-      }
-    } catch {
-      // An outage: what is in force stays in force, peers tell the rest.
-    }
-    if (!stopped) timer = setTimeout(poll, settings.platform.pollMs);
-  }
-  void poll();
-  return () => {
-    stopped = true;
-    clearTimeout(timer);
-  };
-}
