--- a/bench/world.ts
+++ b/bench/world.ts
@@ -70,7 +70,6 @@
 interface FakeUpstream {
   member: UpstreamMember;
   mode: "ok" | "refuse" | "hang" | "reset" | "cross" | "fail" | "duplicate";
-  busy: number;
   leavingSinceMs: number;
 }
 
@@ -412,7 +411,6 @@
           state: "live",
         },
         mode: "ok",
-        busy: 0,
         leavingSinceMs: Infinity,
       });
     }
--- a/src/admin/accept_test.ts
+++ b/src/admin/accept_test.ts
@@ -1,7 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import type { Json } from "../core/schemas.ts";
-import type { PlatformHost, TableRow } from "../host/hosts.ts";
+import { createFakePlatform } from "../host/fake_platform.ts";
 import {
   type Acceptance,
   acceptProposal,
@@ -16,32 +15,6 @@
   return { expectedVersion, changeId, base, overlays: {} };
 }
 
-/** A table that can lose the answers of its next writes. */
-function fakePlatform(): PlatformHost & { loseAnswers: number } {
-  const table = new Map<string, TableRow>();
-  const read = (key: string) => table.get(key) ?? { value: null, version: 0 };
-  const platform = {
-    loseAnswers: 0,
-    readRow: (key: string) => Promise.resolve(read(key)),
-    writeRow(key: string, row: { value: Json; expectedVersion: number }) {
-      const current = read(key);
-      if (current.version !== row.expectedVersion) {
-        return Promise.resolve({ kind: "conflict" as const, row: current });
-      }
-      const version = current.version + 1;
-      table.set(key, { value: row.value, version });
-      if (platform.loseAnswers > 0) {
-        platform.loseAnswers -= 1;
-        return Promise.reject(new Error("the answer was lost"));
-      }
-      return Promise.resolve({ kind: "written" as const, version });
-    },
-    readMembership: () => Promise.resolve({ version: 1, upstreams: [] }),
-    close: () => Promise.resolve(),
-  };
-  return platform;
-}
-
 function summary(acceptance: Acceptance): string {
   return acceptance.kind === "accepted"
     ? `accepted ${acceptance.document.version}`
@@ -68,7 +41,7 @@
 
 for (const { name, proposals, ends } of races) {
   test(`accept: ${name}`, async () => {
-    const platform = fakePlatform();
+    const platform = createFakePlatform();
     const told: string[] = [];
     for (const each of proposals) {
       told.push(summary(await acceptProposal(platform, each)));
@@ -78,7 +51,7 @@
 }
 
 test("accept: a lost answer is resolved by reading, not by writing", async () => {
-  const platform = fakePlatform();
+  const platform = createFakePlatform();
   platform.loseAnswers = 1;
   const told = summary(await acceptProposal(platform, proposal(0, "a")));
   expect(told).toEqual("accepted 1");
--- a/src/core/claiming.ts
+++ b/src/core/claiming.ts
@@ -366,9 +366,9 @@
 
 function giveUp(step: Step, job: Job): void {
   const claim = claimOf(job);
-  const neverAsked = job.attempt === 1;
+  const isFirst = job.attempt === 1;
   const taken = [...claim.replies.values()].find((r) => r.verdict === "taken");
   if (taken !== undefined) attachToHolder(step, job, taken);
-  else if (neverAsked) endClaim(step, job, "registrarsUnreachable");
+  else if (isFirst) endClaim(step, job, "registrarsUnreachable");
   else endClaim(step, job, "outcomeUnknown");
 }
--- a/src/core/guards.ts
+++ b/src/core/guards.ts
@@ -5,7 +5,7 @@
  */
 
 import type { PeerMessageOf } from "./schemas.ts";
-import type { Job, Send, SendOutcome, Task, Upstream } from "./types.ts";
+import type { Job, SendOutcome, Task, Upstream } from "./types.ts";
 import { sameInstance } from "./utilities.ts";
 
 /** The reply of one registrar to a claim. */
@@ -35,8 +35,6 @@
   readonly mayStop: (jobs: number, sends: number) => boolean;
   /** Whether a configuration version replaces the one in force. */
   readonly isNewer: (offered: number, inForce: number) => boolean;
-  /** Whether a send is still the one that its answer is meant for. */
-  readonly isCurrentSend: (send: Send | undefined) => boolean;
 }
 
 /** The guards that production runs with. */
@@ -56,5 +54,4 @@
   mayReceiveWork: (upstream) => !upstream.leaving,
   mayStop: (jobs, sends) => jobs === 0 && sends === 0,
   isNewer: (offered, inForce) => offered > inForce,
-  isCurrentSend: (send) => send !== undefined,
 };
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -177,7 +177,6 @@
     payload,
     state: "queued",
     sends: 0,
-    sentAtMs: 0,
     result: undefined,
   };
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -110,7 +110,6 @@
   const sendId = `${task.taskId}/${nextSequence(state)}`;
   task.state = "sent";
   task.sends += 1;
-  task.sentAtMs = state.nowMs;
   upstream.inFlight += 1;
   if (place.borrowedFrom === null) upstream.inFlightOwned += 1;
   if (upstream.ejections > 0) upstream.probeInFlight = true;
--- a/src/core/sends.ts
+++ b/src/core/sends.ts
@@ -32,7 +32,7 @@
 ): void {
   const { state } = step;
   const send = state.sends.get(event.sendId);
-  if (send === undefined || !state.guards.isCurrentSend(send)) {
+  if (send === undefined) {
     state.counters.answersUnmatched += 1;
     return;
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -158,7 +158,6 @@
   readonly estimatedMs: number;
   state: TaskState;
   sends: number;
-  sentAtMs: number;
   result: Json | undefined;
 }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -9,7 +9,6 @@
 import type { CoreEvent, CoreState, Effect, Slot } from "../core/types.ts";
 import {
   type ClockHost,
-  incarnationRow,
   type PeerHost,
   type PlatformHost,
   type UpstreamHost,
@@ -23,6 +22,7 @@
 import { createFreezeWatch } from "./freeze_watch.ts";
 import { createCallerListener } from "./caller_listener.ts";
 import { closeListener, listen } from "./http.ts";
+import { registerIncarnation } from "./incarnation.ts";
 import { createLogger, type Logger } from "./log.ts";
 import { startMetrics } from "./metrics.ts";
 import { startPolling } from "./polling.ts";
@@ -139,10 +139,11 @@
     measures: () => measuresOf(peers),
   }, settings.entry);
 
-  const isVirgin = await registerIncarnation(platform, { slot, incarnation });
-  if (isVirgin) dispatch({ type: "virginBoot", nowMs: clock.nowMs() });
+  const self = { slot, incarnation };
+  const { registered, virgin } = await registerIncarnation(platform, self);
+  if (virgin) dispatch({ type: "virginBoot", nowMs: clock.nowMs() });
   peers = await createPeerTransport({
-    self: { slot, incarnation },
+    self,
     listen: instance.peerAddress,
     peers: peerAddresses(settings, slot),
     handlers: {
@@ -166,6 +167,7 @@
     platform,
     state,
     dispatch,
+    registered,
   });
   const stopMetrics = startMetrics(settings.metrics, state);
   await listen(admin, instance.adminAddress);
@@ -231,23 +233,3 @@
     peerTraffic: peers?.trafficBytes() ?? { sent: 0, received: 0 },
   };
 }
-
-/**
- * Writes that this incarnation runs. True only where the platform says that no
- * incarnation of the slot ran before: then no claim can have been lost.
- */
-async function registerIncarnation(
-  platform: PlatformHost,
-  { slot, incarnation }: { slot: string; incarnation: number },
-): Promise<boolean> {
-  const key = incarnationRow(slot);
-  try {
-    const row = await platform.readRow(key);
-    const value = { incarnation };
-    const { version } = row;
-    await platform.writeRow(key, { value, expectedVersion: version });
-    return version === 0;
-  } catch {
-    return false;
-  }
-}
--- a/src/entry/polling.ts
+++ b/src/entry/polling.ts
@@ -7,6 +7,7 @@
   CONFIGURATION_ROW,
   type PlatformHost,
 } from "../host/hosts.ts";
+import { registerIncarnation } from "./incarnation.ts";
 import type { Settings } from "../settings/schema.ts";
 
 /** What polling needs of the shell. */
@@ -16,6 +17,8 @@
   readonly platform: PlatformHost;
   readonly state: CoreState;
   readonly dispatch: (event: CoreEvent) => void;
+  /** Whether this incarnation left its trace when it started. */
+  readonly registered: boolean;
 }
 
 /** Reads the membership list and the configuration again and again. */
@@ -23,9 +26,15 @@
   const { settings, platform, state } = host;
   let timer: NodeJS.Timeout;
   let stopped = false;
+  let { registered } = host;
 
   async function poll(): Promise<void> {
     try {
+      // Too late to be taken for the first; a successor must see the trace.
+      if (!registered) {
+        const result = await registerIncarnation(platform, state.self);
+        registered = result.registered;
+      }
       const list = await platform.readMembership();
       host.dispatch({
         type: "membershipRead",
