A zone that lost one of three instances keeps a pair for every key

Cause: found by hand with two of three instances: a chain held only groups that share no slot, so a zone of three had one group for a key; with one of its pair gone, the key went to other zones, and in a cut was refused. Ruled out: a single registrar when its partner is gone (its memory dies alone). Change: a chain holds up to three pairs of the home zone, then one of each other zone. Two instances of a zone read the platform often, the others seldom (600 -> 107 reads/s at the design size with 300 instances, worked out).

--- a/bench/world.ts
+++ b/bench/world.ts
@@ -8,6 +8,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { createCore, reduce } from "../src/core/reduce.ts";
+import { pollPeriodMs } from "../src/core/membership.ts";
 import { InvariantError } from "../src/core/debug.ts";
 import type { Guards } from "../src/core/guards.ts";
 import type {
@@ -306,7 +307,7 @@
     const poll = () => {
       if (node.core !== core || !node.alive) return;
       readPlatform(node);
-      world.after(POLL_MS, poll);
+      world.after(pollPeriodMs(core, POLL_MS), poll);
     };
     world.after(unit() * TICK_MS, tick);
     world.after(unit() * 50, poll);
--- a/src/core/chain.ts
+++ b/src/core/chain.ts
@@ -3,8 +3,10 @@
 import type { ClaimGroup, Slot } from "./types.ts";
 import { rendezvousOrder } from "./utilities.ts";
 
+/** How many groups of its home zone a key's chain has at most. */
+const MAX_HOME_GROUPS = 3;
 /** How many groups a key's chain has at most. */
-export const MAX_CHAIN_LENGTH = 3;
+const MAX_CHAIN_LENGTH = 4;
 
 function slotsOfZone(slots: readonly Slot[], zone: string): string[] {
   return slots
@@ -39,10 +41,6 @@
   return { group: owner, owner, witness: ring[next] ?? owner };
 }
 
-function disjoint(a: ClaimGroup, b: ClaimGroup): boolean {
-  return ![a.owner, a.witness].some((s) => s === b.owner || s === b.witness);
-}
-
 /**
  * The availability zone that a caller's key names: `poa:0192` is at home in
  * poa. Every attempt of a key names the same zone, since the key does.
@@ -55,9 +53,28 @@
   return zonesOf(slots).includes(zone) ? zone : null;
 }
 
+function samePair(a: ClaimGroup, b: ClaimGroup): boolean {
+  return [a.owner, a.witness].every((s) => s === b.owner || s === b.witness);
+}
+
+/** The groups of a zone in a key's order, each pair of slots once. */
+function groupsOfZone(
+  slots: readonly Slot[],
+  zone: string,
+  key: string,
+): ClaimGroup[] {
+  const groups: ClaimGroup[] = [];
+  for (const owner of rendezvousOrder(key, slotsOfZone(slots, zone))) {
+    const group = groupOf(slots, owner);
+    if (!groups.some((earlier) => samePair(earlier, group))) groups.push(group);
+  }
+  return groups;
+}
+
 /**
- * The groups of a key, in the order in which every attempt asks them: first in
- * the home zone, then groups that share no slot with an earlier one.
+ * The groups of a key, in the order in which every attempt asks them: first
+ * some of the home zone, so that a zone of three that lost an instance and is
+ * cut off still has a pair, then one of each other zone.
  *
  * @example
  * ```ts
@@ -69,20 +86,11 @@
   { key, homeZone }: { key: string; homeZone: string | null },
 ): ClaimGroup[] {
   const zones = rendezvousOrder(key, zonesOf(slots));
-  const ordered = homeZone === null
-    ? zones
-    : [homeZone, ...zones.filter((zone) => zone !== homeZone)];
-  const chain: ClaimGroup[] = [];
-  for (const zone of ordered) {
-    for (const owner of rendezvousOrder(key, slotsOfZone(slots, zone))) {
-      const group = groupOf(slots, owner);
-      if (
-        chain.length < MAX_CHAIN_LENGTH &&
-        chain.every((g) => disjoint(g, group))
-      ) {
-        chain.push(group);
-      }
-    }
+  const home = homeZone ?? zones[0] ?? "";
+  const chain = groupsOfZone(slots, home, key).slice(0, MAX_HOME_GROUPS);
+  for (const zone of zones.filter((other) => other !== home)) {
+    const [group] = groupsOfZone(slots, zone, key);
+    if (group !== undefined) chain.push(group);
   }
-  return chain;
+  return chain.slice(0, MAX_CHAIN_LENGTH);
 }
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -170,3 +170,24 @@
   }
   return queued;
 }
+
+/** How many instances of a zone read the platform at the full rate. */
+const READERS_PER_ZONE = 2;
+/** The others read this many times less often: their peers tell them. */
+const SELDOM_FACTOR = 10;
+
+/**
+ * How long this instance waits before it reads the platform again. Two of a
+ * zone read often, so that reads grow with zones and not with instances.
+ */
+export function pollPeriodMs(state: CoreState, pollMs: number): number {
+  const { self } = state;
+  const local = state.slots
+    .filter((slot) => slot.availabilityZone === self.availabilityZone)
+    .map((slot) => slot.slot)
+    .filter((slot) => state.sharers.has(slot))
+    .sort();
+  const place = local.indexOf(self.slot);
+  const reads = place < READERS_PER_ZONE;
+  return reads ? pollMs : pollMs * SELDOM_FACTOR;
+}
--- a/src/entry/polling.ts
+++ b/src/entry/polling.ts
@@ -8,6 +8,7 @@
   type PlatformHost,
 } from "../host/hosts.ts";
 import { registerIncarnation } from "./incarnation.ts";
+import { pollPeriodMs } from "../core/membership.ts";
 import type { Settings } from "../settings/schema.ts";
 
 /** What polling needs of the shell. */
@@ -51,7 +52,10 @@
     } catch {
       // An outage: what is in force stays in force, peers tell the rest.
     }
-    if (!stopped) timer = setTimeout(poll, settings.platform.pollMs);
+    if (!stopped) {
+      const periodMs = pollPeriodMs(state, settings.platform.pollMs);
+      timer = setTimeout(poll, periodMs);
+    }
   }
   void poll();
   return () => {
