A borrowed slot goes back to its lender after each task

Cause: waste was above 0.01 a task: requests for slots found lenders whose slots stayed with earlier borrowers. Change: the borrower returns the slot; the lender serves the latest work.

--- a/src/core/sends.ts
+++ b/src/core/sends.ts
@@ -14,7 +14,7 @@
 import { abandonJob, endJob } from "./jobs.ts";
 import { dispatch } from "./placement.ts";
 import { noteOutcome } from "./upstreams.ts";
-import { getOrInsert } from "./utilities.ts";
+import { sendPeer } from "./utilities.ts";
 
 /** How often one task may be refused by upstreams before its job ends. */
 const MAX_SENDS_PER_TASK = 8;
@@ -77,9 +77,9 @@
     upstream.inFlightOwned -= 1;
     return;
   }
-  // A slot that was lent goes on to the next task here, or is returned.
-  const borrowed = getOrInsert(state.borrowed, upstream.service, () => []);
-  borrowed.push({ upstreamId: upstream.id, lender: send.borrowedFrom });
+  // The lender knows best whose work is the latest now.
+  const upstreamIds = [upstream.id];
+  sendPeer(step, send.borrowedFrom, { type: "returnSlots", upstreamIds });
 }
 
 function learnFrom(step: Step, job: Job, send: Send): void {
