A new instance asks for the records that it lacks

Ruled out: queues that outlive a connection (they would carry old messages to a new incarnation). Change: heartbeats name the groups whose records are lacking, and the partner sends them again; a test of it.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -181,6 +181,7 @@
     periodMs: 250,
     leavingUpstreams: [],
     suspects: [],
+    lacksRecords: [],
     loads: [{ service: "oficina", freeSlots: 5, queuedTasks: 0 }],
     borrowed: [],
   };
--- a/src/core/handover.ts
+++ b/src/core/handover.ts
@@ -79,12 +79,33 @@
     group.partner = null;
     return;
   }
+  group.hasRecords = true;
   const memoryMs = momentOf(state, message.memoryAgeMs);
   const formedMs = momentOf(state, message.formedAgeMs);
   group.memorySinceMs = Math.min(group.memorySinceMs, memoryMs);
   group.formedAtMs = Math.min(group.formedAtMs, formedMs);
 }
 
+/** The groups whose records this instance still lacks, for heartbeats. */
+export function groupsWithoutRecords(state: CoreState): string[] {
+  return [...state.groups.values()]
+    .filter((group) => !group.hasRecords)
+    .map((group) => group.group);
+}
+
+/** Sends records again to a partner that says it lacks them. */
+export function onRecordsLacked(
+  step: Step,
+  from: InstanceRef,
+  names: readonly string[],
+): void {
+  for (const name of names) {
+    const group = step.state.groups.get(name);
+    if (group?.partner?.incarnation !== from.incarnation) continue;
+    if (partnerSlot(group) === from.slot) sendRecords(step, group, false);
+  }
+}
+
 /** Hands every group over before this instance leaves, and forgets them. */
 export function handOverGroups(step: Step): void {
   const { state } = step;
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -6,6 +6,7 @@
 import { reclaimLent, reconcileLent } from "./lending.ts";
 import { requestIfBehind } from "./configuration.ts";
 import { freeSlots } from "./placement.ts";
+import { groupsWithoutRecords, onRecordsLacked } from "./handover.ts";
 import { onPartnerHeard } from "./registrar.ts";
 import { shareIfChanged } from "./slot_sharing.ts";
 import { markLeaving, noteSuspects, suspectsOf } from "./upstreams.ts";
@@ -59,7 +60,10 @@
   peer.membershipVersion = message.membershipVersion;
   peer.loads = message.loads;
   peer.periodMs = message.periodMs;
-  if (!peer.leaving) onPartnerHeard(step, from, message.virgin);
+  if (!peer.leaving) {
+    onPartnerHeard(step, from, message.virgin);
+    onRecordsLacked(step, from, message.lacksRecords);
+  }
   reconcileLent(state, peer, message.borrowed);
   requestIfBehind(step, from, message.configurationVersion);
   if (message.membershipVersion > state.membershipVersion) {
@@ -154,6 +158,7 @@
     periodMs: HEARTBEAT_MS,
     leavingUpstreams: [...state.leavingUpstreams],
     suspects: suspectsOf(state),
+    lacksRecords: groupsWithoutRecords(state),
     loads: services.map((service) => ({
       service,
       freeSlots: freeSlots(state, service),
--- a/src/core/registrar.ts
+++ b/src/core/registrar.ts
@@ -38,6 +38,7 @@
       memorySinceMs: bornAtMs,
       cleanHandover: false,
       departedIncarnation: 0,
+      hasRecords: false,
       handoverParts: 0,
       records: new Map(),
     });
@@ -301,6 +302,7 @@
   state.virgin = true;
   for (const group of state.groups.values()) {
     group.memorySinceMs = -Infinity;
+    group.hasRecords = true;
   }
 }
 
--- a/src/core/registrar_test.ts
+++ b/src/core/registrar_test.ts
@@ -245,3 +245,22 @@
   reduce(core, fromPeer("poa-2", heartbeat(false), next));
   expect(core.groups.get("poa-1")?.formedAtMs).toEqual(30);
 });
+
+test("handover: a partner that says it lacks records is sent them again", () => {
+  const core = testCore("poa-1");
+  reduce(core, fromPeer("poa-2", heartbeat(), { nowMs: 5 }));
+  reduce(core, fromPeer("caxias-1", claim(), { nowMs: 10 }));
+  const lacking = { ...heartbeat(false), lacksRecords: ["poa-1"] };
+  const message = lacking as ReturnType<typeof heartbeat>;
+  const next = { incarnation: 2 };
+  reduce(core, fromPeer("poa-2", message, { ...next, nowMs: 30 }));
+  const again = reduce(
+    core,
+    fromPeer("poa-2", message, { ...next, nowMs: 280 }),
+  );
+  const sent = effectsOf(again, "sendPeer")
+    .flatMap(({ message }) =>
+      message.type === "handover" ? message.records : []
+    );
+  expect(sent.map((record) => record.key)).toEqual(["benches/k"]);
+});
--- a/src/core/schemas.ts
+++ b/src/core/schemas.ts
@@ -281,6 +281,8 @@
     leavingUpstreams: z.array(z.string()),
     /** Upstreams whose last sends from there failed. */
     suspects: z.array(suspectSchema),
+    /** Claim groups whose records it lacks: a handover was lost. */
+    lacksRecords: z.array(z.string()),
     loads: z.array(serviceLoadSchema),
     /** Slots in use here that peers lent. */
     borrowed: z.array(borrowedCountSchema),
--- a/src/core/testing.ts
+++ b/src/core/testing.ts
@@ -60,6 +60,7 @@
     periodMs: 250,
     leavingUpstreams: [],
     suspects: [],
+    lacksRecords: [],
     loads: [],
     borrowed: [],
   };
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -331,6 +331,8 @@
   cleanHandover: boolean;
   /** Incarnations of the partner up to this one have left. */
   departedIncarnation: number;
+  /** This instance has its partner's records, or has always had its own. */
+  hasRecords: boolean;
   /** Parts of a handover under way that arrived without a gap. */
   handoverParts: number;
   readonly records: Map<string, ClaimRecord>;
