Read again: one sleep, one core with upstreams for tests, a dead field gone

Cause: four tools wrote the stand-ins' sleep again, two tests the same core with upstreams, and nothing read an upstream's failureRate. Ruled out: joining the processing of messages that is alike in shape only. Change: one piece serves each; assertions and literals of the tests are as before.

--- a/bench/bench_scenarios.ts
+++ b/bench/bench_scenarios.ts
@@ -9,6 +9,7 @@
   type WorkKind,
   workKinds,
 } from "./workload.ts";
+import { sleep } from "../standins/http_service.ts";
 
 /** Slots of the whole fleet: thirty executors of eight. */
 const FLEET_SLOTS = 240;
@@ -63,10 +64,6 @@
 
 async function noFault(): Promise<void> {}
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Breaks something for the run's middle third. */
 function middleThird(
   breakIt: (fleet: Fleet, broken: boolean) => Promise<unknown>,
--- a/bench/chaos.ts
+++ b/bench/chaos.ts
@@ -23,6 +23,7 @@
   isBroken,
 } from "./tally.ts";
 import { createWorkload, type WorkJob, type Workload } from "./workload.ts";
+import { sleep } from "../standins/http_service.ts";
 
 const DEFAULT_SEED = 1;
 const DEFAULT_SECONDS = 30;
@@ -59,10 +60,6 @@
   drainsCutOff: number;
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function pick<T>({ workload }: Chaos, values: readonly T[]): T | undefined {
   return values[Math.floor(workload.unit() * values.length)];
 }
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -14,6 +14,7 @@
   isBroken,
 } from "./tally.ts";
 import { createWorkload, type WorkJob } from "./workload.ts";
+import { sleep } from "../standins/http_service.ts";
 
 const SEED = 7;
 const JOBS = 240;
@@ -32,10 +33,6 @@
   process.stderr.write(`demo: ${text}\n`);
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function main(): Promise<void> {
   const tally = createTally();
   const portBase = 20_000 + (process.pid % 25) * 400;
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -13,6 +13,7 @@
 import { callControl } from "./control.ts";
 import { type Fleet, OPERATOR_KEY, startFleet } from "./fleet.ts";
 import { createWorkload, workKinds } from "./workload.ts";
+import { sleep } from "../standins/http_service.ts";
 
 const PORT_BASE = 29_000;
 /** The shape of the design size: 13 zones in 4 regions. */
@@ -56,10 +57,6 @@
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function measureIdle(fleet: Fleet): Promise<void> {
   await sleep(SETTLE_MS);
   const before = await usage(fleet);
--- a/src/core/jobs_test.ts
+++ b/src/core/jobs_test.ts
@@ -1,27 +1,9 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import type { PeerMessage } from "./schemas.ts";
-import type { CoreState, Effect, SendOutcome } from "./types.ts";
+import type { Effect, SendOutcome } from "./types.ts";
 import { reduce } from "./reduce.ts";
-import { effectsOf, fromPeer, submit, testCore } from "./testing.ts";
-
-function withUpstreams(count: number): CoreState {
-  const core = testCore("poa-1");
-  reduce(core, {
-    type: "membershipRead",
-    nowMs: 0,
-    membershipVersion: 1,
-    upstreams: Array.from({ length: count }, (_, index) => ({
-      id: `x${index}`,
-      service: "oficina",
-      availabilityZone: "poa",
-      address: "127.0.0.1:1",
-      slots: 2,
-      state: "live" as const,
-    })),
-  });
-  return core;
-}
+import { coreWithUpstreams, effectsOf, fromPeer, submit } from "./testing.ts";
 
 function answers(effects: readonly Effect[]): (string | undefined)[] {
   return effectsOf(effects, "replyCaller").map(({ reply }) =>
@@ -73,7 +55,7 @@
 
 for (const { name, outcome, told, sends } of outcomes) {
   test(`send ended: ${name}`, () => {
-    const core = withUpstreams(2);
+    const core = coreWithUpstreams(2, 2);
     const [send] = effectsOf(reduce(core, submit({ nowMs: 1 })), "sendTask");
     if (send === undefined) throw new Error("nothing was sent");
     const event = {
@@ -89,7 +71,7 @@
 }
 
 test("a second answer to one send is counted and dropped", () => {
-  const core = withUpstreams(1);
+  const core = coreWithUpstreams(1, 2);
   const [send] = effectsOf(reduce(core, submit({ nowMs: 1 })), "sendTask");
   const outcome = done(send?.taskId ?? "");
   const sendId = send?.sendId ?? "";
@@ -106,7 +88,7 @@
 
 for (const { name, upstreams, told } of deadlines) {
   test(`deadline: ${name}`, () => {
-    const core = withUpstreams(upstreams);
+    const core = coreWithUpstreams(upstreams, 2);
     reduce(core, submit({ nowMs: 1 }));
     const nowMs = 30_002;
     const effects = reduce(core, { type: "tick", nowMs, wallMs: nowMs });
@@ -115,7 +97,7 @@
 }
 
 test("cancel while claiming is answered as unknown", () => {
-  const core = withUpstreams(1);
+  const core = coreWithUpstreams(1, 2);
   reduce(core, submit({ nowMs: 1, key: "k", attempt: 1 }));
   const jobIds = [...core.jobs.keys()];
   const event = {
@@ -129,7 +111,7 @@
 });
 
 test("another team cannot cancel a job", () => {
-  const core = withUpstreams(1);
+  const core = coreWithUpstreams(1, 2);
   reduce(core, submit({ nowMs: 1 }));
   const jobIds = [...core.jobs.keys()];
   const event = {
@@ -143,7 +125,7 @@
 });
 
 test("a later attempt that joins is not told 'not run' of the first", () => {
-  const core = withUpstreams(1);
+  const core = coreWithUpstreams(1, 2);
   reduce(core, submit({ nowMs: 1, key: "k", attempt: 1 }));
   reduce(core, submit({ nowMs: 9, key: "k", attempt: 2, requestId: "r2" }));
   let effects: Effect[] = [];
@@ -154,7 +136,7 @@
 });
 
 test("a first attempt alone is told that nothing was run", () => {
-  const core = withUpstreams(1);
+  const core = coreWithUpstreams(1, 2);
   reduce(core, submit({ nowMs: 1, key: "caxias:k", attempt: 1 }));
   let effects: Effect[] = [];
   for (let nowMs = 20; nowMs < 2_000; nowMs += 20) {
@@ -164,7 +146,7 @@
 });
 
 test("an attempt that a refusal overtook is answered as unknown", () => {
-  const core = withUpstreams(1);
+  const core = coreWithUpstreams(1, 2);
   const sent = reduce(core, submit({ nowMs: 1, key: "caxias:k", attempt: 1 }));
   const [claim] = effectsOf(sent, "sendPeer").map(({ message }) => message);
   if (claim?.type !== "claim") throw new Error("nothing was claimed");
@@ -182,7 +164,7 @@
 });
 
 test("a drain that was frozen waits for requests that lie unread", () => {
-  const core = withUpstreams(1);
+  const core = coreWithUpstreams(1, 2);
   reduce(core, { type: "tick", nowMs: 20, wallMs: 0 });
   reduce(core, { type: "drainRequested", nowMs: 30 });
   const resumed = reduce(core, { type: "tick", nowMs: 5_000, wallMs: 0 });
--- a/src/core/testing.ts
+++ b/src/core/testing.ts
@@ -48,6 +48,25 @@
   return core;
 }
 
+/** The core of poa-1 with so many upstreams, alone in its zone. */
+export function coreWithUpstreams(count: number, slots: number): CoreState {
+  const core = testCore("poa-1");
+  reduce(core, {
+    type: "membershipRead",
+    nowMs: 0,
+    membershipVersion: 1,
+    upstreams: Array.from({ length: count }, (_, index) => ({
+      id: `x${index}`,
+      service: "oficina",
+      availabilityZone: "poa",
+      address: "127.0.0.1:1",
+      slots,
+      state: "live" as const,
+    })),
+  });
+  return core;
+}
+
 /** The heartbeat of a peer that has just started. */
 export function heartbeat(virgin = true): PeerMessage {
   return {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -248,7 +248,6 @@
   inFlight: number;
   /** Owned slots that peers hold. */
   lentSlots: number;
-  failureRate: number;
   consecutiveFailures: number;
   lastSuccessMs: number;
   ejectedUntilMs: number;
--- a/src/core/upstreams.ts
+++ b/src/core/upstreams.ts
@@ -60,7 +60,6 @@
     inFlightOwned: 0,
     inFlight: 0,
     lentSlots: 0,
-    failureRate: 0,
     consecutiveFailures: 0,
     lastSuccessMs: -Infinity,
     ejectedUntilMs: 0,
--- a/src/core/upstreams_test.ts
+++ b/src/core/upstreams_test.ts
@@ -4,26 +4,13 @@
 import type { PeerMessage } from "./schemas.ts";
 import { reduce } from "./reduce.ts";
 import { isUsable } from "./upstreams.ts";
-import { effectsOf, fromPeer, heartbeat, submit, testCore } from "./testing.ts";
-
-/** A core with so many upstreams of one slot each. */
-function coreWith(count: number): CoreState {
-  const core = testCore("poa-1");
-  reduce(core, {
-    type: "membershipRead",
-    nowMs: 0,
-    membershipVersion: 1,
-    upstreams: Array.from({ length: count }, (_, index) => ({
-      id: `x${index}`,
-      service: "oficina",
-      availabilityZone: "poa",
-      address: "127.0.0.1:1",
-      slots: 1,
-      state: "live" as const,
-    })),
-  });
-  return core;
-}
+import {
+  coreWithUpstreams,
+  effectsOf,
+  fromPeer,
+  heartbeat,
+  submit,
+} from "./testing.ts";
 
 /** Sends one task and has it fail, so often. */
 function failTasks(core: CoreState, times: number): void {
@@ -56,7 +43,7 @@
 
 for (const { name, upstreams, failures, left } of ejections) {
   test(`ejection: ${name}`, () => {
-    const core = coreWith(upstreams);
+    const core = coreWithUpstreams(upstreams, 1);
     failTasks(core, failures);
     expect(usable(core)).toEqual(left);
   });
@@ -74,7 +61,7 @@
 
 for (const { name, failures, left } of words) {
   test(`ejection: ${name}`, () => {
-    const core = coreWith(2);
+    const core = coreWithUpstreams(2, 1);
     const message = suspecting(failures);
     reduce(core, fromPeer("poa-2", message, { nowMs: 1_000 }));
     reduce(core, fromPeer("poa-2", message, { nowMs: 1_250 }));
