--- /dev/null
+++ b/src/engine/admit.ts
@@ -0,0 +1,75 @@
+/**
+ * Whether a job is taken or turned away. It answers bursts beyond what the
+ * workers can do: a job that would end too late is refused at once, while a
+ * later one that fits is still taken.
+ */
+
+import { hasQueuedTasks } from "./queue.ts";
+import type { EngineState, Job, JobOutcome, Scheduler } from "./types.ts";
+
+/** The least time after which callers of refused jobs should come back. */
+const MIN_RETRY_MS = 250;
+
+/** The refusal of a job that can't end in time, or null to take it. */
+export function refusalOf(
+  state: EngineState,
+  scheduler: Scheduler,
+  job: Job,
+): JobOutcome | null {
+  if (!hasQueuedTasks(job)) return null;
+  const waitMs = expectedWaitMs(state, scheduler, job);
+  if (state.nowMs + waitMs + job.chainMs <= latestEndMs(job)) return null;
+  const drainMs = Number.isFinite(waitMs) ? waitMs : 0;
+  return {
+    kind: "refused",
+    reason: Number.isFinite(waitMs) ? "overloaded" : "noWorker",
+    retryAfterMs: Math.max(MIN_RETRY_MS, Math.round(drainMs)),
+  };
+}
+
+/** The end by which an answer is still worth the work. */
+function latestEndMs(job: Job): number {
+  return Math.min(job.deadlineAtMs, job.objectiveAtMs);
+}
+
+/** How long the work of the jobs before this one keeps the workers busy. */
+export function expectedWaitMs(
+  state: EngineState,
+  scheduler: Scheduler,
+  job: Job,
+): number {
+  const { service } = job.queue;
+  const capacityMilli = usableCpuMilli(state, scheduler, service);
+  if (capacityMilli === 0) return Infinity;
+  let aheadMilliMs = 0;
+  for (const other of scheduler.waiting.get(service) ?? []) {
+    if (other === job) break;
+    if (other.queue.priority > job.queue.priority) break;
+    aheadMilliMs += queuedWork(other);
+  }
+  return aheadMilliMs / capacityMilli;
+}
+
+/** The work of a job's tasks that have not started, in cpu milliseconds. */
+function queuedWork(job: Job): number {
+  let work = 0;
+  for (const task of job.tasks) {
+    if (task.state === "queued") work += task.demand.cpuMilli * job.chainMs;
+  }
+  return work;
+}
+
+/** The processor share of the workers that take tasks now. */
+function usableCpuMilli(
+  state: EngineState,
+  scheduler: Scheduler,
+  service: string,
+): number {
+  let cpuMilli = 0;
+  for (const { info, phase, suspendedUntilMs } of scheduler.workers.values()) {
+    if (info.service !== service || info.draining) continue;
+    if (phase === "lost" || suspendedUntilMs > state.nowMs) continue;
+    cpuMilli += info.cpuMilli;
+  }
+  return cpuMilli;
+}
--- /dev/null
+++ b/src/engine/callers.ts
@@ -0,0 +1,170 @@
+/**
+ * Jobs whose callers wait at this instance: who they are, which leader has
+ * them, and what their callers are told.
+ */
+
+import type { PeerMessageOf } from "./schemas.ts";
+import { emit, logDecision, sendPeer } from "./turn.ts";
+import type {
+  CallerJob,
+  EngineEventOf,
+  EngineState,
+  JobOutcome,
+  Turn,
+} from "./types.ts";
+
+/** A job waits so long for a leader to be known before it is refused. */
+const LEADER_WAIT_MS = 900;
+/** Callers of refused jobs come back after so long while nobody leads. */
+const NO_LEADER_RETRY_MS = 1_000;
+/** A job that a lost leader had is given up after so long without a leader. */
+const LOST_LEADER_WAIT_MS = 1_200;
+
+/** A caller hands in a job, for the first time or again. */
+export function onCallerSubmit(
+  turn: Turn,
+  event: EngineEventOf<"callerSubmit">,
+): void {
+  const { state } = turn;
+  state.counters.jobsReceived += 1;
+  const known = state.callerJobs.get(event.jobId);
+  if (known !== undefined) {
+    known.requestIds.push(event.requestId);
+    return;
+  }
+  const callerJob: CallerJob = {
+    jobId: event.jobId,
+    queue: event.queue,
+    job: event.job,
+    receivedAtMs: event.nowMs,
+    deadlineAtMs: event.nowMs + event.timeoutMs,
+    requestIds: [event.requestId],
+    submittedTerm: 0,
+    everSubmitted: false,
+    doneTasks: [],
+  };
+  state.callerJobs.set(event.jobId, callerJob);
+  submit(turn, callerJob);
+}
+
+/** Gives a job to the leader, if one is known. */
+function submit(turn: Turn, callerJob: CallerJob): void {
+  const { state } = turn;
+  if (state.leaderId === null) return;
+  const resubmitted = callerJob.everSubmitted;
+  callerJob.submittedTerm = state.leaderTerm;
+  callerJob.everSubmitted = true;
+  sendPeer(turn, state.leaderId, {
+    type: "submit",
+    jobId: callerJob.jobId,
+    queue: callerJob.queue,
+    job: callerJob.job,
+    availabilityZone: state.self.availabilityZone,
+    ageMs: Math.round(state.nowMs - callerJob.receivedAtMs),
+    timeLeftMs: Math.round(callerJob.deadlineAtMs - state.nowMs),
+    resubmitted,
+    doneTasks: [...callerJob.doneTasks],
+  });
+}
+
+/** Gives every job to the leader, which may know some of them already. */
+export function resubmitAll(turn: Turn): void {
+  for (const callerJob of turn.state.callerJobs.values()) {
+    submit(turn, callerJob);
+  }
+}
+
+/** The caller's connection closed before it was answered. */
+export function onCallerGone(
+  turn: Turn,
+  event: EngineEventOf<"callerGone">,
+): void {
+  const { state } = turn;
+  for (const callerJob of state.callerJobs.values()) {
+    const at = callerJob.requestIds.indexOf(event.requestId);
+    if (at < 0) continue;
+    callerJob.requestIds.splice(at, 1);
+    if (callerJob.requestIds.length > 0) return;
+    withdraw(turn, callerJob);
+    return;
+  }
+}
+
+function withdraw(turn: Turn, callerJob: CallerJob): void {
+  const { state } = turn;
+  const { jobId } = callerJob;
+  state.callerJobs.delete(jobId);
+  state.counters.callersGone += 1;
+  logDecision(turn, { part: "callers", text: "the caller left; job dropped" }, {
+    jobId,
+    waitedMs: Math.round(state.nowMs - callerJob.receivedAtMs),
+  });
+  if (callerJob.everSubmitted && state.leaderId !== null) {
+    sendPeer(turn, state.leaderId, { type: "withdraw", jobId });
+  }
+}
+
+/** The leader tells how a job ended. */
+export function onJobEnded(
+  turn: Turn,
+  message: PeerMessageOf<"jobEnded">,
+): void {
+  const callerJob = turn.state.callerJobs.get(message.jobId);
+  if (callerJob !== undefined) answer(turn, callerJob, message.outcome);
+}
+
+const outcomeCounters = {
+  done: "jobsDone",
+  failed: "jobsFailed",
+  refused: "jobsRefused",
+  unknown: "jobsUnknown",
+} as const;
+
+function answer(turn: Turn, callerJob: CallerJob, outcome: JobOutcome): void {
+  const { state } = turn;
+  const { jobId } = callerJob;
+  state.callerJobs.delete(jobId);
+  state.counters[outcomeCounters[outcome.kind]] += 1;
+  logDecision(turn, { part: "callers", text: `job ${outcome.kind}` }, {
+    jobId,
+    queue: callerJob.queue.name,
+    ...outcome,
+    tookMs: Math.round(state.nowMs - callerJob.receivedAtMs),
+    leaderId: state.leaderId,
+  });
+  for (const requestId of callerJob.requestIds) {
+    emit(turn, { type: "answerCaller", requestId, jobId, outcome });
+  }
+}
+
+/** Gives up jobs that no leader takes, and hands in those it may lack. */
+export function checkCallerJobs(turn: Turn): void {
+  const { state } = turn;
+  for (const callerJob of state.callerJobs.values()) {
+    if (state.leaderId !== null) {
+      if (callerJob.submittedTerm !== state.leaderTerm) submit(turn, callerJob);
+      continue;
+    }
+    const outcome = giveUpOutcome(state, callerJob);
+    if (outcome !== null) answer(turn, callerJob, outcome);
+  }
+}
+
+function giveUpOutcome(
+  state: EngineState,
+  callerJob: CallerJob,
+): JobOutcome | null {
+  const waitedMs = state.nowMs -
+    Math.max(callerJob.receivedAtMs, state.leaderlessSinceMs);
+  if (callerJob.everSubmitted) {
+    return waitedMs < LOST_LEADER_WAIT_MS
+      ? null
+      : { kind: "unknown", reason: "leaderLost" };
+  }
+  if (waitedMs < LEADER_WAIT_MS) return null;
+  return {
+    kind: "refused",
+    reason: "noLeader",
+    retryAfterMs: NO_LEADER_RETRY_MS,
+  };
+}
--- /dev/null
+++ b/src/engine/configuration.ts
@@ -0,0 +1,58 @@
+/** The configuration in force: it only rises. */
+
+import type { Configuration, QueueRule } from "./schemas.ts";
+import { logDecision, sendPeer } from "./turn.ts";
+import type { EngineState, Turn } from "./types.ts";
+
+/** Takes a configuration that is newer than the one in force. */
+export function adoptConfiguration(
+  turn: Turn,
+  configuration: Configuration,
+): void {
+  const { state } = turn;
+  const before = state.configuration?.version ?? -1;
+  if (configuration.version <= before) return;
+  state.configuration = configuration;
+  logDecision(turn, { part: "config", text: "a configuration is in force" }, {
+    version: configuration.version,
+    before,
+    queues: configuration.queues.length,
+  });
+  for (const peer of state.peers.values()) {
+    if (peer.configurationVersion >= configuration.version) continue;
+    sendPeer(turn, peer.info.instanceId, {
+      type: "configuration",
+      configuration,
+    });
+  }
+}
+
+/** Sends the configuration in force to a peer that asked. */
+export function onConfigurationWanted(turn: Turn, from: string): void {
+  const { configuration } = turn.state;
+  if (configuration === null) return;
+  sendPeer(turn, from, { type: "configuration", configuration });
+}
+
+/**
+ * The queue that a request belongs to: that of its host with the longest
+ * prefix of its path.
+ *
+ * @example
+ * ```ts
+ * findQueue(state.configuration, { host: "a.example", path: "/quotes/5c0e" });
+ * ```
+ */
+export function findQueue(
+  { configuration }: Pick<EngineState, "configuration">,
+  { host, path }: { host: string; path: string },
+): QueueRule | null {
+  let best: QueueRule | null = null;
+  for (const queue of configuration?.queues ?? []) {
+    if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue;
+    const longer = best === null ||
+      queue.pathPrefix.length > best.pathPrefix.length;
+    if (longer) best = queue;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/engine/jobs.ts
@@ -0,0 +1,273 @@
+/** Jobs at the leader: taken, begun, ended, and remembered for a while. */
+
+import { createEstimate, estimateTaskMs } from "../core/estimates.ts";
+import type { PeerMessageOf } from "./schemas.ts";
+import { refusalOf } from "./admit.ts";
+import { dequeue, enqueue } from "./queue.ts";
+import { placeWaiting } from "./place.ts";
+import { stopRun } from "./runs.ts";
+import { logDecision, sendPeer } from "./turn.ts";
+import type {
+  EngineState,
+  Job,
+  JobOutcome,
+  QueueStatistics,
+  Scheduler,
+  Task,
+  Turn,
+} from "./types.ts";
+
+/** How long an ended job is remembered, for a caller that asks again. */
+const REMEMBER_ENDED_MS = 6_000;
+
+/** An entry hands in a job. */
+export function onSubmit(
+  turn: Turn,
+  from: string,
+  message: PeerMessageOf<"submit">,
+): void {
+  const { state } = turn;
+  const { scheduler } = state;
+  if (scheduler === null) return;
+  const known = scheduler.jobs.get(message.jobId);
+  if (known !== undefined && known.outcome?.kind !== "refused") {
+    joinJob(turn, known, { from, message });
+    return;
+  }
+  const job = createJob(state, from, message);
+  const refusal = job.begun ? null : refusalOf(state, scheduler, job);
+  if (refusal !== null) {
+    job.outcome = refusal;
+    sendPeer(turn, from, {
+      type: "jobEnded",
+      jobId: job.jobId,
+      outcome: refusal,
+    });
+    return;
+  }
+  scheduler.jobs.set(job.jobId, job);
+  enqueue(scheduler, job);
+  placeWaiting(turn, job.queue.service);
+}
+
+function joinJob(
+  turn: Turn,
+  job: Job,
+  { from, message }: { from: string; message: PeerMessageOf<"submit"> },
+): void {
+  if (job.outcome !== null) {
+    const { jobId, outcome } = job;
+    sendPeer(turn, from, { type: "jobEnded", jobId, outcome });
+    return;
+  }
+  job.entries.add(from);
+  const deadlineAtMs = turn.state.nowMs + message.timeLeftMs;
+  job.deadlineAtMs = Math.max(job.deadlineAtMs, deadlineAtMs);
+}
+
+function createJob(
+  state: EngineState,
+  from: string,
+  message: PeerMessageOf<"submit">,
+): Job {
+  const { jobId, queue, job: spec, availabilityZone } = message;
+  const done = new Set(message.doneTasks);
+  const tasks = spec.steps.flatMap((step, stepIndex) =>
+    Array.from({ length: step.count }, (_, index): Task => {
+      const name = `${jobId}.0.${stepIndex}.${index}`;
+      return {
+        name,
+        stepIndex,
+        demand: step,
+        state: done.has(name) ? "done" : "waiting",
+        run: 0,
+        failures: 0,
+        workerId: null,
+        failedOn: new Set(),
+      };
+    })
+  );
+  const receivedAtMs = state.nowMs - message.ageMs;
+  const chainMs = expectedChainMs(state, message);
+  const job: Job = {
+    jobId,
+    queue,
+    spec: spec.spec,
+    steps: spec.steps,
+    entries: new Set([from]),
+    availabilityZone,
+    receivedAtMs,
+    deadlineAtMs: state.nowMs + message.timeLeftMs,
+    objectiveAtMs: receivedAtMs + queue.stretch * chainMs + queue.objectiveMs,
+    chainMs,
+    tasks,
+    unfinished: tasks.filter((task) => task.state !== "done").length,
+    begun: message.resubmitted,
+    outcome: null,
+    endedAtMs: 0,
+  };
+  openSteps(job);
+  return job;
+}
+
+/** Queues the tasks whose earlier steps are all done. */
+function openSteps(job: Job): void {
+  for (const task of job.tasks) {
+    if (task.state !== "waiting") continue;
+    const after = job.steps[task.stepIndex]?.after ?? [];
+    const open = after.every((stepIndex) => isStepDone(job, stepIndex));
+    if (open) task.state = "queued";
+  }
+}
+
+function isStepDone(job: Job, stepIndex: number): boolean {
+  return job.tasks.every((task) =>
+    task.stepIndex !== stepIndex || task.state === "done"
+  );
+}
+
+/** What is learned of a queue, created at the first job. */
+export function statisticsOf(
+  state: EngineState,
+  queueName: string,
+  firstMs: number,
+): QueueStatistics {
+  const known = state.statistics.get(queueName);
+  if (known !== undefined) return known;
+  const created = { runs: createEstimate(Math.max(1, firstMs)), samples: 0 };
+  state.statistics.set(queueName, created);
+  return created;
+}
+
+/** The estimated run time of a task on a worker of usual speed. */
+export function expectedTaskMs(
+  state: EngineState,
+  queueName: string,
+  declaredMs: number,
+): number {
+  const { runs } = statisticsOf(state, queueName, declaredMs);
+  return estimateTaskMs(runs, declaredMs > 0 ? declaredMs : null);
+}
+
+function expectedChainMs(
+  state: EngineState,
+  { queue, job }: PeerMessageOf<"submit">,
+): number {
+  const endsMs: number[] = [];
+  for (const step of job.steps) {
+    const beginsMs = Math.max(0, ...step.after.map((at) => endsMs[at] ?? 0));
+    const taskMs = expectedTaskMs(state, queue.name, step.estimatedMs);
+    endsMs.push(beginsMs + taskMs);
+  }
+  return Math.max(...endsMs);
+}
+
+/** A task ended done. */
+export function onTaskDone(turn: Turn, job: Job, task: Task): void {
+  if (task.state === "done" || job.outcome !== null) return;
+  task.state = "done";
+  task.workerId = null;
+  job.unfinished -= 1;
+  turn.state.counters.tasksDone += 1;
+  if (job.unfinished === 0) {
+    endJob(turn, job, { kind: "done" });
+    return;
+  }
+  const { scheduler } = turn.state;
+  if (job.steps.length > 1 && scheduler !== null) {
+    openSteps(job);
+    enqueue(scheduler, job);
+  }
+}
+
+/** A run of a task ended without its work done. */
+export function onTaskLost(
+  turn: Turn,
+  job: Job,
+  { task, workerId, failed }: { task: Task; workerId: string; failed: boolean },
+): void {
+  if (task.state === "done" || job.outcome !== null) return;
+  task.state = "queued";
+  task.workerId = null;
+  if (failed) {
+    task.failures += 1;
+    task.failedOn.add(workerId);
+    turn.state.counters.tasksFailed += 1;
+  }
+  if (task.failures >= job.queue.attempts) {
+    endJob(turn, job, { kind: "failed" });
+    return;
+  }
+  if (turn.state.scheduler !== null) enqueue(turn.state.scheduler, job);
+}
+
+/** Ends a job, stops what still runs of it, and tells its entries. */
+export function endJob(turn: Turn, job: Job, outcome: JobOutcome): void {
+  const { state } = turn;
+  const { scheduler } = state;
+  if (scheduler === null || job.outcome !== null) return;
+  job.outcome = outcome;
+  job.endedAtMs = state.nowMs;
+  dequeue(scheduler, job);
+  scheduler.ended.push(job);
+  if (outcome.kind !== "done") stopRunsOf(turn, scheduler, job);
+  for (const entryId of job.entries) {
+    sendPeer(turn, entryId, { type: "jobEnded", jobId: job.jobId, outcome });
+  }
+}
+
+function stopRunsOf(turn: Turn, scheduler: Scheduler, job: Job): void {
+  for (const worker of scheduler.workers.values()) {
+    for (const run of worker.runs.values()) {
+      if (run.job === job) stopRun(turn, worker, run);
+    }
+  }
+}
+
+/** An entry's callers no longer wait for a job. */
+export function onWithdraw(
+  turn: Turn,
+  from: string,
+  message: PeerMessageOf<"withdraw">,
+): void {
+  const job = turn.state.scheduler?.jobs.get(message.jobId);
+  if (job === undefined) return;
+  job.entries.delete(from);
+  if (job.entries.size > 0) return;
+  endJob(turn, job, { kind: "unknown", reason: "deadline" });
+  turn.state.scheduler?.jobs.delete(job.jobId);
+}
+
+/** Turns away what can't make it any more, and forgets old jobs. */
+export function checkJobs(turn: Turn, scheduler: Scheduler): void {
+  const { state } = turn;
+  for (const job of scheduler.jobs.values()) {
+    if (job.outcome !== null) continue;
+    if (!job.begun) {
+      const refusal = refusalOf(state, scheduler, job);
+      if (refusal !== null) {
+        logDecision(turn, { part: "admit", text: "refused after waiting" }, {
+          jobId: job.jobId,
+          waitedMs: Math.round(state.nowMs - job.receivedAtMs),
+        });
+        endJob(turn, job, refusal);
+        continue;
+      }
+    }
+    if (state.nowMs >= job.deadlineAtMs) {
+      endJob(turn, job, { kind: "unknown", reason: "deadline" });
+    }
+  }
+  forgetEnded(state, scheduler);
+}
+
+function forgetEnded(state: EngineState, scheduler: Scheduler): void {
+  const { ended, jobs } = scheduler;
+  let count = 0;
+  for (const job of ended) {
+    if (state.nowMs - job.endedAtMs < REMEMBER_ENDED_MS) break;
+    if (jobs.get(job.jobId) === job) jobs.delete(job.jobId);
+    count += 1;
+  }
+  ended.splice(0, count);
+}
--- /dev/null
+++ b/src/engine/membership.ts
@@ -0,0 +1,213 @@
+/** The other instances: who is known, who is heard, what they say. */
+
+import type { InstanceInfo, PeerMessageOf } from "./schemas.ts";
+import { emit, logDecision, sendPeer } from "./turn.ts";
+import type { EngineEventOf, EngineState, Peer, Turn } from "./types.ts";
+
+/** Period of heartbeats from and to the leader; three make a silence. */
+export const LEADER_HEARTBEAT_MS = 150;
+/** Period of heartbeats between instances that don't lead. */
+const FOLLOWER_HEARTBEAT_MS = 500;
+/** A leader that was not heard from for so long has failed. */
+export const LEADER_SILENT_MS = 500;
+/** Any other instance that was not heard from for so long is out of reach. */
+export const PEER_SILENT_MS = 1_300;
+/** An instance that was out of reach for so long is not expected back. */
+const FORGET_PEER_MS = 12_000;
+
+/** Whether a peer is heard from now. */
+export function isLive(state: EngineState, peer: Peer): boolean {
+  if (!peer.connected && peer.refusedAtMs > peer.lastHeardMs) return false;
+  return state.nowMs - peer.lastHeardMs < PEER_SILENT_MS;
+}
+
+/** The peers that are heard from now. */
+export function livePeers(state: EngineState): Peer[] {
+  return [...state.peers.values()].filter((peer) => isLive(state, peer));
+}
+
+/**
+ * How many instances are heard from, and how many should be: a process that is
+ * known to have ended, or that was silent for long, is not expected.
+ */
+export function countInstances(
+  state: EngineState,
+): { visible: number; expected: number } {
+  let visible = 1;
+  let expected = 1;
+  for (const peer of state.peers.values()) {
+    if (isLive(state, peer)) {
+      visible += 1;
+      expected += 1;
+    } else if (peer.lastHeardMs > 0 && peer.refusedAtMs < peer.lastHeardMs) {
+      expected += 1;
+    }
+  }
+  return { visible, expected };
+}
+
+/** Whether more than half of the expected instances are heard from. */
+export function seesMajority(state: EngineState): boolean {
+  const { visible, expected } = countInstances(state);
+  return visible * 2 > expected;
+}
+
+/** Learns of instances from the store, the seeds or a peer. */
+export function learnInstances(
+  turn: Turn,
+  instances: readonly InstanceInfo[],
+): void {
+  const { state } = turn;
+  let changed = false;
+  for (const info of instances) {
+    if (info.instanceId === state.self.instanceId) continue;
+    const peer = state.peers.get(info.instanceId);
+    if (peer === undefined) {
+      state.peers.set(info.instanceId, createPeer(info));
+      changed = true;
+    } else if (info.bornMs > peer.info.bornMs) {
+      changed = changed || info.address !== peer.info.address;
+      peer.info = info;
+    }
+  }
+  if (changed) emit(turn, { type: "peersChanged" });
+}
+
+function createPeer(info: InstanceInfo): Peer {
+  return {
+    info,
+    lastHeardMs: 0,
+    connected: false,
+    refusedAtMs: 0,
+    draining: false,
+    isLeader: false,
+    term: 0,
+    workersAgeMs: Infinity,
+    configurationVersion: -1,
+    nextHeartbeatMs: 0,
+  };
+}
+
+/** A peer introduces itself and the instances that it knows. */
+export function onHello(
+  turn: Turn,
+  from: string,
+  message: PeerMessageOf<"hello">,
+): void {
+  const { state } = turn;
+  const known = state.peers.get(from);
+  learnInstances(turn, [message.instance, ...message.known]);
+  const peer = state.peers.get(from);
+  if (peer === undefined) return;
+  if (known !== undefined && message.instance.bornMs > known.info.bornMs) {
+    peer.isLeader = false;
+    peer.term = 0;
+  }
+  peer.info = message.instance;
+  noteHeard(state, from);
+  sendHeartbeat(turn, peer);
+}
+
+/** Notes that a message of a peer arrived. */
+export function noteHeard(state: EngineState, from: string): void {
+  const peer = state.peers.get(from);
+  if (peer !== undefined) peer.lastHeardMs = state.nowMs;
+}
+
+/** The connection to a peer opened. */
+export function onPeerUp(turn: Turn, event: EngineEventOf<"peerUp">): void {
+  const { state } = turn;
+  const peer = state.peers.get(event.instanceId);
+  if (peer === undefined) return;
+  peer.connected = true;
+  peer.refusedAtMs = 0;
+  sendPeer(turn, event.instanceId, {
+    type: "hello",
+    instance: state.self,
+    known: livePeers(state).map((other) => other.info),
+  });
+  sendHeartbeat(turn, peer);
+}
+
+/** The connection to a peer closed, or could not be opened. */
+export function onPeerDown(turn: Turn, event: EngineEventOf<"peerDown">): void {
+  const { state } = turn;
+  const peer = state.peers.get(event.instanceId);
+  if (peer === undefined) return;
+  const wasLive = isLive(state, peer);
+  peer.connected = false;
+  if (event.refused) peer.refusedAtMs = state.nowMs;
+  if (!wasLive || isLive(state, peer)) return;
+  peer.isLeader = false;
+  logDecision(turn, { part: "members", text: "a peer's process has ended" }, {
+    instanceId: event.instanceId,
+    lastHeardMsAgo: Math.round(state.nowMs - peer.lastHeardMs),
+  });
+}
+
+/** Takes in what a peer says of itself. */
+export function onHeartbeat(
+  turn: Turn,
+  from: string,
+  message: PeerMessageOf<"heartbeat">,
+): void {
+  const { state } = turn;
+  const peer = state.peers.get(from);
+  if (peer === undefined) return;
+  peer.draining = message.draining;
+  peer.isLeader = message.isLeader;
+  peer.term = message.term;
+  peer.workersAgeMs = message.workersAgeMs;
+  peer.configurationVersion = message.configurationVersion;
+  state.maxTermSeen = Math.max(state.maxTermSeen, message.maxTermSeen);
+  const version = state.configuration?.version ?? -1;
+  if (message.configurationVersion > version) {
+    sendPeer(turn, from, { type: "configurationWanted" });
+  }
+}
+
+/** Sends a heartbeat at once. */
+export function sendHeartbeat(turn: Turn, peer: Peer): void {
+  const { state } = turn;
+  const isLeader = state.scheduler !== null;
+  const fast = isLeader || peer.info.instanceId === state.leaderId ||
+    state.leaderId === null;
+  peer.nextHeartbeatMs = state.nowMs +
+    (fast ? LEADER_HEARTBEAT_MS : FOLLOWER_HEARTBEAT_MS);
+  if (!peer.connected) return;
+  sendPeer(turn, peer.info.instanceId, {
+    type: "heartbeat",
+    draining: state.draining,
+    isLeader,
+    term: state.leaderTerm,
+    leaderId: state.leaderId,
+    maxTermSeen: state.maxTermSeen,
+    workersAgeMs: workersAgeMs(state),
+    configurationVersion: state.configuration?.version ?? -1,
+  });
+}
+
+/** How old this instance's list of workers is, bounded for the wire. */
+export function workersAgeMs(state: EngineState): number {
+  return Math.min(1e9, Math.round(state.nowMs - state.workersReadAtMs));
+}
+
+/** Sends a heartbeat to every peer at once. */
+export function heartbeatAll(turn: Turn): void {
+  for (const peer of turn.state.peers.values()) sendHeartbeat(turn, peer);
+}
+
+/** Sends the heartbeats that are due, and forgets peers long out of reach. */
+export function checkPeers(turn: Turn): void {
+  const { state } = turn;
+  let changed = false;
+  for (const [instanceId, peer] of state.peers) {
+    if (state.nowMs >= peer.nextHeartbeatMs) sendHeartbeat(turn, peer);
+    const silentMs = state.nowMs -
+      Math.max(peer.lastHeardMs, state.bornAtMs);
+    if (peer.connected || silentMs < FORGET_PEER_MS) continue;
+    state.peers.delete(instanceId);
+    changed = true;
+  }
+  if (changed) emit(turn, { type: "peersChanged" });
+}
--- /dev/null
+++ b/src/engine/ownership.ts
@@ -0,0 +1,258 @@
+/**
+ * Which instance may start tasks on which worker. One instance leads; it holds
+ * each worker under a fencing token of its own, which the worker checks. An
+ * instance that hears no leader takes over by holding the workers under higher
+ * tokens, with no vote and no store: the worker is the arbiter, and what a
+ * deposed leader still sends does nothing.
+ */
+
+import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
+import { resubmitAll } from "./callers.ts";
+import {
+  countInstances,
+  heartbeatAll,
+  isLive,
+  LEADER_SILENT_MS,
+  livePeers,
+  seesMajority,
+} from "./membership.ts";
+import { logDecision, sendPeer } from "./turn.ts";
+import type { EngineState, Peer, Scheduler, Turn } from "./types.ts";
+
+/** Terms count the wall clock in steps of so many milliseconds. */
+const TERM_STEP_MS = 100;
+/** Distinct instances within one step of terms. */
+const TERM_INSTANCES = 512;
+/** Fencing tokens of one term. */
+export const FENCES_PER_TERM = 512;
+/** After its start an instance listens so long before it leads. */
+const LISTEN_FIRST_MS = 900;
+/** The next in rank leads if those before it did not by then. */
+const RANK_DELAY_MS = 400;
+
+/** A hash of a name, below the number of instances within a term's step. */
+function nameHash(name: string): number {
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < name.length; i += 1) {
+    hash = Math.imul(hash ^ name.charCodeAt(i), 0x01000193);
+  }
+  return (hash >>> 0) % TERM_INSTANCES;
+}
+
+/**
+ * A term above every term seen, and unlike that of any other instance. It
+ * follows the wall clock, so that it rises also when all instances forgot.
+ */
+export function nextTerm(state: EngineState): number {
+  const byClock = Math.floor(state.wallMs / TERM_STEP_MS);
+  const bySeen = Math.floor(state.maxTermSeen / TERM_INSTANCES) + 1;
+  return Math.max(byClock, bySeen) * TERM_INSTANCES +
+    nameHash(state.self.instanceId);
+}
+
+/** The first fencing token of a term. */
+export function firstFence(term: number): number {
+  return term * FENCES_PER_TERM;
+}
+
+/** Follows, leads or steps down as the peers' states ask for. */
+export function checkLeadership(turn: Turn): void {
+  const { state } = turn;
+  followHighestLeader(turn);
+  if (state.scheduler !== null) return;
+  const leader = state.leaderId === null
+    ? undefined
+    : state.peers.get(state.leaderId);
+  if (leader !== undefined && isLeading(state, leader)) return;
+  if (state.leaderId !== null) loseLeader(turn);
+  if (mayLead(state)) becomeLeader(turn);
+}
+
+function isLeading(state: EngineState, peer: Peer): boolean {
+  return peer.isLeader && isLive(state, peer) &&
+    state.nowMs - peer.lastHeardMs < LEADER_SILENT_MS;
+}
+
+function followHighestLeader(turn: Turn): void {
+  const { state } = turn;
+  let best: Peer | null = null;
+  for (const peer of state.peers.values()) {
+    if (!isLeading(state, peer)) continue;
+    if (best === null || peer.term > best.term) best = peer;
+  }
+  if (best === null || best.term <= state.leaderTerm) return;
+  if (state.scheduler !== null) stepDown(turn, "a peer leads in a later term");
+  follow(turn, best);
+}
+
+function follow(turn: Turn, peer: Peer): void {
+  const { state } = turn;
+  state.leaderId = peer.info.instanceId;
+  state.leaderTerm = peer.term;
+  state.maxTermSeen = Math.max(state.maxTermSeen, peer.term);
+  logDecision(turn, { part: "leader", text: "following a leader" }, {
+    leaderId: state.leaderId,
+    term: peer.term,
+    leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
+  });
+  resubmitAll(turn);
+}
+
+function loseLeader(turn: Turn): void {
+  const { state } = turn;
+  logDecision(turn, {
+    level: "warn",
+    part: "leader",
+    text: "the leader is not heard from",
+  }, { leaderId: state.leaderId, term: state.leaderTerm });
+  state.leaderId = null;
+  state.leaderTerm = 0;
+  state.leaderlessSinceMs = state.nowMs;
+}
+
+/** Whether this instance is the one that leads now that nobody does. */
+function mayLead(state: EngineState): boolean {
+  if (state.configuration === null || state.workers.size === 0) return false;
+  const upMs = state.nowMs - state.bornAtMs;
+  if (upMs < LISTEN_FIRST_MS && !everyPeerAnswered(state)) return false;
+  const rank = rankOfSelf(state);
+  const leaderlessMs = state.nowMs - state.leaderlessSinceMs;
+  return leaderlessMs >= rank * RANK_DELAY_MS;
+}
+
+function everyPeerAnswered(state: EngineState): boolean {
+  const peers = [...state.peers.values()];
+  return peers.length > 0 &&
+    peers.every((peer) => peer.lastHeardMs > 0 || peer.refusedAtMs > 0);
+}
+
+/** How many instances come before this one: those that drain come last. */
+function rankOfSelf(state: EngineState): number {
+  const selfKey = rankKey(state.draining, state.self.instanceId);
+  return livePeers(state).filter((peer) =>
+    rankKey(peer.draining, peer.info.instanceId) < selfKey
+  ).length;
+}
+
+function rankKey(draining: boolean, instanceId: string): string {
+  return `${draining ? 1 : 0}${instanceId}`;
+}
+
+/** Starts to lead: in a new term, with no worker taken yet. */
+export function becomeLeader(turn: Turn): void {
+  const { state } = turn;
+  const term = nextTerm(state);
+  state.maxTermSeen = term;
+  state.leaderTerm = term;
+  state.leaderId = state.self.instanceId;
+  state.scheduler = createScheduler(state, term);
+  state.counters.takeovers += 1;
+  logDecision(turn, { part: "leader", text: "leading from now on" }, {
+    term,
+    ...countInstances(state),
+    workersAgeMs: Math.round(state.nowMs - state.workersReadAtMs),
+    leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
+  });
+  heartbeatAll(turn);
+  resubmitAll(turn);
+}
+
+function createScheduler(state: EngineState, term: number): Scheduler {
+  return {
+    term,
+    sinceMs: state.nowMs,
+    jobs: new Map(),
+    waiting: new Map(),
+    workers: new Map(),
+    ended: [],
+  };
+}
+
+/** Gives up the lead; the entries hand their jobs to the next leader. */
+export function stepDown(turn: Turn, reason: string): void {
+  const { state } = turn;
+  const { scheduler } = state;
+  if (scheduler === null) return;
+  logDecision(turn, { part: "leader", text: "no longer leading" }, {
+    reason,
+    term: scheduler.term,
+    jobs: scheduler.jobs.size,
+  });
+  state.scheduler = null;
+  state.leaderId = null;
+  state.leaderTerm = 0;
+  state.leaderlessSinceMs = state.nowMs;
+}
+
+/** Hands the lead to a peer that does not drain, if there is one. */
+export function handOver(turn: Turn): void {
+  const { state } = turn;
+  const { scheduler } = state;
+  if (scheduler === null) return;
+  const successor = livePeers(state)
+    .filter((peer) => !peer.draining && peer.configurationVersion >= 0)
+    .sort((a, b) => a.info.instanceId < b.info.instanceId ? -1 : 1)[0];
+  if (successor === undefined) return;
+  const successorId = successor.info.instanceId;
+  const jobs = [...scheduler.jobs.values()]
+    .filter((job) => job.outcome === null)
+    .map((job) => ({
+      jobId: job.jobId,
+      doneTasks: job.tasks.filter((task) => task.state === "done")
+        .map((task) => task.name),
+    }));
+  stepDown(turn, "draining");
+  sendPeer(turn, successorId, { type: "released", successorId, jobs });
+  for (const peer of state.peers.values()) {
+    if (peer === successor) continue;
+    sendPeer(turn, peer.info.instanceId, {
+      type: "released",
+      successorId,
+      jobs,
+    });
+  }
+  noteDone(state, jobs);
+}
+
+/** A leader gave up the lead: its successor leads at once. */
+export function onReleased(
+  turn: Turn,
+  from: string,
+  message: PeerMessageOf<"released">,
+): void {
+  const { state } = turn;
+  noteDone(state, message.jobs);
+  const peer = state.peers.get(from);
+  if (peer !== undefined) peer.isLeader = false;
+  if (state.leaderId === from) loseLeader(turn);
+  const isSuccessor = message.successorId === state.self.instanceId;
+  if (isSuccessor && state.scheduler === null && state.leaderId === null) {
+    becomeLeader(turn);
+  }
+}
+
+function noteDone(
+  state: EngineState,
+  jobs: PeerMessageOf<"released">["jobs"],
+): void {
+  for (const { jobId, doneTasks } of jobs) {
+    const callerJob = state.callerJobs.get(jobId);
+    if (callerJob !== undefined) callerJob.doneTasks = doneTasks;
+  }
+}
+
+/**
+ * The workers that this leader should hold: all of them while it hears most of
+ * the instances, else its side's part, those of its own zone first. So two
+ * sides of a cut that reach the same workers divide them.
+ */
+export function workersOfSide(state: EngineState): WorkerInfo[] {
+  const workers = [...state.workers.values()];
+  if (seesMajority(state)) return workers;
+  const { visible, expected } = countInstances(state);
+  const share = Math.ceil(workers.length * visible / expected);
+  const home = state.self.availabilityZone;
+  const order = (worker: WorkerInfo): string =>
+    `${worker.availabilityZone === home ? 0 : 1}${worker.workerId}`;
+  return workers.sort((a, b) => order(a) < order(b) ? -1 : 1).slice(0, share);
+}
--- /dev/null
+++ b/src/engine/place.ts
@@ -0,0 +1,79 @@
+/**
+ * Which task starts on which worker. It answers load near and beyond what the
+ * workers can do: jobs are served in the order of the queue, each task goes
+ * where it fits and leaves the least room unused, faster workers first.
+ */
+
+import { hasQueuedTasks } from "./queue.ts";
+import { startRun } from "./runs.ts";
+import type { EngineState, Job, OwnedWorker, Task, Turn } from "./types.ts";
+
+/** Differences in speed below this share decide nothing. */
+const SPEED_STEP = 0.15;
+
+/** Starts whatever fits, of one service. */
+export function placeWaiting(turn: Turn, service: string): void {
+  const { state } = turn;
+  const { scheduler } = state;
+  const waiting = scheduler?.waiting.get(service);
+  if (scheduler === null || waiting === undefined) return;
+  const workers = [...scheduler.workers.values()].filter((worker) =>
+    worker.info.service === service && mayStart(state, worker)
+  );
+  for (let at = 0; at < waiting.length;) {
+    const job = waiting[at] as Job;
+    placeJob(turn, workers, job);
+    if (hasQueuedTasks(job)) at += 1;
+    else waiting.splice(at, 1);
+  }
+}
+
+function placeJob(turn: Turn, workers: OwnedWorker[], job: Job): void {
+  for (const task of job.tasks) {
+    if (task.state !== "queued") continue;
+    const worker = chooseWorker(turn.state, workers, task);
+    if (worker === null) return;
+    startRun(turn, worker, { job, task });
+  }
+}
+
+/** Whether tasks may start on a worker now. */
+function mayStart(state: EngineState, worker: OwnedWorker): boolean {
+  if (worker.phase !== "ready" || worker.info.draining) return false;
+  if (worker.released) return false;
+  if (worker.suspendedUntilMs > state.nowMs) return false;
+  // After a suspension one task shows whether the worker does its work again.
+  const probing = worker.suspendedUntilMs > 0;
+  return !probing || worker.runs.size === 0;
+}
+
+function chooseWorker(
+  state: EngineState,
+  workers: OwnedWorker[],
+  task: Task,
+): OwnedWorker | null {
+  let best: OwnedWorker | null = null;
+  let bestCost = Infinity;
+  for (const worker of workers) {
+    if (!fits(worker, task) || !mayStart(state, worker)) continue;
+    const cost = costOf(worker, task);
+    if (cost < bestCost) [best, bestCost] = [worker, cost];
+  }
+  return best;
+}
+
+function fits({ info, usedCpuMilli, usedMemoryMb }: OwnedWorker, {
+  demand,
+}: Task): boolean {
+  return usedCpuMilli + demand.cpuMilli <= info.cpuMilli &&
+    usedMemoryMb + demand.memoryMb <= info.memoryMb;
+}
+
+/** Lower is better: speed in coarse steps, then the room left over. */
+function costOf(worker: OwnedWorker, task: Task): number {
+  const { info, usedCpuMilli, slowness } = worker;
+  const speedStep = Math.round(slowness / SPEED_STEP);
+  const leftMilli = info.cpuMilli - usedCpuMilli - task.demand.cpuMilli;
+  const repeated = task.failedOn.has(info.workerId) ? 1 : 0;
+  return repeated * 1e9 + speedStep * 1e6 + leftMilli;
+}
--- /dev/null
+++ b/src/engine/reduce.ts
@@ -0,0 +1,249 @@
+/**
+ * The reducer: every event of an instance, and what follows from it. The state
+ * is changed in place; effects are returned as data, in order.
+ */
+
+import {
+  checkCallerJobs,
+  onCallerGone,
+  onCallerSubmit,
+  onJobEnded,
+  resubmitAll,
+} from "./callers.ts";
+import { adoptConfiguration, onConfigurationWanted } from "./configuration.ts";
+import { checkJobs, onSubmit, onWithdraw } from "./jobs.ts";
+import {
+  checkPeers,
+  heartbeatAll,
+  learnInstances,
+  noteHeard,
+  onHeartbeat,
+  onHello,
+  onPeerDown,
+  onPeerUp,
+  workersAgeMs,
+} from "./membership.ts";
+import { checkLeadership, handOver, onReleased } from "./ownership.ts";
+import { placeWaiting } from "./place.ts";
+import { onStartEnded, onStopEnded } from "./runs.ts";
+import type { InstanceInfo, PeerMessage } from "./schemas.ts";
+import { logDecision, sendPeer } from "./turn.ts";
+import type {
+  Effect,
+  EngineEvent,
+  EngineEventOf,
+  EngineState,
+  Turn,
+} from "./types.ts";
+import {
+  checkWorkers,
+  onHoldEnded,
+  onPeerWorkers,
+  onWorkersRead,
+  onWorkersUnread,
+  syncWorkers,
+} from "./workers.ts";
+
+/** A gap between ticks of this length means that the process stood still. */
+const STALL_MS = 300;
+
+/** What a new engine is made from. */
+export interface EngineOptions {
+  readonly self: InstanceInfo;
+  /** The longest lease that workers grant. */
+  readonly leaseMs: number;
+  readonly nowMs: number;
+  readonly wallMs: number;
+}
+
+/**
+ * The state of an instance that has just started.
+ *
+ * @example
+ * ```ts
+ * const state = createEngine({ self, leaseMs: 1_000, nowMs: 0, wallMs });
+ * const effects = reduce(state, { type: "tick", nowMs: 25, wallMs });
+ * ```
+ */
+export function createEngine(options: EngineOptions): EngineState {
+  const { self, leaseMs, nowMs, wallMs } = options;
+  return {
+    self,
+    leaseMs,
+    bornAtMs: nowMs,
+    nowMs,
+    wallMs,
+    lastTickMs: nowMs,
+    configuration: null,
+    peers: new Map(),
+    leaderId: null,
+    leaderTerm: 0,
+    leaderlessSinceMs: nowMs,
+    maxTermSeen: 0,
+    draining: false,
+    workers: new Map(),
+    workersReadAtMs: -Infinity,
+    workersVersion: 0,
+    workersUnreadSinceMs: 0,
+    listReturnedAtMs: -Infinity,
+    callerJobs: new Map(),
+    statistics: new Map(),
+    scheduler: null,
+    nextCallId: 0,
+    counters: {
+      jobsReceived: 0,
+      jobsDone: 0,
+      jobsFailed: 0,
+      jobsRefused: 0,
+      jobsUnknown: 0,
+      callersGone: 0,
+      tasksStarted: 0,
+      tasksDone: 0,
+      tasksFailed: 0,
+      tasksLapsed: 0,
+      tasksStopped: 0,
+      startsRefused: 0,
+      startsUnknown: 0,
+      holds: 0,
+      takeovers: 0,
+      peerMessages: 0,
+    },
+  };
+}
+
+type PeerHandlers = {
+  [T in PeerMessage["type"]]: (
+    turn: Turn,
+    from: string,
+    message: Extract<PeerMessage, { type: T }>,
+  ) => void;
+};
+
+const peerHandlers: PeerHandlers = {
+  heartbeat: (turn, from, message) => {
+    onHeartbeat(turn, from, message);
+    checkLeadership(turn);
+  },
+  hello: onHello,
+  submit: onSubmit,
+  withdraw: onWithdraw,
+  jobEnded: (turn, _from, message) => onJobEnded(turn, message),
+  released: onReleased,
+  configuration: (turn, _from, message) =>
+    adoptConfiguration(turn, message.configuration),
+  configurationWanted: onConfigurationWanted,
+  workers: (turn, _from, message) => onPeerWorkers(turn, message),
+};
+
+function handlePeerMessage(
+  turn: Turn,
+  from: string,
+  message: PeerMessage,
+): void {
+  const handler = peerHandlers[message.type] as (
+    turn: Turn,
+    from: string,
+    message: PeerMessage,
+  ) => void;
+  handler(turn, from, message);
+}
+
+type EventHandlers = {
+  [T in EngineEvent["type"]]: (turn: Turn, event: EngineEventOf<T>) => void;
+};
+
+const eventHandlers: EventHandlers = {
+  tick: onTick,
+  callerSubmit: onCallerSubmit,
+  callerGone: onCallerGone,
+  configurationRead: (turn, event) =>
+    adoptConfiguration(turn, event.configuration),
+  workersRead: onWorkersRead,
+  workersUnread: onWorkersUnread,
+  instancesRead: (turn, event) => learnInstances(turn, event.instances),
+  peerUp: (turn, event) => {
+    onPeerUp(turn, event);
+    welcomePeer(turn, event.instanceId);
+  },
+  peerDown: (turn, event) => {
+    onPeerDown(turn, event);
+    checkLeadership(turn);
+  },
+  peerMessage: (turn, event) => {
+    noteHeard(turn.state, event.from);
+    handlePeerMessage(turn, event.from, event.message);
+  },
+  holdEnded: (turn, event) => {
+    const worker = onHoldEnded(turn, event);
+    if (worker !== null) placeWaiting(turn, worker.info.service);
+  },
+  startEnded: (turn, event) => {
+    const worker = onStartEnded(turn, event);
+    if (worker !== null) placeWaiting(turn, worker.info.service);
+  },
+  stopEnded: onStopEnded,
+  drainRequested: (turn) => {
+    turn.state.draining = true;
+    logDecision(turn, { part: "instance", text: "draining" }, {
+      callerJobs: turn.state.callerJobs.size,
+      isLeader: turn.state.scheduler !== null,
+    });
+    heartbeatAll(turn);
+    handOver(turn);
+  },
+};
+
+/** A peer that connected may lack what was sent while it was away. */
+function welcomePeer(turn: Turn, instanceId: string): void {
+  const { state } = turn;
+  if (instanceId === state.leaderId) resubmitAll(turn);
+  if (state.scheduler === null || state.workers.size === 0) return;
+  sendPeer(turn, instanceId, {
+    type: "workers",
+    ageMs: workersAgeMs(state),
+    workers: [...state.workers.values()],
+  });
+}
+
+function onTick(turn: Turn, event: EngineEventOf<"tick">): void {
+  const { state } = turn;
+  state.wallMs = event.wallMs;
+  forgiveStall(state);
+  state.lastTickMs = state.nowMs;
+  checkPeers(turn);
+  checkLeadership(turn);
+  const { scheduler } = state;
+  if (scheduler !== null) {
+    syncWorkers(turn, scheduler);
+    checkWorkers(turn, scheduler);
+    checkJobs(turn, scheduler);
+    for (const service of scheduler.waiting.keys()) placeWaiting(turn, service);
+  }
+  checkCallerJobs(turn);
+}
+
+/** Peers were not silent while this process stood still. */
+function forgiveStall(state: EngineState): void {
+  const stalledMs = state.nowMs - state.lastTickMs;
+  if (stalledMs < STALL_MS) return;
+  for (const peer of state.peers.values()) {
+    if (peer.lastHeardMs > 0) peer.lastHeardMs += stalledMs;
+  }
+}
+
+/** Applies one event to the state, and returns what the shell has to do. */
+export function reduce(state: EngineState, event: EngineEvent): Effect[] {
+  const turn: Turn = { state, effects: [], toSelf: [] };
+  state.nowMs = Math.max(state.nowMs, event.nowMs);
+  const handler = eventHandlers[event.type] as (
+    turn: Turn,
+    event: EngineEvent,
+  ) => void;
+  handler(turn, event);
+  for (let next = 0; next < turn.toSelf.length; next += 1) {
+    const message = turn.toSelf[next];
+    if (message === undefined) continue;
+    handlePeerMessage(turn, state.self.instanceId, message);
+  }
+  return turn.effects;
+}
--- /dev/null
+++ b/src/engine/runs.ts
@@ -0,0 +1,412 @@
+/** Runs on workers: the room they take, their starts, stops and ends. */
+
+import { learnRun } from "../core/estimates.ts";
+import { assert } from "../core/debug.ts";
+import {
+  expectedTaskMs,
+  onTaskDone,
+  onTaskLost,
+  statisticsOf,
+} from "./jobs.ts";
+import { emit, logDecision } from "./turn.ts";
+import type {
+  EngineEventOf,
+  EngineState,
+  FinishedRow,
+  Job,
+  OwnedWorker,
+  RunningRow,
+  StartOutcome,
+  Task,
+  Turn,
+  WorkerRun,
+} from "./types.ts";
+import { leaseEndsOnWorkerMs, resolveByFence, yieldWorker } from "./workers.ts";
+
+/** A stop that the worker did not carry out is sent again after so long. */
+const RESEND_STOP_MS = 200;
+/** Failures in a row after which a worker gets no tasks for a while. */
+const FAILURES_TO_SUSPEND = 3;
+/** The first such while; it doubles with each probe that fails. */
+const SUSPEND_MS = 700;
+const MAX_SUSPEND_MS = 4_000;
+/** A worker that says it is unhealthy gets no tasks for so long. */
+const UNHEALTHY_PAUSE_MS = 300;
+/** Weight of one run in what is learned of a worker's speed. */
+const SLOWNESS_WEIGHT = 0.1;
+/** A run that takes so many times longer than expected hangs. */
+const OVERDUE_FACTOR = 3;
+/** A run is not taken to hang before it exceeded what was expected by this. */
+const OVERDUE_SLACK_MS = 250;
+/** Run numbers skip so many when a worker has seen higher ones. */
+const RUN_NUMBER_STEP = 8;
+
+/** The key of a run among those of a worker. */
+export function runKey(taskName: string, run: number): string {
+  return `${taskName}#${run}`;
+}
+
+/** Adds a run to those that take room on a worker. */
+export function addRun(worker: OwnedWorker, run: WorkerRun): void {
+  worker.runs.set(runKey(run.taskName, run.run), run);
+  worker.usedCpuMilli += run.cpuMilli;
+  worker.usedMemoryMb += run.memoryMb;
+}
+
+/** Frees the room of a run. */
+export function removeRun(worker: OwnedWorker, run: WorkerRun): void {
+  if (!worker.runs.delete(runKey(run.taskName, run.run))) return;
+  worker.usedCpuMilli -= run.cpuMilli;
+  worker.usedMemoryMb -= run.memoryMb;
+}
+
+/** Starts a task on a worker that has room for it. */
+export function startRun(
+  turn: Turn,
+  worker: OwnedWorker,
+  { job, task }: { job: Job; task: Task },
+): void {
+  const { state } = turn;
+  const { demand } = task;
+  const { workerId, address, cpuMilli, memoryMb } = worker.info;
+  task.run += 1;
+  task.state = "placed";
+  task.workerId = workerId;
+  job.begun = true;
+  state.counters.tasksStarted += 1;
+  addRun(worker, {
+    taskName: task.name,
+    run: task.run,
+    job,
+    task,
+    cpuMilli: demand.cpuMilli,
+    memoryMb: demand.memoryMb,
+    state: "starting",
+    placedAtMs: state.nowMs,
+    ackedAtMs: 0,
+    stopSentAtMs: 0,
+    percent: 0,
+  });
+  assert(worker.usedCpuMilli <= cpuMilli, "cpu_within_capacity", workerId);
+  assert(worker.usedMemoryMb <= memoryMb, "memory_within_capacity", workerId);
+  logDecision(turn, { part: "place", text: "task started" }, {
+    jobId: job.jobId,
+    task: task.name,
+    run: task.run,
+    workerId,
+    usedCpuMilli: worker.usedCpuMilli,
+    waitedMs: Math.round(state.nowMs - job.receivedAtMs),
+  });
+  emit(turn, {
+    type: "startTask",
+    workerId,
+    address,
+    taskName: task.name,
+    run: task.run,
+    spec: job.spec,
+    fence: worker.fence,
+    leaseEndsMs: leaseEndsOnWorkerMs(state, worker),
+  });
+  worker.nextHoldMs = Math.min(worker.nextHoldMs, state.nowMs);
+}
+
+type StartHandlers = {
+  [K in StartOutcome["kind"]]: (
+    turn: Turn,
+    context: { worker: OwnedWorker; run: WorkerRun; fence: number },
+    outcome: Extract<StartOutcome, { kind: K }>,
+  ) => void;
+};
+
+const startHandlers: StartHandlers = {
+  started: ({ state }, { run }) => {
+    run.ackedAtMs = state.nowMs;
+    if (run.state === "starting") run.state = "running";
+  },
+  refused: onStartRefused,
+  unhealthy: (turn, { worker, run }) => {
+    worker.suspendedUntilMs = turn.state.nowMs + UNHEALTHY_PAUSE_MS;
+    dropRun(turn, worker, { run, failed: false });
+  },
+  notSent: (turn, { worker, run }) => {
+    worker.suspendedUntilMs = turn.state.nowMs + UNHEALTHY_PAUSE_MS;
+    dropRun(turn, worker, { run, failed: false });
+  },
+  unknown: (turn, { worker, run }) => {
+    if (run.state !== "starting") return;
+    turn.state.counters.startsUnknown += 1;
+    resolveByFence(turn, worker);
+  },
+};
+
+function onStartRefused(
+  turn: Turn,
+  { worker, run, fence }: {
+    worker: OwnedWorker;
+    run: WorkerRun;
+    fence: number;
+  },
+  { reason }: Extract<StartOutcome, { kind: "refused" }>,
+): void {
+  turn.state.counters.startsRefused += 1;
+  logDecision(turn, { level: "warn", part: "run", text: "start refused" }, {
+    task: run.taskName,
+    run: run.run,
+    workerId: worker.info.workerId,
+    reason,
+    fence,
+  });
+  if (reason === "oldRun" && run.task !== null) {
+    run.task.run += RUN_NUMBER_STEP;
+  }
+  dropRun(turn, worker, { run, failed: false });
+  if (reason === "fenced" && fence === worker.fence) yieldWorker(turn, worker);
+  if (reason === "replaced" || reason === "room") resolveByFence(turn, worker);
+}
+
+/** The worker answered a start, or did not. */
+export function onStartEnded(
+  turn: Turn,
+  event: EngineEventOf<"startEnded">,
+): OwnedWorker | null {
+  const worker = turn.state.scheduler?.workers.get(event.workerId);
+  const run = worker?.runs.get(runKey(event.taskName, event.run));
+  if (worker === undefined || run === undefined) return null;
+  const handler = startHandlers[event.outcome.kind] as (
+    turn: Turn,
+    context: { worker: OwnedWorker; run: WorkerRun; fence: number },
+    outcome: StartOutcome,
+  ) => void;
+  handler(turn, { worker, run, fence: event.fence }, event.outcome);
+  return worker;
+}
+
+/** A run is known not to be there: its room is free, its task goes on. */
+export function dropRun(
+  turn: Turn,
+  worker: OwnedWorker,
+  { run, failed }: { run: WorkerRun; failed: boolean },
+): void {
+  removeRun(worker, run);
+  if (run.job === null || run.task === null) return;
+  const { workerId } = worker.info;
+  onTaskLost(turn, run.job, { task: run.task, workerId, failed });
+}
+
+/** Asks a worker to stop a run. */
+export function stopRun(
+  turn: Turn,
+  worker: OwnedWorker,
+  run: WorkerRun,
+): void {
+  const { state } = turn;
+  if (state.nowMs - run.stopSentAtMs < RESEND_STOP_MS) return;
+  run.state = "stopping";
+  run.stopSentAtMs = state.nowMs;
+  run.ackedAtMs = Infinity;
+  state.counters.tasksStopped += 1;
+  emit(turn, {
+    type: "stopTask",
+    workerId: worker.info.workerId,
+    address: worker.info.address,
+    taskName: run.taskName,
+    run: run.run,
+    fence: worker.fence,
+  });
+}
+
+/** The worker answered a stop, or did not. */
+export function onStopEnded(
+  turn: Turn,
+  event: EngineEventOf<"stopEnded">,
+): void {
+  const worker = turn.state.scheduler?.workers.get(event.workerId);
+  const run = worker?.runs.get(runKey(event.taskName, event.run));
+  if (worker === undefined || run === undefined) return;
+  if (event.outcome.kind !== "stopped") return;
+  run.ackedAtMs = turn.state.nowMs;
+}
+
+/** Takes in one end from a worker's list. */
+export function applyEnd(
+  turn: Turn,
+  worker: OwnedWorker,
+  row: FinishedRow,
+): void {
+  const { state } = turn;
+  const run = worker.runs.get(runKey(row.taskName, row.run));
+  logDecision(turn, { part: "run", text: `task ${row.end}` }, {
+    task: row.taskName,
+    run: row.run,
+    workerId: worker.info.workerId,
+    known: run !== undefined,
+    tookMs: run === undefined ? null : Math.round(state.nowMs - run.placedAtMs),
+  });
+  if (run === undefined) {
+    if (row.end === "done") adoptEnd(turn, row);
+    return;
+  }
+  const failed = row.end === "failed";
+  if (row.end === "lapsed") state.counters.tasksLapsed += 1;
+  if (row.end === "done" && run.job !== null && run.task !== null) {
+    learnFromRun(state, worker, run);
+    removeRun(worker, run);
+    onTaskDone(turn, run.job, run.task);
+    return;
+  }
+  if (failed) noteFailure(state, worker);
+  dropRun(turn, worker, { run, failed });
+}
+
+/** Counts an end that was listed for a former leader. */
+function adoptEnd(turn: Turn, row: FinishedRow): void {
+  const found = findTask(turn.state, row.taskName);
+  if (found === null || found.task.state !== "queued") return;
+  onTaskDone(turn, found.job, found.task);
+}
+
+/** The job and task of a name, if its job is known here. */
+export function findTask(
+  state: EngineState,
+  taskName: string,
+): { job: Job; task: Task } | null {
+  const jobId = taskName.slice(0, taskName.indexOf("."));
+  const job = state.scheduler?.jobs.get(jobId);
+  const task = job?.tasks.find((one) => one.name === taskName);
+  return job === undefined || task === undefined ? null : { job, task };
+}
+
+function learnFromRun(
+  state: EngineState,
+  worker: OwnedWorker,
+  { job, task, placedAtMs }: WorkerRun,
+): void {
+  worker.failuresInRow = 0;
+  worker.suspendedUntilMs = 0;
+  if (job === null || task === null) return;
+  const ranMs = state.nowMs - placedAtMs;
+  const declaredMs = task.demand.estimatedMs;
+  const expectedMs = expectedTaskMs(state, job.queue.name, declaredMs);
+  const ratio = Math.min(4, ranMs / Math.max(1, expectedMs));
+  worker.slowness += SLOWNESS_WEIGHT * (ratio - worker.slowness);
+  const statistics = statisticsOf(state, job.queue.name, declaredMs);
+  learnRun(statistics.runs, ranMs, declaredMs > 0 ? declaredMs : null);
+  statistics.samples += 1;
+}
+
+function noteFailure(state: EngineState, worker: OwnedWorker): void {
+  worker.failuresInRow += 1;
+  const excess = worker.failuresInRow - FAILURES_TO_SUSPEND;
+  if (excess < 0) return;
+  const pauseMs = Math.min(MAX_SUSPEND_MS, SUSPEND_MS * 2 ** excess);
+  worker.suspendedUntilMs = state.nowMs + pauseMs;
+}
+
+/**
+ * Compares the runs believed to be on a worker with its list. `sentAtMs` is
+ * when the list was asked for: what was acknowledged later may be missing.
+ */
+export function reconcileRuns(
+  turn: Turn,
+  worker: OwnedWorker,
+  { running, sentAtMs, fresh }: {
+    running: readonly RunningRow[];
+    sentAtMs: number;
+    /** The list was read under a new token: what it lacks never starts. */
+    fresh: boolean;
+  },
+): void {
+  const listed = new Set<string>();
+  for (const row of running) {
+    const key = runKey(row.taskName, row.run);
+    listed.add(key);
+    const run = worker.runs.get(key) ?? adoptRun(turn, worker, row);
+    if (run.state === "starting") {
+      run.state = "running";
+      run.ackedAtMs = turn.state.nowMs;
+    }
+    run.percent = row.percent;
+  }
+  for (const [key, run] of worker.runs) {
+    if (listed.has(key)) continue;
+    const settled = run.state !== "starting" && run.ackedAtMs < sentAtMs;
+    const startedBefore = run.placedAtMs < sentAtMs;
+    if (settled || (fresh && startedBefore)) {
+      dropRun(turn, worker, { run, failed: false });
+    }
+  }
+}
+
+/** Takes in a run that somebody else started. */
+function adoptRun(
+  turn: Turn,
+  worker: OwnedWorker,
+  row: RunningRow,
+): WorkerRun {
+  const { state } = turn;
+  const found = findTask(state, row.taskName);
+  const mine = found !== null && found.task.state === "queued" &&
+    found.job.outcome === null;
+  const run: WorkerRun = {
+    taskName: row.taskName,
+    run: row.run,
+    job: mine ? found.job : null,
+    task: mine ? found.task : null,
+    // What an unknown run needs is not told: it counts as all there is left.
+    cpuMilli: mine
+      ? found.task.demand.cpuMilli
+      : Math.max(0, worker.info.cpuMilli - worker.usedCpuMilli),
+    memoryMb: mine ? found.task.demand.memoryMb : 0,
+    state: "running",
+    placedAtMs: state.nowMs,
+    ackedAtMs: state.nowMs,
+    stopSentAtMs: 0,
+    percent: row.percent,
+  };
+  addRun(worker, run);
+  if (mine) {
+    found.task.state = "placed";
+    found.task.run = Math.max(found.task.run, row.run);
+    found.task.workerId = worker.info.workerId;
+    found.job.begun = true;
+  }
+  logDecision(turn, { part: "run", text: "found a run of a former leader" }, {
+    task: row.taskName,
+    run: row.run,
+    workerId: worker.info.workerId,
+    adopted: mine,
+  });
+  return run;
+}
+
+/** Stops again what should have stopped, and what hangs. */
+export function checkRuns(turn: Turn, worker: OwnedWorker): void {
+  const { state } = turn;
+  for (const run of worker.runs.values()) {
+    if (run.state === "stopping") stopRun(turn, worker, run);
+    else if (run.state === "running" && isOverdue(state, worker, run)) {
+      logDecision(turn, { level: "warn", part: "run", text: "run hangs" }, {
+        task: run.taskName,
+        run: run.run,
+        workerId: worker.info.workerId,
+        percent: run.percent,
+        ranMs: Math.round(state.nowMs - run.placedAtMs),
+      });
+      noteFailure(state, worker);
+      noteFailure(state, worker);
+      stopRun(turn, worker, run);
+    }
+  }
+}
+
+function isOverdue(
+  state: EngineState,
+  worker: OwnedWorker,
+  { job, task, placedAtMs }: WorkerRun,
+): boolean {
+  if (job === null || task === null) return false;
+  const { estimatedMs } = task.demand;
+  const expectedMs = expectedTaskMs(state, job.queue.name, estimatedMs);
+  const limitMs = expectedMs * OVERDUE_FACTOR * Math.max(1, worker.slowness);
+  return state.nowMs - placedAtMs > limitMs + OVERDUE_SLACK_MS;
+}
--- /dev/null
+++ b/src/engine/schemas.ts
@@ -0,0 +1,197 @@
+/** What crosses a boundary of the engine, as schemas and the types of them. */
+
+import { z } from "zod";
+
+/** One entry instance: its name, place, address for peers, and life. */
+export const instanceInfoSchema = z.object({
+  instanceId: z.string().min(1),
+  availabilityZone: z.string(),
+  region: z.string(),
+  /** Where peers connect to it, as HOST:PORT. */
+  address: z.string(),
+  /** Unix milliseconds of the start of this life. */
+  bornMs: z.number(),
+});
+
+/** One worker, as the platform or a stand-in lists it. */
+export const workerInfoSchema = z.object({
+  workerId: z.string().min(1),
+  service: z.string(),
+  availabilityZone: z.string(),
+  address: z.string(),
+  cpuMilli: z.number().nonnegative(),
+  memoryMb: z.number().nonnegative(),
+  accelerators: z.number().nonnegative(),
+  /** Its kind and rack, as steps may require them. */
+  labels: z.array(z.string()),
+  draining: z.boolean(),
+  /** Unix milliseconds of the start of this life; null where not told. */
+  bornMs: z.number().nullable(),
+});
+
+/** A queue: where its jobs arrive, and what runs them. */
+export const queueRuleSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  pathPrefix: z.string(),
+  service: z.string(),
+  /** 0 is the most urgent. */
+  priority: z.number().int().nonnegative(),
+  /** Runs of one task that may end failed before the job is failed. */
+  attempts: z.number().int().positive(),
+  /** The objective is so many times the longest chain of work, */
+  stretch: z.number().positive(),
+  /** and so many milliseconds more. */
+  objectiveMs: z.number().nonnegative(),
+  timeoutMs: z.number().positive(),
+});
+
+/** A service: the pool of workers that carries some queues. */
+export const serviceRuleSchema = z.object({
+  name: z.string(),
+  healthPath: z.string(),
+  /** Its workers refuse by themselves what does not fit. */
+  guardsCapacity: z.boolean(),
+});
+
+/** The configuration in force. */
+export const configurationSchema = z.object({
+  version: z.number().int(),
+  queues: z.array(queueRuleSchema),
+  services: z.array(serviceRuleSchema),
+  maxBodyBytes: z.number().positive(),
+  maxHeaderBytes: z.number().positive(),
+  idleTimeoutMs: z.number().positive(),
+});
+
+/** What each task of a step needs. */
+export const jobTaskSchema = z.object({
+  cpuMilli: z.number().nonnegative(),
+  memoryMb: z.number().nonnegative(),
+  accelerators: z.number().nonnegative(),
+  estimatedMs: z.number().nonnegative(),
+});
+
+/** One step of a job: tasks that are alike. */
+export const stepSchema = jobTaskSchema.extend({
+  count: z.number().int().positive(),
+  /** Numbers of the steps that must be done before. */
+  after: z.array(z.number().int().nonnegative()),
+});
+
+/** A job as its caller describes it. */
+export const jobSpecSchema = z.object({
+  spec: z.string(),
+  steps: z.array(stepSchema).min(1),
+});
+
+const heartbeatSchema = z.object({
+  type: z.literal("heartbeat"),
+  draining: z.boolean(),
+  isLeader: z.boolean(),
+  /** Of the leader that the sender follows, itself included; 0 for none. */
+  term: z.number(),
+  leaderId: z.string().nullable(),
+  maxTermSeen: z.number(),
+  workersAgeMs: z.number(),
+  configurationVersion: z.number(),
+});
+
+const helloSchema = z.object({
+  type: z.literal("hello"),
+  instance: instanceInfoSchema,
+  known: z.array(instanceInfoSchema),
+});
+
+const submitSchema = z.object({
+  type: z.literal("submit"),
+  jobId: z.string(),
+  queue: queueRuleSchema,
+  job: jobSpecSchema,
+  availabilityZone: z.string(),
+  ageMs: z.number(),
+  timeLeftMs: z.number(),
+  /** A former leader had the job. */
+  resubmitted: z.boolean(),
+  doneTasks: z.array(z.string()),
+});
+
+const refusalReasons = [
+  "overloaded",
+  "noConfiguration",
+  "unknownQueue",
+  "noLeader",
+  "noWorker",
+  "unsupported",
+  "draining",
+] as const;
+
+const outcomeSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("done") }),
+  z.object({ kind: z.literal("failed") }),
+  z.object({
+    kind: z.literal("refused"),
+    reason: z.enum(refusalReasons),
+    retryAfterMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal("unknown"),
+    reason: z.enum(["leaderLost", "deadline"]),
+  }),
+]);
+
+/** Every message between instances. */
+export const peerMessageSchema = z.discriminatedUnion("type", [
+  heartbeatSchema,
+  helloSchema,
+  submitSchema,
+  z.object({ type: z.literal("withdraw"), jobId: z.string() }),
+  z.object({
+    type: z.literal("jobEnded"),
+    jobId: z.string(),
+    outcome: outcomeSchema,
+  }),
+  z.object({
+    type: z.literal("released"),
+    /** Who should lead next; null leaves it to the instances. */
+    successorId: z.string().nullable(),
+    jobs: z.array(z.object({
+      jobId: z.string(),
+      doneTasks: z.array(z.string()),
+    })),
+  }),
+  z.object({
+    type: z.literal("configuration"),
+    configuration: configurationSchema,
+  }),
+  z.object({ type: z.literal("configurationWanted") }),
+  z.object({
+    type: z.literal("workers"),
+    ageMs: z.number(),
+    workers: z.array(workerInfoSchema),
+  }),
+]);
+
+/** See {@linkcode instanceInfoSchema}. */
+export type InstanceInfo = z.infer<typeof instanceInfoSchema>;
+/** See {@linkcode workerInfoSchema}. */
+export type WorkerInfo = z.infer<typeof workerInfoSchema>;
+/** See {@linkcode queueRuleSchema}. */
+export type QueueRule = z.infer<typeof queueRuleSchema>;
+/** See {@linkcode serviceRuleSchema}. */
+export type ServiceRule = z.infer<typeof serviceRuleSchema>;
+/** See {@linkcode configurationSchema}. */
+export type Configuration = z.infer<typeof configurationSchema>;
+/** See {@linkcode jobTaskSchema}. */
+export type JobTask = z.infer<typeof jobTaskSchema>;
+/** See {@linkcode stepSchema}. */
+export type Step = z.infer<typeof stepSchema>;
+/** See {@linkcode jobSpecSchema}. */
+export type JobSpec = z.infer<typeof jobSpecSchema>;
+/** See {@linkcode peerMessageSchema}. */
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
+/** The message of one type. */
+export type PeerMessageOf<T extends PeerMessage["type"]> = Extract<
+  PeerMessage,
+  { type: T }
+>;
--- /dev/null
+++ b/src/engine/types.ts
@@ -0,0 +1,406 @@
+/** The shared types of the engine: state, events and effects. */
+
+import type { RunEstimate } from "../core/estimates.ts";
+import type {
+  Configuration,
+  InstanceInfo,
+  JobSpec,
+  JobTask,
+  PeerMessage,
+  QueueRule,
+  Step as JobStep,
+  WorkerInfo,
+} from "./schemas.ts";
+
+/** How a job ended, as callers are told. */
+export type JobOutcome =
+  | { readonly kind: "done" }
+  | { readonly kind: "failed" }
+  /** Nothing of the job has run, and nothing will. */
+  | {
+    readonly kind: "refused";
+    readonly reason: RefusalReason;
+    readonly retryAfterMs: number;
+  }
+  /** Tasks may have run; the outcome is not known. */
+  | { readonly kind: "unknown"; readonly reason: UnknownReason };
+
+/** Why a job was turned away before anything of it ran. */
+export type RefusalReason =
+  | "overloaded"
+  | "noConfiguration"
+  | "unknownQueue"
+  | "noLeader"
+  | "noWorker"
+  | "unsupported"
+  | "draining";
+
+/** Why the outcome of a job is not known. */
+export type UnknownReason = "leaderLost" | "deadline";
+
+/** How one run of a task ended, as its worker says. */
+export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "broken";
+
+/** One run in a worker's list of what it runs. */
+export interface RunningRow {
+  readonly taskName: string;
+  readonly run: number;
+  readonly percent: number;
+}
+
+/** One end in a worker's list of runs that ended. */
+export interface FinishedRow {
+  /** Rises by one with each end during one life of the worker. */
+  readonly sequence: number;
+  readonly taskName: string;
+  readonly run: number;
+  readonly end: RunEnd;
+}
+
+/** What came of a call that renews a worker's lease and reads its lists. */
+export type HoldOutcome =
+  | {
+    readonly kind: "held";
+    readonly clockMs: number;
+    readonly bornMs: number | null;
+    readonly running: readonly RunningRow[];
+    readonly finished: readonly FinishedRow[];
+  }
+  /** The worker has seen a higher fencing token. */
+  | { readonly kind: "fenced" }
+  /** Another life of the worker answers at the address. */
+  | { readonly kind: "replaced" }
+  /** The worker says that it is not able to work. */
+  | { readonly kind: "unhealthy" }
+  | { readonly kind: "unreachable"; readonly detail: string };
+
+/** What came of a call that starts a task. */
+export type StartOutcome =
+  | { readonly kind: "started"; readonly clockMs: number }
+  | {
+    readonly kind: "refused";
+    readonly reason: "fenced" | "oldRun" | "late" | "room" | "replaced";
+  }
+  | { readonly kind: "unhealthy" }
+  /** The connection was refused: the worker can't have seen the call. */
+  | { readonly kind: "notSent"; readonly detail: string }
+  | { readonly kind: "unknown"; readonly detail: string };
+
+/** What came of a call that stops a run. */
+export type StopOutcome =
+  | { readonly kind: "stopped" }
+  | { readonly kind: "fenced" }
+  | { readonly kind: "unknown"; readonly detail: string };
+
+/** What the shell tells the engine. `nowMs` is monotonic, `wallMs` is not. */
+export type EngineEvent =
+  & { readonly nowMs: number }
+  & (
+    | { readonly type: "tick"; readonly wallMs: number }
+    | {
+      readonly type: "callerSubmit";
+      readonly requestId: string;
+      readonly jobId: string;
+      readonly queue: QueueRule;
+      readonly job: JobSpec;
+      /** How long the caller waits for the answer. */
+      readonly timeoutMs: number;
+    }
+    | { readonly type: "callerGone"; readonly requestId: string }
+    | {
+      readonly type: "configurationRead";
+      readonly configuration: Configuration;
+    }
+    | { readonly type: "workersRead"; readonly workers: WorkerInfo[] }
+    /** The list of workers could not be read. */
+    | { readonly type: "workersUnread" }
+    | { readonly type: "instancesRead"; readonly instances: InstanceInfo[] }
+    | { readonly type: "peerUp"; readonly instanceId: string }
+    | {
+      readonly type: "peerDown";
+      readonly instanceId: string;
+      /** The peer's machine answers but its process is gone. */
+      readonly refused: boolean;
+    }
+    | {
+      readonly type: "peerMessage";
+      readonly from: string;
+      readonly message: PeerMessage;
+    }
+    | {
+      readonly type: "holdEnded";
+      readonly workerId: string;
+      readonly callId: number;
+      readonly outcome: HoldOutcome;
+    }
+    | {
+      readonly type: "startEnded";
+      readonly workerId: string;
+      readonly taskName: string;
+      readonly run: number;
+      readonly fence: number;
+      readonly outcome: StartOutcome;
+    }
+    | {
+      readonly type: "stopEnded";
+      readonly workerId: string;
+      readonly taskName: string;
+      readonly run: number;
+      readonly outcome: StopOutcome;
+    }
+    | { readonly type: "drainRequested" }
+  );
+
+/** The event of one type. */
+export type EngineEventOf<T extends EngineEvent["type"]> = Extract<
+  EngineEvent,
+  { type: T }
+>;
+
+/** What the engine asks of the shell. */
+export type Effect =
+  | {
+    readonly type: "answerCaller";
+    readonly requestId: string;
+    readonly jobId: string;
+    readonly outcome: JobOutcome;
+  }
+  | {
+    readonly type: "sendPeer";
+    readonly instanceId: string;
+    readonly message: PeerMessage;
+  }
+  | {
+    readonly type: "hold";
+    readonly workerId: string;
+    readonly address: string;
+    readonly callId: number;
+    readonly fence: number;
+    /** Ends up to this number are known here; the worker may forget them. */
+    readonly lastSeenEnd: number;
+    /** On the worker's clock; null renews nothing. */
+    readonly leaseEndsMs: number | null;
+    readonly waitMs: number;
+  }
+  | {
+    readonly type: "startTask";
+    readonly workerId: string;
+    readonly address: string;
+    readonly taskName: string;
+    readonly run: number;
+    readonly spec: string;
+    readonly fence: number;
+    /** On the worker's clock. */
+    readonly leaseEndsMs: number;
+  }
+  | {
+    readonly type: "stopTask";
+    readonly workerId: string;
+    readonly address: string;
+    readonly taskName: string;
+    readonly run: number;
+    readonly fence: number;
+  }
+  | {
+    readonly type: "log";
+    readonly level: "info" | "warn" | "error";
+    readonly part: string;
+    readonly text: string;
+    readonly fields: Readonly<Record<string, unknown>>;
+  }
+  | { readonly type: "peersChanged" };
+
+/** One peer as this instance sees it. */
+export interface Peer {
+  info: InstanceInfo;
+  lastHeardMs: number;
+  connected: boolean;
+  /** Its machine refused a connection: the process is not running. */
+  refusedAtMs: number;
+  draining: boolean;
+  isLeader: boolean;
+  term: number;
+  /** How old the peer's list of workers is. */
+  workersAgeMs: number;
+  configurationVersion: number;
+  nextHeartbeatMs: number;
+}
+
+/** A job whose caller waits at this instance. */
+export interface CallerJob {
+  readonly jobId: string;
+  readonly queue: QueueRule;
+  readonly job: JobSpec;
+  readonly receivedAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly requestIds: string[];
+  /** The term of the leader that was given the job last; 0 for none yet. */
+  submittedTerm: number;
+  /** A leader was given the job, so tasks of it may have started. */
+  everSubmitted: boolean;
+  /** Tasks that a former leader reported as done. */
+  doneTasks: readonly string[];
+}
+
+/** Where one task stands at the leader. */
+export type TaskState = "waiting" | "queued" | "placed" | "done";
+
+/** One task of a job at the leader. */
+export interface Task {
+  readonly name: string;
+  readonly stepIndex: number;
+  readonly demand: JobTask;
+  state: TaskState;
+  run: number;
+  failures: number;
+  /** The worker that runs it, while placed. */
+  workerId: string | null;
+  /** Workers on which a run of it failed. */
+  readonly failedOn: Set<string>;
+}
+
+/** A job at the leader. */
+export interface Job {
+  readonly jobId: string;
+  readonly queue: QueueRule;
+  readonly spec: string;
+  readonly steps: readonly JobStep[];
+  /** The instances whose callers wait for it. */
+  readonly entries: Set<string>;
+  readonly availabilityZone: string;
+  readonly receivedAtMs: number;
+  deadlineAtMs: number;
+  /** The end by which the answer counts as in time. */
+  readonly objectiveAtMs: number;
+  /** Expected time of its longest chain of tasks, run without waiting. */
+  readonly chainMs: number;
+  readonly tasks: Task[];
+  unfinished: number;
+  /** Tasks of it were handed to workers, here or by a former leader. */
+  begun: boolean;
+  outcome: JobOutcome | null;
+  endedAtMs: number;
+}
+
+/** One run that takes room on a worker. */
+export interface WorkerRun {
+  readonly taskName: string;
+  readonly run: number;
+  /** Null for a run that belongs to no job known here. */
+  readonly job: Job | null;
+  readonly task: Task | null;
+  readonly cpuMilli: number;
+  readonly memoryMb: number;
+  state: "starting" | "running" | "stopping";
+  readonly placedAtMs: number;
+  /** When the worker's answer to the start or stop came. */
+  ackedAtMs: number;
+  stopSentAtMs: number;
+  /** When progress was last seen, and how much. */
+  percent: number;
+}
+
+/** A worker that this instance may start tasks on. */
+export interface OwnedWorker {
+  info: WorkerInfo;
+  /** No task starts on it before what runs there is known. */
+  phase: "taking" | "ready" | "lost";
+  /** It belongs to another side of a cut, or is gone from the list. */
+  released: boolean;
+  fence: number;
+  bornMs: number | null;
+  /** The worker's clock minus this instance's. */
+  clockOffsetMs: number;
+  lastSeenEnd: number;
+  unacknowledgedEnds: boolean;
+  holdCallId: number;
+  holdSentAtMs: number;
+  holdFailures: number;
+  nextHoldMs: number;
+  /** By then, whatever this instance granted has lapsed. */
+  leaseLapsesAtMs: number;
+  takenAtMs: number;
+  readonly runs: Map<string, WorkerRun>;
+  usedCpuMilli: number;
+  usedMemoryMb: number;
+  failuresInRow: number;
+  suspendedUntilMs: number;
+  /** Mean of run times over what was expected of the kind. */
+  slowness: number;
+  retryAtMs: number;
+}
+
+/** What is learned of one queue's tasks. */
+export interface QueueStatistics {
+  readonly runs: RunEstimate;
+  /** Mean of cpu milliseconds that a job of the queue needs. */
+  samples: number;
+}
+
+/** The state of an instance while it leads. */
+export interface Scheduler {
+  readonly term: number;
+  readonly sinceMs: number;
+  readonly jobs: Map<string, Job>;
+  /** Jobs with queued tasks, by service. */
+  readonly waiting: Map<string, Job[]>;
+  readonly workers: Map<string, OwnedWorker>;
+  readonly ended: Job[];
+}
+
+/** Counters, for metrics and the state dump. */
+export interface Counters {
+  jobsReceived: number;
+  jobsDone: number;
+  jobsFailed: number;
+  jobsRefused: number;
+  jobsUnknown: number;
+  callersGone: number;
+  tasksStarted: number;
+  tasksDone: number;
+  tasksFailed: number;
+  tasksLapsed: number;
+  tasksStopped: number;
+  startsRefused: number;
+  startsUnknown: number;
+  holds: number;
+  takeovers: number;
+  peerMessages: number;
+}
+
+/** The whole state of one instance. */
+export interface EngineState {
+  readonly self: InstanceInfo;
+  readonly leaseMs: number;
+  readonly bornAtMs: number;
+  nowMs: number;
+  wallMs: number;
+  lastTickMs: number;
+  configuration: Configuration | null;
+  readonly peers: Map<string, Peer>;
+  leaderId: string | null;
+  leaderTerm: number;
+  /** Since when no leader is known. */
+  leaderlessSinceMs: number;
+  maxTermSeen: number;
+  draining: boolean;
+  workers: Map<string, WorkerInfo>;
+  workersReadAtMs: number;
+  workersVersion: number;
+  workersUnreadSinceMs: number;
+  /** When the list of workers could be read again after an outage. */
+  listReturnedAtMs: number;
+  readonly callerJobs: Map<string, CallerJob>;
+  readonly statistics: Map<string, QueueStatistics>;
+  scheduler: Scheduler | null;
+  nextCallId: number;
+  readonly counters: Counters;
+}
+
+/** Collects the effects of one event. */
+export interface Turn {
+  readonly state: EngineState;
+  readonly effects: Effect[];
+  /** Messages of this instance to itself, handled within the same turn. */
+  readonly toSelf: PeerMessage[];
+}
--- /dev/null
+++ b/src/engine/workers.ts
@@ -0,0 +1,448 @@
+/**
+ * The workers that a leader holds: taken under a fencing token, kept by
+ * renewing leases, read for ends, and let go.
+ */
+
+import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
+import { seesMajority, workersAgeMs } from "./membership.ts";
+import { FENCES_PER_TERM, firstFence, workersOfSide } from "./ownership.ts";
+import {
+  applyEnd,
+  checkRuns,
+  dropRun,
+  reconcileRuns,
+  stopRun,
+} from "./runs.ts";
+import { emit, logDecision, sendPeer } from "./turn.ts";
+import type {
+  EngineEventOf,
+  EngineState,
+  HoldOutcome,
+  OwnedWorker,
+  Scheduler,
+  Turn,
+} from "./types.ts";
+
+/** How long a hold waits at the worker for an end. */
+const HOLD_WAIT_MS = 400;
+/** Workers whose clock runs slow keep a lease longer by this share. */
+const CLOCK_DRIFT = 0.02;
+/** How late a lease may have begun after the call that granted it. */
+const LEASE_SLACK_MS = 60;
+/** Ends on a worker that runs nothing more are acknowledged after so long. */
+const ACKNOWLEDGE_MS = 60;
+/** An unreachable worker is tried again after so long. */
+const RETRY_WORKER_MS = 300;
+/** A worker lost to another instance is taken again after so long. */
+const RETAKE_MS = 5_000;
+/** And after so long where no instance is missing. */
+const RETAKE_ALONE_MS = 200;
+/** By so many terms the token rises when a worker has seen a higher one. */
+const FENCE_JUMP_TERMS = 512 * 100;
+/** A run of a former leader is claimed by its entry within so long. */
+const ADOPTION_MS = 120;
+/** A worker missing from the list is taken for gone after so long. */
+const MISSING_GRACE_MS = 2_500;
+/** A list that could not be read for so long was away. */
+const LIST_AWAY_MS = 1_000;
+
+/** The list of workers was read from the store. */
+export function onWorkersRead(
+  turn: Turn,
+  event: EngineEventOf<"workersRead">,
+): void {
+  const { state } = turn;
+  const changed = adoptWorkers(turn, { workers: event.workers, ageMs: 0 });
+  if (!changed) return;
+  for (const peer of state.peers.values()) {
+    sendPeer(turn, peer.info.instanceId, {
+      type: "workers",
+      ageMs: 0,
+      workers: [...state.workers.values()],
+    });
+  }
+}
+
+/** The list could not be read. */
+export function onWorkersUnread({ state }: Turn): void {
+  if (state.workersUnreadSinceMs === 0) {
+    state.workersUnreadSinceMs = state.nowMs;
+  }
+}
+
+/** A peer passes on the list that it read. */
+export function onPeerWorkers(
+  turn: Turn,
+  message: PeerMessageOf<"workers">,
+): void {
+  if (message.ageMs >= workersAgeMs(turn.state)) return;
+  adoptWorkers(turn, message);
+}
+
+function adoptWorkers(
+  turn: Turn,
+  { workers, ageMs }: { workers: readonly WorkerInfo[]; ageMs: number },
+): boolean {
+  const { state } = turn;
+  noteListReturned(state);
+  state.workersReadAtMs = state.nowMs - ageMs;
+  const next = new Map(workers.map((worker) => [worker.workerId, worker]));
+  keepMissing(state, next);
+  const changed = !sameWorkers(state.workers, next);
+  if (!changed) return false;
+  for (const [workerId, info] of next) {
+    const before = state.workers.get(workerId);
+    if (before !== undefined && before.draining === info.draining) continue;
+    logDecision(turn, { part: "workers", text: "a worker is listed" }, {
+      workerId,
+      draining: info.draining,
+      service: info.service,
+      cpuMilli: info.cpuMilli,
+    });
+  }
+  state.workers = next;
+  state.workersVersion += 1;
+  if (state.scheduler !== null) syncWorkers(turn, state.scheduler);
+  return true;
+}
+
+/** After an outage of the list, entries that lapsed have time to return. */
+function noteListReturned(state: EngineState): void {
+  if (state.workersUnreadSinceMs === 0) return;
+  const awayMs = state.nowMs - state.workersUnreadSinceMs;
+  state.workersUnreadSinceMs = 0;
+  if (awayMs >= LIST_AWAY_MS) state.listReturnedAtMs = state.nowMs;
+}
+
+/** Keeps workers that vanished while the list was away, for a moment. */
+function keepMissing(
+  state: EngineState,
+  next: Map<string, WorkerInfo>,
+): void {
+  if (state.nowMs - state.listReturnedAtMs >= MISSING_GRACE_MS) return;
+  for (const [workerId, info] of state.workers) {
+    if (!next.has(workerId)) next.set(workerId, info);
+  }
+}
+
+function sameWorkers(
+  a: ReadonlyMap<string, WorkerInfo>,
+  b: ReadonlyMap<string, WorkerInfo>,
+): boolean {
+  if (a.size !== b.size) return false;
+  for (const [workerId, info] of b) {
+    const other = a.get(workerId);
+    if (other === undefined || !sameWorker(other, info)) return false;
+  }
+  return true;
+}
+
+function sameWorker(a: WorkerInfo, b: WorkerInfo): boolean {
+  return a.address === b.address && a.draining === b.draining &&
+    a.service === b.service && a.bornMs === b.bornMs &&
+    a.cpuMilli === b.cpuMilli && a.memoryMb === b.memoryMb;
+}
+
+/** Takes the workers that this leader should hold, and lets others go. */
+export function syncWorkers(turn: Turn, scheduler: Scheduler): void {
+  const { state } = turn;
+  const wanted = new Map(
+    workersOfSide(state).map((info) => [info.workerId, info]),
+  );
+  for (const [workerId, worker] of scheduler.workers) {
+    const info = wanted.get(workerId);
+    if (info !== undefined) updateWorker(turn, worker, info);
+    else letGo(turn, scheduler, worker);
+  }
+  for (const [workerId, info] of wanted) {
+    if (scheduler.workers.has(workerId)) continue;
+    const worker = createWorker(state, scheduler, info);
+    scheduler.workers.set(workerId, worker);
+    take(turn, worker);
+  }
+}
+
+function updateWorker(turn: Turn, worker: OwnedWorker, info: WorkerInfo): void {
+  const reborn = info.bornMs !== null && worker.bornMs !== null &&
+    info.bornMs > worker.bornMs;
+  const moved = info.address !== worker.info.address;
+  worker.info = info;
+  const returned = worker.released;
+  worker.released = false;
+  if (reborn || moved || returned) resolveByFence(turn, worker);
+}
+
+/**
+ * A worker that left the list keeps what it runs; one of the other side of a
+ * cut is not renewed any more, so that its runs lapse.
+ */
+function letGo(turn: Turn, scheduler: Scheduler, worker: OwnedWorker): void {
+  const { state } = turn;
+  const { workerId } = worker.info;
+  if (worker.runs.size === 0) {
+    scheduler.workers.delete(workerId);
+    return;
+  }
+  worker.released = true;
+  if (!state.workers.has(workerId) || worker.phase === "lost") return;
+  worker.phase = "lost";
+  worker.retryAtMs = Infinity;
+}
+
+function createWorker(
+  state: EngineState,
+  scheduler: Scheduler,
+  info: WorkerInfo,
+): OwnedWorker {
+  return {
+    info,
+    phase: "taking",
+    released: false,
+    fence: firstFence(scheduler.term),
+    bornMs: null,
+    clockOffsetMs: 0,
+    lastSeenEnd: 0,
+    unacknowledgedEnds: false,
+    holdCallId: 0,
+    holdSentAtMs: 0,
+    holdFailures: 0,
+    nextHoldMs: state.nowMs,
+    leaseLapsesAtMs: 0,
+    takenAtMs: 0,
+    runs: new Map(),
+    usedCpuMilli: 0,
+    usedMemoryMb: 0,
+    failuresInRow: 0,
+    suspendedUntilMs: 0,
+    slowness: 1,
+    retryAtMs: 0,
+  };
+}
+
+/** Reads a worker's lists under its token, without renewing any lease. */
+function take(turn: Turn, worker: OwnedWorker): void {
+  worker.phase = "taking";
+  sendHold(turn, worker, { waitMs: 0, renews: false });
+}
+
+/**
+ * Raises a worker's token and reads its lists. Whatever was sent under the
+ * token before either shows there, or never takes effect.
+ */
+export function resolveByFence(turn: Turn, worker: OwnedWorker): void {
+  worker.fence += 1;
+  take(turn, worker);
+}
+
+function sendHold(
+  turn: Turn,
+  worker: OwnedWorker,
+  { waitMs, renews }: { waitMs: number; renews: boolean },
+): void {
+  const { state } = turn;
+  state.nextCallId += 1;
+  state.counters.holds += 1;
+  worker.holdCallId = state.nextCallId;
+  worker.holdSentAtMs = state.nowMs;
+  worker.nextHoldMs = Infinity;
+  if (renews) {
+    worker.leaseLapsesAtMs = state.nowMs + state.leaseMs * (1 + CLOCK_DRIFT) +
+      LEASE_SLACK_MS;
+  }
+  emit(turn, {
+    type: "hold",
+    workerId: worker.info.workerId,
+    address: worker.info.address,
+    callId: worker.holdCallId,
+    fence: worker.fence,
+    lastSeenEnd: worker.lastSeenEnd,
+    leaseEndsMs: renews ? leaseEndsOnWorkerMs(state, worker) : null,
+    waitMs,
+  });
+}
+
+/** When a lease granted now ends, on the worker's clock. */
+export function leaseEndsOnWorkerMs(
+  state: EngineState,
+  worker: OwnedWorker,
+): number {
+  return Math.floor(state.nowMs + worker.clockOffsetMs + state.leaseMs);
+}
+
+type HoldHandlers = {
+  [K in HoldOutcome["kind"]]: (
+    turn: Turn,
+    worker: OwnedWorker,
+    outcome: Extract<HoldOutcome, { kind: K }>,
+  ) => void;
+};
+
+const holdHandlers: HoldHandlers = {
+  held: onHeld,
+  fenced: (turn, worker) => yieldWorker(turn, worker),
+  replaced: (turn, worker) => loseWorker(turn, worker, "replaced"),
+  unhealthy: (turn, worker) => loseWorker(turn, worker, "unhealthy"),
+  unreachable: (turn, worker, { detail }) => loseWorker(turn, worker, detail),
+};
+
+/** A worker answered a hold, or did not. Returns the worker to place on. */
+export function onHoldEnded(
+  turn: Turn,
+  event: EngineEventOf<"holdEnded">,
+): OwnedWorker | null {
+  const worker = turn.state.scheduler?.workers.get(event.workerId);
+  if (worker === undefined || worker.holdCallId !== event.callId) return null;
+  const handler = holdHandlers[event.outcome.kind] as (
+    turn: Turn,
+    worker: OwnedWorker,
+    outcome: HoldOutcome,
+  ) => void;
+  handler(turn, worker, event.outcome);
+  return worker;
+}
+
+function onHeld(
+  turn: Turn,
+  worker: OwnedWorker,
+  outcome: Extract<HoldOutcome, { kind: "held" }>,
+): void {
+  const { state } = turn;
+  const fresh = worker.phase !== "ready";
+  worker.holdFailures = 0;
+  worker.clockOffsetMs = outcome.clockMs - state.nowMs;
+  noteLife(turn, worker, outcome.bornMs);
+  for (const row of outcome.finished) {
+    if (row.sequence <= worker.lastSeenEnd) continue;
+    worker.lastSeenEnd = row.sequence;
+    worker.unacknowledgedEnds = true;
+    applyEnd(turn, worker, row);
+  }
+  reconcileRuns(turn, worker, {
+    running: outcome.running,
+    sentAtMs: worker.holdSentAtMs,
+    fresh,
+  });
+  if (fresh) becomeReady(turn, worker);
+  scheduleHold(turn, worker);
+}
+
+/** A worker that started again has forgotten its ends and its runs. */
+function noteLife(
+  turn: Turn,
+  worker: OwnedWorker,
+  bornMs: number | null,
+): void {
+  if (bornMs === null || bornMs === worker.bornMs) return;
+  if (worker.bornMs !== null) {
+    logDecision(turn, { part: "workers", text: "a worker started again" }, {
+      workerId: worker.info.workerId,
+      bornMs,
+      runsLost: worker.runs.size,
+    });
+    worker.lastSeenEnd = 0;
+    worker.failuresInRow = 0;
+  }
+  worker.bornMs = bornMs;
+}
+
+function becomeReady(turn: Turn, worker: OwnedWorker): void {
+  const { state } = turn;
+  worker.phase = "ready";
+  worker.takenAtMs = state.nowMs;
+  logDecision(turn, { part: "workers", text: "holding a worker" }, {
+    workerId: worker.info.workerId,
+    fence: worker.fence,
+    runs: worker.runs.size,
+  });
+}
+
+/** Decides when the worker is called next. */
+function scheduleHold(turn: Turn, worker: OwnedWorker): void {
+  const { state } = turn;
+  if (worker.runs.size > 0) {
+    worker.unacknowledgedEnds = false;
+    sendHold(turn, worker, { waitMs: HOLD_WAIT_MS, renews: true });
+    return;
+  }
+  worker.nextHoldMs = worker.unacknowledgedEnds
+    ? state.nowMs + ACKNOWLEDGE_MS
+    : Infinity;
+}
+
+/** Another instance holds the worker under a higher token. */
+export function yieldWorker(turn: Turn, worker: OwnedWorker): void {
+  const { state } = turn;
+  const rivalLikely = !seesMajority(state) || hasMissingPeers(state);
+  worker.phase = "lost";
+  worker.fence += FENCE_JUMP_TERMS * FENCES_PER_TERM;
+  worker.retryAtMs = state.nowMs + (rivalLikely ? RETAKE_MS : RETAKE_ALONE_MS);
+  logDecision(turn, {
+    level: "warn",
+    part: "workers",
+    text: "another instance holds the worker",
+  }, { workerId: worker.info.workerId, rivalLikely });
+}
+
+function hasMissingPeers(state: EngineState): boolean {
+  for (const peer of state.peers.values()) {
+    if (peer.refusedAtMs > peer.lastHeardMs) continue;
+    if (state.nowMs - peer.lastHeardMs > 1_000) return true;
+  }
+  return false;
+}
+
+function loseWorker(turn: Turn, worker: OwnedWorker, reason: string): void {
+  const { state } = turn;
+  worker.holdFailures += 1;
+  if (worker.holdFailures === 1) {
+    logDecision(turn, {
+      level: "warn",
+      part: "workers",
+      text: "a worker does not answer",
+    }, { workerId: worker.info.workerId, reason, runs: worker.runs.size });
+  }
+  worker.phase = "lost";
+  worker.retryAtMs = state.nowMs +
+    (worker.holdFailures === 1 ? 0 : RETRY_WORKER_MS);
+}
+
+/** Looks after every worker: leases, calls that are due, lost workers. */
+export function checkWorkers(turn: Turn, scheduler: Scheduler): void {
+  const { state } = turn;
+  for (const worker of scheduler.workers.values()) {
+    dropLapsedRuns(turn, worker);
+    if (worker.phase === "lost") {
+      if (state.nowMs >= worker.retryAtMs) {
+        worker.retryAtMs = Infinity;
+        resolveByFence(turn, worker);
+      }
+      continue;
+    }
+    stopUnclaimedRuns(turn, worker);
+    checkRuns(turn, worker);
+    if (state.nowMs < worker.nextHoldMs || worker.phase !== "ready") continue;
+    worker.unacknowledgedEnds = false;
+    const busy = worker.runs.size > 0;
+    sendHold(turn, worker, { waitMs: busy ? HOLD_WAIT_MS : 0, renews: busy });
+  }
+}
+
+/** Nothing runs any more on a worker that was out of reach for a lease. */
+function dropLapsedRuns(turn: Turn, worker: OwnedWorker): void {
+  const { state } = turn;
+  if (worker.phase !== "lost" || worker.runs.size === 0) return;
+  if (state.nowMs < worker.leaseLapsesAtMs) return;
+  for (const run of [...worker.runs.values()]) {
+    if (state.nowMs < run.placedAtMs + state.leaseMs + LEASE_SLACK_MS) continue;
+    state.counters.tasksLapsed += 1;
+    dropRun(turn, worker, { run, failed: false });
+  }
+}
+
+function stopUnclaimedRuns(turn: Turn, worker: OwnedWorker): void {
+  for (const run of worker.runs.values()) {
+    if (run.job !== null) continue;
+    if (turn.state.nowMs - run.placedAtMs < ADOPTION_MS) continue;
+    stopRun(turn, worker, run);
+  }
+}
--- /dev/null
+++ b/src/host/sleep.ts
@@ -0,0 +1,6 @@
+/** A pause. */
+
+/** Resolves after so many milliseconds; does not keep the process alive. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms).unref());
+}
--- /dev/null
+++ b/src/instance/instance.ts
@@ -0,0 +1,196 @@
+/**
+ * One instance as a library: the shell that feeds the reducer with events and
+ * carries out its effects. Listeners for callers use it through `submit`.
+ */
+
+import { createEngine, reduce } from "../engine/reduce.ts";
+import type { InstanceInfo, JobSpec, QueueRule } from "../engine/schemas.ts";
+import type {
+  Effect,
+  EngineEvent,
+  EngineState,
+  JobOutcome,
+} from "../engine/types.ts";
+import type { ClockHost } from "../host/hosts.ts";
+import { startDirectoryReaders } from "./directory_readers.ts";
+import type { DirectoryHost, WorkerHost } from "./hosts.ts";
+import type { JsonLog } from "./json_log.ts";
+import { createPeerMesh, type PeerMesh } from "./peer_mesh.ts";
+
+/** Period of the engine's tick. */
+const TICK_MS = 25;
+
+/** What an instance is made from. */
+export interface InstanceOptions {
+  readonly self: InstanceInfo;
+  readonly leaseMs: number;
+  /** Addresses of instances that may tell of others, as HOST:PORT. */
+  readonly seeds: readonly string[];
+  readonly clock: ClockHost;
+  readonly workers: WorkerHost;
+  readonly directory: DirectoryHost;
+  readonly log: JsonLog;
+}
+
+/** A job that a caller hands in. */
+export interface CallerSubmission {
+  readonly jobId: string;
+  readonly queue: QueueRule;
+  readonly job: JobSpec;
+  readonly timeoutMs: number;
+  readonly onAnswer: (outcome: JobOutcome) => void;
+}
+
+/** A running instance. */
+export interface Instance {
+  readonly state: EngineState;
+  /** Hands in a job; the function returned says that the caller left. */
+  readonly submit: (submission: CallerSubmission) => () => void;
+  /** Stops leading and taking new work. */
+  readonly drain: () => void;
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts an instance. */
+export async function startInstance(
+  options: InstanceOptions,
+): Promise<Instance> {
+  const { self, clock, workers, directory, log } = options;
+  const state = createEngine({
+    self,
+    leaseMs: options.leaseMs,
+    nowMs: clock.nowMs(),
+    wallMs: clock.wallMs(),
+  });
+  const waiting = new Map<string, (outcome: JobOutcome) => void>();
+  let nextRequest = 0;
+  let mesh: PeerMesh | null = null;
+
+  function dispatch(event: EngineEvent): void {
+    for (const effect of reduce(state, event)) perform(effect);
+  }
+
+  const performers: {
+    [T in Effect["type"]]: (effect: Extract<Effect, { type: T }>) => void;
+  } = {
+    answerCaller: ({ requestId, outcome }) => {
+      const onAnswer = waiting.get(requestId);
+      waiting.delete(requestId);
+      onAnswer?.(outcome);
+    },
+    sendPeer: ({ instanceId, message }) => mesh?.send(instanceId, message),
+    hold: (effect) => {
+      const { workerId, callId } = effect;
+      void workers.hold(effect).then((outcome) =>
+        dispatch({
+          type: "holdEnded",
+          nowMs: clock.nowMs(),
+          workerId,
+          callId,
+          outcome,
+        })
+      );
+    },
+    startTask: (effect) => {
+      const { workerId, taskName, run, fence } = effect;
+      void workers.start(effect).then((outcome) =>
+        dispatch({
+          type: "startEnded",
+          nowMs: clock.nowMs(),
+          workerId,
+          taskName,
+          run,
+          fence,
+          outcome,
+        })
+      );
+    },
+    stopTask: (effect) => {
+      const { workerId, taskName, run } = effect;
+      void workers.stop(effect).then((outcome) =>
+        dispatch({
+          type: "stopEnded",
+          nowMs: clock.nowMs(),
+          workerId,
+          taskName,
+          run,
+          outcome,
+        })
+      );
+    },
+    log: ({ level, part, text, fields }) =>
+      log.write(level, { part, text, fields }),
+    peersChanged: () =>
+      mesh?.setPeers([...state.peers.values()].map((peer) => peer.info)),
+  };
+
+  function perform(effect: Effect): void {
+    const performer = performers[effect.type] as (effect: Effect) => void;
+    performer(effect);
+  }
+
+  mesh = await createPeerMesh({
+    self,
+    handlers: {
+      onMessage: (from, message) =>
+        dispatch({ type: "peerMessage", nowMs: clock.nowMs(), from, message }),
+      onUp: (instanceId) =>
+        dispatch({ type: "peerUp", nowMs: clock.nowMs(), instanceId }),
+      onDown: (instanceId, refused) =>
+        dispatch({
+          type: "peerDown",
+          nowMs: clock.nowMs(),
+          instanceId,
+          refused,
+        }),
+      onMalformed: (detail) =>
+        log.write("warn", {
+          part: "peers",
+          text: "a message can't be read",
+          fields: { detail },
+        }),
+    },
+  });
+  const ticker = setInterval(() =>
+    dispatch({
+      type: "tick",
+      nowMs: clock.nowMs(),
+      wallMs: clock.wallMs(),
+    }), TICK_MS);
+  const stopReaders = startDirectoryReaders({
+    self,
+    seeds: options.seeds,
+    state,
+    directory,
+    log,
+    dispatch,
+    clock,
+  });
+
+  return {
+    state,
+    submit({ onAnswer, ...submission }) {
+      nextRequest += 1;
+      const requestId = String(nextRequest);
+      waiting.set(requestId, onAnswer);
+      dispatch({
+        type: "callerSubmit",
+        nowMs: clock.nowMs(),
+        requestId,
+        ...submission,
+      });
+      return () => {
+        if (!waiting.delete(requestId)) return;
+        dispatch({ type: "callerGone", nowMs: clock.nowMs(), requestId });
+      };
+    },
+    drain: () => dispatch({ type: "drainRequested", nowMs: clock.nowMs() }),
+    async stop() {
+      clearInterval(ticker);
+      stopReaders();
+      await mesh?.close();
+      await workers.close();
+      await directory.close();
+    },
+  };
+}
