Refusals only from the present leader; resubmitted jobs wait for the workers

Ruled out: late orders; the fencing token refused each of them. Change: a refusal counts only from the leader that has the job now; jobs that a former leader had wait until all workers are read; found runs are claimed by the job that arrives later; jobs of silent entries stop; lines are cut by hand.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -104,13 +104,23 @@
   }
 }
 
-/** The leader tells how a job ended. */
+/**
+ * A leader tells how a job ended. Only the leader that was given the job last
+ * can say that nothing of it runs: another may have started it since.
+ */
 export function onJobEnded(
   turn: Turn,
-  message: PeerMessageOf<"jobEnded">,
+  from: string,
+  { jobId, outcome }: PeerMessageOf<"jobEnded">,
 ): void {
-  const callerJob = turn.state.callerJobs.get(message.jobId);
-  if (callerJob !== undefined) answer(turn, callerJob, message.outcome);
+  const { state } = turn;
+  const callerJob = state.callerJobs.get(jobId);
+  if (callerJob === undefined) return;
+  const isWhole = outcome.kind === "done" || outcome.kind === "failed";
+  const isCurrent = from === state.leaderId &&
+    callerJob.submittedTerm === state.leaderTerm;
+  if (!isWhole && !isCurrent) return;
+  answer(turn, callerJob, outcome);
 }
 
 const outcomeCounters = {
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -5,7 +5,7 @@
 import { refusalOf } from "./admit.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import { placeWaiting } from "./place.ts";
-import { stopRun } from "./runs.ts";
+import { claimRuns, stopRun } from "./runs.ts";
 import { logDecision, sendPeer } from "./turn.ts";
 import type {
   EngineState,
@@ -20,6 +20,11 @@
 /** How long an ended job is remembered, for a caller that asks again. */
 const REMEMBER_ENDED_MS = 6_000;
 
+/** Nothing more starts for an entry that was silent for so long. */
+const PAUSE_SILENT_MS = 500;
+/** And what runs for it is stopped after so long. */
+const DROP_SILENT_MS = 750;
+
 /** An entry hands in a job. */
 export function onSubmit(
   turn: Turn,
@@ -46,6 +51,7 @@
     return;
   }
   scheduler.jobs.set(job.jobId, job);
+  claimRuns(turn, scheduler, job);
   enqueue(scheduler, job);
   placeWaiting(turn, job.queue.service);
 }
@@ -61,6 +67,7 @@
     return;
   }
   job.entries.add(from);
+  job.paused = false;
   const deadlineAtMs = turn.state.nowMs + message.timeLeftMs;
   job.deadlineAtMs = Math.max(job.deadlineAtMs, deadlineAtMs);
 }
@@ -103,6 +110,8 @@
     tasks,
     unfinished: tasks.filter((task) => task.state !== "done").length,
     begun: message.resubmitted,
+    resubmitted: message.resubmitted,
+    paused: false,
     outcome: null,
     endedAtMs: 0,
   };
@@ -243,6 +252,7 @@
   const { state } = turn;
   for (const job of scheduler.jobs.values()) {
     if (job.outcome !== null) continue;
+    if (watchEntries(turn, scheduler, job)) continue;
     if (!job.begun) {
       const refusal = refusalOf(state, scheduler, job);
       if (refusal !== null) {
@@ -261,6 +271,34 @@
   forgetEnded(state, scheduler);
 }
 
+/**
+ * Stops what runs for entries that went silent: across a cut they have handed
+ * their jobs to another leader. Returns whether the job was dropped.
+ */
+function watchEntries(turn: Turn, scheduler: Scheduler, job: Job): boolean {
+  const silentMs = entriesSilentMs(turn.state, job);
+  job.paused = silentMs > PAUSE_SILENT_MS;
+  if (silentMs <= DROP_SILENT_MS) return false;
+  logDecision(turn, { part: "jobs", text: "dropped: its entry is silent" }, {
+    jobId: job.jobId,
+    silentMs: Math.round(silentMs),
+  });
+  endJob(turn, job, { kind: "unknown", reason: "leaderLost" });
+  scheduler.jobs.delete(job.jobId);
+  return true;
+}
+
+/** How long all entries of a job have been out of reach; 0 where one ended. */
+function entriesSilentMs(state: EngineState, job: Job): number {
+  let silentMs = Infinity;
+  for (const entryId of job.entries) {
+    const peer = state.peers.get(entryId);
+    if (peer === undefined || peer.refusedAtMs > peer.lastHeardMs) return 0;
+    silentMs = Math.min(silentMs, state.nowMs - peer.lastHeardMs);
+  }
+  return silentMs;
+}
+
 function forgetEnded(state: EngineState, scheduler: Scheduler): void {
   const { ended, jobs } = scheduler;
   let count = 0;
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -81,6 +81,7 @@
     refusedAtMs: 0,
     draining: false,
     isLeader: false,
+    provisional: false,
     term: 0,
     workersAgeMs: Infinity,
     configurationVersion: -1,
@@ -156,6 +157,7 @@
   if (peer === undefined) return;
   peer.draining = message.draining;
   peer.isLeader = message.isLeader;
+  peer.provisional = message.provisional;
   peer.term = message.term;
   peer.workersAgeMs = message.workersAgeMs;
   peer.configurationVersion = message.configurationVersion;
@@ -179,6 +181,7 @@
     type: "heartbeat",
     draining: state.draining,
     isLeader,
+    provisional: state.scheduler?.provisional ?? false,
     term: state.leaderTerm,
     leaderId: state.leaderId,
     maxTermSeen: state.maxTermSeen,
--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -27,6 +27,8 @@
 export const FENCES_PER_TERM = 512;
 /** After its start an instance listens so long before it leads. */
 const LISTEN_FIRST_MS = 900;
+/** A provisional lead lasts at least so long. */
+const CONFIRM_MS = 3_000;
 /** The next in rank leads if those before it did not by then. */
 const RANK_DELAY_MS = 400;
 
@@ -59,7 +61,10 @@
 export function checkLeadership(turn: Turn): void {
   const { state } = turn;
   followHighestLeader(turn);
-  if (state.scheduler !== null) return;
+  if (state.scheduler !== null) {
+    confirmLead(state, state.scheduler);
+    return;
+  }
   const leader = state.leaderId === null
     ? undefined
     : state.peers.get(state.leaderId);
@@ -73,22 +78,49 @@
     state.nowMs - peer.lastHeardMs < LEADER_SILENT_MS;
 }
 
+/** A claim to lead: its term, and whether most instances were heard. */
+interface Claim {
+  readonly term: number;
+  readonly provisional: boolean;
+}
+
+/** Whether the first claim to lead goes before the second. */
+function outranks(a: Claim, b: Claim): boolean {
+  if (a.provisional !== b.provisional) return b.provisional;
+  return a.term > b.term;
+}
+
 function followHighestLeader(turn: Turn): void {
   const { state } = turn;
   let best: Peer | null = null;
   for (const peer of state.peers.values()) {
     if (!isLeading(state, peer)) continue;
-    if (best === null || peer.term > best.term) best = peer;
+    if (best === null || outranks(peer, best)) best = peer;
   }
-  if (best === null || best.term <= state.leaderTerm) return;
-  if (state.scheduler !== null) stepDown(turn, "a peer leads in a later term");
+  if (best === null || best.info.instanceId === state.leaderId) return;
+  const present = {
+    term: state.leaderTerm,
+    provisional: state.leaderProvisional,
+  };
+  if (state.leaderId !== null && !outranks(best, present)) return;
+  if (state.scheduler !== null) stepDown(turn, "a peer's claim outranks ours");
   follow(turn, best);
 }
 
+/** A side that grew to most of the instances leads for good. */
+function confirmLead(state: EngineState, scheduler: Scheduler): void {
+  if (!scheduler.provisional || !seesMajority(state)) return;
+  if (state.nowMs - scheduler.sinceMs < CONFIRM_MS) return;
+  scheduler.provisional = false;
+  state.leaderProvisional = false;
+}
+
 function follow(turn: Turn, peer: Peer): void {
   const { state } = turn;
   state.leaderId = peer.info.instanceId;
+  state.candidateSinceMs = 0;
   state.leaderTerm = peer.term;
+  state.leaderProvisional = peer.provisional;
   state.maxTermSeen = Math.max(state.maxTermSeen, peer.term);
   logDecision(turn, { part: "leader", text: "following a leader" }, {
     leaderId: state.leaderId,
@@ -115,9 +147,9 @@
   if (state.configuration === null || state.workers.size === 0) return false;
   const upMs = state.nowMs - state.bornAtMs;
   if (upMs < LISTEN_FIRST_MS && !everyPeerAnswered(state)) return false;
-  const rank = rankOfSelf(state);
-  const leaderlessMs = state.nowMs - state.leaderlessSinceMs;
-  return leaderlessMs >= rank * RANK_DELAY_MS;
+  if (state.candidateSinceMs === 0) state.candidateSinceMs = state.nowMs;
+  const waitedMs = state.nowMs - state.candidateSinceMs;
+  return waitedMs >= rankOfSelf(state) * RANK_DELAY_MS;
 }
 
 function everyPeerAnswered(state: EngineState): boolean {
@@ -145,7 +177,9 @@
   state.maxTermSeen = term;
   state.leaderTerm = term;
   state.leaderId = state.self.instanceId;
+  state.candidateSinceMs = 0;
   state.scheduler = createScheduler(state, term);
+  state.leaderProvisional = state.scheduler.provisional;
   state.counters.takeovers += 1;
   logDecision(turn, { part: "leader", text: "leading from now on" }, {
     term,
@@ -161,6 +195,8 @@
   return {
     term,
     sinceMs: state.nowMs,
+    provisional: !seesMajority(state),
+    settled: false,
     jobs: new Map(),
     waiting: new Map(),
     workers: new Map(),
--- a/src/engine/place.ts
+++ b/src/engine/place.ts
@@ -22,6 +22,10 @@
   );
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
+    if (job.paused || (job.resubmitted && !scheduler.settled)) {
+      at += 1;
+      continue;
+    }
     placeJob(turn, workers, job);
     if (hasQueuedTasks(job)) at += 1;
     else waiting.splice(at, 1);
@@ -41,6 +45,8 @@
 function mayStart(state: EngineState, worker: OwnedWorker): boolean {
   if (worker.phase !== "ready" || worker.info.draining) return false;
   if (worker.released) return false;
+  // What a former leader stopped may take its room until now.
+  if (state.nowMs < worker.usableFromMs) return false;
   if (worker.suspendedUntilMs > state.nowMs) return false;
   // After a suspension one task shows whether the worker does its work again.
   const probing = worker.suspendedUntilMs > 0;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -52,6 +52,8 @@
   readonly self: InstanceInfo;
   /** The longest lease that workers grant. */
   readonly leaseMs: number;
+  /** The longest that a worker takes to stop a run. */
+  readonly stopMs: number;
   readonly nowMs: number;
   readonly wallMs: number;
 }
@@ -61,15 +63,17 @@
  *
  * @example
  * ```ts
- * const state = createEngine({ self, leaseMs: 1_000, nowMs: 0, wallMs });
+ * const options = { self, leaseMs: 1_000, stopMs: 50, nowMs: 0, wallMs };
+ * const state = createEngine(options);
  * const effects = reduce(state, { type: "tick", nowMs: 25, wallMs });
  * ```
  */
 export function createEngine(options: EngineOptions): EngineState {
-  const { self, leaseMs, nowMs, wallMs } = options;
+  const { self, leaseMs, stopMs, nowMs, wallMs } = options;
   return {
     self,
     leaseMs,
+    stopMs,
     bornAtMs: nowMs,
     nowMs,
     wallMs,
@@ -78,7 +82,9 @@
     peers: new Map(),
     leaderId: null,
     leaderTerm: 0,
+    leaderProvisional: false,
     leaderlessSinceMs: nowMs,
+    candidateSinceMs: 0,
     maxTermSeen: 0,
     draining: false,
     workers: new Map(),
@@ -127,7 +133,7 @@
   hello: onHello,
   submit: onSubmit,
   withdraw: onWithdraw,
-  jobEnded: (turn, _from, message) => onJobEnded(turn, message),
+  jobEnded: onJobEnded,
   released: onReleased,
   configuration: (turn, _from, message) =>
     adoptConfiguration(turn, message.configuration),
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -16,6 +16,7 @@
   Job,
   OwnedWorker,
   RunningRow,
+  Scheduler,
   StartOutcome,
   Task,
   Turn,
@@ -38,6 +39,8 @@
 const OVERDUE_FACTOR = 3;
 /** A run is not taken to hang before it exceeded what was expected by this. */
 const OVERDUE_SLACK_MS = 250;
+/** A run that is being stopped may take a little longer than workers say. */
+const STOP_SLACK_MS = 20;
 /** Run numbers skip so many when a worker has seen higher ones. */
 const RUN_NUMBER_STEP = 8;
 
@@ -329,7 +332,10 @@
   }
   for (const [key, run] of worker.runs) {
     if (listed.has(key)) continue;
-    const settled = run.state !== "starting" && run.ackedAtMs < sentAtMs;
+    const goneAtMs = run.state === "stopping"
+      ? run.ackedAtMs + turn.state.stopMs + STOP_SLACK_MS
+      : run.ackedAtMs;
+    const settled = run.state !== "starting" && goneAtMs < sentAtMs;
     const startedBefore = run.placedAtMs < sentAtMs;
     if (settled || (fresh && startedBefore)) {
       dropRun(turn, worker, { run, failed: false });
@@ -379,6 +385,40 @@
   return run;
 }
 
+/** Takes over runs of a job that were found, or are being stopped, already. */
+export function claimRuns(turn: Turn, scheduler: Scheduler, job: Job): void {
+  const tasks = new Map(job.tasks.map((task) => [task.name, task]));
+  for (const worker of scheduler.workers.values()) {
+    for (const run of worker.runs.values()) {
+      const task = tasks.get(run.taskName);
+      const free = run.job === null || run.job.outcome !== null;
+      if (task === undefined || !free || task.state !== "queued") continue;
+      resizeRun(worker, run, task);
+      run.job = job;
+      run.task = task;
+      task.state = "placed";
+      task.run = run.run;
+      task.workerId = worker.info.workerId;
+      job.begun = true;
+      logDecision(turn, { part: "run", text: "claimed a run" }, {
+        jobId: job.jobId,
+        task: run.taskName,
+        run: run.run,
+        workerId: worker.info.workerId,
+        state: run.state,
+      });
+    }
+  }
+}
+
+/** Counts what a run needs, now that it is known. */
+function resizeRun(worker: OwnedWorker, run: WorkerRun, task: Task): void {
+  worker.usedCpuMilli += task.demand.cpuMilli - run.cpuMilli;
+  worker.usedMemoryMb += task.demand.memoryMb - run.memoryMb;
+  run.cpuMilli = task.demand.cpuMilli;
+  run.memoryMb = task.demand.memoryMb;
+}
+
 /** Stops again what should have stopped, and what hangs. */
 export function checkRuns(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -89,6 +89,8 @@
   type: z.literal("heartbeat"),
   draining: z.boolean(),
   isLeader: z.boolean(),
+  /** The sender leads, and began without hearing most instances. */
+  provisional: z.boolean(),
   /** Of the leader that the sender follows, itself included; 0 for none. */
   term: z.number(),
   leaderId: z.string().nullable(),
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -219,6 +219,7 @@
   refusedAtMs: number;
   draining: boolean;
   isLeader: boolean;
+  provisional: boolean;
   term: number;
   /** How old the peer's list of workers is. */
   workersAgeMs: number;
@@ -278,6 +279,10 @@
   unfinished: number;
   /** Tasks of it were handed to workers, here or by a former leader. */
   begun: boolean;
+  /** A former leader had it: its tasks may run on workers not read yet. */
+  readonly resubmitted: boolean;
+  /** Its entries are silent: nothing more of it starts. */
+  paused: boolean;
   outcome: JobOutcome | null;
   endedAtMs: number;
 }
@@ -287,10 +292,10 @@
   readonly taskName: string;
   readonly run: number;
   /** Null for a run that belongs to no job known here. */
-  readonly job: Job | null;
-  readonly task: Task | null;
-  readonly cpuMilli: number;
-  readonly memoryMb: number;
+  job: Job | null;
+  task: Task | null;
+  cpuMilli: number;
+  memoryMb: number;
   state: "starting" | "running" | "stopping";
   readonly placedAtMs: number;
   /** When the worker's answer to the start or stop came. */
@@ -319,7 +324,7 @@
   nextHoldMs: number;
   /** By then, whatever this instance granted has lapsed. */
   leaseLapsesAtMs: number;
-  takenAtMs: number;
+  usableFromMs: number;
   readonly runs: Map<string, WorkerRun>;
   usedCpuMilli: number;
   usedMemoryMb: number;
@@ -341,6 +346,10 @@
 export interface Scheduler {
   readonly term: number;
   readonly sinceMs: number;
+  /** It began without hearing most instances; one that did outranks it. */
+  provisional: boolean;
+  /** Every worker was read, or what ran there has lapsed. */
+  settled: boolean;
   readonly jobs: Map<string, Job>;
   /** Jobs with queued tasks, by service. */
   readonly waiting: Map<string, Job[]>;
@@ -372,6 +381,8 @@
 export interface EngineState {
   readonly self: InstanceInfo;
   readonly leaseMs: number;
+  /** The longest that a worker takes to stop a run. */
+  readonly stopMs: number;
   readonly bornAtMs: number;
   nowMs: number;
   wallMs: number;
@@ -380,8 +391,11 @@
   readonly peers: Map<string, Peer>;
   leaderId: string | null;
   leaderTerm: number;
+  leaderProvisional: boolean;
   /** Since when no leader is known. */
   leaderlessSinceMs: number;
+  /** Since when this instance could lead, if it is its turn; 0 for not. */
+  candidateSinceMs: number;
   maxTermSeen: number;
   draining: boolean;
   workers: Map<string, WorkerInfo>;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -208,7 +208,7 @@
     holdFailures: 0,
     nextHoldMs: state.nowMs,
     leaseLapsesAtMs: 0,
-    takenAtMs: 0,
+    usableFromMs: 0,
     runs: new Map(),
     usedCpuMilli: 0,
     usedMemoryMb: 0,
@@ -348,7 +348,9 @@
 function becomeReady(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
   worker.phase = "ready";
-  worker.takenAtMs = state.nowMs;
+  if (worker.usableFromMs === 0) {
+    worker.usableFromMs = state.nowMs + state.stopMs + LEASE_SLACK_MS / 6;
+  }
   logDecision(turn, { part: "workers", text: "holding a worker" }, {
     workerId: worker.info.workerId,
     fence: worker.fence,
@@ -409,6 +411,7 @@
 /** Looks after every worker: leases, calls that are due, lost workers. */
 export function checkWorkers(turn: Turn, scheduler: Scheduler): void {
   const { state } = turn;
+  checkSettled(turn, scheduler);
   for (const worker of scheduler.workers.values()) {
     dropLapsedRuns(turn, worker);
     if (worker.phase === "lost") {
@@ -427,6 +430,24 @@
   }
 }
 
+/** Notes when no run of a former leader can be unknown any more. */
+function checkSettled(turn: Turn, scheduler: Scheduler): void {
+  if (scheduler.settled) return;
+  const { state } = turn;
+  const lapsedAtMs = scheduler.sinceMs + state.leaseMs * (1 + CLOCK_DRIFT) +
+    LEASE_SLACK_MS;
+  const workers = [...scheduler.workers.values()];
+  const allRead = workers.length > 0 &&
+    workers.every((worker) => worker.phase === "ready");
+  if (!allRead && state.nowMs < lapsedAtMs) return;
+  scheduler.settled = true;
+  logDecision(turn, { part: "leader", text: "all workers are known" }, {
+    term: scheduler.term,
+    tookMs: Math.round(state.nowMs - scheduler.sinceMs),
+    allRead,
+  });
+}
+
 /** Nothing runs any more on a worker that was out of reach for a lease. */
 function dropLapsedRuns(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -24,6 +24,8 @@
 export interface InstanceOptions {
   readonly self: InstanceInfo;
   readonly leaseMs: number;
+  /** The longest that a worker takes to stop a run. */
+  readonly stopMs: number;
   /** Addresses of instances that may tell of others, as HOST:PORT. */
   readonly seeds: readonly string[];
   readonly clock: ClockHost;
@@ -59,6 +61,7 @@
   const state = createEngine({
     self,
     leaseMs: options.leaseMs,
+    stopMs: options.stopMs,
     nowMs: clock.nowMs(),
     wallMs: clock.wallMs(),
   });
--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -5,7 +5,6 @@
  */
 
 import { connect, createServer, type Server, type Socket } from "node:net";
-import { createInterface } from "node:readline";
 import { createJSONRPCNotification, isJSONRPCRequest } from "json-rpc-2.0";
 import { z } from "zod";
 import {
@@ -78,11 +77,12 @@
     socket.setNoDelay(true);
     socket.on("close", () => incoming.delete(socket));
     socket.on("error", () => socket.destroy());
-    socket.on("data", (chunk) => {
+    const takeLines = createLineSplitter(receive);
+    socket.setEncoding("utf8");
+    socket.on("data", (chunk: string) => {
       traffic.received += chunk.length;
+      takeLines(chunk);
     });
-    createInterface({ input: socket, crlfDelay: Infinity })
-      .on("line", receive);
   });
   await listenOn(server, self.address);
   const checker = setInterval(checkLinks, CHECK_EVERY_MS);
@@ -228,6 +228,18 @@
   };
 }
 
+/** Cuts what arrives into lines. */
+function createLineSplitter(
+  onLine: (line: string) => void,
+): (chunk: string) => void {
+  let rest = "";
+  return (chunk) => {
+    const lines = (rest + chunk).split("\n");
+    rest = lines.pop() ?? "";
+    for (const line of lines) onLine(line);
+  };
+}
+
 function parseLine(line: string): unknown {
   try {
     return JSON.parse(line);
