Leads from the smaller side of a cut are provisional; heartbeats in order

Cause: after a cut healed, the side that had elected anew always won, and stale heartbeats, held up by TCP, made instances follow leaders of the past. Change: a lead without most instances yields to one with them; heartbeats carry the sender's clock; a silent connection is reset, not closed; the wait of a resubmitted job belongs to the job.

--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -7,6 +7,7 @@
 import { placeWaiting } from "./place.ts";
 import { claimRuns, stopRun } from "./runs.ts";
 import { logDecision, sendPeer } from "./turn.ts";
+import { longestLeaseMs } from "./workers.ts";
 import type {
   EngineState,
   Job,
@@ -111,6 +112,7 @@
     unfinished: tasks.filter((task) => task.state !== "done").length,
     begun: message.resubmitted,
     resubmitted: message.resubmitted,
+    formerRunsLapseAtMs: state.nowMs + longestLeaseMs(state),
     paused: false,
     outcome: null,
     endedAtMs: 0,
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -77,6 +77,7 @@
   return {
     info,
     lastHeardMs: 0,
+    lastSentAtMs: -Infinity,
     connected: false,
     refusedAtMs: 0,
     draining: false,
@@ -103,8 +104,9 @@
   if (known !== undefined && message.instance.bornMs > known.info.bornMs) {
     peer.isLeader = false;
     peer.term = 0;
+    peer.lastSentAtMs = -Infinity;
   }
-  peer.info = message.instance;
+  if (message.instance.bornMs >= peer.info.bornMs) peer.info = message.instance;
   noteHeard(state, from);
   sendHeartbeat(turn, peer);
 }
@@ -146,6 +148,15 @@
   });
 }
 
+/** Whether a heartbeat was overtaken by one on a newer connection. */
+function isOutdated(
+  peer: Peer,
+  { bornMs, sentAtMs }: PeerMessageOf<"heartbeat">,
+): boolean {
+  if (bornMs !== peer.info.bornMs) return bornMs < peer.info.bornMs;
+  return sentAtMs < peer.lastSentAtMs;
+}
+
 /** Takes in what a peer says of itself. */
 export function onHeartbeat(
   turn: Turn,
@@ -154,7 +165,11 @@
 ): void {
   const { state } = turn;
   const peer = state.peers.get(from);
-  if (peer === undefined) return;
+  if (peer === undefined || isOutdated(peer, message)) return;
+  if (message.bornMs > peer.info.bornMs) {
+    peer.info = { ...peer.info, bornMs: message.bornMs };
+  }
+  peer.lastSentAtMs = message.sentAtMs;
   peer.draining = message.draining;
   peer.isLeader = message.isLeader;
   peer.provisional = message.provisional;
@@ -179,6 +194,8 @@
   if (!peer.connected) return;
   sendPeer(turn, peer.info.instanceId, {
     type: "heartbeat",
+    bornMs: state.self.bornMs,
+    sentAtMs: Math.round(state.nowMs),
     draining: state.draining,
     isLeader,
     provisional: state.scheduler?.provisional ?? false,
--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -107,12 +107,13 @@
   follow(turn, best);
 }
 
-/** A side that grew to most of the instances leads for good. */
+/** A lead is provisional until most instances were heard for a while. */
 function confirmLead(state: EngineState, scheduler: Scheduler): void {
-  if (!scheduler.provisional || !seesMajority(state)) return;
-  if (state.nowMs - scheduler.sinceMs < CONFIRM_MS) return;
-  scheduler.provisional = false;
-  state.leaderProvisional = false;
+  if (!seesMajority(state)) scheduler.minorityAtMs = state.nowMs;
+  const sinceMs = Math.max(scheduler.sinceMs, scheduler.minorityAtMs);
+  if (!seesMajority(state)) scheduler.provisional = true;
+  else if (state.nowMs - sinceMs >= CONFIRM_MS) scheduler.provisional = false;
+  state.leaderProvisional = scheduler.provisional;
 }
 
 function follow(turn: Turn, peer: Peer): void {
@@ -136,12 +137,29 @@
     level: "warn",
     part: "leader",
     text: "the leader is not heard from",
-  }, { leaderId: state.leaderId, term: state.leaderTerm });
+  }, {
+    leaderId: state.leaderId,
+    term: state.leaderTerm,
+    ...peerFields(state, state.leaderId),
+  });
   state.leaderId = null;
   state.leaderTerm = 0;
   state.leaderlessSinceMs = state.nowMs;
 }
 
+function peerFields(
+  state: EngineState,
+  instanceId: string | null,
+): Record<string, unknown> {
+  const peer = state.peers.get(instanceId ?? "");
+  if (peer === undefined) return {};
+  return {
+    silentMs: Math.round(state.nowMs - peer.lastHeardMs),
+    connected: peer.connected,
+    isLeader: peer.isLeader,
+  };
+}
+
 /** Whether this instance is the one that leads now that nobody does. */
 function mayLead(state: EngineState): boolean {
   if (state.configuration === null || state.workers.size === 0) return false;
@@ -196,7 +214,7 @@
     term,
     sinceMs: state.nowMs,
     provisional: !seesMajority(state),
-    settled: false,
+    minorityAtMs: -Infinity,
     jobs: new Map(),
     waiting: new Map(),
     workers: new Map(),
--- a/src/engine/place.ts
+++ b/src/engine/place.ts
@@ -6,7 +6,14 @@
 
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
-import type { EngineState, Job, OwnedWorker, Task, Turn } from "./types.ts";
+import type {
+  EngineState,
+  Job,
+  OwnedWorker,
+  Scheduler,
+  Task,
+  Turn,
+} from "./types.ts";
 
 /** Differences in speed below this share decide nothing. */
 const SPEED_STEP = 0.15;
@@ -22,7 +29,7 @@
   );
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
-    if (job.paused || (job.resubmitted && !scheduler.settled)) {
+    if (job.paused || mayRunElsewhere(state, scheduler, job)) {
       at += 1;
       continue;
     }
@@ -32,6 +39,22 @@
   }
 }
 
+/**
+ * Whether tasks of a job may still run, for a former leader, on a worker whose
+ * lists this leader has not read.
+ */
+function mayRunElsewhere(
+  state: EngineState,
+  scheduler: Scheduler,
+  job: Job,
+): boolean {
+  if (!job.resubmitted || state.nowMs >= job.formerRunsLapseAtMs) return false;
+  for (const workerId of state.workers.keys()) {
+    if (scheduler.workers.get(workerId)?.phase !== "ready") return true;
+  }
+  return false;
+}
+
 function placeJob(turn: Turn, workers: OwnedWorker[], job: Job): void {
   for (const task of job.tasks) {
     if (task.state !== "queued") continue;
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -87,6 +87,9 @@
 
 const heartbeatSchema = z.object({
   type: z.literal("heartbeat"),
+  /** The sender's life, and its steady clock: later ones replace earlier. */
+  bornMs: z.number(),
+  sentAtMs: z.number(),
   draining: z.boolean(),
   isLeader: z.boolean(),
   /** The sender leads, and began without hearing most instances. */
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -214,6 +214,8 @@
 export interface Peer {
   info: InstanceInfo;
   lastHeardMs: number;
+  /** The sender's clock in its latest heartbeat. */
+  lastSentAtMs: number;
   connected: boolean;
   /** Its machine refused a connection: the process is not running. */
   refusedAtMs: number;
@@ -281,6 +283,8 @@
   begun: boolean;
   /** A former leader had it: its tasks may run on workers not read yet. */
   readonly resubmitted: boolean;
+  /** By then, what a former leader started has lapsed if it was not found. */
+  readonly formerRunsLapseAtMs: number;
   /** Its entries are silent: nothing more of it starts. */
   paused: boolean;
   outcome: JobOutcome | null;
@@ -348,8 +352,8 @@
   readonly sinceMs: number;
   /** It began without hearing most instances; one that did outranks it. */
   provisional: boolean;
-  /** Every worker was read, or what ran there has lapsed. */
-  settled: boolean;
+  /** When most instances were not heard, last. */
+  minorityAtMs: number;
   readonly jobs: Map<string, Job>;
   /** Jobs with queued tasks, by service. */
   readonly waiting: Map<string, Job[]>;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -246,8 +246,7 @@
   worker.holdSentAtMs = state.nowMs;
   worker.nextHoldMs = Infinity;
   if (renews) {
-    worker.leaseLapsesAtMs = state.nowMs + state.leaseMs * (1 + CLOCK_DRIFT) +
-      LEASE_SLACK_MS;
+    worker.leaseLapsesAtMs = state.nowMs + longestLeaseMs(state);
   }
   emit(turn, {
     type: "hold",
@@ -261,6 +260,11 @@
   });
 }
 
+/** How long a lease granted now may last, by this instance's clock. */
+export function longestLeaseMs({ leaseMs }: EngineState): number {
+  return leaseMs * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS;
+}
+
 /** When a lease granted now ends, on the worker's clock. */
 export function leaseEndsOnWorkerMs(
   state: EngineState,
@@ -411,7 +415,6 @@
 /** Looks after every worker: leases, calls that are due, lost workers. */
 export function checkWorkers(turn: Turn, scheduler: Scheduler): void {
   const { state } = turn;
-  checkSettled(turn, scheduler);
   for (const worker of scheduler.workers.values()) {
     dropLapsedRuns(turn, worker);
     if (worker.phase === "lost") {
@@ -430,31 +433,13 @@
   }
 }
 
-/** Notes when no run of a former leader can be unknown any more. */
-function checkSettled(turn: Turn, scheduler: Scheduler): void {
-  if (scheduler.settled) return;
-  const { state } = turn;
-  const lapsedAtMs = scheduler.sinceMs + state.leaseMs * (1 + CLOCK_DRIFT) +
-    LEASE_SLACK_MS;
-  const workers = [...scheduler.workers.values()];
-  const allRead = workers.length > 0 &&
-    workers.every((worker) => worker.phase === "ready");
-  if (!allRead && state.nowMs < lapsedAtMs) return;
-  scheduler.settled = true;
-  logDecision(turn, { part: "leader", text: "all workers are known" }, {
-    term: scheduler.term,
-    tookMs: Math.round(state.nowMs - scheduler.sinceMs),
-    allRead,
-  });
-}
-
 /** Nothing runs any more on a worker that was out of reach for a lease. */
 function dropLapsedRuns(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
   if (worker.phase !== "lost" || worker.runs.size === 0) return;
   if (state.nowMs < worker.leaseLapsesAtMs) return;
   for (const run of [...worker.runs.values()]) {
-    if (state.nowMs < run.placedAtMs + state.leaseMs + LEASE_SLACK_MS) continue;
+    if (state.nowMs < run.placedAtMs + longestLeaseMs(state)) continue;
     state.counters.tasksLapsed += 1;
     dropRun(turn, worker, { run, failed: false });
   }
--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -145,8 +145,9 @@
   function checkLinks(): void {
     const nowMs = performance.now();
     for (const link of links.values()) {
+      // A reset drops what a cut held up: it would arrive out of date.
       if (link.connected && nowMs - link.heardAtMs > SILENT_MS) {
-        link.socket?.destroy();
+        link.socket?.resetAndDestroy();
       }
     }
   }
