--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -82,6 +82,7 @@
     refusedAtMs: 0,
     draining: false,
     isLeader: false,
+    leaderId: null,
     provisional: false,
     term: 0,
     workersAgeMs: Infinity,
@@ -173,6 +174,7 @@
   peer.draining = message.draining;
   peer.isLeader = message.isLeader;
   peer.provisional = message.provisional;
+  peer.leaderId = message.leaderId;
   peer.term = message.term;
   peer.workersAgeMs = message.workersAgeMs;
   peer.configurationVersion = message.configurationVersion;
--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -27,6 +27,8 @@
 export const FENCES_PER_TERM = 512;
 /** After its start an instance listens so long before it leads. */
 const LISTEN_FIRST_MS = 900;
+/** While peers hear a leader, an instance that does not waits so long. */
+const HEARSAY_MS = 1_500;
 /** A provisional lead lasts at least so long. */
 const CONFIRM_MS = 3_000;
 /** The next in rank leads if those before it did not by then. */
@@ -145,6 +147,7 @@
   state.leaderId = null;
   state.leaderTerm = 0;
   state.leaderlessSinceMs = state.nowMs;
+  heartbeatAll(turn);
 }
 
 function peerFields(
@@ -165,11 +168,26 @@
   if (state.configuration === null || state.workers.size === 0) return false;
   const upMs = state.nowMs - state.bornAtMs;
   if (upMs < LISTEN_FIRST_MS && !everyPeerAnswered(state)) return false;
+  const leaderlessMs = state.nowMs - state.leaderlessSinceMs;
+  if (leaderlessMs < HEARSAY_MS && othersHearLeader(state)) return false;
   if (state.candidateSinceMs === 0) state.candidateSinceMs = state.nowMs;
   const waitedMs = state.nowMs - state.candidateSinceMs;
   return waitedMs >= rankOfSelf(state) * RANK_DELAY_MS;
 }
 
+/** Whether a peer that is heard now follows a leader that may be alive. */
+function othersHearLeader(state: EngineState): boolean {
+  for (const peer of livePeers(state)) {
+    const { leaderId } = peer;
+    if (leaderId === null || leaderId === state.self.instanceId) continue;
+    const leader = state.peers.get(leaderId);
+    const ended = leader !== undefined &&
+      leader.refusedAtMs > leader.lastHeardMs;
+    if (!ended) return true;
+  }
+  return false;
+}
+
 function everyPeerAnswered(state: EngineState): boolean {
   const peers = [...state.peers.values()];
   return peers.length > 0 &&
--- a/src/engine/place.ts
+++ b/src/engine/place.ts
@@ -49,6 +49,7 @@
   job: Job,
 ): boolean {
   if (!job.resubmitted || state.nowMs >= job.formerRunsLapseAtMs) return false;
+  if (state.vanishedAtMs.size > 0) return true;
   for (const workerId of state.workers.keys()) {
     if (scheduler.workers.get(workerId)?.phase !== "ready") return true;
   }
@@ -67,7 +68,7 @@
 /** Whether tasks may start on a worker now. */
 function mayStart(state: EngineState, worker: OwnedWorker): boolean {
   if (worker.phase !== "ready" || worker.info.draining) return false;
-  if (worker.released) return false;
+  if (worker.released || worker.unknownRuns > 0) return false;
   // What a former leader stopped may take its room until now.
   if (state.nowMs < worker.usableFromMs) return false;
   if (worker.suspendedUntilMs > state.nowMs) return false;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -88,6 +88,7 @@
     maxTermSeen: 0,
     draining: false,
     workers: new Map(),
+    vanishedAtMs: new Map(),
     workersReadAtMs: -Infinity,
     workersVersion: 0,
     workersUnreadSinceMs: 0,
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -54,6 +54,7 @@
   worker.runs.set(runKey(run.taskName, run.run), run);
   worker.usedCpuMilli += run.cpuMilli;
   worker.usedMemoryMb += run.memoryMb;
+  if (run.sizeUnknown) worker.unknownRuns += 1;
 }
 
 /** Frees the room of a run. */
@@ -61,6 +62,7 @@
   if (!worker.runs.delete(runKey(run.taskName, run.run))) return;
   worker.usedCpuMilli -= run.cpuMilli;
   worker.usedMemoryMb -= run.memoryMb;
+  if (run.sizeUnknown) worker.unknownRuns -= 1;
 }
 
 /** Starts a task on a worker that has room for it. */
@@ -84,6 +86,7 @@
     task,
     cpuMilli: demand.cpuMilli,
     memoryMb: demand.memoryMb,
+    sizeUnknown: false,
     state: "starting",
     placedAtMs: state.nowMs,
     ackedAtMs: 0,
@@ -358,11 +361,9 @@
     run: row.run,
     job: mine ? found.job : null,
     task: mine ? found.task : null,
-    // What an unknown run needs is not told: it counts as all there is left.
-    cpuMilli: mine
-      ? found.task.demand.cpuMilli
-      : Math.max(0, worker.info.cpuMilli - worker.usedCpuMilli),
+    cpuMilli: mine ? found.task.demand.cpuMilli : 0,
     memoryMb: mine ? found.task.demand.memoryMb : 0,
+    sizeUnknown: !mine,
     state: "running",
     placedAtMs: state.nowMs,
     ackedAtMs: state.nowMs,
@@ -417,6 +418,8 @@
   worker.usedMemoryMb += task.demand.memoryMb - run.memoryMb;
   run.cpuMilli = task.demand.cpuMilli;
   run.memoryMb = task.demand.memoryMb;
+  if (run.sizeUnknown) worker.unknownRuns -= 1;
+  run.sizeUnknown = false;
 }
 
 /** Stops again what should have stopped, and what hangs. */
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -221,6 +221,8 @@
   refusedAtMs: number;
   draining: boolean;
   isLeader: boolean;
+  /** The leader that it follows. */
+  leaderId: string | null;
   provisional: boolean;
   term: number;
   /** How old the peer's list of workers is. */
@@ -300,6 +302,8 @@
   task: Task | null;
   cpuMilli: number;
   memoryMb: number;
+  /** What a run of no known job needs is not told. */
+  sizeUnknown: boolean;
   state: "starting" | "running" | "stopping";
   readonly placedAtMs: number;
   /** When the worker's answer to the start or stop came. */
@@ -332,6 +336,8 @@
   readonly runs: Map<string, WorkerRun>;
   usedCpuMilli: number;
   usedMemoryMb: number;
+  /** Runs of unknown size: nothing starts beside them. */
+  unknownRuns: number;
   failuresInRow: number;
   suspendedUntilMs: number;
   /** Mean of run times over what was expected of the kind. */
@@ -403,6 +409,8 @@
   maxTermSeen: number;
   draining: boolean;
   workers: Map<string, WorkerInfo>;
+  /** When workers left the list without having drained. */
+  readonly vanishedAtMs: Map<string, number>;
   workersReadAtMs: number;
   workersVersion: number;
   workersUnreadSinceMs: number;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -41,6 +41,8 @@
 const FENCE_JUMP_TERMS = 512 * 100;
 /** A run of a former leader is claimed by its entry within so long. */
 const ADOPTION_MS = 120;
+/** A worker that vanished may still run tasks of another side so long. */
+const REMEMBER_VANISHED_MS = 15_000;
 /** A worker missing from the list is taken for gone after so long. */
 const MISSING_GRACE_MS = 2_500;
 /** A list that could not be read for so long was away. */
@@ -100,6 +102,7 @@
       cpuMilli: info.cpuMilli,
     });
   }
+  noteVanished(state, next);
   state.workers = next;
   state.workersVersion += 1;
   if (state.scheduler !== null) syncWorkers(turn, state.scheduler);
@@ -125,6 +128,23 @@
   }
 }
 
+/** Remembers workers that left the list, alive perhaps behind a cut. */
+function noteVanished(
+  state: EngineState,
+  next: ReadonlyMap<string, WorkerInfo>,
+): void {
+  const { vanishedAtMs, nowMs } = state;
+  for (const [workerId, info] of state.workers) {
+    if (!next.has(workerId) && !info.draining) {
+      vanishedAtMs.set(workerId, nowMs);
+    }
+  }
+  for (const [workerId, atMs] of vanishedAtMs) {
+    const old = nowMs - atMs > REMEMBER_VANISHED_MS;
+    if (old || next.has(workerId)) vanishedAtMs.delete(workerId);
+  }
+}
+
 function sameWorkers(
   a: ReadonlyMap<string, WorkerInfo>,
   b: ReadonlyMap<string, WorkerInfo>,
@@ -212,6 +232,7 @@
     runs: new Map(),
     usedCpuMilli: 0,
     usedMemoryMb: 0,
+    unknownRuns: 0,
     failuresInRow: 0,
     suspendedUntilMs: 0,
     slowness: 1,
