Randomised runs of the engine over fakes; three faults that they found

Change: submissions are named; refused jobs are remembered; a later attempt inherits what an earlier one ran; a worker seen fenced counts as renewed then.

--- /dev/null
+++ b/bench/engine_world.ts
@@ -0,0 +1,549 @@
+/**
+ * Instances of the real engine over fake workers, a fake store and a fake
+ * network, in simulated time. It carries out effects, injects faults and
+ * checks promises from what workers ran and what callers were told.
+ */
+
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createEngine, reduce } from "../src/engine/reduce.ts";
+import type {
+  Configuration,
+  JobSpec,
+  QueueRule,
+} from "../src/engine/schemas.ts";
+import type {
+  Effect,
+  EngineEvent,
+  EngineState,
+  JobOutcome,
+} from "../src/engine/types.ts";
+import type { EffectOf } from "../src/instance/hosts.ts";
+import { createEventQueue, type EventQueue } from "./event_queue.ts";
+import {
+  createFakeWorker,
+  type FakeWorker,
+  type TrueRun,
+  type TrueTask,
+} from "./fake_worker.ts";
+
+const TICK_MS = 25;
+const READ_WORKERS_MS = 700;
+const LEASE_MS = 1_000;
+const STOP_MS = 50;
+const CALL_TIMEOUT_MS = 200;
+/** Simulated time begins so long after 1970. */
+const EPOCH_MS = 1_700_000_000_000;
+
+/** A kind of job that callers hand in. */
+export interface JobKind {
+  readonly queue: QueueRule;
+  readonly perSecond: number;
+  readonly taskMs: number;
+  readonly cpuMilli: number;
+  readonly width: number;
+}
+
+/** What a world is made from. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly zones: readonly string[];
+  readonly instancesPerZone: number;
+  readonly workersPerZone: number;
+  readonly workerCpuMilli: number;
+  readonly kinds: readonly JobKind[];
+  /** The share of starts that are carried out late, without an answer. */
+  readonly lateShare?: number;
+  /** Receives the log lines of every instance. */
+  readonly onLog?: (
+    instanceId: string,
+    nowMs: number,
+    line: Record<string, unknown>,
+  ) => void;
+}
+
+/** One instance: null state while it is not running. */
+interface Node {
+  readonly instanceId: string;
+  readonly availabilityZone: string;
+  state: EngineState | null;
+  life: number;
+  frozenUntilMs: number;
+}
+
+/** One job, from its caller's view. */
+export interface CallerRecord {
+  readonly jobId: string;
+  readonly kind: JobKind;
+  readonly availabilityZone: string;
+  readonly sentAtMs: number;
+  readonly widths: number;
+  readonly idealMs: number;
+  outcome: JobOutcome | null;
+  answeredAtMs: number;
+}
+
+/** A running world. */
+export interface World {
+  readonly queue: EventQueue;
+  readonly nodes: readonly Node[];
+  readonly workers: readonly FakeWorker[];
+  readonly jobs: ReadonlyMap<string, CallerRecord>;
+  /** Broken promises, with what was seen. */
+  readonly broken: string[];
+  readonly random: () => number;
+  /** Hands in a job at an instance. */
+  readonly submit: (instanceId: string, kind: JobKind) => CallerRecord | null;
+  readonly kill: (instanceId: string, downMs: number) => void;
+  readonly freeze: (instanceId: string, forMs: number) => void;
+  readonly drain: (instanceId: string) => void;
+  /** Cuts between all pairs for which the test holds; null mends. */
+  readonly setCut: (cut: ((a: string, b: string) => boolean) | null) => void;
+  readonly setStoreAway: (away: boolean) => void;
+  readonly leaders: () => string[];
+  readonly run: (untilMs: number) => void;
+}
+
+/** Creates a world; nothing happens before it is run. */
+export function createWorld(options: WorldOptions): World {
+  const generator = xoroshiro128plus(options.seed);
+  const random = (): number => uniformFloat64(generator);
+  const queue = createEventQueue();
+  const broken: string[] = [];
+  const jobs = new Map<string, CallerRecord>();
+  const truth = new Map<string, TrueTask>();
+  const startsOfJob = new Map<string, number>();
+  const runningNow = new Map<string, string>();
+  const zoneOf = new Map<string, string>();
+  let cut: ((a: string, b: string) => boolean) | null = null;
+  let storeAway = false;
+  let nextJob = 0;
+
+  const workers = options.zones.flatMap((availabilityZone) =>
+    Array.from(
+      { length: options.workersPerZone },
+      (_, index) =>
+        createFakeWorker({
+          workerId: `w-${availabilityZone}-${index}`,
+          availabilityZone,
+          cpuMilli: options.workerCpuMilli,
+          speed: 0.9 + 0.1 * (index % 3),
+          leaseMs: LEASE_MS,
+          taskOf: (taskName) => truth.get(taskName),
+          onStart: checkStart,
+          onEnd: (worker, run) => {
+            if (runningNow.get(run.taskName) === worker.workerId) {
+              runningNow.delete(run.taskName);
+            }
+          },
+        }),
+    )
+  );
+  const workersById = new Map(workers.map((one) => [one.workerId, one]));
+  for (const worker of workers) {
+    zoneOf.set(worker.workerId, worker.availabilityZone);
+  }
+  const nodes: Node[] = options.zones.flatMap((availabilityZone) =>
+    Array.from({ length: options.instancesPerZone }, (_, index) => ({
+      instanceId: `${availabilityZone}-${index + 1}`,
+      availabilityZone,
+      state: null,
+      life: 0,
+      frozenUntilMs: 0,
+    }))
+  );
+  const nodesById = new Map(nodes.map((node) => [node.instanceId, node]));
+  for (const node of nodes) zoneOf.set(node.instanceId, node.availabilityZone);
+  const configuration: Configuration = {
+    version: 1,
+    queues: options.kinds.map((kind) => kind.queue),
+    services: [{ name: "s", healthPath: "/healthz", guardsCapacity: false }],
+    maxBodyBytes: 1e6,
+    maxHeaderBytes: 1e5,
+    idleTimeoutMs: 15_000,
+  };
+
+  function checkStart(worker: FakeWorker, run: TrueRun): void {
+    const { taskName } = run;
+    const jobId = taskName.slice(0, taskName.indexOf("."));
+    startsOfJob.set(jobId, (startsOfJob.get(jobId) ?? 0) + 1);
+    const nowMs = Math.round(queue.nowMs());
+    if (worker.usedCpuMilli() > worker.cpuMilli) {
+      broken.push(`capacity: ${taskName} on ${worker.workerId} at ${nowMs}`);
+    }
+    const other = runningNow.get(taskName);
+    const alive = other !== undefined && other !== worker.workerId &&
+      workersById.get(other)?.running.has(taskName) === true;
+    if (alive) {
+      workersById.get(other)?.advance(queue.nowMs());
+      if (workersById.get(other)?.running.has(taskName) === true) {
+        broken.push(
+          `twice: ${taskName} on ${other} and ${worker.workerId} at ${nowMs}`,
+        );
+      }
+    }
+    runningNow.set(taskName, worker.workerId);
+    if (jobs.get(jobId)?.outcome?.kind === "refused") {
+      broken.push(`refused: ${taskName} started at ${nowMs}`);
+    }
+  }
+
+  function blocked(a: string, b: string): boolean {
+    return cut !== null && (cut(a, b) || cut(b, a));
+  }
+
+  function latencyMs(a: string, b: string): number {
+    const sameZone = zoneOf.get(a) === zoneOf.get(b);
+    return (sameZone ? 0.2 : 0.7) + 0.3 * random();
+  }
+
+  function dispatch(node: Node, life: number, event: EngineEvent): void {
+    if (node.state === null || node.life !== life) return;
+    if (queue.nowMs() < node.frozenUntilMs) {
+      queue.at(
+        node.frozenUntilMs,
+        () => dispatch(node, life, { ...event, nowMs: queue.nowMs() }),
+      );
+      return;
+    }
+    for (const effect of reduce(node.state, event)) perform(node, life, effect);
+  }
+
+  const performers: {
+    [T in Effect["type"]]?: (
+      node: Node,
+      life: number,
+      effect: EffectOf<T>,
+    ) => void;
+  } = {
+    answerCaller: (_node, _life, { jobId, outcome }) => answer(jobId, outcome),
+    log: (node, _life, { part, text, fields }) => {
+      options.onLog?.(node.instanceId, queue.nowMs(), {
+        part,
+        text,
+        ...fields,
+      });
+    },
+    sendPeer: (node, _life, { instanceId, message }) => {
+      const target = nodesById.get(instanceId);
+      if (target === undefined || blocked(node.instanceId, instanceId)) return;
+      const { life } = target;
+      later(
+        latencyMs(node.instanceId, instanceId),
+        () =>
+          dispatch(target, life, {
+            type: "peerMessage",
+            nowMs: queue.nowMs(),
+            from: node.instanceId,
+            message,
+          }),
+      );
+    },
+    hold: callHold,
+    startTask: callStart,
+    stopTask: callStop,
+  };
+
+  function perform(node: Node, life: number, effect: Effect): void {
+    const performer = performers[effect.type] as
+      | ((node: Node, life: number, effect: Effect) => void)
+      | undefined;
+    performer?.(node, life, effect);
+  }
+
+  function later(delayMs: number, run: () => void): void {
+    queue.at(queue.nowMs() + delayMs, run);
+  }
+
+  function reachable(node: Node, worker: FakeWorker): boolean {
+    return worker.alive && !blocked(node.instanceId, worker.workerId);
+  }
+
+  function callHold(node: Node, life: number, effect: EffectOf<"hold">): void {
+    const worker = workersById.get(effect.workerId) as FakeWorker;
+    const delayMs = latencyMs(node.instanceId, worker.workerId);
+    const { bornMs } = worker;
+    let answered = false;
+    const tell = (outcome: Parameters<typeof holdEvent>[2]): void => {
+      if (answered) return;
+      answered = true;
+      dispatch(node, life, holdEvent(queue.nowMs(), effect, outcome));
+    };
+    later(
+      effect.waitMs + CALL_TIMEOUT_MS,
+      () => tell({ kind: "unreachable", detail: "timeout" }),
+    );
+    later(delayMs, () => {
+      if (!reachable(node, worker)) return;
+      const untilMs = queue.nowMs() + effect.waitMs;
+      const poll = (): void => {
+        if (!worker.alive || worker.bornMs !== bornMs) return;
+        const outcome = worker.hold(effect, queue.nowMs(), untilMs);
+        if (outcome === null) {
+          later(2, poll);
+          return;
+        }
+        later(delayMs, () => {
+          if (!blocked(node.instanceId, worker.workerId)) tell(outcome);
+        });
+      };
+      poll();
+    });
+  }
+
+  function callStart(
+    node: Node,
+    life: number,
+    effect: EffectOf<"startTask">,
+  ): void {
+    const worker = workersById.get(effect.workerId) as FakeWorker;
+    const { taskName, run, fence, workerId } = effect;
+    const delayMs = latencyMs(node.instanceId, workerId);
+    const late = random() < (options.lateShare ?? 0);
+    const { bornMs } = worker;
+    let answered = false;
+    const tell = (outcome: EffectOutcome): void => {
+      if (answered) return;
+      answered = true;
+      dispatch(node, life, {
+        type: "startEnded",
+        nowMs: queue.nowMs(),
+        workerId,
+        taskName,
+        run,
+        fence,
+        outcome,
+      });
+    };
+    later(CALL_TIMEOUT_MS, () => tell({ kind: "unknown", detail: "timeout" }));
+    later(late ? 2_000 + 8_000 * random() : delayMs, () => {
+      if (!reachable(node, worker) || worker.bornMs !== bornMs) return;
+      worker.advance(queue.nowMs());
+      const outcome = worker.start(effect, queue.nowMs());
+      if (late) return;
+      later(delayMs, () => {
+        if (!blocked(node.instanceId, workerId)) tell(outcome);
+      });
+    });
+  }
+
+  function callStop(
+    node: Node,
+    life: number,
+    effect: EffectOf<"stopTask">,
+  ): void {
+    const worker = workersById.get(effect.workerId) as FakeWorker;
+    const { taskName, run, workerId } = effect;
+    const delayMs = latencyMs(node.instanceId, workerId);
+    later(delayMs, () => {
+      if (!reachable(node, worker)) return;
+      const outcome = worker.stop(effect, queue.nowMs());
+      later(delayMs, () => {
+        if (blocked(node.instanceId, workerId)) return;
+        const nowMs = queue.nowMs();
+        dispatch(node, life, {
+          type: "stopEnded",
+          nowMs,
+          workerId,
+          taskName,
+          run,
+          outcome,
+        });
+      });
+    });
+  }
+
+  function answer(jobId: string, outcome: JobOutcome): void {
+    const record = jobs.get(jobId);
+    if (record === undefined || record.outcome !== null) return;
+    record.outcome = outcome;
+    record.answeredAtMs = queue.nowMs();
+    if (outcome.kind === "refused" && startsOfJob.has(jobId)) {
+      broken.push(`refused: ${jobId}, though it had started`);
+    }
+  }
+
+  function boot(node: Node): void {
+    const nowMs = queue.nowMs();
+    const wallMs = EPOCH_MS + nowMs;
+    node.life += 1;
+    const { life, instanceId, availabilityZone } = node;
+    const self = infoOf(node, wallMs);
+    node.state = createEngine({
+      self,
+      leaseMs: LEASE_MS,
+      stopMs: STOP_MS,
+      nowMs,
+      wallMs,
+    });
+    zoneOf.set(instanceId, availabilityZone);
+    const tick = (): void => {
+      if (node.life !== life) return;
+      const atMs = queue.nowMs();
+      const type = "tick";
+      dispatch(node, life, { type, nowMs: atMs, wallMs: EPOCH_MS + atMs });
+      later(TICK_MS, tick);
+    };
+    later(TICK_MS * random(), tick);
+    later(20, () => readStore(node, life));
+    later(5, () => meetPeers(node, life));
+  }
+
+  function infoOf(node: Node, bornMs: number) {
+    return {
+      instanceId: node.instanceId,
+      availabilityZone: node.availabilityZone,
+      region: "r",
+      address: node.instanceId,
+      bornMs,
+    };
+  }
+
+  function meetPeers(node: Node, life: number): void {
+    const nowMs = queue.nowMs();
+    const instances = nodes.map((one) => infoOf(one, 0));
+    dispatch(node, life, { type: "instancesRead", nowMs, instances });
+    for (const other of nodes) {
+      if (other === node) continue;
+      connect(node, life, other);
+      if (other.state !== null) connect(other, other.life, node);
+    }
+  }
+
+  function connect(node: Node, life: number, other: Node): void {
+    const instanceId = other.instanceId;
+    later(latencyMs(node.instanceId, instanceId), () => {
+      const nowMs = queue.nowMs();
+      if (other.state === null) {
+        const type = "peerDown";
+        dispatch(node, life, { type, nowMs, instanceId, refused: true });
+      } else dispatch(node, life, { type: "peerUp", nowMs, instanceId });
+    });
+  }
+
+  function readStore(node: Node, life: number): void {
+    if (node.life !== life || node.state === null) return;
+    const nowMs = queue.nowMs();
+    const { state } = node;
+    const reads = state.scheduler !== null || state.leaderId === null;
+    if (storeAway) {
+      dispatch(node, life, { type: "workersUnread", nowMs });
+    } else {
+      dispatch(node, life, { type: "configurationRead", nowMs, configuration });
+      const list = workers.filter((worker) =>
+        worker.alive && !blocked("store", worker.workerId)
+      ).map((worker) => ({
+        workerId: worker.workerId,
+        service: "s",
+        availabilityZone: worker.availabilityZone,
+        address: worker.workerId,
+        cpuMilli: worker.cpuMilli,
+        memoryMb: 1e6,
+        accelerators: 0,
+        labels: [],
+        draining: worker.draining,
+        bornMs: worker.bornMs,
+      }));
+      const type = "workersRead";
+      if (reads) dispatch(node, life, { type, nowMs, workers: list });
+    }
+    later(READ_WORKERS_MS, () => readStore(node, life));
+  }
+
+  function submit(instanceId: string, kind: JobKind): CallerRecord | null {
+    const node = nodesById.get(instanceId) as Node;
+    if (node.state === null) return null;
+    nextJob += 1;
+    const jobId = nextJob.toString(16).padStart(16, "0");
+    const width = Math.max(1, Math.round(kind.width * (0.5 + random())));
+    const job: JobSpec = {
+      spec: "",
+      steps: [{
+        count: width,
+        cpuMilli: kind.cpuMilli,
+        memoryMb: 64,
+        accelerators: 0,
+        estimatedMs: Math.round(kind.taskMs * (0.6 + 0.8 * random())),
+        after: [],
+      }],
+    };
+    let idealMs = 0;
+    for (let index = 0; index < width; index += 1) {
+      const runMs = kind.taskMs * (0.6 + 0.8 * random());
+      idealMs = Math.max(idealMs, runMs);
+      const { cpuMilli } = kind;
+      truth.set(`${jobId}.0.0.${index}`, { cpuMilli, runMs, fails: false });
+    }
+    const record: CallerRecord = {
+      jobId,
+      kind,
+      availabilityZone: node.availabilityZone,
+      sentAtMs: queue.nowMs(),
+      widths: width,
+      idealMs,
+      outcome: null,
+      answeredAtMs: 0,
+    };
+    jobs.set(jobId, record);
+    dispatch(node, node.life, {
+      type: "callerSubmit",
+      nowMs: queue.nowMs(),
+      requestId: jobId,
+      jobId,
+      queue: kind.queue,
+      job,
+      timeoutMs: kind.queue.timeoutMs,
+    });
+    return record;
+  }
+
+  for (const node of nodes) queue.at(100 * random(), () => boot(node));
+
+  return {
+    queue,
+    nodes,
+    workers,
+    jobs,
+    broken,
+    random,
+    submit,
+    kill(instanceId, downMs) {
+      const node = nodesById.get(instanceId) as Node;
+      node.state = null;
+      node.life += 1;
+      for (const other of nodes) {
+        if (other.state !== null) connect(other, other.life, node);
+      }
+      later(downMs, () => boot(node));
+    },
+    freeze(instanceId, forMs) {
+      const node = nodesById.get(instanceId) as Node;
+      node.frozenUntilMs = queue.nowMs() + forMs;
+    },
+    drain(instanceId) {
+      const node = nodesById.get(instanceId) as Node;
+      const nowMs = queue.nowMs();
+      dispatch(node, node.life, { type: "drainRequested", nowMs });
+    },
+    setCut(next) {
+      cut = next;
+    },
+    setStoreAway(away) {
+      storeAway = away;
+    },
+    leaders: () =>
+      nodes.filter((node) => node.state?.scheduler != null)
+        .map((node) => node.instanceId),
+    run: (untilMs) => queue.runUntil(untilMs),
+  };
+}
+
+type EffectOutcome = Extract<EngineEvent, { type: "startEnded" }>["outcome"];
+
+function holdEvent(
+  nowMs: number,
+  { workerId, callId }: EffectOf<"hold">,
+  outcome: Extract<EngineEvent, { type: "holdEnded" }>["outcome"],
+): EngineEvent {
+  return { type: "holdEnded", nowMs, workerId, callId, outcome };
+}
--- /dev/null
+++ b/bench/fake_worker.ts
@@ -0,0 +1,201 @@
+/**
+ * A worker for randomised runs: it starts what it is told, checks fencing
+ * tokens, lets leases lapse, and can be late, lose answers, hang and start
+ * again. It is the truth that promises are checked against.
+ */
+
+import type {
+  FinishedRow,
+  HoldOutcome,
+  RunEnd,
+  StartOutcome,
+  StopOutcome,
+} from "../src/engine/types.ts";
+import type { EffectOf } from "../src/instance/hosts.ts";
+
+/** One run on a worker, in truth. */
+export interface TrueRun {
+  readonly taskName: string;
+  readonly run: number;
+  readonly cpuMilli: number;
+  readonly startedAtMs: number;
+  readonly endsAtMs: number;
+  readonly fails: boolean;
+}
+
+/** What a task needs and how long it runs, in truth. */
+export interface TrueTask {
+  readonly cpuMilli: number;
+  readonly runMs: number;
+  readonly fails: boolean;
+}
+
+/** What a fake worker is made from. */
+export interface FakeWorkerOptions {
+  readonly workerId: string;
+  readonly availabilityZone: string;
+  readonly cpuMilli: number;
+  readonly speed: number;
+  readonly leaseMs: number;
+  readonly taskOf: (taskName: string) => TrueTask | undefined;
+  readonly onStart: (worker: FakeWorker, run: TrueRun) => void;
+  readonly onEnd: (worker: FakeWorker, run: TrueRun, end: RunEnd) => void;
+}
+
+/** A worker's state and its answers to calls. */
+export interface FakeWorker {
+  readonly workerId: string;
+  readonly availabilityZone: string;
+  readonly cpuMilli: number;
+  readonly running: Map<string, TrueRun>;
+  bornMs: number;
+  draining: boolean;
+  alive: boolean;
+  /** Runs make no progress. */
+  hangs: boolean;
+  /** Everything that starts fails at once. */
+  failsAll: boolean;
+  readonly usedCpuMilli: () => number;
+  /** Ends what has ended by now. */
+  readonly advance: (nowMs: number) => void;
+  readonly start: (call: EffectOf<"startTask">, nowMs: number) => StartOutcome;
+  readonly stop: (call: EffectOf<"stopTask">, nowMs: number) => StopOutcome;
+  /** Null while the call still waits for an end. */
+  readonly hold: (
+    call: EffectOf<"hold">,
+    nowMs: number,
+    untilMs: number,
+  ) => HoldOutcome | null;
+  readonly restart: (nowMs: number) => void;
+}
+
+/** Creates a worker whose clock began at its birth. */
+export function createFakeWorker(options: FakeWorkerOptions): FakeWorker {
+  const running = new Map<string, TrueRun>();
+  const finished: FinishedRow[] = [];
+  const highestRun = new Map<string, number>();
+  let fence = 0;
+  let leaseEndsMs = 0;
+  let nextEnd = 1;
+
+  function endRun(run: TrueRun, end: RunEnd): void {
+    running.delete(run.taskName);
+    const { taskName } = run;
+    finished.push({ sequence: nextEnd, taskName, run: run.run, end });
+    nextEnd += 1;
+    options.onEnd(worker, run, end);
+  }
+
+  function noteRun(taskName: string, run: number): void {
+    highestRun.set(taskName, Math.max(run, highestRun.get(taskName) ?? 0));
+  }
+
+  function extendLease(endsOnClockMs: number, nowMs: number): void {
+    const endsMs = Math.min(
+      endsOnClockMs + worker.bornMs,
+      nowMs + options.leaseMs,
+    );
+    leaseEndsMs = Math.max(leaseEndsMs, endsMs);
+  }
+
+  const worker: FakeWorker = {
+    workerId: options.workerId,
+    availabilityZone: options.availabilityZone,
+    cpuMilli: options.cpuMilli,
+    running,
+    bornMs: 0,
+    draining: false,
+    alive: true,
+    hangs: false,
+    failsAll: false,
+    usedCpuMilli() {
+      let used = 0;
+      for (const run of running.values()) used += run.cpuMilli;
+      return used;
+    },
+    advance(nowMs) {
+      for (const run of [...running.values()]) {
+        if (leaseEndsMs <= nowMs && leaseEndsMs <= run.endsAtMs) {
+          endRun(run, "lapsed");
+        } else if (run.endsAtMs <= nowMs && !worker.hangs) {
+          endRun(run, run.fails ? "failed" : "done");
+        }
+      }
+    },
+    start(call, nowMs) {
+      if (call.fence < fence) return { kind: "refused", reason: "fenced" };
+      fence = call.fence;
+      if (call.leaseEndsMs + worker.bornMs <= nowMs) {
+        return { kind: "refused", reason: "late" };
+      }
+      const clockMs = nowMs - worker.bornMs;
+      const present = running.get(call.taskName);
+      if (present?.run === call.run) return { kind: "started", clockMs };
+      if (call.run <= (highestRun.get(call.taskName) ?? 0)) {
+        return { kind: "refused", reason: "oldRun" };
+      }
+      const task = options.taskOf(call.taskName);
+      if (task === undefined) return { kind: "unknown", detail: "no task" };
+      noteRun(call.taskName, call.run);
+      extendLease(call.leaseEndsMs, nowMs);
+      const runMs = worker.failsAll ? 1 : task.runMs * options.speed;
+      const run: TrueRun = {
+        taskName: call.taskName,
+        run: call.run,
+        cpuMilli: task.cpuMilli,
+        startedAtMs: nowMs,
+        endsAtMs: nowMs + runMs,
+        fails: task.fails || worker.failsAll,
+      };
+      running.set(call.taskName, run);
+      options.onStart(worker, run);
+      return { kind: "started", clockMs };
+    },
+    stop(call, nowMs) {
+      if (call.fence < fence) return { kind: "fenced" };
+      fence = call.fence;
+      worker.advance(nowMs);
+      noteRun(call.taskName, call.run);
+      const present = running.get(call.taskName);
+      if (present !== undefined && present.run <= call.run) {
+        endRun(present, "stopped");
+      }
+      return { kind: "stopped" };
+    },
+    hold(call, nowMs, untilMs) {
+      if (call.fence < fence) return { kind: "fenced" };
+      fence = call.fence;
+      if (call.leaseEndsMs !== null) extendLease(call.leaseEndsMs, nowMs);
+      worker.advance(nowMs);
+      while ((finished[0]?.sequence ?? Infinity) <= call.lastSeenEnd) {
+        finished.shift();
+      }
+      if (finished.length === 0 && nowMs < untilMs) return null;
+      return {
+        kind: "held",
+        clockMs: nowMs - worker.bornMs,
+        bornMs: worker.bornMs,
+        running: [...running.values()].map(({ taskName, run }) => ({
+          taskName,
+          run,
+          percent: 50,
+        })),
+        finished: [...finished],
+      };
+    },
+    restart(nowMs) {
+      for (const run of [...running.values()]) {
+        running.delete(run.taskName);
+        options.onEnd(worker, run, "broken");
+      }
+      finished.length = 0;
+      highestRun.clear();
+      fence = 0;
+      leaseEndsMs = 0;
+      nextEnd = 1;
+      worker.bornMs = nowMs;
+      worker.alive = true;
+    },
+  };
+  return worker;
+}
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -32,15 +32,18 @@
     known.requestIds.push(event.requestId);
     return;
   }
+  state.nextSubmission += 1;
+  const { instanceId, bornMs } = state.self;
   const callerJob: CallerJob = {
     jobId: event.jobId,
+    submissionId: `${instanceId}.${bornMs}.${state.nextSubmission}`,
     queue: event.queue,
     job: event.job,
     receivedAtMs: event.nowMs,
     deadlineAtMs: event.nowMs + event.timeoutMs,
     requestIds: [event.requestId],
     submittedTerm: 0,
-    everSubmitted: false,
+    termsSubmitted: 0,
     doneTasks: [],
   };
   state.callerJobs.set(event.jobId, callerJob);
@@ -51,18 +54,20 @@
 function submit(turn: Turn, callerJob: CallerJob): void {
   const { state } = turn;
   if (state.leaderId === null) return;
-  const resubmitted = callerJob.everSubmitted;
-  callerJob.submittedTerm = state.leaderTerm;
-  callerJob.everSubmitted = true;
+  if (callerJob.submittedTerm !== state.leaderTerm) {
+    callerJob.submittedTerm = state.leaderTerm;
+    callerJob.termsSubmitted += 1;
+  }
   sendPeer(turn, state.leaderId, {
     type: "submit",
     jobId: callerJob.jobId,
+    submissionId: callerJob.submissionId,
     queue: callerJob.queue,
     job: callerJob.job,
     availabilityZone: state.self.availabilityZone,
     ageMs: Math.round(state.nowMs - callerJob.receivedAtMs),
     timeLeftMs: Math.round(callerJob.deadlineAtMs - state.nowMs),
-    resubmitted,
+    resubmitted: callerJob.termsSubmitted > 1,
     doneTasks: [...callerJob.doneTasks],
   });
 }
@@ -99,7 +104,7 @@
     jobId,
     waitedMs: Math.round(state.nowMs - callerJob.receivedAtMs),
   });
-  if (callerJob.everSubmitted && state.leaderId !== null) {
+  if (callerJob.termsSubmitted > 0 && state.leaderId !== null) {
     sendPeer(turn, state.leaderId, { type: "withdraw", jobId });
   }
 }
@@ -111,13 +116,14 @@
 export function onJobEnded(
   turn: Turn,
   from: string,
-  { jobId, outcome }: PeerMessageOf<"jobEnded">,
+  { jobId, submissionId, outcome }: PeerMessageOf<"jobEnded">,
 ): void {
   const { state } = turn;
   const callerJob = state.callerJobs.get(jobId);
   if (callerJob === undefined) return;
   const isWhole = outcome.kind === "done" || outcome.kind === "failed";
   const isCurrent = from === state.leaderId &&
+    callerJob.submissionId === submissionId &&
     callerJob.submittedTerm === state.leaderTerm;
   if (!isWhole && !isCurrent) return;
   answer(turn, callerJob, outcome);
@@ -166,7 +172,7 @@
 ): JobOutcome | null {
   const waitedMs = state.nowMs -
     Math.max(callerJob.receivedAtMs, state.leaderlessSinceMs);
-  if (callerJob.everSubmitted) {
+  if (callerJob.termsSubmitted > 0) {
     return waitedMs < LOST_LEADER_WAIT_MS
       ? null
       : { kind: "unknown", reason: "leaderLost" };
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -36,27 +36,53 @@
   const { scheduler } = state;
   if (scheduler === null) return;
   const known = scheduler.jobs.get(message.jobId);
-  if (known !== undefined && known.outcome?.kind !== "refused") {
+  if (known !== undefined && !isNewAttempt(known, from, message)) {
     joinJob(turn, known, { from, message });
     return;
   }
   const job = createJob(state, from, message);
+  if (known !== undefined) inheritProgress(job, known);
+  openSteps(job);
+  scheduler.jobs.set(job.jobId, job);
   const refusal = job.begun ? null : refusalOf(state, scheduler, job);
   if (refusal !== null) {
-    job.outcome = refusal;
-    sendPeer(turn, from, {
-      type: "jobEnded",
-      jobId: job.jobId,
-      outcome: refusal,
-    });
+    endJob(turn, job, refusal);
+    return;
+  }
+  if (job.unfinished === 0) {
+    endJob(turn, job, { kind: "done" });
     return;
   }
-  scheduler.jobs.set(job.jobId, job);
   claimRuns(turn, scheduler, job);
   enqueue(scheduler, job);
   placeWaiting(turn, job.queue.service);
 }
 
+/** Whether a caller tries again after its job was refused or given up. */
+function isNewAttempt(
+  known: Job,
+  from: string,
+  { submissionId }: PeerMessageOf<"submit">,
+): boolean {
+  if (known.outcome?.kind === "unknown") return true;
+  return known.outcome?.kind === "refused" &&
+    known.entries.get(from) !== submissionId;
+}
+
+/** What an earlier attempt ran counts for a later one. */
+function inheritProgress(job: Job, earlier: Job): void {
+  job.begun = job.begun || earlier.begun;
+  for (const [index, task] of job.tasks.entries()) {
+    const before = earlier.tasks[index];
+    if (before?.name !== task.name) continue;
+    task.run = Math.max(task.run, before.run);
+    task.failures = before.failures;
+    if (before.state !== "done" || task.state === "done") continue;
+    task.state = "done";
+    job.unfinished -= 1;
+  }
+}
+
 function joinJob(
   turn: Turn,
   job: Job,
@@ -64,10 +90,12 @@
 ): void {
   if (job.outcome !== null) {
     const { jobId, outcome } = job;
-    sendPeer(turn, from, { type: "jobEnded", jobId, outcome });
+    const { submissionId } = message;
+    const type = "jobEnded";
+    sendPeer(turn, from, { type, jobId, submissionId, outcome });
     return;
   }
-  job.entries.add(from);
+  job.entries.set(from, message.submissionId);
   job.paused = false;
   const deadlineAtMs = turn.state.nowMs + message.timeLeftMs;
   job.deadlineAtMs = Math.max(job.deadlineAtMs, deadlineAtMs);
@@ -102,7 +130,7 @@
     queue,
     spec: spec.spec,
     steps: spec.steps,
-    entries: new Set([from]),
+    entries: new Map([[from, message.submissionId]]),
     availabilityZone,
     receivedAtMs,
     deadlineAtMs: state.nowMs + message.timeLeftMs,
@@ -117,7 +145,6 @@
     outcome: null,
     endedAtMs: 0,
   };
-  openSteps(job);
   return job;
 }
 
@@ -222,8 +249,10 @@
   dequeue(scheduler, job);
   scheduler.ended.push(job);
   if (outcome.kind !== "done") stopRunsOf(turn, scheduler, job);
-  for (const entryId of job.entries) {
-    sendPeer(turn, entryId, { type: "jobEnded", jobId: job.jobId, outcome });
+  const { jobId } = job;
+  for (const [entryId, submissionId] of job.entries) {
+    const type = "jobEnded";
+    sendPeer(turn, entryId, { type, jobId, submissionId, outcome });
   }
 }
 
@@ -246,7 +275,6 @@
   job.entries.delete(from);
   if (job.entries.size > 0) return;
   endJob(turn, job, { kind: "unknown", reason: "deadline" });
-  turn.state.scheduler?.jobs.delete(job.jobId);
 }
 
 /** Turns away what can't make it any more, and forgets old jobs. */
@@ -254,7 +282,7 @@
   const { state } = turn;
   for (const job of scheduler.jobs.values()) {
     if (job.outcome !== null) continue;
-    if (watchEntries(turn, scheduler, job)) continue;
+    if (watchEntries(turn, job)) continue;
     if (!job.begun) {
       const refusal = refusalOf(state, scheduler, job);
       if (refusal !== null) {
@@ -277,7 +305,7 @@
  * Stops what runs for entries that went silent: across a cut they have handed
  * their jobs to another leader. Returns whether the job was dropped.
  */
-function watchEntries(turn: Turn, scheduler: Scheduler, job: Job): boolean {
+function watchEntries(turn: Turn, job: Job): boolean {
   const silentMs = entriesSilentMs(turn.state, job);
   job.paused = silentMs > PAUSE_SILENT_MS;
   if (silentMs <= DROP_SILENT_MS) return false;
@@ -286,14 +314,13 @@
     silentMs: Math.round(silentMs),
   });
   endJob(turn, job, { kind: "unknown", reason: "leaderLost" });
-  scheduler.jobs.delete(job.jobId);
   return true;
 }
 
 /** How long all entries of a job have been out of reach; 0 where one ended. */
 function entriesSilentMs(state: EngineState, job: Job): number {
   let silentMs = Infinity;
-  for (const entryId of job.entries) {
+  for (const entryId of job.entries.keys()) {
     const peer = state.peers.get(entryId);
     if (peer === undefined || peer.refusedAtMs > peer.lastHeardMs) return 0;
     silentMs = Math.min(silentMs, state.nowMs - peer.lastHeardMs);
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -97,6 +97,7 @@
     statistics: new Map(),
     scheduler: null,
     nextCallId: 0,
+    nextSubmission: 0,
     counters: {
       jobsReceived: 0,
       jobsDone: 0,
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -111,12 +111,14 @@
 const submitSchema = z.object({
   type: z.literal("submit"),
   jobId: z.string(),
+  /** Names one caller's attempt; the same job may come again. */
+  submissionId: z.string(),
   queue: queueRuleSchema,
   job: jobSpecSchema,
   availabilityZone: z.string(),
   ageMs: z.number(),
   timeLeftMs: z.number(),
-  /** A former leader had the job. */
+  /** A leader of another term had the job. */
   resubmitted: z.boolean(),
   doneTasks: z.array(z.string()),
 });
@@ -154,6 +156,7 @@
   z.object({
     type: z.literal("jobEnded"),
     jobId: z.string(),
+    submissionId: z.string(),
     outcome: outcomeSchema,
   }),
   z.object({
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -234,6 +234,7 @@
 /** A job whose caller waits at this instance. */
 export interface CallerJob {
   readonly jobId: string;
+  readonly submissionId: string;
   readonly queue: QueueRule;
   readonly job: JobSpec;
   readonly receivedAtMs: number;
@@ -241,8 +242,8 @@
   readonly requestIds: string[];
   /** The term of the leader that was given the job last; 0 for none yet. */
   submittedTerm: number;
-  /** A leader was given the job, so tasks of it may have started. */
-  everSubmitted: boolean;
+  /** Leaders of so many terms were given the job: they may have begun it. */
+  termsSubmitted: number;
   /** Tasks that a former leader reported as done. */
   doneTasks: readonly string[];
 }
@@ -270,8 +271,8 @@
   readonly queue: QueueRule;
   readonly spec: string;
   readonly steps: readonly JobStep[];
-  /** The instances whose callers wait for it. */
-  readonly entries: Set<string>;
+  /** The instances whose callers wait for it, with their submissions. */
+  readonly entries: Map<string, string>;
   readonly availabilityZone: string;
   readonly receivedAtMs: number;
   deadlineAtMs: number;
@@ -420,6 +421,7 @@
   readonly statistics: Map<string, QueueStatistics>;
   scheduler: Scheduler | null;
   nextCallId: number;
+  nextSubmission: number;
   readonly counters: Counters;
 }
 
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -401,6 +401,9 @@
   const { state } = turn;
   const rivalLikely = !seesMajority(state) || hasMissingPeers(state);
   worker.phase = "lost";
+  // The other holder renewed what runs, until it stops what it can't claim.
+  worker.leaseLapsesAtMs = state.nowMs + ADOPTION_MS + state.stopMs +
+    longestLeaseMs(state);
   worker.fence += FENCE_JUMP_TERMS * FENCES_PER_TERM;
   worker.retryAtMs = state.nowMs + (rivalLikely ? RETAKE_MS : RETAKE_ALONE_MS);
   logDecision(turn, {
