--- /dev/null
+++ b/bench/load_model.ts
@@ -0,0 +1,124 @@
+/**
+ * An offline model of load: the real engine over fake workers, with bursts, and
+ * what callers got. Usage: load_model.js [SEEDS]
+ */
+
+import { arrive, sheetKinds, worldOptions } from "./engine_runs.ts";
+import {
+  type CallerRecord,
+  createWorld,
+  type JobKind,
+} from "./engine_world.ts";
+
+const LOAD_BEGINS_MS = 3_000;
+const LOAD_ENDS_MS = 15_000;
+const RUN_ENDS_MS = 21_000;
+
+/** A pattern of load: multiples of the sheets' arrivals. */
+export interface LoadPattern {
+  readonly name: string;
+  /** All kinds, all the time. */
+  readonly base: number;
+  /** One kind more, for a while. */
+  readonly burst?: {
+    readonly kind: string;
+    readonly times: number;
+    readonly beginMs: number;
+    readonly endMs: number;
+  };
+}
+
+function burstOf(kind: string, times: number, endMs: number) {
+  return { kind, times, beginMs: 5_000, endMs };
+}
+
+/** The patterns of the standard days. */
+export const loadPatterns: readonly LoadPattern[] = [
+  { name: "steady", base: 1 },
+  { name: "high", base: 1.5 },
+  { name: "over", base: 2.1 },
+  { name: "stock burst", base: 1.4, burst: burstOf("stock", 1.5, 11_000) },
+  { name: "quote burst", base: 1.4, burst: burstOf("quote", 0.8, 9_000) },
+  { name: "courier burst", base: 1.4, burst: burstOf("courier", 0.9, 9_000) },
+];
+
+/** What callers of one kind got. */
+export interface KindResult {
+  readonly kind: string;
+  readonly jobs: number;
+  readonly onTime: number;
+  readonly late: number;
+  readonly refused: number;
+  /** Worth earned over worth asked. */
+  readonly credit: number;
+}
+
+/** Plays a pattern of load. */
+export function playLoad(
+  pattern: LoadPattern,
+  { seed }: { seed: number },
+): { kinds: KindResult[]; credit: number } {
+  const world = createWorld(worldOptions({ seed, load: 0, faults: [] }));
+  const span = { beginMs: LOAD_BEGINS_MS, endMs: LOAD_ENDS_MS };
+  for (const kind of sheetKinds) {
+    arrive(world, kind, { load: pattern.base, ...span });
+    const { burst } = pattern;
+    if (burst === undefined || burst.kind !== kind.queue.name) continue;
+    arrive(world, kind, { ...burst, load: pattern.base * burst.times });
+  }
+  world.run(RUN_ENDS_MS);
+  const records = [...world.jobs.values()];
+  const kinds = sheetKinds.map((kind) => resultOf(kind, records));
+  const asked = records.reduce((sum, { kind }) => sum + kind.worth, 0);
+  const earned = records.reduce((sum, one) => sum + worthOf(one), 0);
+  return { kinds, credit: earned / asked };
+}
+
+function isOnTime({ kind, sentAtMs, answeredAtMs, idealMs }: CallerRecord) {
+  const objectiveMs = kind.queue.stretch * idealMs + kind.queue.objectiveMs;
+  return answeredAtMs - sentAtMs <= objectiveMs;
+}
+
+function worthOf(record: CallerRecord): number {
+  if (record.outcome?.kind !== "done") return 0;
+  return isOnTime(record) ? record.kind.worth : record.kind.lateWorth;
+}
+
+function resultOf(
+  kind: JobKind,
+  records: readonly CallerRecord[],
+): KindResult {
+  const own = records.filter((record) => record.kind === kind);
+  const done = own.filter((record) => record.outcome?.kind === "done");
+  const onTime = done.filter(isOnTime).length;
+  const earned = own.reduce((sum, one) => sum + worthOf(one), 0);
+  return {
+    kind: kind.queue.name,
+    jobs: own.length,
+    onTime,
+    late: done.length - onTime,
+    refused: own.filter((one) => one.outcome?.kind === "refused").length,
+    credit: earned / (own.length * kind.worth),
+  };
+}
+
+function main(): void {
+  const seeds = Number(process.argv[2] ?? 3);
+  for (const pattern of loadPatterns) {
+    let credit = 0;
+    const lines: string[] = [];
+    for (let seed = 1; seed <= seeds; seed += 1) {
+      const result = playLoad(pattern, { seed });
+      credit += result.credit / seeds;
+      if (seed > 1) continue;
+      for (const { kind, jobs, onTime, late, refused } of result.kinds) {
+        lines.push(`${kind} ${onTime}+${late} late, ${refused} of ${jobs}`);
+      }
+    }
+    process.stdout.write(
+      `${pattern.name.padEnd(14)} ${credit.toFixed(3)}  ${lines.join("; ")}\n`,
+    );
+  }
+}
+
+if (process.argv[1]?.endsWith("load_model.js")) main();
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -36,7 +36,7 @@
   const { instanceId, bornMs } = state.self;
   const callerJob: CallerJob = {
     jobId: event.jobId,
-    submissionId: `${instanceId}.${bornMs}.${state.nextSubmission}`,
+    name: `${instanceId}.${bornMs}.${state.nextSubmission}`,
     queue: event.queue,
     job: event.job,
     receivedAtMs: event.nowMs,
@@ -50,6 +50,11 @@
   submit(turn, callerJob);
 }
 
+/** Names what was handed to the present leader: earlier answers don't count. */
+function submissionIdOf({ name, termsSubmitted }: CallerJob): string {
+  return `${name}.${termsSubmitted}`;
+}
+
 /** Gives a job to the leader, if one is known. */
 function submit(turn: Turn, callerJob: CallerJob): void {
   const { state } = turn;
@@ -61,7 +66,7 @@
   sendPeer(turn, state.leaderId, {
     type: "submit",
     jobId: callerJob.jobId,
-    submissionId: callerJob.submissionId,
+    submissionId: submissionIdOf(callerJob),
     queue: callerJob.queue,
     job: callerJob.job,
     availabilityZone: state.self.availabilityZone,
@@ -123,7 +128,7 @@
   if (callerJob === undefined) return;
   const isWhole = outcome.kind === "done" || outcome.kind === "failed";
   const isCurrent = from === state.leaderId &&
-    callerJob.submissionId === submissionId &&
+    submissionIdOf(callerJob) === submissionId &&
     callerJob.submittedTerm === state.leaderTerm;
   if (!isWhole && !isCurrent) return;
   answer(turn, callerJob, outcome);
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -97,6 +97,11 @@
   }
   job.entries.set(from, message.submissionId);
   job.paused = false;
+  if (message.resubmitted) {
+    job.begun = true;
+    job.resubmitted = true;
+    job.formerRunsLapseAtMs = turn.state.nowMs + longestLeaseMs(turn.state);
+  }
   const deadlineAtMs = turn.state.nowMs + message.timeLeftMs;
   job.deadlineAtMs = Math.max(job.deadlineAtMs, deadlineAtMs);
 }
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -144,7 +144,7 @@
   if (!wasLive || isLive(state, peer)) return;
   peer.isLeader = false;
   logDecision(turn, { part: "members", text: "a peer's process has ended" }, {
-    instanceId: event.instanceId,
+    peerId: event.instanceId,
     lastHeardMsAgo: Math.round(state.nowMs - peer.lastHeardMs),
   });
 }
--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -6,7 +6,7 @@
  * deposed leader still sends does nothing.
  */
 
-import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
+import type { InstanceInfo, PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import { resubmitAll } from "./callers.ts";
 import {
   countInstances,
@@ -17,7 +17,13 @@
   seesMajority,
 } from "./membership.ts";
 import { logDecision, sendPeer } from "./turn.ts";
-import type { EngineState, Peer, Scheduler, Turn } from "./types.ts";
+import type {
+  EngineEventOf,
+  EngineState,
+  Peer,
+  Scheduler,
+  Turn,
+} from "./types.ts";
 
 /** Terms count the wall clock in steps of so many milliseconds. */
 const TERM_STEP_MS = 100;
@@ -31,6 +37,14 @@
 const HEARSAY_MS = 1_500;
 /** A provisional lead lasts at least so long. */
 const CONFIRM_MS = 3_000;
+/** An instance that started within so long may have peers that start. */
+const YOUNG_MS = 2_000;
+/** The code of an instance runs at full speed after so long. */
+const WARM_AFTER_MS = 6_000;
+/** Keeps ages at one number of digits, so that they compare as text. */
+const RANK_OFFSET = 1e13;
+/** Instances that start together start within so long of each other. */
+const START_TOGETHER_MS = 250;
 /** The next in rank leads if those before it did not by then. */
 const RANK_DELAY_MS = 400;
 
@@ -196,14 +210,32 @@
 
 /** How many instances come before this one: those that drain come last. */
 function rankOfSelf(state: EngineState): number {
-  const selfKey = rankKey(state.draining, state.self.instanceId);
-  return livePeers(state).filter((peer) =>
-    rankKey(peer.draining, peer.info.instanceId) < selfKey
+  const selfRank = rankKey(state, state.self, state.draining);
+  const starting = state.nowMs - state.bornAtMs < YOUNG_MS &&
+    state.nowMs - state.candidateSinceMs < START_TOGETHER_MS;
+  return [...state.peers.values()].filter((peer) =>
+    (isLive(state, peer) || (starting && peer.refusedAtMs > 0)) &&
+    peerRank(state, peer) < selfRank
   ).length;
 }
 
-function rankKey(draining: boolean, instanceId: string): string {
-  return `${draining ? 1 : 0}${instanceId}`;
+function peerRank(state: EngineState, { info, draining }: Peer): string {
+  return rankKey(state, info, draining);
+}
+
+/**
+ * The order in which instances lead: not those that drain, nor those that just
+ * started and run cold code; then the youngest, which a rolling restart that
+ * is under way has behind it.
+ */
+function rankKey(
+  { wallMs }: EngineState,
+  { instanceId, bornMs }: InstanceInfo,
+  draining: boolean,
+): string {
+  const cold = wallMs - bornMs < WARM_AFTER_MS;
+  const age = String(Math.max(0, wallMs - bornMs) + RANK_OFFSET).slice(-12);
+  return `${draining ? 1 : 0}${cold ? 1 : 0}${age}${instanceId}`;
 }
 
 /** Starts to lead: in a new term, with no worker taken yet. */
@@ -256,6 +288,23 @@
   state.leaderlessSinceMs = state.nowMs;
 }
 
+/**
+ * The process stood still. Peers were not silent meanwhile, but may have
+ * another leader by now, and jobs that waited here may run elsewhere.
+ */
+export function onStalled(turn: Turn, event: EngineEventOf<"stalled">): void {
+  const { state } = turn;
+  logDecision(turn, { level: "warn", part: "instance", text: "stood still" }, {
+    forMs: Math.round(event.forMs),
+    isLeader: state.scheduler !== null,
+  });
+  const stalledMs = state.nowMs - state.lastTickMs;
+  for (const peer of state.peers.values()) {
+    if (peer.lastHeardMs > 0) peer.lastHeardMs += stalledMs;
+  }
+  stepDown(turn, "the process stood still");
+}
+
 /** Hands the lead to a peer that does not drain, if there is one. */
 export function handOver(turn: Turn): void {
   const { state } = turn;
@@ -263,7 +312,7 @@
   if (scheduler === null) return;
   const successor = livePeers(state)
     .filter((peer) => !peer.draining && peer.configurationVersion >= 0)
-    .sort((a, b) => a.info.instanceId < b.info.instanceId ? -1 : 1)[0];
+    .sort((a, b) => peerRank(state, a) < peerRank(state, b) ? -1 : 1)[0];
   if (successor === undefined) return;
   const successorId = successor.info.instanceId;
   const jobs = [...scheduler.jobs.values()]
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -23,7 +23,12 @@
   onPeerUp,
   workersAgeMs,
 } from "./membership.ts";
-import { checkLeadership, handOver, onReleased } from "./ownership.ts";
+import {
+  checkLeadership,
+  handOver,
+  onReleased,
+  onStalled,
+} from "./ownership.ts";
 import { placeWaiting } from "./place.ts";
 import { onStartEnded, onStopEnded } from "./runs.ts";
 import type { InstanceInfo, PeerMessage } from "./schemas.ts";
@@ -44,9 +49,6 @@
   syncWorkers,
 } from "./workers.ts";
 
-/** A gap between ticks of this length means that the process stood still. */
-const STALL_MS = 300;
-
 /** What a new engine is made from. */
 export interface EngineOptions {
   readonly self: InstanceInfo;
@@ -190,6 +192,7 @@
     if (worker !== null) placeWaiting(turn, worker.info.service);
   },
   stopEnded: onStopEnded,
+  stalled: onStalled,
   drainRequested: (turn) => {
     turn.state.draining = true;
     logDecision(turn, { part: "instance", text: "draining" }, {
@@ -216,7 +219,6 @@
 function onTick(turn: Turn, event: EngineEventOf<"tick">): void {
   const { state } = turn;
   state.wallMs = event.wallMs;
-  forgiveStall(state);
   state.lastTickMs = state.nowMs;
   checkPeers(turn);
   checkLeadership(turn);
@@ -230,15 +232,6 @@
   checkCallerJobs(turn);
 }
 
-/** Peers were not silent while this process stood still. */
-function forgiveStall(state: EngineState): void {
-  const stalledMs = state.nowMs - state.lastTickMs;
-  if (stalledMs < STALL_MS) return;
-  for (const peer of state.peers.values()) {
-    if (peer.lastHeardMs > 0) peer.lastHeardMs += stalledMs;
-  }
-}
-
 /** Applies one event to the state, and returns what the shell has to do. */
 export function reduce(state: EngineState, event: EngineEvent): Effect[] {
   const turn: Turn = { state, effects: [], toSelf: [] };
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -111,7 +111,7 @@
 const submitSchema = z.object({
   type: z.literal("submit"),
   jobId: z.string(),
-  /** Names one caller's attempt; the same job may come again. */
+  /** Names a caller's attempt as handed to this leader's term. */
   submissionId: z.string(),
   queue: queueRuleSchema,
   job: jobSpecSchema,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -148,6 +148,8 @@
       readonly run: number;
       readonly outcome: StopOutcome;
     }
+    /** The process stood still; what arrives now may have waited as long. */
+    | { readonly type: "stalled"; readonly forMs: number }
     | { readonly type: "drainRequested" }
   );
 
@@ -234,7 +236,8 @@
 /** A job whose caller waits at this instance. */
 export interface CallerJob {
   readonly jobId: string;
-  readonly submissionId: string;
+  /** Unlike that of any other caller's job, here or elsewhere. */
+  readonly name: string;
   readonly queue: QueueRule;
   readonly job: JobSpec;
   readonly receivedAtMs: number;
@@ -285,9 +288,9 @@
   /** Tasks of it were handed to workers, here or by a former leader. */
   begun: boolean;
   /** A former leader had it: its tasks may run on workers not read yet. */
-  readonly resubmitted: boolean;
+  resubmitted: boolean;
   /** By then, what a former leader started has lapsed if it was not found. */
-  readonly formerRunsLapseAtMs: number;
+  formerRunsLapseAtMs: number;
   /** Its entries are silent: nothing more of it starts. */
   paused: boolean;
   outcome: JobOutcome | null;
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -15,6 +15,7 @@
 import { startDirectoryReaders } from "./directory_readers.ts";
 import type { DirectoryHost, WorkerHost } from "./hosts.ts";
 import type { JsonLog } from "./json_log.ts";
+import { createStallWatch } from "./stall_watch.ts";
 import { createPeerMesh, type PeerMesh } from "./peer_mesh.ts";
 
 /** Period of the engine's tick. */
@@ -69,7 +70,15 @@
   let nextRequest = 0;
   let mesh: PeerMesh | null = null;
 
+  const stalledMs = createStallWatch(clock);
+
   function dispatch(event: EngineEvent): void {
+    const forMs = stalledMs();
+    if (forMs > 0) apply({ type: "stalled", nowMs: clock.nowMs(), forMs });
+    apply(event);
+  }
+
+  function apply(event: EngineEvent): void {
     for (const effect of reduce(state, event)) perform(effect);
   }
 
