Runs that nobody claimed are not renewed

Ruled out: late orders, a wrong clock of the worker (its lease would have ended at 34.3 s, the run ended at 34.5 s). Change: while unknown runs are on a worker, holds carry no lease.

--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -25,6 +25,8 @@
 
 /** How long a hold waits at the worker for an end. */
 const HOLD_WAIT_MS = 400;
+/** And where runs that nobody claimed yet are among what runs there. */
+const UNKNOWN_WAIT_MS = 40;
 /** Workers whose clock runs slow keep a lease longer by this share. */
 const CLOCK_DRIFT = 0.02;
 /** How late a lease may have begun after the call that granted it. */
@@ -388,7 +390,7 @@
   const { state } = turn;
   if (worker.runs.size > 0) {
     worker.unacknowledgedEnds = false;
-    sendHold(turn, worker, { waitMs: HOLD_WAIT_MS, renews: true });
+    holdBusy(turn, worker);
     return;
   }
   worker.nextHoldMs = worker.unacknowledgedEnds
@@ -396,6 +398,16 @@
     : Infinity;
 }
 
+/**
+ * Renews what runs on a worker, and waits for an end. Runs that no job here
+ * claims are not renewed: their own leader counts on it that they lapse.
+ */
+function holdBusy(turn: Turn, worker: OwnedWorker): void {
+  const renews = worker.unknownRuns === 0;
+  const waitMs = renews ? HOLD_WAIT_MS : UNKNOWN_WAIT_MS;
+  sendHold(turn, worker, { waitMs, renews });
+}
+
 /** Another instance holds the worker under a higher token. */
 export function yieldWorker(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
@@ -452,8 +464,8 @@
     checkRuns(turn, worker);
     if (state.nowMs < worker.nextHoldMs || worker.phase !== "ready") continue;
     worker.unacknowledgedEnds = false;
-    const busy = worker.runs.size > 0;
-    sendHold(turn, worker, { waitMs: busy ? HOLD_WAIT_MS : 0, renews: busy });
+    if (worker.runs.size > 0) holdBusy(turn, worker);
+    else sendHold(turn, worker, { waitMs: 0, renews: false });
   }
 }
 
