A worker that another leader held rests before it takes tasks again

Change: a worker taken back rests for the time a stop takes; a side that grew waits 400 ms before it takes more workers.

--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -35,6 +35,8 @@
 const LISTEN_FIRST_MS = 900;
 /** While peers hear a leader, an instance that does not waits so long. */
 const HEARSAY_MS = 1_500;
+/** A side that grew takes more workers after so long. */
+const GROW_AFTER_MS = 400;
 /** A provisional lead lasts at least so long. */
 const CONFIRM_MS = 3_000;
 /** An instance that started within so long may have peers that start. */
@@ -362,6 +364,17 @@
   }
 }
 
+/**
+ * A leader that has just come to hear most instances again takes no more
+ * workers yet: another leader may be about to outrank it.
+ */
+function withinLead(state: EngineState, workers: WorkerInfo[]): WorkerInfo[] {
+  const { scheduler } = state;
+  if (scheduler === null) return workers;
+  if (state.nowMs - scheduler.minorityAtMs >= GROW_AFTER_MS) return workers;
+  return workers.filter(({ workerId }) => scheduler.workers.has(workerId));
+}
+
 /**
  * The workers that this leader should hold: all of them while it hears most of
  * the instances, else its side's part, those of its own zone first. So two
@@ -369,7 +382,7 @@
  */
 export function workersOfSide(state: EngineState): WorkerInfo[] {
   const workers = [...state.workers.values()];
-  if (seesMajority(state)) return workers;
+  if (seesMajority(state)) return withinLead(state, workers);
   const { visible, expected } = countInstances(state);
   const share = Math.ceil(workers.length * visible / expected);
   const home = state.self.availabilityZone;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -375,6 +375,7 @@
 function becomeReady(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
   worker.phase = "ready";
+  // A run that another holder stopped is not listed, but may not be gone.
   if (worker.usableFromMs === 0) {
     worker.usableFromMs = state.nowMs + state.stopMs + LEASE_SLACK_MS / 6;
   }
@@ -413,6 +414,7 @@
   const { state } = turn;
   const rivalLikely = !seesMajority(state) || hasMissingPeers(state);
   worker.phase = "lost";
+  worker.usableFromMs = 0;
   // The other holder renewed what runs, until it stops what it can't claim.
   worker.leaseLapsesAtMs = state.nowMs + ADOPTION_MS + state.stopMs +
     longestLeaseMs(state);
@@ -444,6 +446,7 @@
     }, { workerId: worker.info.workerId, reason, runs: worker.runs.size });
   }
   worker.phase = "lost";
+  worker.usableFromMs = 0;
   worker.retryAtMs = state.nowMs +
     (worker.holdFailures === 1 ? 0 : RETRY_WORKER_MS);
 }
