--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,6 +12,7 @@
   submitCommand,
   teamsCommand,
 } from "./instance_commands.ts";
+import { traceCommand } from "./trace_command.ts";
 
 const main = defineCommand({
   meta: {
@@ -29,6 +30,7 @@
     drain: drainCommand,
     submit: submitCommand,
     job: jobCommand,
+    trace: traceCommand,
   },
 });
 
--- a/src/engine/admit.ts
+++ b/src/engine/admit.ts
@@ -4,7 +4,7 @@
  * later one that fits is still taken.
  */
 
-import { hasQueuedTasks } from "./queue.ts";
+import { compareJobs, hasQueuedTasks } from "./queue.ts";
 import type { EngineState, Job, JobOutcome, Scheduler } from "./types.ts";
 
 /** The least time after which callers of refused jobs should come back. */
@@ -43,8 +43,7 @@
   if (capacityMilli === 0) return Infinity;
   let aheadMilliMs = 0;
   for (const other of scheduler.waiting.get(service) ?? []) {
-    if (other === job) break;
-    if (other.queue.priority > job.queue.priority) break;
+    if (other === job || compareJobs(other, job) > 0) break;
     aheadMilliMs += queuedWork(other);
   }
   return aheadMilliMs / capacityMilli;
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -2,7 +2,7 @@
 
 import { createEstimate, estimateTaskMs } from "../core/estimates.ts";
 import type { PeerMessageOf } from "./schemas.ts";
-import { refusalOf } from "./admit.ts";
+import { expectedWaitMs, refusalOf } from "./admit.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import { placeWaiting } from "./place.ts";
 import { claimRuns, stopRun } from "./runs.ts";
@@ -45,6 +45,7 @@
   openSteps(job);
   scheduler.jobs.set(job.jobId, job);
   const refusal = job.begun ? null : refusalOf(state, scheduler, job);
+  logAdmission(turn, scheduler, job);
   if (refusal !== null) {
     endJob(turn, job, refusal);
     return;
@@ -58,6 +59,22 @@
   placeWaiting(turn, job.queue.service);
 }
 
+function logAdmission(turn: Turn, scheduler: Scheduler, job: Job): void {
+  const { nowMs } = turn.state;
+  const waitMs = expectedWaitMs(turn.state, scheduler, job);
+  logDecision(turn, { part: "admit", text: "a job came" }, {
+    jobId: job.jobId,
+    queue: job.queue.name,
+    tasks: job.tasks.length,
+    expectedWaitMs: Math.round(waitMs),
+    expectedRunMs: Math.round(job.chainMs),
+    objectiveInMs: Math.round(job.objectiveAtMs - nowMs),
+    deadlineInMs: Math.round(job.deadlineAtMs - nowMs),
+    begun: job.begun,
+    resubmitted: job.resubmitted,
+  });
+}
+
 /** Whether a caller tries again after its job was refused or given up. */
 function isNewAttempt(
   known: Job,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -15,6 +15,7 @@
 import { startDirectoryReaders } from "./directory_readers.ts";
 import type { DirectoryHost, WorkerHost } from "./hosts.ts";
 import type { JsonLog } from "./json_log.ts";
+import { createMetrics, type Metrics } from "./metrics.ts";
 import { createStallWatch } from "./stall_watch.ts";
 import { createPeerMesh, type PeerMesh } from "./peer_mesh.ts";
 
@@ -44,9 +45,15 @@
   readonly onAnswer: (outcome: JobOutcome) => void;
 }
 
+interface Waiting {
+  readonly onAnswer: (outcome: JobOutcome) => void;
+  readonly sinceMs: number;
+}
+
 /** A running instance. */
 export interface Instance {
   readonly state: EngineState;
+  readonly metrics: Metrics;
   /** Hands in a job; the function returned says that the caller left. */
   readonly submit: (submission: CallerSubmission) => () => void;
   /** Stops leading and taking new work. */
@@ -66,7 +73,8 @@
     nowMs: clock.nowMs(),
     wallMs: clock.wallMs(),
   });
-  const waiting = new Map<string, (outcome: JobOutcome) => void>();
+  const metrics = createMetrics(state);
+  const waiting = new Map<string, Waiting>();
   let nextRequest = 0;
   let mesh: PeerMesh | null = null;
 
@@ -86,9 +94,11 @@
     [T in Effect["type"]]: (effect: Extract<Effect, { type: T }>) => void;
   } = {
     answerCaller: ({ requestId, outcome }) => {
-      const onAnswer = waiting.get(requestId);
+      const found = waiting.get(requestId);
+      if (found === undefined) return;
       waiting.delete(requestId);
-      onAnswer?.(outcome);
+      metrics.noteAnswer(outcome, clock.nowMs() - found.sinceMs);
+      found.onAnswer(outcome);
     },
     sendPeer: ({ instanceId, message }) => mesh?.send(instanceId, message),
     hold: (effect) => {
@@ -181,10 +191,11 @@
 
   return {
     state,
+    metrics,
     submit({ onAnswer, ...submission }) {
       nextRequest += 1;
       const requestId = String(nextRequest);
-      waiting.set(requestId, onAnswer);
+      waiting.set(requestId, { onAnswer, sinceMs: clock.nowMs() });
       dispatch({
         type: "callerSubmit",
         nowMs: clock.nowMs(),
--- /dev/null
+++ b/src/instance/metrics.ts
@@ -0,0 +1,92 @@
+/** Counters and latency histograms of an instance, as text. */
+
+import { createServer, type Server } from "node:http";
+import * as hdr from "hdr-histogram-js";
+import type { EngineState, JobOutcome } from "../engine/types.ts";
+
+/** The longest latency that is told apart. */
+const MAX_LATENCY_MS = 120_000;
+const PERCENTILES = [50, 90, 99, 99.9];
+
+/** What an instance measures of its answers. */
+export interface Metrics {
+  readonly noteAnswer: (outcome: JobOutcome, tookMs: number) => void;
+  /** One line a figure: a name, labels, and a value. */
+  readonly text: () => string;
+}
+
+/**
+ * Creates the metrics of an instance.
+ *
+ * @example
+ * ```ts
+ * const metrics = createMetrics(state);
+ * metrics.noteAnswer({ kind: "done" }, 180);
+ * metrics.text(); // includes bronzemill_answer_ms{outcome="done",p="50"} 180
+ * ```
+ */
+export function createMetrics(state: EngineState): Metrics {
+  const latencies = new Map<JobOutcome["kind"], hdr.Histogram>();
+
+  function latencyOf(kind: JobOutcome["kind"]): hdr.Histogram {
+    let histogram = latencies.get(kind);
+    if (histogram === undefined) {
+      histogram = hdr.build({
+        highestTrackableValue: MAX_LATENCY_MS,
+        numberOfSignificantValueDigits: 2,
+        bitBucketSize: 32,
+        useWebAssembly: false,
+      });
+      latencies.set(kind, histogram);
+    }
+    return histogram;
+  }
+
+  return {
+    noteAnswer({ kind }, tookMs) {
+      latencyOf(kind).recordValue(Math.min(MAX_LATENCY_MS, Math.round(tookMs)));
+    },
+    text() {
+      const lines = [...counterLines(state), ...gaugeLines(state)];
+      for (const [kind, histogram] of latencies) {
+        for (const percentile of PERCENTILES) {
+          const value = histogram.getValueAtPercentile(percentile);
+          const labels = `outcome="${kind}",p="${percentile}"`;
+          lines.push(`bronzemill_answer_ms{${labels}} ${value}`);
+        }
+        const labels = `outcome="${kind}"`;
+        lines.push(`bronzemill_answers{${labels}} ${histogram.totalCount}`);
+      }
+      return `${lines.join("\n")}\n`;
+    },
+  };
+}
+
+function counterLines({ counters }: EngineState): string[] {
+  return Object.entries(counters)
+    .map(([name, value]) => `bronzemill_${name} ${value}`);
+}
+
+function gaugeLines(state: EngineState): string[] {
+  const { scheduler } = state;
+  return [
+    `bronzemill_isLeader ${scheduler === null ? 0 : 1}`,
+    `bronzemill_callerJobs ${state.callerJobs.size}`,
+    `bronzemill_workersListed ${state.workers.size}`,
+    `bronzemill_jobsAtLeader ${scheduler?.jobs.size ?? 0}`,
+    `bronzemill_configurationVersion ${state.configuration?.version ?? -1}`,
+  ];
+}
+
+/** Creates the listener that serves metrics at `/metrics`. */
+export function createMetricsListener(metrics: Metrics): Server {
+  return createServer((request, response) => {
+    const found = request.url === "/metrics";
+    const body = found ? metrics.text() : "";
+    response.writeHead(found ? 200 : 404, {
+      "content-type": "text/plain; charset=utf-8",
+      "content-length": Buffer.byteLength(body),
+    });
+    response.end(body);
+  });
+}
--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -89,7 +89,10 @@
 
   function receive(line: string): void {
     const content = parseLine(line);
-    if (!isJSONRPCRequest(content) || content.method !== DELIVER) {
+    const isObject = typeof content === "object" && content !== null;
+    if (
+      !isObject || !isJSONRPCRequest(content) || content.method !== DELIVER
+    ) {
       handlers.onMalformed("not a delivery");
       return;
     }
