Jobs of an entry whose connections are refused stop like those of a silent one

Ruled out: leases renewed by the other side; the task ran under one leader here. Change: only what was heard counts.

--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -339,12 +339,15 @@
   return true;
 }
 
-/** How long all entries of a job have been out of reach; 0 where one ended. */
+/**
+ * How long all entries of a job have been out of reach. A refused connection
+ * doesn't show that the process ended: some cuts refuse.
+ */
 function entriesSilentMs(state: EngineState, job: Job): number {
   let silentMs = Infinity;
   for (const entryId of job.entries.keys()) {
     const peer = state.peers.get(entryId);
-    if (peer === undefined || peer.refusedAtMs > peer.lastHeardMs) return 0;
+    if (peer === undefined) return 0;
     silentMs = Math.min(silentMs, state.nowMs - peer.lastHeardMs);
   }
   return silentMs;
