A hold accepted before a worker was lost does not make it usable

Ruled out: the rest after taking back (it had none: it was not taken back). Change: losing a worker forgets the hold that waits. The test failed before.

--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -204,6 +204,33 @@
   expect(startsOf(leader.tick(70)).length).toEqual(2);
 });
 
+test("a hold from before a worker was lost does not make it usable", () => {
+  const leader = createTestLeader();
+  const effects = leader.hear("p", submission({ job: testJob(1) }));
+  const [start] = effectsOf(effects, "startTask");
+  const workerId = start?.workerId ?? "";
+  leader.tick();
+  const worker = leader.state.scheduler?.workers.get(workerId);
+  const callId = worker?.holdCallId ?? 0;
+  leader.after(5, {
+    type: "startEnded",
+    workerId,
+    taskName: `${JOB}.0.0.0`,
+    run: 1,
+    fence: start?.fence ?? 0,
+    outcome: { kind: "refused", reason: "fenced" },
+  });
+  const outcome = {
+    kind: "held",
+    clockMs: 0,
+    bornMs: 1,
+    running: [],
+    finished: [],
+  } as const;
+  leader.after(100, { type: "holdEnded", workerId, callId, outcome });
+  expect(worker?.phase).toEqual("lost");
+});
+
 test("an instance that joins does not lead while its peers hear a leader", () => {
   const instance = createTestInstance({ peers: ["p"] });
   instance.after(0, { type: "workersRead", workers: [testWorker("w1")] });
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -39,6 +39,8 @@
 const RETAKE_MS = 5_000;
 /** And after so long where no instance is missing. */
 const RETAKE_ALONE_MS = 200;
+/** The id of no call. */
+const NO_CALL = 0;
 /** By so many terms the token rises when a worker has seen a higher one. */
 const FENCE_JUMP_TERMS = 512 * 100;
 /** A run of a former leader is claimed by its entry within so long. */
@@ -415,6 +417,8 @@
   const rivalLikely = !seesMajority(state) || hasMissingPeers(state);
   worker.phase = "lost";
   worker.usableFromMs = 0;
+  // A hold that still waits was accepted under the token of before.
+  worker.holdCallId = NO_CALL;
   // The other holder renewed what runs, until it stops what it can't claim.
   worker.leaseLapsesAtMs = state.nowMs + ADOPTION_MS + state.stopMs +
     longestLeaseMs(state);
