--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -231,6 +231,42 @@
   expect(worker?.phase).toEqual("lost");
 });
 
+test("a worker given to the other side of a cut is not renewed", () => {
+  const leader = createTestLeader();
+  const instances = ["p", "q", "r"].map((instanceId) => ({
+    instanceId,
+    availabilityZone: "caxias",
+    region: "sul",
+    address: `${instanceId}:1`,
+    bornMs: 0,
+  }));
+  leader.after(0, { type: "instancesRead", instances });
+  for (const { instanceId } of instances) {
+    leader.hear(instanceId, testHeartbeat({ bornMs: 0 }));
+  }
+  leader.after(0, {
+    type: "callerSubmit",
+    requestId: "r9",
+    jobId: JOB,
+    queue: testQueue,
+    job: testJob(4),
+    timeoutMs: 6_000,
+  });
+  leader.tick();
+  leader.tick(1_400);
+  const released = [...leader.state.scheduler?.workers.values() ?? []]
+    .find((worker) => worker.released);
+  const workerId = released?.info.workerId ?? "";
+  const running = [...released?.runs.values() ?? []].map((one) => ({
+    taskName: one.taskName,
+    run: one.run,
+    percent: 0,
+  }));
+  const effects = leader.held(workerId, { running });
+  expect(effectsOf(effects, "hold")).toEqual([]);
+  expect(released?.phase).toEqual("lost");
+});
+
 test("an instance that joins does not lead while its peers hear a leader", () => {
   const instance = createTestInstance({ peers: ["p"] });
   instance.after(0, { type: "workersRead", workers: [testWorker("w1")] });
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -211,6 +211,7 @@
   if (!state.workers.has(workerId) || worker.phase === "lost") return;
   worker.phase = "lost";
   worker.retryAtMs = Infinity;
+  worker.holdCallId = NO_CALL;
 }
 
 function createWorker(
