--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -253,16 +253,27 @@
     timeoutMs: 6_000,
   });
   leader.tick();
+  const workers = [...leader.state.scheduler?.workers.values() ?? []];
+  const callIds = workers.map((worker) => worker.holdCallId);
   leader.tick(1_400);
-  const released = [...leader.state.scheduler?.workers.values() ?? []]
-    .find((worker) => worker.released);
-  const workerId = released?.info.workerId ?? "";
-  const running = [...released?.runs.values() ?? []].map((one) => ({
-    taskName: one.taskName,
-    run: one.run,
-    percent: 0,
-  }));
-  const effects = leader.held(workerId, { running });
+  const at = workers.findIndex((worker) => worker.released);
+  const released = workers[at];
+  const effects = leader.after(1, {
+    type: "holdEnded",
+    workerId: released?.info.workerId ?? "",
+    callId: callIds[at] ?? 0,
+    outcome: {
+      kind: "held",
+      clockMs: 0,
+      bornMs: 1,
+      running: [...released?.runs.values() ?? []].map((one) => ({
+        taskName: one.taskName,
+        run: one.run,
+        percent: 0,
+      })),
+      finished: [],
+    },
+  });
   expect(effectsOf(effects, "hold")).toEqual([]);
   expect(released?.phase).toEqual("lost");
 });
