The engine's stages import only what lies below them

Cause: jobs, runs and workers called each other in a circle. Change: ends of tasks are data of a turn, which the reducer hands to the jobs; estimates, leases and answers to starts are files of their own; a test of the import graph, over the compiler's own reader.

--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -1,20 +1,20 @@
 /** Jobs at the leader: taken, begun, ended, and remembered for a while. */
 
-import { createEstimate, estimateTaskMs } from "../core/estimates.ts";
 import type { PeerMessageOf } from "./schemas.ts";
 import { expectedWaitMs, refusalOf } from "./admit.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import { placeWaiting } from "./place.ts";
+import { expectedChainMs } from "./estimating.ts";
+import { longestLeaseMs } from "./leases.ts";
 import { claimRuns, stopRun } from "./runs.ts";
 import { logDecision, sendPeer } from "./turn.ts";
-import { longestLeaseMs } from "./workers.ts";
 import type {
   EngineState,
   Job,
   JobOutcome,
-  QueueStatistics,
   Scheduler,
   Task,
+  TaskEnd,
   Turn,
 } from "./types.ts";
 
@@ -186,44 +186,18 @@
   );
 }
 
-/** What is learned of a queue, created at the first job. */
-export function statisticsOf(
-  state: EngineState,
-  queueName: string,
-  firstMs: number,
-): QueueStatistics {
-  const known = state.statistics.get(queueName);
-  if (known !== undefined) return known;
-  const created = { runs: createEstimate(Math.max(1, firstMs)), samples: 0 };
-  state.statistics.set(queueName, created);
-  return created;
-}
-
-/** The estimated run time of a task on a worker of usual speed. */
-export function expectedTaskMs(
-  state: EngineState,
-  queueName: string,
-  declaredMs: number,
-): number {
-  const { runs } = statisticsOf(state, queueName, declaredMs);
-  return estimateTaskMs(runs, declaredMs > 0 ? declaredMs : null);
-}
-
-function expectedChainMs(
-  state: EngineState,
-  { queue, job }: PeerMessageOf<"submit">,
-): number {
-  const endsMs: number[] = [];
-  for (const step of job.steps) {
-    const beginsMs = Math.max(0, ...step.after.map((at) => endsMs[at] ?? 0));
-    const taskMs = expectedTaskMs(state, queue.name, step.estimatedMs);
-    endsMs.push(beginsMs + taskMs);
+/** Tells jobs of the ends of their tasks. */
+export function settleTaskEnds(turn: Turn): void {
+  for (let next = 0; next < turn.taskEnds.length; next += 1) {
+    const end = turn.taskEnds[next];
+    if (end === undefined) continue;
+    if (end.kind === "done") onTaskDone(turn, end);
+    else onTaskLost(turn, end);
   }
-  return Math.max(...endsMs);
+  turn.taskEnds.length = 0;
 }
 
-/** A task ended done. */
-export function onTaskDone(turn: Turn, job: Job, task: Task): void {
+function onTaskDone(turn: Turn, { job, task }: TaskEnd): void {
   if (task.state === "done" || job.outcome !== null) return;
   task.state = "done";
   task.workerId = null;
@@ -241,15 +215,14 @@
 }
 
 /** A run of a task ended without its work done. */
-export function onTaskLost(
+function onTaskLost(
   turn: Turn,
-  job: Job,
-  { task, workerId, failed }: { task: Task; workerId: string; failed: boolean },
+  { job, task, workerId, kind }: TaskEnd,
 ): void {
   if (task.state === "done" || job.outcome !== null) return;
   task.state = "queued";
   task.workerId = null;
-  if (failed) {
+  if (kind === "failed") {
     task.failures += 1;
     task.failedOn.add(workerId);
     turn.state.counters.tasksFailed += 1;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -11,7 +11,7 @@
   resubmitAll,
 } from "./callers.ts";
 import { adoptConfiguration, onConfigurationWanted } from "./configuration.ts";
-import { checkJobs, onSubmit, onWithdraw } from "./jobs.ts";
+import { checkJobs, onSubmit, onWithdraw, settleTaskEnds } from "./jobs.ts";
 import {
   checkPeers,
   heartbeatAll,
@@ -30,7 +30,7 @@
   onStalled,
 } from "./ownership.ts";
 import { placeWaiting } from "./place.ts";
-import { onStartEnded, onStopEnded } from "./runs.ts";
+import { onStartEnded, onStopEnded } from "./starts.ts";
 import type { InstanceInfo, PeerMessage } from "./schemas.ts";
 import { logDecision, sendPeer } from "./turn.ts";
 import type {
@@ -185,10 +185,12 @@
   },
   holdEnded: (turn, event) => {
     const worker = onHoldEnded(turn, event);
+    settleTaskEnds(turn);
     if (worker !== null) placeWaiting(turn, worker.info.service);
   },
   startEnded: (turn, event) => {
     const worker = onStartEnded(turn, event);
+    settleTaskEnds(turn);
     if (worker !== null) placeWaiting(turn, worker.info.service);
   },
   stopEnded: onStopEnded,
@@ -226,6 +228,7 @@
   if (scheduler !== null) {
     syncWorkers(turn, scheduler);
     checkWorkers(turn, scheduler);
+    settleTaskEnds(turn);
     checkJobs(turn, scheduler);
     for (const service of scheduler.waiting.keys()) placeWaiting(turn, service);
   }
@@ -234,7 +237,7 @@
 
 /** Applies one event to the state, and returns what the shell has to do. */
 export function reduce(state: EngineState, event: EngineEvent): Effect[] {
-  const turn: Turn = { state, effects: [], toSelf: [] };
+  const turn: Turn = { state, effects: [], taskEnds: [], toSelf: [] };
   state.nowMs = Math.max(state.nowMs, event.nowMs);
   const handler = eventHandlers[event.type] as (
     turn: Turn,
@@ -246,5 +249,6 @@
     if (message === undefined) continue;
     handlePeerMessage(turn, state.self.instanceId, message);
   }
+  settleTaskEnds(turn);
   return turn.effects;
 }
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -2,27 +2,20 @@
 
 import { learnRun } from "../core/estimates.ts";
 import { assert } from "../core/debug.ts";
-import {
-  expectedTaskMs,
-  onTaskDone,
-  onTaskLost,
-  statisticsOf,
-} from "./jobs.ts";
+import { expectedTaskMs, statisticsOf } from "./estimating.ts";
+import { leaseEndsOnWorkerMs } from "./leases.ts";
 import { emit, logDecision } from "./turn.ts";
 import type {
-  EngineEventOf,
   EngineState,
   FinishedRow,
   Job,
   OwnedWorker,
   RunningRow,
   Scheduler,
-  StartOutcome,
   Task,
   Turn,
   WorkerRun,
 } from "./types.ts";
-import { leaseEndsOnWorkerMs, resolveByFence, yieldWorker } from "./workers.ts";
 
 /** A stop that the worker did not carry out is sent again after so long. */
 const RESEND_STOP_MS = 200;
@@ -31,8 +24,6 @@
 /** The first such while; it doubles with each probe that fails. */
 const SUSPEND_MS = 700;
 const MAX_SUSPEND_MS = 4_000;
-/** A worker that says it is unhealthy gets no tasks for so long. */
-const UNHEALTHY_PAUSE_MS = 300;
 /** Weight of one run in what is learned of a worker's speed. */
 const SLOWNESS_WEIGHT = 0.1;
 /** A run that takes so many times longer than expected hangs. */
@@ -41,8 +32,6 @@
 const OVERDUE_SLACK_MS = 250;
 /** A run that is being stopped may take a little longer than workers say. */
 const STOP_SLACK_MS = 20;
-/** Run numbers skip so many when a worker has seen higher ones. */
-const RUN_NUMBER_STEP = 8;
 
 /** The key of a run among those of a worker. */
 export function runKey(taskName: string, run: number): string {
@@ -116,77 +105,6 @@
   worker.nextHoldMs = Math.min(worker.nextHoldMs, state.nowMs);
 }
 
-type StartHandlers = {
-  [K in StartOutcome["kind"]]: (
-    turn: Turn,
-    context: { worker: OwnedWorker; run: WorkerRun; fence: number },
-    outcome: Extract<StartOutcome, { kind: K }>,
-  ) => void;
-};
-
-const startHandlers: StartHandlers = {
-  started: ({ state }, { run }) => {
-    run.ackedAtMs = state.nowMs;
-    if (run.state === "starting") run.state = "running";
-  },
-  refused: onStartRefused,
-  unhealthy: (turn, { worker, run }) => {
-    worker.suspendedUntilMs = turn.state.nowMs + UNHEALTHY_PAUSE_MS;
-    dropRun(turn, worker, { run, failed: false });
-  },
-  notSent: (turn, { worker, run }) => {
-    worker.suspendedUntilMs = turn.state.nowMs + UNHEALTHY_PAUSE_MS;
-    dropRun(turn, worker, { run, failed: false });
-  },
-  unknown: (turn, { worker, run }) => {
-    if (run.state !== "starting") return;
-    turn.state.counters.startsUnknown += 1;
-    resolveByFence(turn, worker);
-  },
-};
-
-function onStartRefused(
-  turn: Turn,
-  { worker, run, fence }: {
-    worker: OwnedWorker;
-    run: WorkerRun;
-    fence: number;
-  },
-  { reason }: Extract<StartOutcome, { kind: "refused" }>,
-): void {
-  turn.state.counters.startsRefused += 1;
-  logDecision(turn, { level: "warn", part: "run", text: "start refused" }, {
-    task: run.taskName,
-    run: run.run,
-    workerId: worker.info.workerId,
-    reason,
-    fence,
-  });
-  if (reason === "oldRun" && run.task !== null) {
-    run.task.run += RUN_NUMBER_STEP;
-  }
-  dropRun(turn, worker, { run, failed: false });
-  if (reason === "fenced" && fence === worker.fence) yieldWorker(turn, worker);
-  if (reason === "replaced" || reason === "room") resolveByFence(turn, worker);
-}
-
-/** The worker answered a start, or did not. */
-export function onStartEnded(
-  turn: Turn,
-  event: EngineEventOf<"startEnded">,
-): OwnedWorker | null {
-  const worker = turn.state.scheduler?.workers.get(event.workerId);
-  const run = worker?.runs.get(runKey(event.taskName, event.run));
-  if (worker === undefined || run === undefined) return null;
-  const handler = startHandlers[event.outcome.kind] as (
-    turn: Turn,
-    context: { worker: OwnedWorker; run: WorkerRun; fence: number },
-    outcome: StartOutcome,
-  ) => void;
-  handler(turn, { worker, run, fence: event.fence }, event.outcome);
-  return worker;
-}
-
 /** A run is known not to be there: its room is free, its task goes on. */
 export function dropRun(
   turn: Turn,
@@ -194,9 +112,11 @@
   { run, failed }: { run: WorkerRun; failed: boolean },
 ): void {
   removeRun(worker, run);
-  if (run.job === null || run.task === null) return;
+  const { job, task } = run;
+  if (job === null || task === null) return;
   const { workerId } = worker.info;
-  onTaskLost(turn, run.job, { task: run.task, workerId, failed });
+  const kind = failed ? "failed" : "lost";
+  turn.taskEnds.push({ job, task, workerId, kind });
 }
 
 /** Asks a worker to stop a run. */
@@ -221,18 +141,6 @@
   });
 }
 
-/** The worker answered a stop, or did not. */
-export function onStopEnded(
-  turn: Turn,
-  event: EngineEventOf<"stopEnded">,
-): void {
-  const worker = turn.state.scheduler?.workers.get(event.workerId);
-  const run = worker?.runs.get(runKey(event.taskName, event.run));
-  if (worker === undefined || run === undefined) return;
-  if (event.outcome.kind !== "stopped") return;
-  run.ackedAtMs = turn.state.nowMs;
-}
-
 /** Takes in one end from a worker's list. */
 export function applyEnd(
   turn: Turn,
@@ -249,7 +157,7 @@
     tookMs: run === undefined ? null : Math.round(state.nowMs - run.placedAtMs),
   });
   if (run === undefined) {
-    if (row.end === "done") adoptEnd(turn, row);
+    if (row.end === "done") adoptEnd(turn, worker, row);
     return;
   }
   const failed = row.end === "failed";
@@ -257,7 +165,9 @@
   if (row.end === "done" && run.job !== null && run.task !== null) {
     learnFromRun(state, worker, run);
     removeRun(worker, run);
-    onTaskDone(turn, run.job, run.task);
+    const { job, task } = run;
+    const { workerId } = worker.info;
+    turn.taskEnds.push({ job, task, workerId, kind: "done" });
     return;
   }
   if (failed) noteFailure(state, worker);
@@ -265,10 +175,11 @@
 }
 
 /** Counts an end that was listed for a former leader. */
-function adoptEnd(turn: Turn, row: FinishedRow): void {
+function adoptEnd(turn: Turn, worker: OwnedWorker, row: FinishedRow): void {
   const found = findTask(turn.state, row.taskName);
   if (found === null || found.task.state !== "queued") return;
-  onTaskDone(turn, found.job, found.task);
+  const { workerId } = worker.info;
+  turn.taskEnds.push({ ...found, workerId, kind: "done" });
 }
 
 /** The job and task of a name, if its job is known here. */
--- /dev/null
+++ b/src/engine/starts.ts
@@ -0,0 +1,100 @@
+/** What workers answer to starts and stops. */
+
+import { dropRun, runKey } from "./runs.ts";
+import { logDecision } from "./turn.ts";
+import type {
+  EngineEventOf,
+  OwnedWorker,
+  StartOutcome,
+  Turn,
+  WorkerRun,
+} from "./types.ts";
+import { resolveByFence, yieldWorker } from "./workers.ts";
+
+/** A worker that says it is unhealthy gets no tasks for so long. */
+const UNHEALTHY_PAUSE_MS = 300;
+/** Run numbers skip so many when a worker has seen higher ones. */
+const RUN_NUMBER_STEP = 8;
+
+type StartHandlers = {
+  [K in StartOutcome["kind"]]: (
+    turn: Turn,
+    context: { worker: OwnedWorker; run: WorkerRun; fence: number },
+    outcome: Extract<StartOutcome, { kind: K }>,
+  ) => void;
+};
+
+const startHandlers: StartHandlers = {
+  started: ({ state }, { run }) => {
+    run.ackedAtMs = state.nowMs;
+    if (run.state === "starting") run.state = "running";
+  },
+  refused: onStartRefused,
+  unhealthy: (turn, { worker, run }) => {
+    worker.suspendedUntilMs = turn.state.nowMs + UNHEALTHY_PAUSE_MS;
+    dropRun(turn, worker, { run, failed: false });
+  },
+  notSent: (turn, { worker, run }) => {
+    worker.suspendedUntilMs = turn.state.nowMs + UNHEALTHY_PAUSE_MS;
+    dropRun(turn, worker, { run, failed: false });
+  },
+  unknown: (turn, { worker, run }) => {
+    if (run.state !== "starting") return;
+    turn.state.counters.startsUnknown += 1;
+    resolveByFence(turn, worker);
+  },
+};
+
+function onStartRefused(
+  turn: Turn,
+  { worker, run, fence }: {
+    worker: OwnedWorker;
+    run: WorkerRun;
+    fence: number;
+  },
+  { reason }: Extract<StartOutcome, { kind: "refused" }>,
+): void {
+  turn.state.counters.startsRefused += 1;
+  logDecision(turn, { level: "warn", part: "run", text: "start refused" }, {
+    task: run.taskName,
+    run: run.run,
+    workerId: worker.info.workerId,
+    reason,
+    fence,
+  });
+  if (reason === "oldRun" && run.task !== null) {
+    run.task.run += RUN_NUMBER_STEP;
+  }
+  dropRun(turn, worker, { run, failed: false });
+  if (reason === "fenced" && fence === worker.fence) yieldWorker(turn, worker);
+  if (reason === "replaced" || reason === "room") resolveByFence(turn, worker);
+}
+
+/** The worker answered a start, or did not. */
+export function onStartEnded(
+  turn: Turn,
+  event: EngineEventOf<"startEnded">,
+): OwnedWorker | null {
+  const worker = turn.state.scheduler?.workers.get(event.workerId);
+  const run = worker?.runs.get(runKey(event.taskName, event.run));
+  if (worker === undefined || run === undefined) return null;
+  const handler = startHandlers[event.outcome.kind] as (
+    turn: Turn,
+    context: { worker: OwnedWorker; run: WorkerRun; fence: number },
+    outcome: StartOutcome,
+  ) => void;
+  handler(turn, { worker, run, fence: event.fence }, event.outcome);
+  return worker;
+}
+
+/** The worker answered a stop, or did not. */
+export function onStopEnded(
+  turn: Turn,
+  event: EngineEventOf<"stopEnded">,
+): void {
+  const worker = turn.state.scheduler?.workers.get(event.workerId);
+  const run = worker?.runs.get(runKey(event.taskName, event.run));
+  if (worker === undefined || run === undefined) return;
+  if (event.outcome.kind !== "stopped") return;
+  run.ackedAtMs = turn.state.nowMs;
+}
--- /dev/null
+++ b/src/engine/structure_test.ts
@@ -0,0 +1,83 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "node:test";
+import { expect } from "earl";
+import ts from "typescript";
+
+const ROOT = process.cwd();
+
+function sourcesOf(folder: string): string[] {
+  const options = { recursive: true, encoding: "utf8" } as const;
+  return readdirSync(join(ROOT, folder), options)
+    .filter((name) => name.endsWith(".ts") && !name.endsWith("_test.ts"))
+    .map((name) => join(folder, name));
+}
+
+function importsOf(file: string): string[] {
+  const { importedFiles } = ts.preProcessFile(
+    readFileSync(join(ROOT, file), "utf8"),
+  );
+  return importedFiles.map(({ fileName }) => fileName)
+    .filter((name) => name.startsWith("."))
+    .map((name) => join(file, "..", name));
+}
+
+function findCycle(files: readonly string[]): string[] {
+  const done = new Set<string>();
+  const path: string[] = [];
+  const visit = (file: string): string[] => {
+    if (path.includes(file)) return [...path.slice(path.indexOf(file)), file];
+    if (done.has(file) || !files.includes(file)) return [];
+    path.push(file);
+    for (const next of importsOf(file)) {
+      const cycle = visit(next);
+      if (cycle.length > 0) return cycle;
+    }
+    path.pop();
+    done.add(file);
+    return [];
+  };
+  for (const file of files) {
+    const cycle = visit(file);
+    if (cycle.length > 0) return cycle;
+  }
+  return [];
+}
+
+for (const folder of ["src/engine", "src/instance", "platform"]) {
+  test(`no files of ${folder} import each other in a circle`, () => {
+    expect(findCycle(sourcesOf(folder))).toEqual([]);
+  });
+}
+
+test("the engine imports neither its shell nor the platform's adapter", () => {
+  const upward = sourcesOf("src/engine").flatMap(importsOf)
+    .filter((file) => !/^src\/(engine|core)\//.test(file));
+  expect(upward).toEqual([]);
+});
+
+/** Names that only the platform's adapter may know. */
+const platformNames = [
+  "run-start",
+  "run-stop",
+  "rows-get",
+  "rows-feed",
+  "rows-tx",
+  "slo_ms",
+  "est_ms",
+  "best_effort",
+  "clock_ms",
+  "last_seen",
+  "BRONZEMILL_CONFIG",
+];
+
+test("nothing outside platform/ knows the platform's names", () => {
+  const offending: string[] = [];
+  for (const file of ["src", "standins", "bench"].flatMap(sourcesOf)) {
+    const text = readFileSync(join(ROOT, file), "utf8");
+    for (const word of platformNames) {
+      if (text.includes(word)) offending.push(`${file}: ${word}`);
+    }
+  }
+  expect(offending).toEqual([]);
+});
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -428,10 +428,20 @@
   readonly counters: Counters;
 }
 
+/** A task's run ended, or is known not to be there. */
+export interface TaskEnd {
+  readonly job: Job;
+  readonly task: Task;
+  readonly workerId: string;
+  readonly kind: "done" | "failed" | "lost";
+}
+
 /** Collects the effects of one event. */
 export interface Turn {
   readonly state: EngineState;
   readonly effects: Effect[];
+  /** Ends of tasks that their jobs have not been told of. */
+  readonly taskEnds: TaskEnd[];
   /** Messages of this instance to itself, handled within the same turn. */
   readonly toSelf: PeerMessage[];
 }
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -5,6 +5,7 @@
 
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import { seesMajority, workersAgeMs } from "./membership.ts";
+import { leaseEndsOnWorkerMs, longestLeaseMs } from "./leases.ts";
 import { FENCES_PER_TERM, firstFence, workersOfSide } from "./ownership.ts";
 import {
   applyEnd,
@@ -27,10 +28,6 @@
 const HOLD_WAIT_MS = 400;
 /** And where runs that nobody claimed yet are among what runs there. */
 const UNKNOWN_WAIT_MS = 40;
-/** Workers whose clock runs slow keep a lease longer by this share. */
-const CLOCK_DRIFT = 0.02;
-/** How late a lease may have begun after the call that granted it. */
-const LEASE_SLACK_MS = 60;
 /** Ends on a worker that runs nothing more are acknowledged after so long. */
 const ACKNOWLEDGE_MS = 60;
 /** An unreachable worker is tried again after so long. */
@@ -39,6 +36,8 @@
 const RETAKE_MS = 5_000;
 /** And after so long where no instance is missing. */
 const RETAKE_ALONE_MS = 200;
+/** A worker rests so much longer than a stop takes. */
+const REST_SLACK_MS = 10;
 /** The id of no call. */
 const NO_CALL = 0;
 /** By so many terms the token rises when a worker has seen a higher one. */
@@ -286,19 +285,6 @@
   });
 }
 
-/** How long a lease granted now may last, by this instance's clock. */
-export function longestLeaseMs({ leaseMs }: EngineState): number {
-  return leaseMs * (1 + CLOCK_DRIFT) + LEASE_SLACK_MS;
-}
-
-/** When a lease granted now ends, on the worker's clock. */
-export function leaseEndsOnWorkerMs(
-  state: EngineState,
-  worker: OwnedWorker,
-): number {
-  return Math.floor(state.nowMs + worker.clockOffsetMs + state.leaseMs);
-}
-
 type HoldHandlers = {
   [K in HoldOutcome["kind"]]: (
     turn: Turn,
@@ -380,7 +366,7 @@
   worker.phase = "ready";
   // A run that another holder stopped is not listed, but may not be gone.
   if (worker.usableFromMs === 0) {
-    worker.usableFromMs = state.nowMs + state.stopMs + LEASE_SLACK_MS / 6;
+    worker.usableFromMs = state.nowMs + state.stopMs + REST_SLACK_MS;
   }
   logDecision(turn, { part: "workers", text: "holding a worker" }, {
     workerId: worker.info.workerId,
