--- a/bench/load_model.ts
+++ b/bench/load_model.ts
@@ -49,6 +49,8 @@
   readonly onTime: number;
   readonly late: number;
   readonly refused: number;
+  /** Refused after a quarter of the time to its objective. */
+  readonly refusedLate: number;
   /** Worth earned over worth asked. */
   readonly credit: number;
 }
@@ -79,6 +81,13 @@
   return answeredAtMs - sentAtMs <= objectiveMs;
 }
 
+function isRefusedLate(record: CallerRecord): boolean {
+  const { kind, sentAtMs, answeredAtMs, idealMs, outcome } = record;
+  const objectiveMs = kind.queue.stretch * idealMs + kind.queue.objectiveMs;
+  return outcome?.kind === "refused" &&
+    answeredAtMs - sentAtMs > objectiveMs / 4;
+}
+
 function worthOf(record: CallerRecord): number {
   if (record.outcome?.kind !== "done") return 0;
   return isOnTime(record) ? record.kind.worth : record.kind.lateWorth;
@@ -98,6 +107,7 @@
     onTime,
     late: done.length - onTime,
     refused: own.filter((one) => one.outcome?.kind === "refused").length,
+    refusedLate: own.filter(isRefusedLate).length,
     credit: earned / (own.length * kind.worth),
   };
 }
@@ -111,8 +121,11 @@
       const result = playLoad(pattern, { seed });
       credit += result.credit / seeds;
       if (seed > 1) continue;
-      for (const { kind, jobs, onTime, late, refused } of result.kinds) {
-        lines.push(`${kind} ${onTime}+${late} late, ${refused} of ${jobs}`);
+      for (const one of result.kinds) {
+        lines.push(
+          `${one.kind} ${one.onTime}+${one.late} late, ${one.refused} ` +
+            `(${one.refusedLate} late) of ${one.jobs}`,
+        );
       }
     }
     process.stdout.write(
