--- a/src/engine/admit.ts
+++ b/src/engine/admit.ts
@@ -10,11 +10,6 @@
 /** The least time after which callers of refused jobs should come back. */
 const MIN_RETRY_MS = 250;
 
-/** A job is refused for its objective within this share of it. */
-const DECIDE_WITHIN = 0.25;
-/** An answer later than so many objectives is of no use. */
-const LATE_FACTOR = 3;
-
 /** The refusal of a job that can't end in time, or null to take it. */
 export function refusalOf(
   state: EngineState,
@@ -23,8 +18,7 @@
 ): JobOutcome | null {
   if (!hasQueuedTasks(job)) return null;
   const waitMs = expectedWaitMs(state, scheduler, job);
-  const endMs = state.nowMs + waitMs + job.chainMs;
-  if (endMs <= latestEndMs(state, job)) return null;
+  if (state.nowMs + waitMs + job.chainMs <= latestEndMs(job)) return null;
   const drainMs = Number.isFinite(waitMs) ? waitMs : 0;
   return {
     kind: "refused",
@@ -33,18 +27,9 @@
   };
 }
 
-/**
- * The end by which an answer is still worth the work: the objective while the
- * job is new; a job that was let wait is served late rather than refused late.
- */
-function latestEndMs({ nowMs }: EngineState, job: Job): number {
-  const { receivedAtMs, objectiveAtMs, deadlineAtMs } = job;
-  const objectiveMs = objectiveAtMs - receivedAtMs;
-  const isNew = nowMs - receivedAtMs <= objectiveMs * DECIDE_WITHIN;
-  const latestMs = isNew
-    ? objectiveAtMs
-    : receivedAtMs + objectiveMs * LATE_FACTOR;
-  return Math.min(deadlineAtMs, latestMs);
+/** The end by which an answer is still worth the work. */
+function latestEndMs(job: Job): number {
+  return Math.min(job.deadlineAtMs, job.objectiveAtMs);
 }
 
 /** How long the work of the jobs before this one keeps the workers busy. */
