A peer that started again is heard again

Cause: heartbeats were dropped as overtaken by those of the peer's former life, whose steady clock was further on; the life was told by a date that an earlier line had already replaced. Change: lives are told apart, not ordered, and a new one forgets what the former said. The two tests failed before.

--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -4,8 +4,10 @@
   createTestInstance,
   createTestLeader,
   effectsOf,
+  TEST_WALL_MS,
   testHeartbeat,
   type TestInstance,
+  testInstance,
   testJob,
   testQueue,
   testWorker,
@@ -334,6 +336,23 @@
   expect(instance.state.leaderId).toEqual(null);
 });
 
+const rebirths = [
+  { name: "later", bornMs: TEST_WALL_MS },
+  { name: "earlier, by a clock set back", bornMs: TEST_WALL_MS - 90_000 },
+];
+
+for (const { name, bornMs } of rebirths) {
+  test(`a peer that started again is heard though its clock is behind: ${name}`, () => {
+    const instance = createTestInstance({ peers: ["p"] });
+    instance.hear("p", testHeartbeat({ sentAtMs: 9_000 }));
+    const reborn = { ...testInstance("p"), bornMs };
+    instance.hear("p", { type: "hello", instance: reborn, known: [] });
+    const claim = { bornMs, sentAtMs: 5, isLeader: true, term: 512 };
+    instance.hear("p", testHeartbeat(claim));
+    expect(instance.state.leaderId).toEqual("p");
+  });
+}
+
 test("a leader that stood still gives up the lead", () => {
   const leader = createTestLeader();
   leader.after(0, { type: "stalled", forMs: 1_500 });
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -77,6 +77,7 @@
   return {
     info,
     lastHeardMs: 0,
+    lifeMs: null,
     lastSentAtMs: -Infinity,
     connected: false,
     refusedAtMs: 0,
@@ -98,16 +99,12 @@
   message: PeerMessageOf<"hello">,
 ): void {
   const { state } = turn;
-  const known = state.peers.get(from);
-  learnInstances(turn, [message.instance, ...message.known]);
+  const { instance, known } = message;
+  learnInstances(turn, [instance, ...known]);
   const peer = state.peers.get(from);
   if (peer === undefined) return;
-  if (known !== undefined && message.instance.bornMs > known.info.bornMs) {
-    peer.isLeader = false;
-    peer.term = 0;
-    peer.lastSentAtMs = -Infinity;
-  }
-  if (message.instance.bornMs >= peer.info.bornMs) peer.info = message.instance;
+  noteLife(peer, instance.bornMs);
+  peer.info = instance;
   noteHeard(state, from);
   sendHeartbeat(turn, peer);
 }
@@ -149,13 +146,16 @@
   });
 }
 
-/** Whether a heartbeat was overtaken by one on a newer connection. */
-function isOutdated(
-  peer: Peer,
-  { bornMs, sentAtMs }: PeerMessageOf<"heartbeat">,
-): boolean {
-  if (bornMs !== peer.info.bornMs) return bornMs < peer.info.bornMs;
-  return sentAtMs < peer.lastSentAtMs;
+/**
+ * Forgets what a former life of a peer said. Lives are told apart, not ordered:
+ * the time of day may have been set back, and the steady clock starts anew.
+ */
+function noteLife(peer: Peer, bornMs: number): void {
+  if (peer.lifeMs === bornMs) return;
+  peer.lifeMs = bornMs;
+  peer.lastSentAtMs = -Infinity;
+  peer.isLeader = false;
+  peer.term = 0;
 }
 
 /** Takes in what a peer says of itself. */
@@ -166,10 +166,10 @@
 ): void {
   const { state } = turn;
   const peer = state.peers.get(from);
-  if (peer === undefined || isOutdated(peer, message)) return;
-  if (message.bornMs > peer.info.bornMs) {
-    peer.info = { ...peer.info, bornMs: message.bornMs };
-  }
+  if (peer === undefined) return;
+  noteLife(peer, message.bornMs);
+  // One on a newer connection may have overtaken it.
+  if (message.sentAtMs < peer.lastSentAtMs) return;
   peer.lastSentAtMs = message.sentAtMs;
   peer.draining = message.draining;
   peer.isLeader = message.isLeader;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -216,6 +216,8 @@
 export interface Peer {
   info: InstanceInfo;
   lastHeardMs: number;
+  /** When its present life began, by its own clock; null before it spoke. */
+  lifeMs: number | null;
   /** The sender's clock in its latest heartbeat. */
   lastSentAtMs: number;
   connected: boolean;
