--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -40,14 +40,12 @@
   EngineState,
   Turn,
 } from "./types.ts";
+import { checkWorkers, onHoldEnded, syncWorkers } from "./workers.ts";
 import {
-  checkWorkers,
-  onHoldEnded,
   onPeerWorkers,
   onWorkersRead,
   onWorkersUnread,
-  syncWorkers,
-} from "./workers.ts";
+} from "./worker_list.ts";
 
 /** What a new engine is made from. */
 export interface EngineOptions {
@@ -92,11 +90,10 @@
     workers: new Map(),
     vanishedAtMs: new Map(),
     workersReadAtMs: -Infinity,
-    workersVersion: 0,
     workersUnreadSinceMs: 0,
     listReturnedAtMs: -Infinity,
     callerJobs: new Map(),
-    statistics: new Map(),
+    runTimes: new Map(),
     scheduler: null,
     nextCallId: 0,
     nextSubmission: 0,
@@ -142,7 +139,10 @@
   configuration: (turn, _from, message) =>
     adoptConfiguration(turn, message.configuration),
   configurationWanted: onConfigurationWanted,
-  workers: (turn, _from, message) => onPeerWorkers(turn, message),
+  workers: (turn, _from, message) => {
+    onPeerWorkers(turn, message);
+    holdListed(turn);
+  },
 };
 
 function handlePeerMessage(
@@ -168,7 +168,10 @@
   callerGone: onCallerGone,
   configurationRead: (turn, event) =>
     adoptConfiguration(turn, event.configuration),
-  workersRead: onWorkersRead,
+  workersRead: (turn, event) => {
+    onWorkersRead(turn, event);
+    holdListed(turn);
+  },
   workersUnread: onWorkersUnread,
   instancesRead: (turn, event) => learnInstances(turn, event.instances),
   peerUp: (turn, event) => {
@@ -206,6 +209,12 @@
   },
 };
 
+/** Takes workers that are new in the list, and lets go those that left it. */
+function holdListed(turn: Turn): void {
+  const { scheduler } = turn.state;
+  if (scheduler !== null) syncWorkers(turn, scheduler);
+}
+
 /** A peer that connected may lack what was sent while it was away. */
 function welcomePeer(turn: Turn, instanceId: string): void {
   const { state } = turn;
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -1,8 +1,7 @@
 /** Runs on workers: the room they take, their starts, stops and ends. */
 
-import { learnRun } from "../core/estimates.ts";
 import { assert } from "../core/debug.ts";
-import { expectedTaskMs, statisticsOf } from "./estimating.ts";
+import { expectedTaskMs, learnTaskMs } from "./estimating.ts";
 import { leaseEndsOnWorkerMs } from "./leases.ts";
 import { emit, logDecision } from "./turn.ts";
 import type {
@@ -26,6 +25,8 @@
 const MAX_SUSPEND_MS = 4_000;
 /** Weight of one run in what is learned of a worker's speed. */
 const SLOWNESS_WEIGHT = 0.1;
+/** What a hanging run counts as, among the failures of its worker. */
+const HANG_FAILURES = 2;
 /** A run that takes so many times longer than expected hangs. */
 const OVERDUE_FACTOR = 3;
 /** A run is not taken to hang before it exceeded what was expected by this. */
@@ -170,7 +171,7 @@
     turn.taskEnds.push({ job, task, workerId, kind: "done" });
     return;
   }
-  if (failed) noteFailure(state, worker);
+  if (failed) noteFailures(state, worker, 1);
   dropRun(turn, worker, { run, failed });
 }
 
@@ -206,13 +207,15 @@
   const expectedMs = expectedTaskMs(state, job.queue.name, declaredMs);
   const ratio = Math.min(4, ranMs / Math.max(1, expectedMs));
   worker.slowness += SLOWNESS_WEIGHT * (ratio - worker.slowness);
-  const statistics = statisticsOf(state, job.queue.name, declaredMs);
-  learnRun(statistics.runs, ranMs, declaredMs > 0 ? declaredMs : null);
-  statistics.samples += 1;
+  learnTaskMs(state, job.queue.name, { ranMs, declaredMs });
 }
 
-function noteFailure(state: EngineState, worker: OwnedWorker): void {
-  worker.failuresInRow += 1;
+function noteFailures(
+  state: EngineState,
+  worker: OwnedWorker,
+  count: number,
+): void {
+  worker.failuresInRow += count;
   const excess = worker.failuresInRow - FAILURES_TO_SUSPEND;
   if (excess < 0) return;
   const pauseMs = Math.min(MAX_SUSPEND_MS, SUSPEND_MS * 2 ** excess);
@@ -346,8 +349,7 @@
         percent: run.percent,
         ranMs: Math.round(state.nowMs - run.placedAtMs),
       });
-      noteFailure(state, worker);
-      noteFailure(state, worker);
+      noteFailures(state, worker, HANG_FAILURES);
       stopRun(turn, worker, run);
     }
   }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -351,13 +351,6 @@
   retryAtMs: number;
 }
 
-/** What is learned of one queue's tasks. */
-export interface QueueStatistics {
-  readonly runs: RunEstimate;
-  /** Mean of cpu milliseconds that a job of the queue needs. */
-  samples: number;
-}
-
 /** The state of an instance while it leads. */
 export interface Scheduler {
   readonly term: number;
@@ -418,12 +411,12 @@
   /** When workers left the list without having drained. */
   readonly vanishedAtMs: Map<string, number>;
   workersReadAtMs: number;
-  workersVersion: number;
   workersUnreadSinceMs: number;
   /** When the list of workers could be read again after an outage. */
   listReturnedAtMs: number;
   readonly callerJobs: Map<string, CallerJob>;
-  readonly statistics: Map<string, QueueStatistics>;
+  /** Learned run times of tasks, by queue. */
+  readonly runTimes: Map<string, RunEstimate>;
   scheduler: Scheduler | null;
   nextCallId: number;
   nextSubmission: number;
--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -57,7 +57,6 @@
   connected: boolean;
   queue: PeerMessage[];
   timer: NodeJS.Timeout | null;
-  openedAtMs: number;
   heardAtMs: number;
   failures: number;
   closed: boolean;
@@ -117,7 +116,6 @@
     const socket = connect({ host, port, noDelay: true });
     let refused = false;
     link.socket = socket;
-    link.openedAtMs = performance.now();
     const timeout = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
     socket.on("connect", () => {
       clearTimeout(timeout);
@@ -225,7 +223,6 @@
     connected: false,
     queue: [],
     timer: null,
-    openedAtMs: 0,
     heardAtMs: 0,
     failures: 0,
     closed: false,
