--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -132,6 +132,18 @@
   expect(startsOf(effects)).toEqual([]);
 });
 
+test("a job that comes again as new waits for workers that may run it", () => {
+  const instance = createTestInstance();
+  const workers = [testWorker("w1"), testWorker("w2")];
+  instance.after(0, { type: "workersRead", workers });
+  instance.tick(1_000);
+  instance.tick();
+  instance.held("w1");
+  instance.tick(100);
+  // Its first entry and leader are gone, so nothing says that it ran before.
+  expect(startsOf(instance.hear("p", submission()))).toEqual([]);
+});
+
 test("a worker with a run of unknown size takes nothing", () => {
   const instance = createTestInstance();
   instance.after(0, { type: "workersRead", workers: [testWorker("w1")] });
