A job that comes as new may have run under a former leader

Cause: a job sent again by its caller, after its entry and the leader were both lost, comes to the new leader as new. The new leader started it at once, also while it had not read a worker on which the former leader's runs go on until their leases lapse. Ruled out: holding back every new job at a young leader (costs a second of arrivals at each takeover with a dead worker or a cut); a mark in the request (callers send none). Change: former_runs.ts says until when such runs may go on: after this instance's own start, and for jobs that arrive late enough after the loss of a peer to be sent again. Only while a worker is unread does that delay a start.

--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -5,6 +5,11 @@
 import { dequeue, enqueue } from "./queue.ts";
 import { placeWaiting } from "./place.ts";
 import { expectedChainMs } from "./estimating.ts";
+import {
+  DROP_SILENT_MS,
+  formerRunsLapseAtMs,
+  PAUSE_SILENT_MS,
+} from "./former_runs.ts";
 import { longestLeaseMs } from "./leases.ts";
 import { claimRuns, stopRun } from "./runs.ts";
 import { logDecision, sendPeer } from "./turn.ts";
@@ -21,11 +26,6 @@
 /** How long an ended job is remembered, for a caller that asks again. */
 const REMEMBER_ENDED_MS = 6_000;
 
-/** Nothing more starts for an entry that was silent for so long. */
-const PAUSE_SILENT_MS = 500;
-/** And what runs for it is stopped after so long. */
-const DROP_SILENT_MS = 750;
-
 /** An entry hands in a job. */
 export function onSubmit(
   turn: Turn,
@@ -41,12 +41,13 @@
     return;
   }
   const job = createJob(state, from, message);
+  job.formerRunsLapseAtMs = formerRunsLapseAtMs(state, scheduler, message);
   if (known !== undefined) inheritProgress(job, known);
   openSteps(job);
   scheduler.jobs.set(job.jobId, job);
   const waitMs = expectedWaitMs(state, scheduler, job);
   const refusal = job.begun ? null : refusalOf(state, job, waitMs);
-  logAdmission(turn, job, waitMs);
+  logAdmission(turn, job, { message, waitMs });
   if (refusal !== null) {
     endJob(turn, job, refusal);
     return;
@@ -60,7 +61,11 @@
   placeWaiting(turn, job.queue.service);
 }
 
-function logAdmission(turn: Turn, job: Job, waitMs: number): void {
+function logAdmission(
+  turn: Turn,
+  job: Job,
+  { message, waitMs }: { message: PeerMessageOf<"submit">; waitMs: number },
+): void {
   const { nowMs } = turn.state;
   logDecision(turn, { part: "admit", text: "a job came" }, {
     jobId: job.jobId,
@@ -71,7 +76,8 @@
     objectiveInMs: Math.round(job.objectiveAtMs - nowMs),
     deadlineInMs: Math.round(job.deadlineAtMs - nowMs),
     begun: job.begun,
-    resubmitted: job.resubmitted,
+    resubmitted: message.resubmitted,
+    formerRunsForMs: Math.max(0, Math.round(job.formerRunsLapseAtMs - nowMs)),
   });
 }
 
@@ -115,7 +121,6 @@
   job.paused = false;
   if (message.resubmitted) {
     job.begun = true;
-    job.resubmitted = true;
     job.formerRunsLapseAtMs = turn.state.nowMs + longestLeaseMs(turn.state);
   }
   const deadlineAtMs = turn.state.nowMs + message.timeLeftMs;
@@ -159,8 +164,7 @@
     tasks,
     unfinished: tasks.filter((task) => task.state !== "done").length,
     begun: message.resubmitted,
-    resubmitted: message.resubmitted,
-    formerRunsLapseAtMs: state.nowMs + longestLeaseMs(state),
+    formerRunsLapseAtMs: 0,
     paused: false,
     outcome: null,
     endedAtMs: 0,
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -77,6 +77,7 @@
   return {
     info,
     lastHeardMs: 0,
+    lostAtMs: 0,
     lifeMs: null,
     lastSentAtMs: -Infinity,
     connected: false,
@@ -112,7 +113,10 @@
 /** Notes that a message of a peer arrived. */
 export function noteHeard(state: EngineState, from: string): void {
   const peer = state.peers.get(from);
-  if (peer !== undefined) peer.lastHeardMs = state.nowMs;
+  if (peer === undefined) return;
+  const silentMs = state.nowMs - peer.lastHeardMs;
+  if (silentMs >= PEER_SILENT_MS) peer.lostAtMs = peer.lastHeardMs;
+  peer.lastHeardMs = state.nowMs;
 }
 
 /** The connection to a peer opened. */
@@ -137,6 +141,7 @@
   if (peer === undefined) return;
   const wasLive = isLive(state, peer);
   peer.connected = false;
+  if (wasLive) peer.lostAtMs = peer.lastHeardMs;
   if (event.refused) peer.refusedAtMs = state.nowMs;
   if (!wasLive || isLive(state, peer)) return;
   peer.isLeader = false;
--- a/src/engine/place.ts
+++ b/src/engine/place.ts
@@ -48,7 +48,7 @@
   scheduler: Scheduler,
   job: Job,
 ): boolean {
-  if (!job.resubmitted || state.nowMs >= job.formerRunsLapseAtMs) return false;
+  if (state.nowMs >= job.formerRunsLapseAtMs) return false;
   if (state.vanishedAtMs.size > 0) return true;
   for (const workerId of state.workers.keys()) {
     if (scheduler.workers.get(workerId)?.phase !== "ready") return true;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -216,6 +216,8 @@
 export interface Peer {
   info: InstanceInfo;
   lastHeardMs: number;
+  /** When it had been heard before its last loss; 0 where it was not lost. */
+  lostAtMs: number;
   /** When its present life began, by its own clock; null before it spoke. */
   lifeMs: number | null;
   /** The sender's clock in its latest heartbeat. */
@@ -288,9 +290,10 @@
   unfinished: number;
   /** Tasks of it were handed to workers, here or by a former leader. */
   begun: boolean;
-  /** A former leader had it: its tasks may run on workers not read yet. */
-  resubmitted: boolean;
-  /** By then, what a former leader started has lapsed if it was not found. */
+  /**
+   * Until then a former leader's runs of it may go on, on workers whose lists
+   * were not read; 0 where no former leader can have had the job.
+   */
   formerRunsLapseAtMs: number;
   /** Its entries are silent: nothing more of it starts. */
   paused: boolean;
