--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -2,6 +2,7 @@
 
 import type { QueueRule } from "../src/engine/schemas.ts";
 import {
+  type CallerRecord,
   createWorld,
   type JobKind,
   type World,
@@ -15,6 +16,12 @@
 const LOAD_ENDS_MS = 20_000;
 /** All answers are in by then. */
 const RUN_ENDS_MS = 28_000;
+/** A question is answered within so long. */
+const ASK_MS = 20;
+/** Accepted jobs can all be run by the end at such a load. */
+const MAX_RECORDED_LOAD = 1.1;
+/** Jobs are cancelled within so long of their submission. */
+const CANCEL_WITHIN_MS = 400;
 
 function queueOf(
   name: string,
@@ -83,6 +90,7 @@
   | "workerRestart"
   | "workerHang"
   | "workerFailsAll"
+  | "workerLeaves"
   | "storeAway";
 
 type FaultHandler = (world: World, forMs: number) => void;
@@ -162,6 +170,13 @@
       end: () => worker.failsAll = false,
     });
   },
+  workerLeaves: (world, forMs) => {
+    const worker = pick(world, world.workers);
+    during(world, forMs, {
+      begin: () => worker.draining = true,
+      end: () => worker.draining = false,
+    });
+  },
   storeAway: (world, forMs) =>
     during(world, forMs, {
       begin: () => world.setStoreAway(true),
@@ -169,6 +184,30 @@
     }),
 };
 
+/** Kinds of which records are kept, beside one that lives in memory. */
+export const recordedKinds: readonly JobKind[] = sheetKinds.map((kind, index) =>
+  index === 0
+    ? { ...kind, promise: "recorded", perSecond: 8 }
+    : index === 1
+    ? { ...kind, promise: "atMostOnce", perSecond: 3 }
+    : kind
+);
+
+/** The faults that seeds draw from; the others stand in series. */
+const drawnFaults: readonly FaultName[] = [
+  "kill",
+  "killAll",
+  "freeze",
+  "drain",
+  "zoneCut",
+  "nodeCut",
+  "workerCut",
+  "workerRestart",
+  "workerHang",
+  "workerFailsAll",
+  "storeAway",
+];
+
 /** One run: its seed, its load, and its faults. */
 export interface EngineRun {
   readonly seed: number;
@@ -176,6 +215,10 @@
   readonly load: number;
   readonly faults: readonly { atMs: number; name: FaultName; forMs: number }[];
   readonly lateShare?: number;
+  readonly lostWriteShare?: number;
+  readonly kinds?: readonly JobKind[];
+  /** The share of recorded jobs that are cancelled. */
+  readonly cancelShare?: number;
 }
 
 /** What came of a run. */
@@ -192,7 +235,7 @@
 /** Draws a run's faults from its seed. */
 export function drawRun(seed: number): EngineRun {
   const world = createWorld(worldOptions({ seed, load: 0, faults: [] }));
-  const names = Object.keys(faultHandlers) as FaultName[];
+  const names = drawnFaults;
   const count = 2 + Math.floor(4 * world.random());
   const faults = Array.from({ length: count }, () => ({
     atMs: LOAD_BEGINS_MS +
@@ -204,16 +247,35 @@
   return { seed, load: 0.5 + 1.2 * world.random(), faults, lateShare };
 }
 
+/** Draws a run with records, cancels, and a store that loses answers. */
+export function drawRecordedRun(seed: number): EngineRun {
+  const { faults, load, ...run } = drawRun(seed);
+  const away = { atMs: LOAD_BEGINS_MS + 200 * (seed % 60), forMs: 2_500 };
+  return {
+    ...run,
+    load: Math.min(load, MAX_RECORDED_LOAD),
+    kinds: recordedKinds,
+    cancelShare: 0.05,
+    lostWriteShare: seed % 2 === 0 ? 0.05 : 0,
+    faults: seed % 3 === 0
+      ? [...faults, { ...away, name: "storeAway" }]
+      : faults,
+  };
+}
+
 /** A world like the sheets'. */
-export function worldOptions({ seed, lateShare }: EngineRun) {
+export function worldOptions(
+  { seed, lateShare, lostWriteShare, kinds = sheetKinds }: EngineRun,
+) {
   return {
     seed,
     zones: ["a", "b", "c"],
     instancesPerZone: 2,
     workersPerZone: 11,
     workerSizes: sheetWorkers,
-    kinds: sheetKinds,
+    kinds,
     lateShare: lateShare ?? 0,
+    lostWriteShare: lostWriteShare ?? 0,
   };
 }
 
@@ -222,28 +284,42 @@
  *
  * @example
  * ```ts
- * playRun(drawRun(17)).broken; // [] while every promise holds
+ * (await playRun(drawRun(17))).broken; // [] while every promise holds
  * ```
  */
-export function playRun(
+export async function playRun(
   run: EngineRun,
-  { onLog }: Pick<WorldOptions, "onLog"> = {},
-): RunResult {
-  const world = createWorld({ ...worldOptions(run), ...(onLog && { onLog }) });
-  for (const kind of sheetKinds) arrive(world, kind, run);
+  options: Pick<WorldOptions, "onLog" | "guards"> = {},
+): Promise<RunResult> {
+  const world = createWorld({ ...worldOptions(run), ...options });
+  for (const kind of run.kinds ?? sheetKinds) arrive(world, kind, run);
   for (const { atMs, name, forMs } of run.faults) {
     world.queue.at(atMs, () => faultHandlers[name](world, forMs));
   }
-  world.run(RUN_ENDS_MS);
+  await world.run(RUN_ENDS_MS);
+  await checkAccepted(world);
   return resultOf(world);
 }
 
+/** With every fault over, each accepted job is known and has ended. */
+async function checkAccepted(world: World): Promise<void> {
+  for (const record of world.jobs.values()) {
+    if (!record.accepted) continue;
+    let told = "nothing";
+    world.ask(record, (reply) => told = reply.kind);
+    await world.run(world.queue.nowMs() + ASK_MS);
+    if (told === "ended") continue;
+    world.broken.push(`accepted: ${record.jobId} is ${told} in the end`);
+  }
+}
+
 /** Hands in jobs of a kind at uniform moments, at instances drawn. */
 export function arrive(
   world: World,
   kind: JobKind,
-  { load, beginMs = LOAD_BEGINS_MS, endMs = LOAD_ENDS_MS }: {
+  { load, cancelShare = 0, beginMs = LOAD_BEGINS_MS, endMs = LOAD_ENDS_MS }: {
     load: number;
+    cancelShare?: number;
     beginMs?: number;
     endMs?: number;
   },
@@ -252,13 +328,26 @@
   const next = (atMs: number): void => {
     if (atMs > endMs) return;
     world.queue.at(atMs, () => {
-      world.submit(pick(world, world.nodes).instanceId, kind);
+      const record = world.submit(pick(world, world.nodes).instanceId, kind);
+      if (record !== null && kind.promise !== undefined && cancelShare > 0) {
+        cancelSome(world, record, cancelShare);
+      }
       next(atMs - gapMs * Math.log(1 - world.random()));
     });
   };
   next(beginMs);
 }
 
+function cancelSome(
+  world: World,
+  record: CallerRecord,
+  cancelShare: number,
+): void {
+  if (world.random() >= cancelShare) return;
+  const atMs = world.queue.nowMs() + CANCEL_WITHIN_MS * world.random();
+  world.queue.at(atMs, () => world.cancel(record));
+}
+
 function resultOf(world: World): RunResult {
   const records = [...world.jobs.values()];
   const count = (kind: string): number =>
--- a/bench/engine_runs_test.ts
+++ b/bench/engine_runs_test.ts
@@ -26,8 +26,8 @@
 
 for (const { cause, seeds } of regressions) {
   for (const seed of seeds) {
-    test(`seed ${seed}: ${cause}`, () => {
-      expect(playRun(drawRun(seed)).broken).toEqual([]);
+    test(`seed ${seed}: ${cause}`, async () => {
+      expect((await playRun(drawRun(seed))).broken).toEqual([]);
     });
   }
 }
@@ -72,8 +72,8 @@
 
 for (const { name, run } of series) {
   for (const seed of [1, 2, 3]) {
-    test(`series, seed ${seed}: ${name}`, () => {
-      const result = playRun({ ...run, seed });
+    test(`series, seed ${seed}: ${name}`, async () => {
+      const result = await playRun({ ...run, seed });
       expect(result.broken).toEqual([]);
       // After the faults the instances serve again.
       expect(result.done > result.jobs / 2).toEqual(true);
@@ -85,18 +85,18 @@
 const QUIET_CREDIT = 0.99;
 
 for (const name of ["steady", "high"]) {
-  test(`load ${name}: nearly everything is in time`, () => {
+  test(`load ${name}: nearly everything is in time`, async () => {
     const pattern = loadPatterns.find((one) => one.name === name);
     if (pattern === undefined) throw new Error(name);
-    expect(playLoad(pattern, { seed: 1 }).credit >= QUIET_CREDIT)
+    expect((await playLoad(pattern, { seed: 1 })).credit >= QUIET_CREDIT)
       .toEqual(true);
   });
 }
 
-test("a flood of the least urgent kind leaves the urgent kinds in time", () => {
+test("a flood of the least urgent kind leaves the urgent kinds in time", async () => {
   const pattern = loadPatterns.find((one) => one.name === "stock burst");
   if (pattern === undefined) throw new Error("no pattern");
-  const [quote] = playLoad(pattern, { seed: 1 }).kinds;
+  const [quote] = (await playLoad(pattern, { seed: 1 })).kinds;
   // The brief asks that the other kinds keep their usual service.
   expect((quote?.onTime ?? 0) >= 0.95 * (quote?.jobs ?? 1)).toEqual(true);
 });
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -10,15 +10,25 @@
 import type {
   Configuration,
   JobSpec,
+  Question,
   QueueRule,
+  Reply,
 } from "../src/engine/schemas.ts";
 import type {
+  CallerReply,
   Effect,
   EngineEvent,
   EngineState,
+  Guards,
   JobOutcome,
 } from "../src/engine/types.ts";
-import type { EffectOf } from "../src/instance/hosts.ts";
+import { InvariantError } from "../src/engine/debug.ts";
+import type { EffectOf, StoreHost } from "../src/instance/hosts.ts";
+import {
+  createRecordStore,
+  type RecordStore,
+} from "../src/instance/record_store.ts";
+import { createFakeStore } from "./fake_store.ts";
 import { createEventQueue, type EventQueue } from "./event_queue.ts";
 import {
   createFakeWorker,
@@ -32,6 +42,11 @@
 const LEASE_MS = 1_000;
 const STOP_MS = 50;
 const CALL_TIMEOUT_MS = 200;
+/** How long the store takes for a transaction, and to be given up. */
+const STORE_MS = 8;
+const STORE_TIMEOUT_MS = 900;
+/** Writes whose answers are lost may take effect so much later. */
+const STORE_LATE_MS = 3_000;
 /** Spreads of jobs on both users' sheets. */
 const WIDTH_SPREAD = 0.4;
 const RUN_SPREAD = 0.4;
@@ -49,6 +64,8 @@
   readonly taskMs: number;
   readonly cpuMilli: number;
   readonly width: number;
+  /** How its jobs are kept, and how often their tasks may run. */
+  readonly promise?: "recorded" | "atMostOnce";
   /** What a job of this kind is worth in time, and late. */
   readonly worth: number;
   readonly lateWorth: number;
@@ -81,6 +98,9 @@
   readonly kinds: readonly JobKind[];
   /** The share of starts that are carried out late, without an answer. */
   readonly lateShare?: number;
+  /** The share of writes to the store whose answers are lost. */
+  readonly lostWriteShare?: number;
+  readonly guards?: Partial<Guards>;
   /** Receives the log lines of every instance. */
   readonly onLog?: (
     instanceId: string,
@@ -94,6 +114,7 @@
   readonly instanceId: string;
   readonly availabilityZone: string;
   state: EngineState | null;
+  records: RecordStore | null;
   life: number;
   frozenUntilMs: number;
 }
@@ -107,6 +128,10 @@
   readonly widths: number;
   readonly idealMs: number;
   outcome: JobOutcome | null;
+  /** Its caller was told that a record is kept. */
+  accepted: boolean;
+  /** Its cancelling was acknowledged. */
+  cancelled: boolean;
   answeredAtMs: number;
 }
 
@@ -127,24 +152,50 @@
   /** Cuts between all pairs for which the test holds; null mends. */
   readonly setCut: (cut: ((a: string, b: string) => boolean) | null) => void;
   readonly setStoreAway: (away: boolean) => void;
+  /** Cancels a job through some instance. */
+  readonly cancel: (record: CallerRecord) => void;
+  /** Asks for a job's state through some instance. */
+  readonly ask: (
+    record: CallerRecord,
+    onReply: (reply: Reply) => void,
+  ) => void;
   readonly leaders: () => string[];
-  readonly run: (untilMs: number) => void;
+  readonly run: (untilMs: number) => Promise<void>;
+}
+
+const noLog = { write: () => {} };
+
+/** How an engine is asked to keep a kind of job. */
+function specOf({ promise }: JobKind): Partial<JobSpec> {
+  if (promise === "recorded") return { isRecorded: true, lateFactor: 3 };
+  if (promise === undefined) return {};
+  return { isRecorded: true, isAtMostOnce: true, deadlineMs: 6_000 };
 }
 
 /** Creates a world; nothing happens before it is run. */
 export function createWorld(options: WorldOptions): World {
   const generator = xoroshiro128plus(options.seed);
   const random = (): number => uniformFloat64(generator);
+  // Of its own, so that calls to the store don't change what else is drawn.
+  const storeGenerator = xoroshiro128plus(options.seed + 1);
+  const storeRandom = (): number => uniformFloat64(storeGenerator);
   const queue = createEventQueue();
   const broken: string[] = [];
   const jobs = new Map<string, CallerRecord>();
   const truth = new Map<string, TrueTask>();
   const startsOfJob = new Map<string, number>();
+  const startsOfTask = new Map<string, number>();
+  const forgottenDone = new Set<string>();
   const runningNow = new Map<string, string>();
   const zoneOf = new Map<string, string>();
   let cut: ((a: string, b: string) => boolean) | null = null;
   let storeAway = false;
   let nextJob = 0;
+  let nextQuestion = 0;
+  const store = createFakeStore();
+  /** Tasks that ended done, and whether a worker was told to forget it. */
+  const doneTasks = new Set<string>();
+  const replies = new Map<string, (reply: Reply) => void>();
 
   function sizeAt(index: number) {
     const { workerSizes } = options;
@@ -164,7 +215,8 @@
           leaseMs: LEASE_MS,
           taskOf: (taskName) => truth.get(taskName),
           onStart: checkStart,
-          onEnd: (worker, run) => {
+          onEnd: (worker, run, end) => {
+            if (end === "done") doneTasks.add(run.taskName);
             if (runningNow.get(run.taskName) === worker.workerId) {
               runningNow.delete(run.taskName);
             }
@@ -181,6 +233,7 @@
       instanceId: `${availabilityZone}-${index + 1}`,
       availabilityZone,
       state: null,
+      records: null,
       life: 0,
       frozenUntilMs: 0,
     }))
@@ -204,6 +257,7 @@
     if (worker.usedCpuMilli() > worker.cpuMilli) {
       broken.push(`capacity: ${taskName} on ${worker.workerId} at ${nowMs}`);
     }
+    checkPromise(taskName);
     const other = runningNow.get(taskName);
     const alive = other !== undefined && other !== worker.workerId &&
       workersById.get(other)?.running.has(taskName) === true;
@@ -221,6 +275,33 @@
     }
   }
 
+  function checkPromise(taskName: string): void {
+    const jobId = taskName.slice(0, taskName.indexOf("."));
+    const record = jobs.get(jobId);
+    const promise = record?.kind.promise;
+    const nowMs = Math.round(queue.nowMs());
+    const starts = (startsOfTask.get(taskName) ?? 0) + 1;
+    startsOfTask.set(taskName, starts);
+    if (promise === "atMostOnce" && starts > 1) {
+      broken.push(`atMostOnce: ${taskName} started again at ${nowMs}`);
+    }
+    if (promise !== undefined && forgottenDone.has(taskName)) {
+      broken.push(`again: ${taskName} started after its end, at ${nowMs}`);
+    }
+    if (record?.cancelled === true) {
+      broken.push(`cancelled: ${taskName} started at ${nowMs}`);
+    }
+  }
+
+  /** Ends that a worker forgets are taken note of for good. */
+  function noteForgotten(worker: FakeWorker, lastSeenEnd: number): void {
+    for (const { sequence, taskName, end } of worker.finished) {
+      if (sequence <= lastSeenEnd && end === "done") {
+        forgottenDone.add(taskName);
+      }
+    }
+  }
+
   function blocked(a: string, b: string): boolean {
     return cut !== null && (cut(a, b) || cut(b, a));
   }
@@ -239,7 +320,22 @@
       );
       return;
     }
-    for (const effect of reduce(node.state, event)) perform(node, life, effect);
+    for (const effect of reduceChecked(node, event)) {
+      perform(node, life, effect);
+    }
+  }
+
+  /** A broken invariant ends the process, which starts again. */
+  function reduceChecked(node: Node, event: EngineEvent): Effect[] {
+    if (node.state === null) return [];
+    try {
+      return reduce(node.state, event);
+    } catch (error) {
+      if (!(error instanceof InvariantError)) throw error;
+      broken.push(`invariant: ${error.message}`);
+      kill(node, 500);
+      return [];
+    }
   }
 
   const performers: {
@@ -249,7 +345,30 @@
       effect: EffectOf<T>,
     ) => void;
   } = {
-    answerCaller: (_node, _life, { jobId, outcome }) => answer(jobId, outcome),
+    answerCaller: (_node, _life, { jobId, reply }) => answer(jobId, reply),
+    answerQuestion: (_node, _life, { requestId, reply }) => {
+      replies.get(requestId)?.(reply);
+      replies.delete(requestId);
+    },
+    openRecords: (node, life, effect) => {
+      const { term } = effect;
+      void node.records?.open(effect).then((outcome) => {
+        const nowMs = queue.nowMs();
+        dispatch(node, life, { type: "recordsOpened", nowMs, term, outcome });
+      });
+    },
+    writeRecords: (node, life, effect) => {
+      const { writeId } = effect;
+      void node.records?.write(effect).then((outcome) => {
+        const nowMs = queue.nowMs();
+        dispatch(node, life, {
+          type: "recordsWritten",
+          nowMs,
+          writeId,
+          outcome,
+        });
+      });
+    },
     log: (node, _life, { part, text, fields }) => {
       options.onLog?.(node.instanceId, queue.nowMs(), {
         part,
@@ -309,6 +428,10 @@
     later(delayMs, () => {
       if (!reachable(node, worker)) return;
       const untilMs = queue.nowMs() + effect.waitMs;
+      noteForgotten(
+        worker,
+        effect.fence >= worker.fence() ? effect.lastSeenEnd : 0,
+      );
       const poll = (): void => {
         if (!worker.alive || worker.bornMs !== bornMs) return;
         const outcome = worker.hold(effect, queue.nowMs(), untilMs);
@@ -386,9 +509,14 @@
     });
   }
 
-  function answer(jobId: string, outcome: JobOutcome): void {
+  function answer(jobId: string, outcome: CallerReply): void {
     const record = jobs.get(jobId);
     if (record === undefined || record.outcome !== null) return;
+    if (outcome.kind === "accepted") {
+      record.accepted = true;
+      record.answeredAtMs = queue.nowMs();
+      return;
+    }
     record.outcome = outcome;
     record.answeredAtMs = queue.nowMs();
     if (outcome.kind === "refused" && startsOfJob.has(jobId)) {
@@ -408,7 +536,9 @@
       stopMs: STOP_MS,
       nowMs,
       wallMs,
+      ...(options.guards && { guards: options.guards }),
     });
+    node.records = createRecordStore(storeOf(node, life), { log: noLog });
     zoneOf.set(instanceId, availabilityZone);
     const tick = (): void => {
       if (node.life !== life) return;
@@ -422,6 +552,41 @@
     later(5, () => meetPeers(node, life));
   }
 
+  /** The store as one instance reaches it. */
+  function storeOf(node: Node, life: number): StoreHost {
+    function call<T>(run: () => T): Promise<T> {
+      const lost = storeRandom() < (options.lostWriteShare ?? 0);
+      return new Promise((resolve, reject) => {
+        let answered = false;
+        later(STORE_TIMEOUT_MS, () => {
+          answered = true;
+          queue.settlePromises();
+          reject(new Error("timeout"));
+        });
+        if (storeAway || blocked("store", node.instanceId)) return;
+        const takesMs = (lost ? STORE_LATE_MS : STORE_MS) * storeRandom();
+        later(takesMs, () => {
+          const result = run();
+          if (lost) return;
+          later(STORE_MS / 2, () => {
+            if (answered || node.life !== life) return;
+            queue.settlePromises();
+            resolve(result);
+          });
+        });
+      });
+    }
+    const none = () => Promise.resolve(null);
+    return {
+      readConfiguration: none,
+      awaitConfiguration: none,
+      readWorkers: () => Promise.resolve([]),
+      readRows: (place) => call(() => store.readRows(place)),
+      transact: (transaction) => call(() => store.transact(transaction)),
+      close: () => Promise.resolve(),
+    };
+  }
+
   function infoOf(node: Node, bornMs: number) {
     return {
       instanceId: node.instanceId,
@@ -511,6 +676,7 @@
       spread: DECLARED_SPREAD,
     });
     const job: JobSpec = {
+      ...specOf(kind),
       spec: "",
       steps: [{
         count: width,
@@ -538,6 +704,8 @@
       widths: width,
       idealMs,
       outcome: null,
+      accepted: false,
+      cancelled: false,
       answeredAtMs: 0,
     };
     jobs.set(jobId, record);
@@ -549,10 +717,35 @@
       queue: kind.queue,
       job,
       timeoutMs: kind.queue.timeoutMs,
+      answerAt: kind.promise === "recorded" ? "accepted" : "ended",
     });
     return record;
   }
 
+  function askSomebody(
+    question: Question,
+    onReply: (reply: Reply) => void,
+  ): void {
+    const up = nodes.filter((node) => node.state !== null);
+    const node = up[Math.floor(storeRandom() * up.length)];
+    if (node === undefined) return;
+    nextQuestion += 1;
+    const requestId = `q${nextQuestion}`;
+    replies.set(requestId, onReply);
+    const nowMs = queue.nowMs();
+    const type = "callerAsked";
+    dispatch(node, node.life, { type, nowMs, requestId, question });
+  }
+
+  function kill(node: Node, downMs: number): void {
+    node.state = null;
+    node.life += 1;
+    for (const other of nodes) {
+      if (other.state !== null) connect(other, other.life, node);
+    }
+    later(downMs, () => boot(node));
+  }
+
   for (const node of nodes) queue.at(100 * random(), () => boot(node));
 
   return {
@@ -564,14 +757,18 @@
     random,
     submit,
     kill(instanceId, downMs) {
-      const node = nodesById.get(instanceId) as Node;
-      node.state = null;
-      node.life += 1;
-      for (const other of nodes) {
-        if (other.state !== null) connect(other, other.life, node);
-      }
-      later(downMs, () => boot(node));
+      kill(nodesById.get(instanceId) as Node, downMs);
+    },
+    cancel(record) {
+      const { jobId } = record;
+      askSomebody({ kind: "cancel", jobId }, (reply) => {
+        if (reply.kind === "ended" && reply.outcome.kind === "cancelled") {
+          record.cancelled = true;
+          record.outcome ??= reply.outcome;
+        }
+      });
     },
+    ask: ({ jobId }, onReply) => askSomebody({ kind: "job", jobId }, onReply),
     freeze(instanceId, forMs) {
       const node = nodesById.get(instanceId) as Node;
       const untilMs = queue.nowMs() + forMs;
--- a/bench/event_queue.ts
+++ b/bench/event_queue.ts
@@ -10,7 +10,9 @@
 export interface EventQueue {
   readonly nowMs: () => number;
   readonly at: (atMs: number, run: () => void) => void;
-  readonly runUntil: (endMs: number) => void;
+  /** Lets promises that were settled go on before the next thing runs. */
+  readonly settlePromises: () => void;
+  readonly runUntil: (endMs: number) => Promise<void>;
 }
 
 /** Creates an empty queue at time zero. */
@@ -18,6 +20,7 @@
   const heap: Entry[] = [];
   let nowMs = 0;
   let order = 0;
+  let promisesSettled = false;
 
   function before(a: Entry, b: Entry): boolean {
     return a.atMs !== b.atMs ? a.atMs < b.atMs : a.order < b.order;
@@ -67,11 +70,17 @@
       order += 1;
       push({ atMs: Math.max(atMs, nowMs), order, run });
     },
-    runUntil(endMs) {
+    settlePromises() {
+      promisesSettled = true;
+    },
+    async runUntil(endMs) {
       while (heap.length > 0 && (heap[0] as Entry).atMs <= endMs) {
         const entry = pop();
         nowMs = entry.atMs;
         entry.run();
+        if (!promisesSettled) continue;
+        promisesSettled = false;
+        await new Promise((resolve) => setImmediate(resolve));
       }
       nowMs = endMs;
     },
--- a/bench/fake_worker.ts
+++ b/bench/fake_worker.ts
@@ -48,6 +48,10 @@
   readonly availabilityZone: string;
   readonly cpuMilli: number;
   readonly running: Map<string, TrueRun>;
+  /** Ends that it was not told to forget. */
+  readonly finished: readonly FinishedRow[];
+  /** The highest fencing token that it has seen. */
+  readonly fence: () => number;
   bornMs: number;
   draining: boolean;
   alive: boolean;
@@ -103,6 +107,8 @@
     availabilityZone: options.availabilityZone,
     cpuMilli: options.cpuMilli,
     running,
+    finished,
+    fence: () => fence,
     bornMs: 0,
     draining: false,
     alive: true,
--- a/bench/load_model.ts
+++ b/bench/load_model.ts
@@ -56,10 +56,10 @@
 }
 
 /** Plays a pattern of load. */
-export function playLoad(
+export async function playLoad(
   pattern: LoadPattern,
   { seed }: { seed: number },
-): { kinds: KindResult[]; credit: number } {
+): Promise<{ kinds: KindResult[]; credit: number }> {
   const world = createWorld(worldOptions({ seed, load: 0, faults: [] }));
   const span = { beginMs: LOAD_BEGINS_MS, endMs: LOAD_ENDS_MS };
   for (const kind of sheetKinds) {
@@ -68,7 +68,7 @@
     if (burst === undefined || burst.kind !== kind.queue.name) continue;
     arrive(world, kind, { ...burst, load: pattern.base * burst.times });
   }
-  world.run(RUN_ENDS_MS);
+  await world.run(RUN_ENDS_MS);
   const records = [...world.jobs.values()];
   const kinds = sheetKinds.map((kind) => resultOf(kind, records));
   const asked = records.reduce((sum, { kind }) => sum + kind.worth, 0);
@@ -112,13 +112,13 @@
   };
 }
 
-function main(): void {
+async function main(): Promise<void> {
   const seeds = Number(process.argv[2] ?? 3);
   for (const pattern of loadPatterns) {
     let credit = 0;
     const lines: string[] = [];
     for (let seed = 1; seed <= seeds; seed += 1) {
-      const result = playLoad(pattern, { seed });
+      const result = await playLoad(pattern, { seed });
       credit += result.credit / seeds;
       if (seed > 1) continue;
       for (const one of result.kinds) {
@@ -134,4 +134,4 @@
   }
 }
 
-if (process.argv[1]?.endsWith("load_model.js")) main();
+if (process.argv[1]?.endsWith("load_model.js")) await main();
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -5,7 +5,7 @@
 
 import { defineCommand, runMain } from "citty";
 import fc from "fast-check";
-import { invariantChecks } from "../src/core/debug.ts";
+import { invariantChecks } from "../src/engine/debug.ts";
 import { mutants } from "./mutants.ts";
 import { runScenario, type Scenario, scenarioArbitrary } from "./scenario.ts";
 
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -9,7 +9,7 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { createCore, reduce } from "../src/core/reduce.ts";
 import { pollPeriodMs } from "../src/core/membership.ts";
-import { InvariantError } from "../src/core/debug.ts";
+import { InvariantError } from "../src/engine/debug.ts";
 import type { Guards } from "../src/core/guards.ts";
 import type {
   ConfigurationDocument,
--- a/src/core/claiming.ts
+++ b/src/core/claiming.ts
@@ -3,7 +3,7 @@
  * starts the job only with both grants of one group.
  */
 
-import { assert } from "./debug.ts";
+import { assert } from "../engine/debug.ts";
 import type { DiagnosticName } from "./diagnostics.ts";
 import type { GroupRole, PeerMessageOf } from "./schemas.ts";
 import type { ClaimAttempt, ClaimGroup, Job, Step } from "./types.ts";
--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -1,6 +1,6 @@
 /** Which configuration is in force here: versions only ever rise. */
 
-import { assert } from "./debug.ts";
+import { assert } from "../engine/debug.ts";
 import {
   type Configuration,
   type ConfigurationDocument,
--- a/src/core/drain.ts
+++ b/src/core/drain.ts
@@ -1,6 +1,6 @@
 /** A planned stop: no new work, all work in progress answered, then exit. */
 
-import { assert } from "./debug.ts";
+import { assert } from "../engine/debug.ts";
 import type { Step } from "./types.ts";
 import { sendAllHeartbeats } from "./membership.ts";
 import { handOverGroups } from "./handover.ts";
--- a/src/core/flows.ts
+++ b/src/core/flows.ts
@@ -1,7 +1,7 @@
 /** Flows: one team's work of one kind, its queue, run times and usual share. */
 
 import type { CoreState, Flow, Job, Task } from "./types.ts";
-import { createEstimate } from "./estimates.ts";
+import { createEstimate } from "../engine/estimates.ts";
 import { getOrInsert } from "./utilities.ts";
 
 /** How often demand is sampled, in milliseconds. */
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,13 +1,13 @@
 /** The life of a job at the instance that holds it. */
 
-import { assert } from "./debug.ts";
+import { assert } from "../engine/debug.ts";
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
 import type { Answer, Json, TaskEnd } from "./schemas.ts";
 import type { CoreEventOf, Job, Step, Task, TaskState } from "./types.ts";
 import { admitJob, isOverloaded } from "./admission.ts";
 import { tellWaiter } from "./attach.ts";
 import { beginClaim, checkClaimTimeout, tellOutcome } from "./claiming.ts";
-import { estimateSlowestMs, estimateTaskMs } from "./estimates.ts";
+import { estimateSlowestMs, estimateTaskMs } from "../engine/estimates.ts";
 import { flowOf, forgetQueued } from "./flows.ts";
 import { emit, nextId } from "./utilities.ts";
 
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,7 +3,7 @@
  * of one lookup table; `stretch` is the product's, the others are baselines.
  */
 
-import { assert } from "./debug.ts";
+import { assert } from "../engine/debug.ts";
 import type { PolicyName } from "./schemas.ts";
 import type { CoreState, Job, Step, Task, Upstream } from "./types.ts";
 import { borrowFor, returnUnused } from "./borrowing.ts";
--- a/src/core/registrar.ts
+++ b/src/core/registrar.ts
@@ -5,7 +5,7 @@
  * group never grants it. See docs/design/claims.md.
  */
 
-import { assert } from "./debug.ts";
+import { assert } from "../engine/debug.ts";
 import type {
   GroupRole,
   InstanceRef,
--- a/src/core/sends.ts
+++ b/src/core/sends.ts
@@ -9,7 +9,7 @@
   Task,
   Upstream,
 } from "./types.ts";
-import { learnRun } from "./estimates.ts";
+import { learnRun } from "../engine/estimates.ts";
 import { requeueTask } from "./flows.ts";
 import { abandonJob, endJob } from "./jobs.ts";
 import { dispatch } from "./placement.ts";
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -2,7 +2,7 @@
 
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { DiagnosticName } from "./diagnostics.ts";
-import type { RunEstimate } from "./estimates.ts";
+import type { RunEstimate } from "../engine/estimates.ts";
 import type { Guards } from "./guards.ts";
 import type {
   Answer,
--- a/src/engine/admit.ts
+++ b/src/engine/admit.ts
@@ -28,7 +28,10 @@
 
 /** The end by which an answer is still worth the work. */
 function latestEndMs(job: Job): number {
-  return Math.min(job.deadlineAtMs, job.objectiveAtMs);
+  const { receivedAtMs, objectiveAtMs, deadlineAtMs, spec } = job;
+  const objectiveMs = objectiveAtMs - receivedAtMs;
+  const lateAtMs = receivedAtMs + (spec.lateFactor ?? 1) * objectiveMs;
+  return Math.min(deadlineAtMs, lateAtMs);
 }
 
 /** How long the work of the jobs before this one keeps the workers busy. */
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -7,6 +7,7 @@
 import { emit, logDecision, sendPeer } from "./turn.ts";
 import type {
   CallerJob,
+  CallerReply,
   EngineEventOf,
   EngineState,
   JobOutcome,
@@ -30,6 +31,7 @@
   const known = state.callerJobs.get(event.jobId);
   if (known !== undefined) {
     known.requestIds.push(event.requestId);
+    if (event.answerAt === "ended") known.answerAt = "ended";
     return;
   }
   state.nextSubmission += 1;
@@ -45,6 +47,7 @@
     submittedTerm: 0,
     termsSubmitted: 0,
     doneTasks: [],
+    answerAt: event.answerAt,
   };
   state.callerJobs.set(event.jobId, callerJob);
   submit(turn, callerJob);
@@ -73,6 +76,7 @@
     ageMs: Math.round(state.nowMs - callerJob.receivedAtMs),
     timeLeftMs: Math.round(callerJob.deadlineAtMs - state.nowMs),
     resubmitted: callerJob.termsSubmitted > 1,
+    answerAt: callerJob.answerAt,
     doneTasks: [...callerJob.doneTasks],
   });
 }
@@ -102,13 +106,16 @@
 
 function withdraw(turn: Turn, callerJob: CallerJob): void {
   const { state } = turn;
-  const { jobId } = callerJob;
+  const { jobId, job } = callerJob;
   state.callerJobs.delete(jobId);
   state.counters.callersGone += 1;
-  logDecision(turn, { part: "callers", text: "the caller left; job dropped" }, {
+  const goesOn = job.isRecorded === true;
+  const text = goesOn ? "the caller left" : "the caller left; job dropped";
+  logDecision(turn, { part: "callers", text }, {
     jobId,
     waitedMs: Math.round(state.nowMs - callerJob.receivedAtMs),
   });
+  if (goesOn) return;
   if (callerJob.termsSubmitted > 0 && state.leaderId !== null) {
     sendPeer(turn, state.leaderId, { type: "withdraw", jobId });
   }
@@ -126,12 +133,23 @@
   const { state } = turn;
   const callerJob = state.callerJobs.get(jobId);
   if (callerJob === undefined) return;
-  const isWhole = outcome.kind === "done" || outcome.kind === "failed";
+  const isWhole = outcome.kind === "done" || outcome.kind === "failed" ||
+    outcome.kind === "cancelled";
   const isCurrent = from === state.leaderId &&
     submissionIdOf(callerJob) === submissionId &&
     callerJob.submittedTerm === state.leaderTerm;
   if (!isWhole && !isCurrent) return;
-  answer(turn, callerJob, outcome);
+  answer(turn, callerJob, trueOutcome(callerJob, outcome));
+}
+
+/** A leader that had a job before may keep a record of it yet. */
+function trueOutcome(
+  { job, termsSubmitted }: CallerJob,
+  outcome: JobOutcome,
+): JobOutcome {
+  const kept = job.isRecorded === true && termsSubmitted > 1;
+  if (outcome.kind !== "refused" || !kept) return outcome;
+  return { kind: "unknown", reason: "leaderLost" };
 }
 
 const outcomeCounters = {
@@ -139,8 +157,34 @@
   failed: "jobsFailed",
   refused: "jobsRefused",
   unknown: "jobsUnknown",
+  cancelled: "jobsCancelled",
 } as const;
 
+/** The record of a job is kept, which is all that some callers wait for. */
+export function onJobAccepted(
+  turn: Turn,
+  _from: string,
+  { jobId }: PeerMessageOf<"jobAccepted">,
+): void {
+  const { state } = turn;
+  const callerJob = state.callerJobs.get(jobId);
+  if (callerJob === undefined || callerJob.answerAt === "ended") return;
+  state.callerJobs.delete(jobId);
+  logDecision(turn, { part: "callers", text: "job accepted" }, {
+    jobId,
+    queue: callerJob.queue.name,
+    tookMs: Math.round(state.nowMs - callerJob.receivedAtMs),
+  });
+  reply(turn, callerJob, { kind: "accepted" });
+}
+
+function reply(turn: Turn, callerJob: CallerJob, told: CallerReply): void {
+  const { jobId, requestIds } = callerJob;
+  for (const requestId of requestIds) {
+    emit(turn, { type: "answerCaller", requestId, jobId, reply: told });
+  }
+}
+
 function answer(turn: Turn, callerJob: CallerJob, outcome: JobOutcome): void {
   const { state } = turn;
   const { jobId } = callerJob;
@@ -149,13 +193,16 @@
   logDecision(turn, { part: "callers", text: `job ${outcome.kind}` }, {
     jobId,
     queue: callerJob.queue.name,
-    ...outcome,
+    ...toldOf(outcome),
     tookMs: Math.round(state.nowMs - callerJob.receivedAtMs),
     leaderId: state.leaderId,
   });
-  for (const requestId of callerJob.requestIds) {
-    emit(turn, { type: "answerCaller", requestId, jobId, outcome });
-  }
+  reply(turn, callerJob, outcome);
+}
+
+/** An outcome without what tasks returned, which is the caller's alone. */
+function toldOf(outcome: JobOutcome): Record<string, unknown> {
+  return outcome.kind === "done" ? { kind: outcome.kind } : outcome;
 }
 
 /** Gives up jobs that no leader takes, and hands in those it may lack. */
--- a/src/engine/configuration.ts
+++ b/src/engine/configuration.ts
@@ -1,5 +1,6 @@
 /** The configuration in force: it only rises. */
 
+import { assert } from "./debug.ts";
 import type { Configuration, QueueRule } from "./schemas.ts";
 import { logDecision, sendPeer } from "./turn.ts";
 import type { EngineState, Turn } from "./types.ts";
@@ -11,7 +12,8 @@
 ): void {
   const { state } = turn;
   const before = state.configuration?.version ?? -1;
-  if (configuration.version <= before) return;
+  if (!state.guards.isNewer(configuration.version, before)) return;
+  assert(configuration.version > before, "configuration_rises", `${before}`);
   state.configuration = configuration;
   logDecision(turn, { part: "config", text: "a configuration is in force" }, {
     version: configuration.version,
--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -30,6 +30,7 @@
     ageMs: 0,
     timeLeftMs: 6_000,
     resubmitted: false,
+    answerAt: "ended",
     doneTasks: [],
     ...fields,
   };
@@ -43,6 +44,7 @@
     queue: testQueue,
     job: testJob(2),
     timeoutMs: 6_000,
+    answerAt: "ended",
   });
 }
 
@@ -68,7 +70,7 @@
     leader.held(worker, { finished: both }),
     "answerCaller",
   );
-  expect(answers.map((answer) => answer.outcome.kind)).toEqual(["done"]);
+  expect(answers.map((answer) => answer.reply.kind)).toEqual(["done"]);
 });
 
 test("tasks beyond the capacity of the workers wait", () => {
@@ -265,6 +267,7 @@
     queue: testQueue,
     job: testJob(4),
     timeoutMs: 6_000,
+    answerAt: "ended",
   });
   leader.tick();
   const workers = [...leader.state.scheduler?.workers.values() ?? []];
--- a/src/engine/estimating.ts
+++ b/src/engine/estimating.ts
@@ -5,7 +5,7 @@
   estimateTaskMs,
   learnRun,
   type RunEstimate,
-} from "../core/estimates.ts";
+} from "./estimates.ts";
 import type { JobSpec, QueueRule } from "./schemas.ts";
 import type { EngineState } from "./types.ts";
 
--- /dev/null
+++ b/src/engine/job_state.ts
@@ -0,0 +1,119 @@
+/** A job at the leader: how it is made, and which of its tasks may start. */
+
+import { expectedChainMs } from "./estimating.ts";
+import type { JobSpec, QueueRule } from "./schemas.ts";
+import type { EngineState, Job, RecordState, Task } from "./types.ts";
+
+/** What a job is made from. */
+export interface JobOptions {
+  readonly jobId: string;
+  readonly queue: QueueRule;
+  readonly spec: JobSpec;
+  readonly receivedAtMs: number;
+  readonly deadlineAtMs: number;
+  /** A former leader had it, and may have begun any task that is not done. */
+  readonly isResumed: boolean;
+  readonly formerRunsLapseAtMs: number;
+  readonly doneTasks?: readonly string[];
+  readonly record: RecordState | null;
+  readonly isSurplus: boolean;
+}
+
+/** Makes a job whose tasks all wait, but for those that are done. */
+export function createJob(state: EngineState, options: JobOptions): Job {
+  const { queue, spec, receivedAtMs } = options;
+  const tasks = createTasks(options);
+  const chainMs = expectedChainMs(state, { queue, job: spec });
+  return {
+    jobId: options.jobId,
+    queue,
+    spec,
+    steps: spec.steps,
+    entries: new Map(),
+    receivedAtMs,
+    deadlineAtMs: options.deadlineAtMs,
+    objectiveAtMs: receivedAtMs + queue.stretch * chainMs + queue.objectiveMs,
+    chainMs,
+    tasks,
+    unfinished: tasks.filter((task) => task.state !== "done").length,
+    begun: options.isResumed,
+    formerRunsLapseAtMs: options.formerRunsLapseAtMs,
+    paused: false,
+    outcome: null,
+    endedAtMs: 0,
+    record: options.record,
+    isSurplus: options.isSurplus,
+  };
+}
+
+function createTasks(
+  { jobId, spec, isResumed, doneTasks = [] }: JobOptions,
+): Task[] {
+  const done = new Set(doneTasks);
+  const tasks: Task[] = [];
+  for (const [stepIndex, step] of spec.steps.entries()) {
+    for (let index = 0; index < step.count; index += 1) {
+      const name = `${jobId}.0.${stepIndex}.${index}`;
+      tasks.push({
+        name,
+        index: tasks.length,
+        stepIndex,
+        demand: step,
+        state: done.has(name) ? "done" : "waiting",
+        run: 0,
+        mayHaveBegun: isResumed,
+        failures: 0,
+        workerId: null,
+        failedOn: new Set(),
+        result: null,
+      });
+    }
+  }
+  return tasks;
+}
+
+/** Queues the tasks whose earlier steps are all done. */
+export function openSteps(job: Job): void {
+  const doneSteps = job.steps.map((_, stepIndex) => isStepDone(job, stepIndex));
+  for (const task of job.tasks) {
+    if (task.state !== "waiting") continue;
+    const after = job.steps[task.stepIndex]?.after ?? [];
+    if (after.every((stepIndex) => doneSteps[stepIndex] === true)) {
+      task.state = "queued";
+    }
+  }
+}
+
+function isStepDone(job: Job, stepIndex: number): boolean {
+  return job.tasks.every((task) =>
+    task.stepIndex !== stepIndex || task.state === "done"
+  );
+}
+
+/** What an earlier attempt ran counts for a later one. */
+export function inheritProgress(job: Job, earlier: Job): void {
+  job.begun = job.begun || earlier.begun;
+  for (const [index, task] of job.tasks.entries()) {
+    const before = earlier.tasks[index];
+    if (before?.name !== task.name) continue;
+    task.run = Math.max(task.run, before.run);
+    task.mayHaveBegun = task.mayHaveBegun || before.mayHaveBegun;
+    task.failures = before.failures;
+    task.result = before.result;
+    if (before.state !== "done" || task.state === "done") continue;
+    task.state = "done";
+    job.unfinished -= 1;
+  }
+}
+
+/** Whether a task of the job has started, as far as is known here. */
+export function hasStarted(job: Job): boolean {
+  return job.tasks.some((task) =>
+    task.state === "placed" || task.state === "done" || task.run > 0
+  );
+}
+
+/** Whether a task must not start, since it may have begun before. */
+export function isBarred({ spec }: Job, task: Task): boolean {
+  return spec.isAtMostOnce === true && task.mayHaveBegun;
+}
--- /dev/null
+++ b/src/engine/job_watch.ts
@@ -0,0 +1,127 @@
+/** What becomes of jobs as time passes: late, dropped, lost, forgotten. */
+
+import { expectedWaitMs, refusalOf } from "./admit.ts";
+import { DROP_SILENT_MS, PAUSE_SILENT_MS } from "./former_runs.ts";
+import { isBarred } from "./job_state.ts";
+import { endJob } from "./jobs.ts";
+import { mayRunElsewhere } from "./place.ts";
+import { markDirty } from "./records.ts";
+import { storeRefusal } from "./submissions.ts";
+import { logDecision } from "./turn.ts";
+import type { EngineState, Job, JobOutcome, Scheduler, Turn } from "./types.ts";
+
+/** How long an ended job is remembered, for a caller that asks again. */
+const REMEMBER_ENDED_MS = 6_000;
+/** How long the record of an ended job is kept: callers ask for 120 s. */
+const KEEP_RECORD_MS = 150_000;
+
+/** Turns away what can't make it any more, and forgets old jobs. */
+export function checkJobs(turn: Turn, scheduler: Scheduler): void {
+  const { state } = turn;
+  for (const job of scheduler.jobs.values()) {
+    if (job.outcome !== null || watchEntries(turn, job)) continue;
+    const outcome = lateRefusal(turn, scheduler, job) ??
+      lostOutcome(state, scheduler, job);
+    if (outcome !== null) {
+      endJob(turn, job, outcome);
+      continue;
+    }
+    if (state.nowMs < job.deadlineAtMs) continue;
+    endJob(turn, job, { kind: "unknown", reason: "deadline" });
+  }
+  forgetEnded(state, scheduler);
+  removeKept(state, scheduler);
+}
+
+/** The refusal of a job that waited in vain, or null. */
+function lateRefusal(
+  turn: Turn,
+  scheduler: Scheduler,
+  job: Job,
+): JobOutcome | null {
+  const { state } = turn;
+  if (!state.guards.mayRefuse(job)) return null;
+  const { record } = job;
+  if (record?.sent === true && state.nowMs < job.deadlineAtMs) return null;
+  const away = record === null ? null : storeRefusal(state, scheduler);
+  if (away !== null) return away;
+  if (record !== null && scheduler.records.phase !== "open") return null;
+  const waitMs = expectedWaitMs(state, scheduler, job);
+  const refusal = refusalOf(state, job, waitMs);
+  if (refusal === null) return null;
+  logDecision(turn, { part: "admit", text: "refused after waiting" }, {
+    jobId: job.jobId,
+    waitedMs: Math.round(state.nowMs - job.receivedAtMs),
+    expectedWaitMs: Math.round(waitMs),
+  });
+  return refusal;
+}
+
+/** A task that may have begun, and is found nowhere, is lost. */
+function lostOutcome(
+  state: EngineState,
+  scheduler: Scheduler,
+  job: Job,
+): JobOutcome | null {
+  const barred = job.tasks.some((task) =>
+    task.state === "queued" && isBarred(job, task)
+  );
+  if (!barred || mayRunElsewhere(state, scheduler, job)) return null;
+  return { kind: "unknown", reason: "taskLost" };
+}
+
+/**
+ * Stops what runs for entries that went silent: across a cut they have handed
+ * their jobs to another leader. Returns whether the job was dropped.
+ */
+function watchEntries(turn: Turn, job: Job): boolean {
+  if (job.record !== null) return false;
+  const silentMs = entriesSilentMs(turn.state, job);
+  job.paused = silentMs > PAUSE_SILENT_MS;
+  if (silentMs <= DROP_SILENT_MS) return false;
+  logDecision(turn, { part: "jobs", text: "dropped: its entry is silent" }, {
+    jobId: job.jobId,
+    silentMs: Math.round(silentMs),
+  });
+  endJob(turn, job, { kind: "unknown", reason: "leaderLost" });
+  return true;
+}
+
+/**
+ * How long all entries of a job have been out of reach. A refused connection
+ * doesn't show that the process ended: some cuts refuse.
+ */
+function entriesSilentMs(state: EngineState, job: Job): number {
+  let silentMs = Infinity;
+  for (const entryId of job.entries.keys()) {
+    const peer = state.peers.get(entryId);
+    if (peer === undefined) return 0;
+    silentMs = Math.min(silentMs, state.nowMs - peer.lastHeardMs);
+  }
+  return silentMs;
+}
+
+function forgetEnded(state: EngineState, scheduler: Scheduler): void {
+  const { ended, jobs } = scheduler;
+  let count = 0;
+  for (const job of ended) {
+    if (state.nowMs - job.endedAtMs < REMEMBER_ENDED_MS) break;
+    if (jobs.get(job.jobId) === job) jobs.delete(job.jobId);
+    count += 1;
+  }
+  ended.splice(0, count);
+}
+
+/** Removes the records of jobs that nobody asks for any more. */
+function removeKept(state: EngineState, scheduler: Scheduler): void {
+  const { kept } = scheduler.records;
+  let count = 0;
+  for (const job of kept) {
+    if (state.nowMs - job.endedAtMs < KEEP_RECORD_MS) break;
+    count += 1;
+    if (job.record === null || scheduler.jobs.get(job.jobId) !== job) continue;
+    job.record.removing = true;
+    markDirty(scheduler, job);
+  }
+  kept.splice(0, count);
+}
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -12,6 +12,8 @@
 export const LEADER_SILENT_MS = 500;
 /** Any other instance that was not heard from for so long is out of reach. */
 export const PEER_SILENT_MS = 1_300;
+/** A peer that was silent for so long may follow another leader. */
+const MISSING_AFTER_MS = 1_000;
 /** An instance that was out of reach for so long is not expected back. */
 const FORGET_PEER_MS = 12_000;
 
@@ -52,6 +54,15 @@
   return visible * 2 > expected;
 }
 
+/** Whether an instance that is not known to have ended is not heard. */
+export function hasMissingPeers(state: EngineState): boolean {
+  for (const peer of state.peers.values()) {
+    if (peer.refusedAtMs > peer.lastHeardMs) continue;
+    if (state.nowMs - peer.lastHeardMs > MISSING_AFTER_MS) return true;
+  }
+  return false;
+}
+
 /** Learns of instances from the store, the seeds or a peer. */
 export function learnInstances(
   turn: Turn,
@@ -183,6 +194,7 @@
   peer.term = message.term;
   peer.workersAgeMs = message.workersAgeMs;
   peer.configurationVersion = message.configurationVersion;
+  if (message.isLeader) state.recordsExist = message.recordsExist;
   state.maxTermSeen = Math.max(state.maxTermSeen, message.maxTermSeen);
   const version = state.configuration?.version ?? -1;
   if (message.configurationVersion > version) {
@@ -211,6 +223,7 @@
     maxTermSeen: state.maxTermSeen,
     workersAgeMs: workersAgeMs(state),
     configurationVersion: state.configuration?.version ?? -1,
+    recordsExist: state.recordsExist,
   });
 }
 
--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -16,6 +16,7 @@
   livePeers,
   seesMajority,
 } from "./membership.ts";
+import { createRecords } from "./records.ts";
 import { logDecision, sendPeer } from "./turn.ts";
 import type {
   EngineEventOf,
@@ -271,6 +272,9 @@
     waiting: new Map(),
     workers: new Map(),
     ended: [],
+    records: createRecords(),
+    shares: new Map(),
+    sharesSampledAtMs: state.nowMs,
   };
 }
 
@@ -318,7 +322,7 @@
   if (successor === undefined) return;
   const successorId = successor.info.instanceId;
   const jobs = [...scheduler.jobs.values()]
-    .filter((job) => job.outcome === null)
+    .filter((job) => job.outcome === null && job.record === null)
     .map((job) => ({
       jobId: job.jobId,
       doneTasks: job.tasks.filter((task) => task.state === "done")
--- a/src/engine/place.ts
+++ b/src/engine/place.ts
@@ -43,12 +43,13 @@
  * Whether tasks of a job may still run, for a former leader, on a worker whose
  * lists this leader has not read.
  */
-function mayRunElsewhere(
+export function mayRunElsewhere(
   state: EngineState,
   scheduler: Scheduler,
   job: Job,
 ): boolean {
-  if (state.nowMs >= job.formerRunsLapseAtMs) return false;
+  const { nowMs, guards } = state;
+  if (!guards.mayRunElsewhere(nowMs, job.formerRunsLapseAtMs)) return false;
   if (state.vanishedAtMs.size > 0) return true;
   for (const workerId of state.workers.keys()) {
     if (scheduler.workers.get(workerId)?.phase !== "ready") return true;
@@ -59,6 +60,9 @@
 function placeJob(turn: Turn, workers: OwnedWorker[], job: Job): void {
   for (const task of job.tasks) {
     if (task.state !== "queued") continue;
+    if (task.mayHaveBegun && !turn.state.guards.mayRunAgain(job, "lost")) {
+      continue;
+    }
     const worker = chooseWorker(turn.state, workers, task);
     if (worker === null) return;
     startRun(turn, worker, { job, task });
@@ -67,8 +71,8 @@
 
 /** Whether tasks may start on a worker now. */
 function mayStart(state: EngineState, worker: OwnedWorker): boolean {
-  if (worker.phase !== "ready" || worker.info.draining) return false;
-  if (worker.released || worker.unknownRuns > 0) return false;
+  if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
+  if (worker.unknownRuns > 0) return false;
   // What a former leader stopped may take its room until now.
   if (state.nowMs < worker.usableFromMs) return false;
   if (worker.suspendedUntilMs > state.nowMs) return false;
@@ -85,18 +89,33 @@
   let best: OwnedWorker | null = null;
   let bestCost = Infinity;
   for (const worker of workers) {
-    if (!fits(worker, task) || !mayStart(state, worker)) continue;
+    if (!state.guards.hasRoom(worker, task) || !mayStart(state, worker)) {
+      continue;
+    }
+    if (!suits(worker, task)) continue;
     const cost = costOf(worker, task);
     if (cost < bestCost) [best, bestCost] = [worker, cost];
   }
   return best;
 }
 
-function fits({ info, usedCpuMilli, usedMemoryMb }: OwnedWorker, {
-  demand,
-}: Task): boolean {
-  return usedCpuMilli + demand.cpuMilli <= info.cpuMilli &&
-    usedMemoryMb + demand.memoryMb <= info.memoryMb;
+/** Whether a task may run there, by what its step asks for. */
+function suits(
+  worker: OwnedWorker,
+  { demand, stepIndex, name }: Task,
+): boolean {
+  const { requiredLabel, maxPerWorker } = demand;
+  const { labels } = worker.info;
+  if (requiredLabel !== undefined && !labels.includes(requiredLabel)) {
+    return false;
+  }
+  if (maxPerWorker === undefined) return true;
+  const jobId = name.slice(0, name.indexOf("."));
+  let present = 0;
+  for (const run of worker.runs.values()) {
+    if (run.taskName.startsWith(`${jobId}.0.${stepIndex}.`)) present += 1;
+  }
+  return present < maxPerWorker;
 }
 
 /** Lower is better: speed in coarse steps, then the room left over. */
@@ -104,6 +123,9 @@
   const { info, usedCpuMilli, slowness } = worker;
   const speedStep = Math.round(slowness / SPEED_STEP);
   const leftMilli = info.cpuMilli - usedCpuMilli - task.demand.cpuMilli;
-  const repeated = task.failedOn.has(info.workerId) ? 1 : 0;
-  return repeated * 1e9 + speedStep * 1e6 + leftMilli;
+  const { nearRack } = task.demand;
+  const isFar = nearRack !== undefined && !info.labels.includes(nearRack);
+  const repeated = task.failedOn.has(info.workerId);
+  return Number(repeated) * 1e10 + Number(isFar) * 1e9 + speedStep * 1e6 +
+    leftMilli;
 }
--- a/src/engine/queue.ts
+++ b/src/engine/queue.ts
@@ -8,11 +8,12 @@
 }
 
 /**
- * Which of two jobs is served first: the more urgent queue, then the job whose
- * objective comes first.
+ * Which of two jobs is served first: work of a flood beyond its usual share
+ * last, then the more urgent queue, then the job whose objective comes first.
  */
 export function compareJobs(a: Job, b: Job): number {
-  return a.queue.priority - b.queue.priority ||
+  return Number(a.isSurplus) - Number(b.isSurplus) ||
+    a.queue.priority - b.queue.priority ||
     a.objectiveAtMs - b.objectiveAtMs ||
     (a.jobId < b.jobId ? -1 : 1);
 }
--- /dev/null
+++ b/src/engine/recording.ts
@@ -0,0 +1,404 @@
+/**
+ * The leader's hold on the records of jobs: taken over in its term, kept by
+ * writing, lost to a leader of a higher term. Whoever can't show for a while
+ * that it still holds them, and can't rule out another leader, stops what runs
+ * for them.
+ */
+
+import { createJob, openSteps } from "./job_state.ts";
+import { beginJob, settleTaskEnds, stopRunsOf, tellEnded } from "./jobs.ts";
+import { longestLeaseMs } from "./leases.ts";
+import { hasMissingPeers, seesMajority } from "./membership.ts";
+import { stepDown } from "./ownership.ts";
+import { dequeue } from "./queue.ts";
+import {
+  createRecords,
+  createRecordState,
+  keepEnds,
+  markDirty,
+  mergeRecord,
+  partOf,
+  releaseEnds,
+  RETRY_WRITE_MS,
+  writeRows,
+} from "./records.ts";
+import { takeOrphanEnds } from "./runs.ts";
+import { emit, logDecision, sendPeer } from "./turn.ts";
+import type {
+  EngineEventOf,
+  EngineState,
+  Job,
+  OpenOutcome,
+  RecordBatch,
+  Records,
+  RecordState,
+  Scheduler,
+  StoredRecord,
+  Turn,
+  WriteOutcome,
+} from "./types.ts";
+
+/** Opening the records is tried again after so long. */
+const RETRY_OPEN_MS = 250;
+/** And after another leader took them. */
+const RETRY_OUTRANKED_MS = 2_000;
+/** While recorded jobs run, the hold on the records is shown so often. */
+const CONFIRM_EVERY_MS = 500;
+/** A hold that was not shown for so long may be another leader's. */
+const CONFIRM_WITHIN_MS = 1_500;
+/** The part whose writes show the hold where nothing else is written. */
+const CONFIRM_PART = 0;
+
+/** Opens the records, and shows from time to time that they are held. */
+export function checkRecords(turn: Turn, scheduler: Scheduler): void {
+  const { state } = turn;
+  const { records } = scheduler;
+  if (records.phase === "closed") {
+    if (state.nowMs < records.retryAtMs || !seesMajority(state)) return;
+    records.phase = "opening";
+    emit(turn, { type: "openRecords", term: scheduler.term });
+    return;
+  }
+  if (records.phase === "open") confirmHold(turn, scheduler);
+}
+
+function confirmHold(turn: Turn, scheduler: Scheduler): void {
+  const { state } = turn;
+  const { records } = scheduler;
+  const unconfirmedMs = state.nowMs - records.confirmedAtMs;
+  if (unconfirmedMs < CONFIRM_EVERY_MS) return;
+  if (!hasRecordedRuns(scheduler)) return;
+  if (unconfirmedMs >= CONFIRM_WITHIN_MS && hasMissingPeers(state)) {
+    dropRecords(turn, scheduler, "the store did not confirm the hold");
+    return;
+  }
+  if (records.writes.has(CONFIRM_PART) || state.nowMs < records.retryAtMs) {
+    return;
+  }
+  writeRows(turn, records, { part: CONFIRM_PART, rows: [], jobs: [] });
+}
+
+function hasRecordedRuns(scheduler: Scheduler): boolean {
+  for (const job of scheduler.jobs.values()) {
+    if (job.record !== null && job.begun && job.outcome === null) return true;
+  }
+  return false;
+}
+
+type OpenHandlers = {
+  [K in OpenOutcome["kind"]]: (
+    turn: Turn,
+    scheduler: Scheduler,
+    outcome: Extract<OpenOutcome, { kind: K }>,
+  ) => void;
+};
+
+const openHandlers: OpenHandlers = {
+  opened: (turn, scheduler, { records: stored }) => {
+    const { state } = turn;
+    const { records } = scheduler;
+    records.phase = "open";
+    records.awaySinceMs = 0;
+    records.confirmedAtMs = state.nowMs;
+    state.recordsExist = stored.length > 0 || records.dirty.size > 0;
+    logDecision(turn, { part: "records", text: "records taken over" }, {
+      term: scheduler.term,
+      records: stored.length,
+    });
+    const jobs = stored.map((one) => adoptRecord(turn, scheduler, one));
+    // What ended meanwhile must not start again.
+    for (const worker of scheduler.workers.values()) {
+      takeOrphanEnds(turn, worker);
+    }
+    settleTaskEnds(turn);
+    for (const job of jobs) {
+      if (job !== null && job.outcome === null) beginJob(turn, job);
+    }
+  },
+  outranked: (turn, { records, term: ownTerm }, { term }) => {
+    const { state } = turn;
+    records.phase = "closed";
+    records.retryAtMs = state.nowMs + RETRY_OUTRANKED_MS;
+    state.maxTermSeen = Math.max(state.maxTermSeen, term);
+    logDecision(turn, {
+      level: "warn",
+      part: "records",
+      text: "a higher term holds the records",
+    }, { term, ownTerm });
+    if (seesMajority(state)) stepDown(turn, "a higher term holds the records");
+  },
+  unavailable: ({ state }, { records }) => {
+    records.phase = "closed";
+    records.retryAtMs = state.nowMs + RETRY_OPEN_MS;
+    if (records.awaySinceMs === 0) records.awaySinceMs = state.nowMs;
+  },
+};
+
+/** The records were taken over, or could not be. */
+export function onRecordsOpened(
+  turn: Turn,
+  { outcome, term }: EngineEventOf<"recordsOpened">,
+): void {
+  const { scheduler } = turn.state;
+  if (scheduler === null || scheduler.term !== term) return;
+  if (scheduler.records.phase !== "opening") return;
+  const handler = openHandlers[outcome.kind] as (
+    turn: Turn,
+    scheduler: Scheduler,
+    outcome: OpenOutcome,
+  ) => void;
+  handler(turn, scheduler, outcome);
+}
+
+/** Takes in a job that was accepted before; null for a refused attempt. */
+function adoptRecord(
+  turn: Turn,
+  scheduler: Scheduler,
+  stored: StoredRecord,
+): Job | null {
+  const { state } = turn;
+  const known = scheduler.jobs.get(stored.record.jobId);
+  const waits = known?.outcome === null && known.record !== null;
+  // An attempt after a refusal is a new one, over the row of the old.
+  if (waits && stored.record.outcome?.kind === "refused") {
+    known.record.version = stored.version;
+    known.record.sent = true;
+    return null;
+  }
+  const job = resumeJob(state, stored);
+  scheduler.jobs.set(job.jobId, job);
+  scheduler.records.dirty.get(partOf(job.jobId))?.delete(known as Job);
+  if (waits) joinWaiting(turn, job, known);
+  if (job.outcome !== null) {
+    job.endedAtMs = state.nowMs;
+    scheduler.records.kept.push(job);
+    return job;
+  }
+  logDecision(turn, { part: "records", text: "a job goes on" }, {
+    jobId: job.jobId,
+    queue: job.queue.name,
+    unfinished: job.unfinished,
+    acceptedMsAgo: Math.round(state.nowMs - job.receivedAtMs),
+  });
+  return job;
+}
+
+/** Entries that handed the job in before its record was read are told. */
+function joinWaiting(turn: Turn, job: Job, known: Job): void {
+  const { jobId, record } = job;
+  // Runs that were found for it are claimed anew.
+  known.outcome = { kind: "unknown", reason: "leaderLost" };
+  for (const [entryId, submissionId] of known.entries) {
+    job.entries.set(entryId, submissionId);
+    sendPeer(turn, entryId, { type: "jobAccepted", jobId, submissionId });
+  }
+  record?.cancels.push(...known.record?.cancels ?? []);
+  if (job.outcome !== null) tellEnded(turn, job, job.outcome);
+}
+
+/** Takes over what a row tells of a job that this leader wrote before. */
+function adoptRow(
+  job: Job,
+  record: RecordState,
+  { record: row, version }: StoredRecord,
+): void {
+  record.version = version;
+  record.sent = true;
+  // An attempt that was refused before is overwritten by this one.
+  if (row.outcome?.kind === "refused" && job.outcome === null) return;
+  mergeRecord(job, row);
+}
+
+function resumeJob(
+  state: EngineState,
+  { record: row, version }: StoredRecord,
+): Job {
+  const record = createRecordState(row.acceptedAtMs);
+  const ageMs = Math.max(0, state.wallMs - row.acceptedAtMs);
+  const receivedAtMs = state.nowMs - ageMs;
+  const job = createJob(state, {
+    jobId: row.jobId,
+    queue: row.queue,
+    spec: row.job,
+    receivedAtMs,
+    deadlineAtMs: receivedAtMs + (row.job.deadlineMs ?? Infinity),
+    isResumed: true,
+    // The leader before renews until it knows that it lost the records.
+    formerRunsLapseAtMs: state.nowMs + CONFIRM_WITHIN_MS + state.stopMs +
+      longestLeaseMs(state),
+    record,
+    isSurplus: false,
+  });
+  record.version = version;
+  record.sent = true;
+  record.accepted = true;
+  mergeRecord(job, row);
+  openSteps(job);
+  return job;
+}
+
+/** The record of a job is kept: its callers are told, and it begins. */
+function acceptJob(turn: Turn, job: Job, record: RecordState): void {
+  record.accepted = true;
+  turn.state.counters.jobsAccepted += 1;
+  logDecision(turn, { part: "records", text: "job accepted" }, {
+    jobId: job.jobId,
+    version: record.version,
+    waitedMs: Math.round(turn.state.nowMs - job.receivedAtMs),
+  });
+  const { jobId } = job;
+  for (const [entryId, submissionId] of job.entries) {
+    sendPeer(turn, entryId, { type: "jobAccepted", jobId, submissionId });
+  }
+  openSteps(job);
+  beginJob(turn, job);
+}
+
+interface WriteContext {
+  readonly scheduler: Scheduler;
+  readonly batch: RecordBatch;
+}
+
+type WriteHandlers = {
+  [K in WriteOutcome["kind"]]: (
+    turn: Turn,
+    context: WriteContext,
+    outcome: Extract<WriteOutcome, { kind: K }>,
+  ) => void;
+};
+
+const writeHandlers: WriteHandlers = {
+  written: (turn, { scheduler, batch }, { version }) => {
+    noteConfirmed(turn.state, scheduler.records);
+    for (const [index, job] of batch.jobs.entries()) {
+      const outcome = batch.outcomes[index] ?? null;
+      onJobWritten(turn, scheduler, { job, outcome, version });
+    }
+  },
+  changed: (turn, { scheduler, batch }, { records: rows }) => {
+    noteConfirmed(turn.state, scheduler.records);
+    for (const job of batch.jobs) {
+      if (job.record === null) continue;
+      const row = rows.find(({ record }) => record.jobId === job.jobId);
+      if (row === undefined) job.record.version = 0;
+      else adoptRow(job, job.record, row);
+      keepEnds(job.record);
+      markDirty(scheduler, job);
+    }
+  },
+  outranked: (turn, { scheduler }) =>
+    dropRecords(turn, scheduler, "a leader of a higher term took them"),
+  unknown: ({ state }, { scheduler, batch }) => {
+    const { records } = scheduler;
+    if (records.awaySinceMs === 0) records.awaySinceMs = state.nowMs;
+    records.retryAtMs = state.nowMs + RETRY_WRITE_MS;
+    for (const job of batch.jobs) {
+      if (job.record === null) continue;
+      keepEnds(job.record);
+      markDirty(scheduler, job);
+    }
+  },
+};
+
+function noteConfirmed(state: EngineState, records: Records): void {
+  records.awaySinceMs = 0;
+  records.confirmedAtMs = state.nowMs;
+}
+
+function onJobWritten(
+  turn: Turn,
+  scheduler: Scheduler,
+  { job, outcome, version }: {
+    job: Job;
+    outcome: Job["outcome"];
+    version: number;
+  },
+): void {
+  const { record } = job;
+  if (record === null) return;
+  releaseEnds(record);
+  record.version = version;
+  if (record.removing) {
+    if (scheduler.jobs.get(job.jobId) === job) scheduler.jobs.delete(job.jobId);
+    return;
+  }
+  if (outcome !== null && record.storedOutcome === null) {
+    record.storedOutcome = outcome;
+    record.accepted = true;
+    scheduler.records.kept.push(job);
+    tellEnded(turn, job, outcome);
+    return;
+  }
+  if (!record.accepted && job.outcome === null) acceptJob(turn, job, record);
+}
+
+/** Some records were written, or could not be. */
+export function onRecordsWritten(
+  turn: Turn,
+  { writeId, outcome }: EngineEventOf<"recordsWritten">,
+): void {
+  const { scheduler } = turn.state;
+  if (scheduler === null) return;
+  for (const [part, batch] of scheduler.records.writes) {
+    if (batch.writeId !== writeId) continue;
+    scheduler.records.writes.delete(part);
+    if (outcome.kind !== "written") logUnwritten(turn, batch, outcome);
+    const handler = writeHandlers[outcome.kind] as (
+      turn: Turn,
+      context: WriteContext,
+      outcome: WriteOutcome,
+    ) => void;
+    handler(turn, { scheduler, batch }, outcome);
+    return;
+  }
+}
+
+function logUnwritten(
+  turn: Turn,
+  { jobs, writeId }: RecordBatch,
+  outcome: WriteOutcome,
+): void {
+  logDecision(turn, {
+    level: "warn",
+    part: "records",
+    text: "records were not written",
+  }, {
+    writeId,
+    reason: outcome.kind,
+    detail: outcome.kind === "unknown" ? outcome.detail : "",
+    jobIds: jobs.slice(0, 5).map((job) => job.jobId),
+    jobs: jobs.length,
+  });
+}
+
+/** Another leader may go on with recorded jobs: nothing of them runs here. */
+function dropRecords(turn: Turn, scheduler: Scheduler, reason: string): void {
+  const { state } = turn;
+  const jobs = [...scheduler.jobs.values()].filter((job) =>
+    job.record !== null
+  );
+  logDecision(turn, {
+    level: "warn",
+    part: "records",
+    text: "the records are another leader's",
+  }, { reason, jobs: jobs.length, term: scheduler.term });
+  for (const job of jobs) {
+    dequeue(scheduler, job);
+    stopRunsOf(turn, scheduler, job);
+    scheduler.jobs.delete(job.jobId);
+    if (job.outcome !== null) continue;
+    job.outcome = { kind: "unknown", reason: "leaderLost" };
+    tellEnded(turn, job, job.outcome);
+  }
+  scheduler.records = {
+    ...createRecords(),
+    retryAtMs: state.nowMs + RETRY_OUTRANKED_MS,
+  };
+  for (const worker of scheduler.workers.values()) {
+    if (worker.heldEnds.size === 0) continue;
+    // Whoever holds the records has to see these ends.
+    worker.takenEnd = Math.min(...worker.heldEnds) - 1;
+    worker.heldEnds = new Set();
+    worker.orphanEnds = [];
+  }
+}
--- /dev/null
+++ b/src/engine/records_test.ts
@@ -0,0 +1,250 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import type { JobOutcome, JobRecord, JobSpec } from "./schemas.ts";
+import {
+  createTestLeader,
+  effectsOf,
+  type TestInstance,
+  testJob,
+  testQueue,
+} from "./testing.ts";
+import type { Effect, StoredRecord } from "./types.ts";
+
+const JOB = "00000000000000aa";
+const recorded: JobSpec = { ...testJob(1), isRecorded: true };
+const atMostOnce: JobSpec = { ...recorded, isAtMostOnce: true };
+
+function submit(
+  leader: TestInstance,
+  fields: { job?: JobSpec; resubmitted?: boolean; submissionId?: string } = {},
+): Effect[] {
+  return leader.hear("p", {
+    type: "submit",
+    jobId: JOB,
+    submissionId: "p.1.1",
+    queue: testQueue,
+    job: recorded,
+    availabilityZone: "poa",
+    ageMs: 0,
+    timeLeftMs: 6_000,
+    resubmitted: false,
+    answerAt: "accepted",
+    doneTasks: [],
+    ...fields,
+  });
+}
+
+function recordOf(fields: Partial<JobRecord> = {}): StoredRecord {
+  const record: JobRecord = {
+    jobId: JOB,
+    queue: testQueue,
+    job: recorded,
+    acceptedAtMs: 0,
+    outcome: null,
+    endedAtMs: 0,
+    done: [],
+    failures: {},
+    results: {},
+    ...fields,
+  };
+  return { record, version: 7 };
+}
+
+function open(
+  leader: TestInstance,
+  records: readonly StoredRecord[] = [],
+): Effect[] {
+  return leader.after(5, {
+    type: "recordsOpened",
+    term: leader.state.leaderTerm,
+    outcome: { kind: "opened", records },
+  });
+}
+
+function lastWrite(effects: readonly Effect[]) {
+  return effectsOf(effects, "writeRecords").at(-1);
+}
+
+function written(leader: TestInstance, effects: readonly Effect[]): Effect[] {
+  const writeId = lastWrite(effects)?.writeId ?? 0;
+  const outcome = { kind: "written" as const, version: 9 };
+  return leader.after(8, { type: "recordsWritten", writeId, outcome });
+}
+
+function messagesOf(effects: readonly Effect[]): string[] {
+  return effectsOf(effects, "sendPeer").map(({ message }) => message.type);
+}
+
+function outcomesOf(effects: readonly Effect[]): JobOutcome[] {
+  return effectsOf(effects, "sendPeer").flatMap(({ message }) =>
+    message.type === "jobEnded" ? [message.outcome] : []
+  );
+}
+
+function startsOf(effects: readonly Effect[]): string[] {
+  return effectsOf(effects, "startTask").map((effect) => effect.taskName);
+}
+
+test("a recorded job is accepted and begins once its record is kept", () => {
+  const leader = createTestLeader();
+  open(leader);
+  const effects = submit(leader);
+  expect(startsOf(effects)).toEqual([]);
+  expect(messagesOf(effects)).toEqual([]);
+  const after = written(leader, effects);
+  expect(messagesOf(after)).toEqual(["jobAccepted"]);
+  expect(startsOf(after)).toEqual([`${JOB}.0.0.0`]);
+});
+
+test("a job that came before the records were read is written after", () => {
+  const leader = createTestLeader();
+  expect(lastWrite(submit(leader))).toEqual(undefined);
+  expect(lastWrite(open(leader))?.rows.length).toEqual(1);
+});
+
+test("a worker forgets an end only once the record tells of it", () => {
+  const leader = createTestLeader();
+  open(leader);
+  const started = written(leader, submit(leader));
+  const worker = effectsOf(started, "startTask")[0]?.workerId ?? "";
+  leader.tick();
+  const ended = leader.held(worker, { finished: [[`${JOB}.0.0.0`, "done"]] });
+  const early = effectsOf(leader.tick(100), "hold");
+  expect(early.map((hold) => hold.lastSeenEnd)).toEqual([0]);
+  expect(lastWrite(ended)?.rows[0]?.record?.outcome).toEqual({ kind: "done" });
+  written(leader, ended);
+  leader.held(worker);
+  const late = effectsOf(leader.tick(100), "hold");
+  expect(late.map((hold) => hold.lastSeenEnd)).toEqual([1]);
+});
+
+test("a job whose first write was lost is neither refused nor begun", () => {
+  const leader = createTestLeader();
+  open(leader);
+  const write = lastWrite(submit(leader));
+  const outcome = { kind: "unknown" as const, detail: "timeout" };
+  const writeId = write?.writeId ?? 0;
+  leader.after(900, { type: "recordsWritten", writeId, outcome });
+  const again = leader.tick(2_000);
+  expect(startsOf(again)).toEqual([]);
+  expect(outcomesOf(again)).toEqual([]);
+  expect(lastWrite(again)?.rows[0]?.expectedVersion).toEqual(0);
+});
+
+test("a write that met its own earlier one goes on from its version", () => {
+  const leader = createTestLeader();
+  open(leader);
+  const writeId = lastWrite(submit(leader))?.writeId ?? 0;
+  const next = leader.after(8, {
+    type: "recordsWritten",
+    writeId,
+    outcome: { kind: "changed", records: [recordOf()] },
+  });
+  expect(lastWrite(next)?.rows[0]?.expectedVersion).toEqual(7);
+});
+
+/** What a new leader makes of a record, by what it says. */
+const resumed: {
+  name: string;
+  fields: Partial<JobRecord>;
+  starts: number;
+}[] = [
+  { name: "a job that has not ended goes on", fields: {}, starts: 1 },
+  { name: "a task that is done stays done", fields: { done: [0] }, starts: 0 },
+  {
+    name: "a job that has ended stays ended",
+    fields: { outcome: { kind: "failed" } },
+    starts: 0,
+  },
+];
+
+for (const { name, fields, starts } of resumed) {
+  test(`records: ${name}`, () => {
+    const leader = createTestLeader();
+    expect(startsOf(open(leader, [recordOf(fields)])).length).toEqual(starts);
+  });
+}
+
+test("what ended before the records were read does not start again", () => {
+  const leader = createTestLeader();
+  leader.state.recordsExist = true;
+  leader.held("w1", { finished: [[`${JOB}.0.0.0`, "done"]] });
+  const effects = open(leader, [recordOf()]);
+  expect(startsOf(effects)).toEqual([]);
+  expect(lastWrite(effects)?.rows[0]?.record?.outcome)
+    .toEqual({ kind: "done" });
+});
+
+test("a task that may have begun is not started again, but given up", () => {
+  const leader = createTestLeader();
+  const effects = open(leader, [recordOf({ job: atMostOnce })]);
+  expect(startsOf(effects)).toEqual([]);
+  // The first write only shows that the records are still held.
+  const write = lastWrite(written(leader, leader.tick(3_000)));
+  expect(write?.rows[0]?.record?.outcome)
+    .toEqual({ kind: "unknown", reason: "taskLost" });
+});
+
+test("another request under the same key is refused", () => {
+  const leader = createTestLeader();
+  open(leader);
+  written(leader, submit(leader, { job: atMostOnce }));
+  const other = { ...atMostOnce, spec: "another" };
+  const effects = submit(leader, { job: other, submissionId: "p.2.1" });
+  expect(outcomesOf(effects).map((one) => one.kind)).toEqual(["refused"]);
+  const same = submit(leader, {
+    job: { isAtMostOnce: true, ...atMostOnce },
+    submissionId: "p.3.1",
+  });
+  expect(outcomesOf(same)).toEqual([]);
+});
+
+test("a job is refused at once while the store is away", () => {
+  const leader = createTestLeader();
+  open(leader);
+  const writeId = lastWrite(submit(leader))?.writeId ?? 0;
+  const outcome = { kind: "unknown" as const, detail: "timeout" };
+  leader.after(900, { type: "recordsWritten", writeId, outcome });
+  const effects = leader.hear("p", {
+    type: "submit",
+    jobId: "00000000000000bb",
+    submissionId: "p.2.1",
+    queue: testQueue,
+    job: recorded,
+    availabilityZone: "poa",
+    ageMs: 0,
+    timeLeftMs: 6_000,
+    resubmitted: false,
+    answerAt: "accepted",
+    doneTasks: [],
+  });
+  expect(outcomesOf(effects)).toEqual([]);
+  expect(outcomesOf(leader.tick(400))).toEqual([
+    { kind: "refused", reason: "storeAway", retryAfterMs: 1_000 },
+  ]);
+});
+
+test("a leader that lost the records stops what runs for them", () => {
+  const leader = createTestLeader();
+  open(leader);
+  const started = written(leader, submit(leader));
+  expect(startsOf(started).length).toEqual(1);
+  const writeId = lastWrite(leader.tick(600))?.writeId ?? 0;
+  const outcome = { kind: "outranked" as const };
+  const effects = leader.after(8, { type: "recordsWritten", writeId, outcome });
+  expect(effectsOf(effects, "stopTask").length).toEqual(1);
+});
+
+test("a cancel is acknowledged once the record tells of it", () => {
+  const leader = createTestLeader();
+  open(leader);
+  written(leader, submit(leader));
+  const effects = leader.hear("p", {
+    type: "question",
+    questionId: "q",
+    question: { kind: "cancel", jobId: JOB },
+  });
+  expect(messagesOf(effects)).toEqual([]);
+  expect(effectsOf(effects, "stopTask").length).toEqual(1);
+  expect(messagesOf(written(leader, effects))).toEqual(["jobEnded", "reply"]);
+});
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -7,11 +7,14 @@
   checkCallerJobs,
   onCallerGone,
   onCallerSubmit,
+  onJobAccepted,
   onJobEnded,
   resubmitAll,
 } from "./callers.ts";
 import { adoptConfiguration, onConfigurationWanted } from "./configuration.ts";
-import { checkJobs, onSubmit, onWithdraw, settleTaskEnds } from "./jobs.ts";
+import { defaultGuards } from "./guards.ts";
+import { checkJobs } from "./job_watch.ts";
+import { onWithdraw, settleTaskEnds } from "./jobs.ts";
 import {
   checkPeers,
   heartbeatAll,
@@ -30,7 +33,21 @@
   onStalled,
 } from "./ownership.ts";
 import { placeWaiting } from "./place.ts";
+import {
+  checkQuestions,
+  onCallerAsked,
+  onQuestion,
+  onReply,
+} from "./questions.ts";
+import {
+  checkRecords,
+  onRecordsOpened,
+  onRecordsWritten,
+} from "./recording.ts";
+import { flushRecords } from "./records.ts";
+import { sampleShares } from "./shares.ts";
 import { onStartEnded, onStopEnded } from "./starts.ts";
+import { onSubmit } from "./submissions.ts";
 import type { InstanceInfo, PeerMessage } from "./schemas.ts";
 import { logDecision, sendPeer } from "./turn.ts";
 import type {
@@ -38,6 +55,7 @@
   EngineEvent,
   EngineEventOf,
   EngineState,
+  Guards,
   Turn,
 } from "./types.ts";
 import { checkWorkers, onHoldEnded, syncWorkers } from "./workers.ts";
@@ -56,6 +74,8 @@
   readonly stopMs: number;
   readonly nowMs: number;
   readonly wallMs: number;
+  /** Conditions to replace, in runs that show that they are needed. */
+  readonly guards?: Partial<Guards>;
 }
 
 /**
@@ -93,16 +113,23 @@
     workersUnreadSinceMs: 0,
     listReturnedAtMs: -Infinity,
     callerJobs: new Map(),
+    questions: new Map(),
+    recordsExist: true,
+    guards: { ...defaultGuards, ...options.guards },
     runTimes: new Map(),
     scheduler: null,
     nextCallId: 0,
     nextSubmission: 0,
+    nextWriteId: 0,
     counters: {
       jobsReceived: 0,
       jobsDone: 0,
       jobsFailed: 0,
       jobsRefused: 0,
       jobsUnknown: 0,
+      jobsCancelled: 0,
+      jobsAccepted: 0,
+      recordWrites: 0,
       callersGone: 0,
       tasksStarted: 0,
       tasksDone: 0,
@@ -135,6 +162,9 @@
   submit: onSubmit,
   withdraw: onWithdraw,
   jobEnded: onJobEnded,
+  jobAccepted: onJobAccepted,
+  question: onQuestion,
+  reply: onReply,
   released: onReleased,
   configuration: (turn, _from, message) =>
     adoptConfiguration(turn, message.configuration),
@@ -166,6 +196,9 @@
   tick: onTick,
   callerSubmit: onCallerSubmit,
   callerGone: onCallerGone,
+  callerAsked: onCallerAsked,
+  recordsOpened: onRecordsOpened,
+  recordsWritten: onRecordsWritten,
   configurationRead: (turn, event) =>
     adoptConfiguration(turn, event.configuration),
   workersRead: (turn, event) => {
@@ -236,12 +269,15 @@
   const { scheduler } = state;
   if (scheduler !== null) {
     syncWorkers(turn, scheduler);
+    checkRecords(turn, scheduler);
     checkWorkers(turn, scheduler);
+    sampleShares(scheduler, state.nowMs);
     settleTaskEnds(turn);
     checkJobs(turn, scheduler);
     for (const service of scheduler.waiting.keys()) placeWaiting(turn, service);
   }
   checkCallerJobs(turn);
+  checkQuestions(turn);
 }
 
 /** Applies one event to the state, and returns what the shell has to do. */
@@ -259,5 +295,6 @@
     handlePeerMessage(turn, state.self.instanceId, message);
   }
   settleTaskEnds(turn);
+  flushRecords(turn);
   return turn.effects;
 }
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -1,8 +1,10 @@
 /** Runs on workers: the room they take, their starts, stops and ends. */
 
-import { assert } from "../core/debug.ts";
+import { assert } from "./debug.ts";
 import { expectedTaskMs, learnTaskMs } from "./estimating.ts";
+import { isBarred } from "./job_state.ts";
 import { leaseEndsOnWorkerMs } from "./leases.ts";
+import { holdEnd } from "./records.ts";
 import { emit, logDecision } from "./turn.ts";
 import type {
   EngineState,
@@ -44,6 +46,7 @@
   worker.runs.set(runKey(run.taskName, run.run), run);
   worker.usedCpuMilli += run.cpuMilli;
   worker.usedMemoryMb += run.memoryMb;
+  worker.usedAccelerators += run.accelerators;
   if (run.sizeUnknown) worker.unknownRuns += 1;
 }
 
@@ -52,6 +55,7 @@
   if (!worker.runs.delete(runKey(run.taskName, run.run))) return;
   worker.usedCpuMilli -= run.cpuMilli;
   worker.usedMemoryMb -= run.memoryMb;
+  worker.usedAccelerators -= run.accelerators;
   if (run.sizeUnknown) worker.unknownRuns -= 1;
 }
 
@@ -64,7 +68,12 @@
   const { state } = turn;
   const { demand } = task;
   const { workerId, address, cpuMilli, memoryMb } = worker.info;
+  const kept = job.record === null || job.record.accepted;
+  assert(kept, "recorded_before_begun", job.jobId);
+  assert(!isBarred(job, task), "at_most_once", task.name);
+  assert(!worker.info.draining, "leaving_worker_gets_nothing", workerId);
   task.run += 1;
+  task.mayHaveBegun = true;
   task.state = "placed";
   task.workerId = workerId;
   job.begun = true;
@@ -76,6 +85,7 @@
     task,
     cpuMilli: demand.cpuMilli,
     memoryMb: demand.memoryMb,
+    accelerators: demand.accelerators,
     sizeUnknown: false,
     state: "starting",
     placedAtMs: state.nowMs,
@@ -99,7 +109,7 @@
     address,
     taskName: task.name,
     run: task.run,
-    spec: job.spec,
+    spec: demand.payload ?? job.spec.spec,
     fence: worker.fence,
     leaseEndsMs: leaseEndsOnWorkerMs(state, worker),
   });
@@ -110,13 +120,12 @@
 export function dropRun(
   turn: Turn,
   worker: OwnedWorker,
-  { run, failed }: { run: WorkerRun; failed: boolean },
+  { run, kind }: { run: WorkerRun; kind: "failed" | "lost" | "notBegun" },
 ): void {
   removeRun(worker, run);
   const { job, task } = run;
   if (job === null || task === null) return;
   const { workerId } = worker.info;
-  const kind = failed ? "failed" : "lost";
   turn.taskEnds.push({ job, task, workerId, kind });
 }
 
@@ -142,8 +151,42 @@
   });
 }
 
-/** Takes in one end from a worker's list. */
-export function applyEnd(
+/**
+ * Takes in one end from a worker's list. The end of a recorded job is kept by
+ * the worker until the record tells of it; so is one of a job whose record may
+ * not have been read yet.
+ */
+export function takeEnd(
+  turn: Turn,
+  worker: OwnedWorker,
+  row: FinishedRow,
+): void {
+  const { scheduler, recordsExist, guards } = turn.state;
+  if (scheduler === null) return;
+  const run = worker.runs.get(runKey(row.taskName, row.run));
+  const job = run?.job ?? findTask(turn.state, row.taskName)?.job ?? null;
+  const { sequence } = row;
+  const { heldEnds } = worker;
+  if (job === null && recordsExist && scheduler.records.phase !== "open") {
+    heldEnds.add(sequence);
+    worker.orphanEnds.push(row);
+  }
+  applyEnd(turn, worker, row);
+  if (job?.record == null || !guards.mustHoldEnd(job)) return;
+  holdEnd(scheduler, job.record, { job, end: { heldEnds, sequence } });
+}
+
+/** Takes in the ends that came before the records were read. */
+export function takeOrphanEnds(turn: Turn, worker: OwnedWorker): void {
+  const rows = worker.orphanEnds;
+  worker.orphanEnds = [];
+  for (const row of rows) {
+    worker.heldEnds.delete(row.sequence);
+    takeEnd(turn, worker, row);
+  }
+}
+
+function applyEnd(
   turn: Turn,
   worker: OwnedWorker,
   row: FinishedRow,
@@ -168,11 +211,12 @@
     removeRun(worker, run);
     const { job, task } = run;
     const { workerId } = worker.info;
-    turn.taskEnds.push({ job, task, workerId, kind: "done" });
+    const { result } = row;
+    turn.taskEnds.push({ job, task, workerId, kind: "done", result });
     return;
   }
   if (failed) noteFailures(state, worker, 1);
-  dropRun(turn, worker, { run, failed });
+  dropRun(turn, worker, { run, kind: failed ? "failed" : "lost" });
 }
 
 /** Counts an end that was listed for a former leader. */
@@ -180,7 +224,8 @@
   const found = findTask(turn.state, row.taskName);
   if (found === null || found.task.state !== "queued") return;
   const { workerId } = worker.info;
-  turn.taskEnds.push({ ...found, workerId, kind: "done" });
+  const { result } = row;
+  turn.taskEnds.push({ ...found, workerId, kind: "done", result });
 }
 
 /** The job and task of a name, if its job is known here. */
@@ -255,7 +300,8 @@
     const settled = run.state !== "starting" && goneAtMs < sentAtMs;
     const startedBefore = run.placedAtMs < sentAtMs;
     if (settled || (fresh && startedBefore)) {
-      dropRun(turn, worker, { run, failed: false });
+      const kind = run.state === "starting" ? "notBegun" : "lost";
+      dropRun(turn, worker, { run, kind });
     }
   }
 }
@@ -277,6 +323,7 @@
     task: mine ? found.task : null,
     cpuMilli: mine ? found.task.demand.cpuMilli : 0,
     memoryMb: mine ? found.task.demand.memoryMb : 0,
+    accelerators: mine ? found.task.demand.accelerators : 0,
     sizeUnknown: !mine,
     state: "running",
     placedAtMs: state.nowMs,
@@ -288,6 +335,7 @@
   if (mine) {
     found.task.state = "placed";
     found.task.run = Math.max(found.task.run, row.run);
+    found.task.mayHaveBegun = true;
     found.task.workerId = worker.info.workerId;
     found.job.begun = true;
   }
@@ -313,6 +361,7 @@
       run.task = task;
       task.state = "placed";
       task.run = run.run;
+      task.mayHaveBegun = true;
       task.workerId = worker.info.workerId;
       job.begun = true;
       logDecision(turn, { part: "run", text: "claimed a run" }, {
@@ -330,8 +379,10 @@
 function resizeRun(worker: OwnedWorker, run: WorkerRun, task: Task): void {
   worker.usedCpuMilli += task.demand.cpuMilli - run.cpuMilli;
   worker.usedMemoryMb += task.demand.memoryMb - run.memoryMb;
+  worker.usedAccelerators += task.demand.accelerators - run.accelerators;
   run.cpuMilli = task.demand.cpuMilli;
   run.memoryMb = task.demand.memoryMb;
+  run.accelerators = task.demand.accelerators;
   if (run.sizeUnknown) worker.unknownRuns -= 1;
   run.sizeUnknown = false;
 }
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -43,6 +43,8 @@
   stretch: z.number().positive(),
   /** and so many milliseconds more. */
   objectiveMs: z.number().nonnegative(),
+  /** Another service says which workers may run its steps: not carried yet. */
+  needsAdvice: z.boolean().optional(),
   timeoutMs: z.number().positive(),
 });
 
@@ -62,6 +64,8 @@
   maxBodyBytes: z.number().positive(),
   maxHeaderBytes: z.number().positive(),
   idleTimeoutMs: z.number().positive(),
+  /** What the operator accepted, for listeners that need more of it. */
+  document: z.json().optional(),
 });
 
 /** What each task of a step needs. */
@@ -77,12 +81,28 @@
   count: z.number().int().positive(),
   /** Numbers of the steps that must be done before. */
   after: z.array(z.number().int().nonnegative()),
+  /** What its tasks are told; without it, the text of the job. */
+  payload: z.string().optional(),
+  /** Only workers with this label may run its tasks. */
+  requiredLabel: z.string().optional(),
+  /** The rack that holds its data: tasks run slower elsewhere. */
+  nearRack: z.string().optional(),
+  /** At most so many of its tasks run on one worker at a time. */
+  maxPerWorker: z.number().int().positive().optional(),
 });
 
 /** A job as its caller describes it. */
 export const jobSpecSchema = z.object({
   spec: z.string(),
   steps: z.array(stepSchema).min(1),
+  /** A record in the store keeps the job beyond every instance's life. */
+  isRecorded: z.boolean().optional(),
+  /** A task that may have begun is never started again. */
+  isAtMostOnce: z.boolean().optional(),
+  /** An answer is worth its work until so many times the objective. */
+  lateFactor: z.number().min(1).optional(),
+  /** From its receipt on, after which an answer is of no use. */
+  deadlineMs: z.number().positive().optional(),
 });
 
 const heartbeatSchema = z.object({
@@ -100,6 +120,8 @@
   maxTermSeen: z.number(),
   workersAgeMs: z.number(),
   configurationVersion: z.number(),
+  /** Jobs with records may exist: no leader has found that there are none. */
+  recordsExist: z.boolean(),
 });
 
 const helloSchema = z.object({
@@ -120,6 +142,8 @@
   timeLeftMs: z.number(),
   /** A leader of another term had the job. */
   resubmitted: z.boolean(),
+  /** Whether its callers wait for the end, or until its record is kept. */
+  answerAt: z.enum(["ended", "accepted"]),
   doneTasks: z.array(z.string()),
 });
 
@@ -131,22 +155,70 @@
   "noWorker",
   "unsupported",
   "draining",
+  "storeAway",
+  "tooLarge",
+  "conflict",
 ] as const;
 
-const outcomeSchema = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("done") }),
+/** How a job ended, as callers are told. */
+export const jobOutcomeSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("done"),
+    /** What each task returned, where tasks return something. */
+    results: z.array(z.string().nullable()).optional(),
+  }),
   z.object({ kind: z.literal("failed") }),
+  z.object({
+    kind: z.literal("cancelled"),
+    /** Whether a task of it may have run. */
+    begun: z.boolean(),
+  }),
+  /** Nothing of the job has run, and nothing will. */
   z.object({
     kind: z.literal("refused"),
     reason: z.enum(refusalReasons),
     retryAfterMs: z.number(),
   }),
+  /** Tasks may have run; the outcome is not known. */
   z.object({
     kind: z.literal("unknown"),
-    reason: z.enum(["leaderLost", "deadline"]),
+    reason: z.enum(["leaderLost", "deadline", "taskLost", "storeAway"]),
   }),
 ]);
 
+/** What the store keeps of a job: all that a new leader needs to go on. */
+export const jobRecordSchema = z.object({
+  jobId: z.string(),
+  queue: queueRuleSchema,
+  job: jobSpecSchema,
+  /** By the time of day, in Unix milliseconds. */
+  acceptedAtMs: z.number(),
+  outcome: jobOutcomeSchema.nullable(),
+  endedAtMs: z.number(),
+  /** What is known of its tasks, by their place in the job. */
+  done: z.array(z.number().int()),
+  failures: z.record(z.string(), z.number().int()),
+  results: z.record(z.string(), z.string()),
+});
+
+/** What is asked of a leader about jobs. */
+export const questionSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("job"), jobId: z.string() }),
+  z.object({ kind: z.literal("cancel"), jobId: z.string() }),
+  z.object({ kind: z.literal("pending"), queueName: z.string() }),
+]);
+
+/** What a leader answers. */
+export const replySchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("queued") }),
+  z.object({ kind: z.literal("running") }),
+  z.object({ kind: z.literal("ended"), outcome: jobOutcomeSchema }),
+  z.object({ kind: z.literal("noJob") }),
+  z.object({ kind: z.literal("pending"), count: z.number() }),
+  /** The leader or the store can't tell now. */
+  z.object({ kind: z.literal("unavailable") }),
+]);
+
 /** Every message between instances. */
 export const peerMessageSchema = z.discriminatedUnion("type", [
   heartbeatSchema,
@@ -157,7 +229,22 @@
     type: z.literal("jobEnded"),
     jobId: z.string(),
     submissionId: z.string(),
-    outcome: outcomeSchema,
+    outcome: jobOutcomeSchema,
+  }),
+  z.object({
+    type: z.literal("jobAccepted"),
+    jobId: z.string(),
+    submissionId: z.string(),
+  }),
+  z.object({
+    type: z.literal("question"),
+    questionId: z.string(),
+    question: questionSchema,
+  }),
+  z.object({
+    type: z.literal("reply"),
+    questionId: z.string(),
+    reply: replySchema,
   }),
   z.object({
     type: z.literal("released"),
@@ -196,6 +283,16 @@
 export type Step = z.infer<typeof stepSchema>;
 /** See {@linkcode jobSpecSchema}. */
 export type JobSpec = z.infer<typeof jobSpecSchema>;
+/** See {@linkcode jobOutcomeSchema}. */
+export type JobOutcome = z.infer<typeof jobOutcomeSchema>;
+/** Why a job was turned away before anything of it ran. */
+export type RefusalReason = (typeof refusalReasons)[number];
+/** See {@linkcode jobRecordSchema}. */
+export type JobRecord = z.infer<typeof jobRecordSchema>;
+/** See {@linkcode questionSchema}. */
+export type Question = z.infer<typeof questionSchema>;
+/** See {@linkcode replySchema}. */
+export type Reply = z.infer<typeof replySchema>;
 /** See {@linkcode peerMessageSchema}. */
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 /** The message of one type. */
--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -49,7 +49,7 @@
 /** The worker took nothing, and gets nothing for a moment. */
 function onNotTaken(turn: Turn, { worker, run }: StartContext): void {
   worker.suspendedUntilMs = turn.state.nowMs + UNHEALTHY_PAUSE_MS;
-  dropRun(turn, worker, { run, failed: false });
+  dropRun(turn, worker, { run, kind: "notBegun" });
 }
 
 function onStartRefused(
@@ -68,7 +68,7 @@
   if (reason === "oldRun" && run.task !== null) {
     run.task.run += RUN_NUMBER_STEP;
   }
-  dropRun(turn, worker, { run, failed: false });
+  dropRun(turn, worker, { run, kind: "notBegun" });
   if (reason === "fenced" && fence === worker.fence) yieldWorker(turn, worker);
   if (reason === "replaced" || reason === "room") resolveByFence(turn, worker);
 }
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -110,6 +110,9 @@
     wallMs: TEST_WALL_MS,
   });
 
+  // A leader before found that no records exist.
+  state.recordsExist = false;
+
   function after(ms: number, event: TestEvent): Effect[] {
     nowMs += ms;
     return reduce(state, { ...event, nowMs } as EngineEvent);
@@ -133,7 +136,7 @@
           bornMs: 1,
           running,
           finished: finished.map(([taskName, end], index) => ({
-            sequence: (worker?.lastSeenEnd ?? 0) + index + 1,
+            sequence: (worker?.takenEnd ?? 0) + index + 1,
             taskName,
             run: 1,
             end,
@@ -164,6 +167,7 @@
     leaderId: null,
     maxTermSeen: 0,
     workersAgeMs: 0,
+    recordsExist: false,
     configurationVersion: 1,
     ...fields,
   };
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1,42 +1,28 @@
 /** The shared types of the engine: state, events and effects. */
 
-import type { RunEstimate } from "../core/estimates.ts";
+import type { RunEstimate } from "./estimates.ts";
 import type {
   Configuration,
   InstanceInfo,
+  JobOutcome,
+  JobRecord,
   JobSpec,
-  JobTask,
   PeerMessage,
+  PeerMessageOf,
+  Question,
   QueueRule,
+  Reply,
   Step as JobStep,
   WorkerInfo,
 } from "./schemas.ts";
 
-/** How a job ended, as callers are told. */
-export type JobOutcome =
-  | { readonly kind: "done" }
-  | { readonly kind: "failed" }
-  /** Nothing of the job has run, and nothing will. */
-  | {
-    readonly kind: "refused";
-    readonly reason: RefusalReason;
-    readonly retryAfterMs: number;
-  }
-  /** Tasks may have run; the outcome is not known. */
-  | { readonly kind: "unknown"; readonly reason: UnknownReason };
-
-/** Why a job was turned away before anything of it ran. */
-export type RefusalReason =
-  | "overloaded"
-  | "noConfiguration"
-  | "unknownQueue"
-  | "noLeader"
-  | "noWorker"
-  | "unsupported"
-  | "draining";
-
-/** Why the outcome of a job is not known. */
-export type UnknownReason = "leaderLost" | "deadline";
+export type { JobOutcome, RefusalReason } from "./schemas.ts";
+
+/** What callers of a job are told. */
+export type CallerReply =
+  | JobOutcome
+  /** A record of the job is kept; it will run. */
+  | { readonly kind: "accepted" };
 
 /** How one run of a task ended, as its worker says. */
 export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "broken";
@@ -55,6 +41,8 @@
   readonly taskName: string;
   readonly run: number;
   readonly end: RunEnd;
+  /** What the task returned, where tasks return something. */
+  readonly result?: string;
 }
 
 /** What came of a call that renews a worker's lease and reads its lists. */
@@ -92,6 +80,37 @@
   | { readonly kind: "fenced" }
   | { readonly kind: "unknown"; readonly detail: string };
 
+/** A job's record and the version of its row. */
+export interface StoredRecord {
+  readonly record: JobRecord;
+  readonly version: number;
+}
+
+/** What came of taking over the records of all jobs. */
+export type OpenOutcome =
+  | { readonly kind: "opened"; readonly records: readonly StoredRecord[] }
+  /** A leader of a higher term has taken them over. */
+  | { readonly kind: "outranked"; readonly term: number }
+  | { readonly kind: "unavailable"; readonly detail: string };
+
+/** What came of writing some records in one transaction. */
+export type WriteOutcome =
+  | { readonly kind: "written"; readonly version: number }
+  /** Some rows had other versions; they are as told. */
+  | { readonly kind: "changed"; readonly records: readonly StoredRecord[] }
+  | { readonly kind: "outranked" }
+  /** The store did not answer; the write may take effect, also later. */
+  | { readonly kind: "unknown"; readonly detail: string };
+
+/** One row of a write of records. */
+export interface RecordWrite {
+  readonly jobId: string;
+  /** 0 where there must be no row. */
+  readonly expectedVersion: number;
+  /** Null removes the row. */
+  readonly record: JobRecord | null;
+}
+
 /** What the shell tells the engine. `nowMs` is monotonic, `wallMs` is not. */
 export type EngineEvent =
   & { readonly nowMs: number }
@@ -105,8 +124,24 @@
       readonly job: JobSpec;
       /** How long the caller waits for the answer. */
       readonly timeoutMs: number;
+      readonly answerAt: AnswerAt;
     }
     | { readonly type: "callerGone"; readonly requestId: string }
+    | {
+      readonly type: "callerAsked";
+      readonly requestId: string;
+      readonly question: Question;
+    }
+    | {
+      readonly type: "recordsOpened";
+      readonly term: number;
+      readonly outcome: OpenOutcome;
+    }
+    | {
+      readonly type: "recordsWritten";
+      readonly writeId: number;
+      readonly outcome: WriteOutcome;
+    }
     | {
       readonly type: "configurationRead";
       readonly configuration: Configuration;
@@ -153,6 +188,9 @@
     | { readonly type: "drainRequested" }
   );
 
+/** When a submission is answered: see `submit` among the peers' messages. */
+export type AnswerAt = PeerMessageOf<"submit">["answerAt"];
+
 /** The event of one type. */
 export type EngineEventOf<T extends EngineEvent["type"]> = Extract<
   EngineEvent,
@@ -165,7 +203,21 @@
     readonly type: "answerCaller";
     readonly requestId: string;
     readonly jobId: string;
-    readonly outcome: JobOutcome;
+    readonly reply: CallerReply;
+  }
+  | {
+    readonly type: "answerQuestion";
+    readonly requestId: string;
+    readonly reply: Reply;
+  }
+  /** Takes over the records of all jobs in a leader's term, and reads them. */
+  | { readonly type: "openRecords"; readonly term: number }
+  | {
+    readonly type: "writeRecords";
+    readonly writeId: number;
+    /** Records of one part are written in one transaction. */
+    readonly part: number;
+    readonly rows: readonly RecordWrite[];
   }
   | {
     readonly type: "sendPeer";
@@ -253,6 +305,16 @@
   termsSubmitted: number;
   /** Tasks that a former leader reported as done. */
   doneTasks: readonly string[];
+  answerAt: AnswerAt;
+}
+
+/** A question of a caller that waits for the leader's reply. */
+export interface OpenQuestion {
+  readonly requestId: string;
+  readonly question: Question;
+  readonly askedAtMs: number;
+  /** The term of the leader that was asked last; 0 for none yet. */
+  askedTerm: number;
 }
 
 /** Where one task stands at the leader. */
@@ -261,22 +323,54 @@
 /** One task of a job at the leader. */
 export interface Task {
   readonly name: string;
+  readonly index: number;
   readonly stepIndex: number;
-  readonly demand: JobTask;
+  readonly demand: JobStep;
   state: TaskState;
   run: number;
+  /** A run of it was ordered, and is not known not to have begun. */
+  mayHaveBegun: boolean;
   failures: number;
   /** The worker that runs it, while placed. */
   workerId: string | null;
   /** Workers on which a run of it failed. */
   readonly failedOn: Set<string>;
+  result: string | null;
+}
+
+/** An end of a run that its worker keeps until a record tells of it. */
+export interface HeldEnd {
+  /** The worker's ends that are kept so, in its present life. */
+  readonly heldEnds: Set<number>;
+  readonly sequence: number;
+}
+
+/** What the store holds of a job, and what it does not hold yet. */
+export interface RecordState {
+  /** Of its row; 0 where there is none. */
+  version: number;
+  /** Its first write was acknowledged: the job is kept. */
+  accepted: boolean;
+  /** The outcome that the store holds. */
+  storedOutcome: JobOutcome | null;
+  /** A write of it was sent: it may take effect at any time. */
+  sent: boolean;
+  /** Its row is to be removed. */
+  removing: boolean;
+  /** Ends that the next write carries, and those of the write under way. */
+  heldEnds: HeldEnd[];
+  writtenEnds: HeldEnd[];
+  readonly acceptedAtMs: number;
+  endedAtMs: number;
+  /** Questions that are answered once its end is kept. */
+  readonly cancels: { readonly from: string; readonly questionId: string }[];
 }
 
 /** A job at the leader. */
 export interface Job {
   readonly jobId: string;
   readonly queue: QueueRule;
-  readonly spec: string;
+  readonly spec: JobSpec;
   readonly steps: readonly JobStep[];
   /** The instances whose callers wait for it, with their submissions. */
   readonly entries: Map<string, string>;
@@ -299,6 +393,10 @@
   paused: boolean;
   outcome: JobOutcome | null;
   endedAtMs: number;
+  /** Null for a job that lives in memory only. */
+  readonly record: RecordState | null;
+  /** Work beyond its queue's usual share, while its queue floods. */
+  readonly isSurplus: boolean;
 }
 
 /** One run that takes room on a worker. */
@@ -310,6 +408,7 @@
   task: Task | null;
   cpuMilli: number;
   memoryMb: number;
+  accelerators: number;
   /** What a run of no known job needs is not told. */
   sizeUnknown: boolean;
   state: "starting" | "running" | "stopping";
@@ -332,8 +431,14 @@
   bornMs: number | null;
   /** The worker's clock minus this instance's. */
   clockOffsetMs: number;
-  lastSeenEnd: number;
-  unacknowledgedEnds: boolean;
+  /** The highest end that was taken in. */
+  takenEnd: number;
+  /** Ends that were taken in, but are not to be forgotten by the worker yet. */
+  heldEnds: Set<number>;
+  /** Ends of jobs whose records were not read yet. */
+  orphanEnds: FinishedRow[];
+  /** The highest end that it was told to forget. */
+  forgottenEnd: number;
   holdCallId: number;
   holdSentAtMs: number;
   holdFailures: number;
@@ -344,6 +449,7 @@
   readonly runs: Map<string, WorkerRun>;
   usedCpuMilli: number;
   usedMemoryMb: number;
+  usedAccelerators: number;
   /** Runs of unknown size: nothing starts beside them. */
   unknownRuns: number;
   failuresInRow: number;
@@ -366,6 +472,48 @@
   readonly waiting: Map<string, Job[]>;
   readonly workers: Map<string, OwnedWorker>;
   readonly ended: Job[];
+  records: Records;
+  /** What each queue usually brings and uses. */
+  readonly shares: Map<string, Share>;
+  sharesSampledAtMs: number;
+}
+
+/** What one queue brings and uses. */
+export interface Share {
+  /** Jobs since the last sample. */
+  arrivals: number;
+  /** Jobs a sample, lately and usually. */
+  recentArrivals: number;
+  usualArrivals: number;
+  /** Tasks that wait or run, usually and now. */
+  usualTasks: number;
+  openTasks: number;
+  samples: number;
+}
+
+/** The records of jobs, as far as this leader has them. */
+export interface Records {
+  phase: "closed" | "opening" | "open";
+  /** When opening them is tried again. */
+  retryAtMs: number;
+  /** Since when the store did not take writes; 0 while it does. */
+  awaySinceMs: number;
+  /** When the store last showed that this leader holds the records. */
+  confirmedAtMs: number;
+  /** Jobs whose records have to be written, by part. */
+  readonly dirty: Map<number, Set<Job>>;
+  /** The write under way of each part. */
+  readonly writes: Map<number, RecordBatch>;
+  /** Ended jobs whose records are kept for questions, in order of their end. */
+  readonly kept: Job[];
+}
+
+/** A write of records that is under way. */
+export interface RecordBatch {
+  readonly writeId: number;
+  readonly jobs: readonly Job[];
+  /** The outcomes that it carries, in the order of the jobs. */
+  readonly outcomes: readonly (JobOutcome | null)[];
 }
 
 /** Counters, for metrics and the state dump. */
@@ -375,6 +523,9 @@
   jobsFailed: number;
   jobsRefused: number;
   jobsUnknown: number;
+  jobsCancelled: number;
+  jobsAccepted: number;
+  recordWrites: number;
   callersGone: number;
   tasksStarted: number;
   tasksDone: number;
@@ -388,6 +539,19 @@
   peerMessages: number;
 }
 
+/** The conditions that promises rest on; `guards.ts` says what each is. */
+export interface Guards {
+  readonly mayBegin: (record: RecordState | null) => boolean;
+  readonly mustHoldEnd: (job: Job) => boolean;
+  readonly mayRunAgain: (job: Job, end: TaskEnd["kind"]) => boolean;
+  readonly hasRoom: (worker: OwnedWorker, task: Task) => boolean;
+  readonly mayServe: (worker: OwnedWorker) => boolean;
+  readonly hasLapsed: (nowMs: number, lapsesAtMs: number) => boolean;
+  readonly mayRunElsewhere: (nowMs: number, lapseAtMs: number) => boolean;
+  readonly mayRefuse: (job: Job) => boolean;
+  readonly isNewer: (version: number, inForce: number) => boolean;
+}
+
 /** The whole state of one instance. */
 export interface EngineState {
   readonly self: InstanceInfo;
@@ -417,11 +581,16 @@
   /** When the list of workers could be read again after an outage. */
   listReturnedAtMs: number;
   readonly callerJobs: Map<string, CallerJob>;
+  readonly questions: Map<string, OpenQuestion>;
+  /** Jobs with records may exist: no leader has found that there are none. */
+  recordsExist: boolean;
+  readonly guards: Guards;
   /** Learned run times of tasks, by queue. */
   readonly runTimes: Map<string, RunEstimate>;
   scheduler: Scheduler | null;
   nextCallId: number;
   nextSubmission: number;
+  nextWriteId: number;
   readonly counters: Counters;
 }
 
@@ -430,7 +599,9 @@
   readonly job: Job;
   readonly task: Task;
   readonly workerId: string;
-  readonly kind: "done" | "failed" | "lost";
+  /** Lost: the run is not there any more, whatever it had done. */
+  readonly kind: "done" | "failed" | "lost" | "notBegun";
+  readonly result?: string | undefined;
 }
 
 /** Collects the effects of one event. */
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -4,16 +4,10 @@
  */
 
 import type { WorkerInfo } from "./schemas.ts";
-import { seesMajority } from "./membership.ts";
+import { hasMissingPeers, seesMajority } from "./membership.ts";
 import { leaseEndsOnWorkerMs, longestLeaseMs } from "./leases.ts";
 import { FENCES_PER_TERM, firstFence, workersOfSide } from "./ownership.ts";
-import {
-  applyEnd,
-  checkRuns,
-  dropRun,
-  reconcileRuns,
-  stopRun,
-} from "./runs.ts";
+import { checkRuns, dropRun, reconcileRuns, stopRun, takeEnd } from "./runs.ts";
 import { emit, logDecision } from "./turn.ts";
 import type {
   EngineEventOf,
@@ -30,6 +24,10 @@
 const UNKNOWN_WAIT_MS = 40;
 /** Ends on a worker that runs nothing more are acknowledged after so long. */
 const ACKNOWLEDGE_MS = 60;
+/** While the store has to tell of ends first, a worker is read so often. */
+const HELD_ENDS_MS = 20;
+/** And while the store is away. */
+const HELD_ENDS_AWAY_MS = 200;
 /** An unreachable worker is tried again after so long. */
 const RETRY_WORKER_MS = 300;
 /** A worker lost to another instance is taken again after so long. */
@@ -104,8 +102,10 @@
     fence: firstFence(scheduler.term),
     bornMs: null,
     clockOffsetMs: 0,
-    lastSeenEnd: 0,
-    unacknowledgedEnds: false,
+    takenEnd: 0,
+    heldEnds: new Set(),
+    orphanEnds: [],
+    forgottenEnd: 0,
     holdCallId: 0,
     holdSentAtMs: 0,
     holdFailures: 0,
@@ -115,6 +115,7 @@
     runs: new Map(),
     usedCpuMilli: 0,
     usedMemoryMb: 0,
+    usedAccelerators: 0,
     unknownRuns: 0,
     failuresInRow: 0,
     suspendedUntilMs: 0,
@@ -149,6 +150,7 @@
   worker.holdCallId = state.nextCallId;
   worker.holdSentAtMs = state.nowMs;
   worker.nextHoldMs = Infinity;
+  worker.forgottenEnd = forgettableEnd(worker);
   if (renews) {
     worker.leaseLapsesAtMs = state.nowMs + longestLeaseMs(state);
   }
@@ -158,12 +160,17 @@
     address: worker.info.address,
     callId: worker.holdCallId,
     fence: worker.fence,
-    lastSeenEnd: worker.lastSeenEnd,
+    lastSeenEnd: worker.forgottenEnd,
     leaseEndsMs: renews ? leaseEndsOnWorkerMs(state, worker) : null,
     waitMs,
   });
 }
 
+/** Ends up to this one are known here for good. */
+function forgettableEnd({ takenEnd, heldEnds }: OwnedWorker): number {
+  return heldEnds.size === 0 ? takenEnd : Math.min(...heldEnds) - 1;
+}
+
 type HoldHandlers = {
   [K in HoldOutcome["kind"]]: (
     turn: Turn,
@@ -207,10 +214,9 @@
   worker.clockOffsetMs = outcome.clockMs - state.nowMs;
   noteLife(turn, worker, outcome.bornMs);
   for (const row of outcome.finished) {
-    if (row.sequence <= worker.lastSeenEnd) continue;
-    worker.lastSeenEnd = row.sequence;
-    worker.unacknowledgedEnds = true;
-    applyEnd(turn, worker, row);
+    if (row.sequence <= worker.takenEnd) continue;
+    worker.takenEnd = row.sequence;
+    takeEnd(turn, worker, row);
   }
   reconcileRuns(turn, worker, {
     running: outcome.running,
@@ -234,8 +240,15 @@
       bornMs,
       runsLost: worker.runs.size,
     });
-    worker.lastSeenEnd = 0;
+    worker.takenEnd = 0;
+    worker.forgottenEnd = 0;
+    worker.heldEnds = new Set();
+    worker.orphanEnds = [];
     worker.failuresInRow = 0;
+    // Whatever was ordered may have begun, and is not listed any more.
+    for (const run of worker.runs.values()) {
+      if (run.state === "starting") run.state = "running";
+    }
   }
   worker.bornMs = bornMs;
 }
@@ -257,12 +270,17 @@
 /** Decides when the worker is called next. */
 function scheduleHold(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
+  if (worker.heldEnds.size > 0) {
+    const isAway = (state.scheduler?.records.awaySinceMs ?? 0) > 0;
+    worker.nextHoldMs = state.nowMs +
+      (isAway ? HELD_ENDS_AWAY_MS : HELD_ENDS_MS);
+    return;
+  }
   if (worker.runs.size > 0) {
-    worker.unacknowledgedEnds = false;
     holdBusy(turn, worker);
     return;
   }
-  worker.nextHoldMs = worker.unacknowledgedEnds
+  worker.nextHoldMs = worker.forgottenEnd < worker.takenEnd
     ? state.nowMs + ACKNOWLEDGE_MS
     : Infinity;
 }
@@ -273,7 +291,9 @@
  */
 function holdBusy(turn: Turn, worker: OwnedWorker): void {
   const renews = worker.unknownRuns === 0;
-  const waitMs = renews ? HOLD_WAIT_MS : UNKNOWN_WAIT_MS;
+  const busyWaitMs = renews ? HOLD_WAIT_MS : UNKNOWN_WAIT_MS;
+  // A worker that lists ends answers at once.
+  const waitMs = worker.heldEnds.size > 0 ? 0 : busyWaitMs;
   sendHold(turn, worker, { waitMs, renews });
 }
 
@@ -297,14 +317,6 @@
   }, { workerId: worker.info.workerId, rivalLikely });
 }
 
-function hasMissingPeers(state: EngineState): boolean {
-  for (const peer of state.peers.values()) {
-    if (peer.refusedAtMs > peer.lastHeardMs) continue;
-    if (state.nowMs - peer.lastHeardMs > 1_000) return true;
-  }
-  return false;
-}
-
 function loseWorker(turn: Turn, worker: OwnedWorker, reason: string): void {
   const { state } = turn;
   worker.holdFailures += 1;
@@ -336,7 +348,6 @@
     stopUnclaimedRuns(turn, worker);
     checkRuns(turn, worker);
     if (state.nowMs < worker.nextHoldMs || worker.phase !== "ready") continue;
-    worker.unacknowledgedEnds = false;
     if (worker.runs.size > 0) holdBusy(turn, worker);
     else sendHold(turn, worker, { waitMs: 0, renews: false });
   }
@@ -346,15 +357,19 @@
 function dropLapsedRuns(turn: Turn, worker: OwnedWorker): void {
   const { state } = turn;
   if (worker.phase !== "lost" || worker.runs.size === 0) return;
-  if (state.nowMs < worker.leaseLapsesAtMs) return;
+  if (!state.guards.hasLapsed(state.nowMs, worker.leaseLapsesAtMs)) return;
   for (const run of [...worker.runs.values()]) {
-    if (state.nowMs < run.placedAtMs + longestLeaseMs(state)) continue;
+    const lapsesAtMs = run.placedAtMs + longestLeaseMs(state);
+    if (!state.guards.hasLapsed(state.nowMs, lapsesAtMs)) continue;
     state.counters.tasksLapsed += 1;
-    dropRun(turn, worker, { run, failed: false });
+    dropRun(turn, worker, { run, kind: "lost" });
   }
 }
 
 function stopUnclaimedRuns(turn: Turn, worker: OwnedWorker): void {
+  const { scheduler, recordsExist } = turn.state;
+  // A record that was not read yet may claim them.
+  if (recordsExist && scheduler?.records.phase !== "open") return;
   for (const run of worker.runs.values()) {
     if (run.job !== null) continue;
     if (turn.state.nowMs - run.placedAtMs < ADOPTION_MS) continue;
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -4,16 +4,24 @@
  */
 
 import { createEngine, reduce } from "../engine/reduce.ts";
-import type { InstanceInfo, JobSpec, QueueRule } from "../engine/schemas.ts";
 import type {
+  InstanceInfo,
+  JobSpec,
+  Question,
+  QueueRule,
+  Reply,
+} from "../engine/schemas.ts";
+import type {
+  AnswerAt,
+  CallerReply,
   Effect,
   EngineEvent,
   EngineState,
-  JobOutcome,
 } from "../engine/types.ts";
 import type { ClockHost } from "../host/hosts.ts";
-import { startDirectoryReaders } from "./directory_readers.ts";
-import type { DirectoryHost, WorkerHost } from "./hosts.ts";
+import { createRecordStore } from "./record_store.ts";
+import { startStoreReaders } from "./store_readers.ts";
+import type { StoreHost, WorkerHost } from "./hosts.ts";
 import type { JsonLog } from "./json_log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
 import { createStallWatch } from "./stall_watch.ts";
@@ -32,7 +40,7 @@
   readonly seeds: readonly string[];
   readonly clock: ClockHost;
   readonly workers: WorkerHost;
-  readonly directory: DirectoryHost;
+  readonly store: StoreHost;
   readonly log: JsonLog;
 }
 
@@ -41,12 +49,14 @@
   readonly jobId: string;
   readonly queue: QueueRule;
   readonly job: JobSpec;
+  /** How long the caller waits for its answer. */
   readonly timeoutMs: number;
-  readonly onAnswer: (outcome: JobOutcome) => void;
+  readonly answerAt: AnswerAt;
+  readonly onAnswer: (reply: CallerReply) => void;
 }
 
 interface Waiting {
-  readonly onAnswer: (outcome: JobOutcome) => void;
+  readonly onAnswer: (reply: CallerReply) => void;
   readonly sinceMs: number;
 }
 
@@ -56,6 +66,8 @@
   readonly metrics: Metrics;
   /** Hands in a job; the function returned says that the caller left. */
   readonly submit: (submission: CallerSubmission) => () => void;
+  /** Asks the leader. */
+  readonly ask: (question: Question) => Promise<Reply>;
   /** Stops leading and taking new work. */
   readonly drain: () => void;
   readonly stop: () => Promise<void>;
@@ -65,7 +77,8 @@
 export async function startInstance(
   options: InstanceOptions,
 ): Promise<Instance> {
-  const { self, clock, workers, directory, log } = options;
+  const { self, clock, workers, store, log } = options;
+  const records = createRecordStore(store, { log });
   const state = createEngine({
     self,
     leaseMs: options.leaseMs,
@@ -75,6 +88,7 @@
   });
   const metrics = createMetrics(state);
   const waiting = new Map<string, Waiting>();
+  const asked = new Map<string, (reply: Reply) => void>();
   let nextRequest = 0;
   let mesh: PeerMesh | null = null;
 
@@ -93,12 +107,30 @@
   const performers: {
     [T in Effect["type"]]: (effect: Extract<Effect, { type: T }>) => void;
   } = {
-    answerCaller: ({ requestId, outcome }) => {
+    answerCaller: ({ requestId, reply }) => {
       const found = waiting.get(requestId);
       if (found === undefined) return;
       waiting.delete(requestId);
-      metrics.noteAnswer(outcome, clock.nowMs() - found.sinceMs);
-      found.onAnswer(outcome);
+      metrics.noteAnswer(reply, clock.nowMs() - found.sinceMs);
+      found.onAnswer(reply);
+    },
+    answerQuestion: ({ requestId, reply }) => {
+      asked.get(requestId)?.(reply);
+      asked.delete(requestId);
+    },
+    openRecords: (effect) => {
+      const { term } = effect;
+      void records.open(effect).then((outcome) => {
+        const nowMs = clock.nowMs();
+        dispatch({ type: "recordsOpened", nowMs, term, outcome });
+      });
+    },
+    writeRecords: (effect) => {
+      const { writeId } = effect;
+      void records.write(effect).then((outcome) => {
+        const nowMs = clock.nowMs();
+        dispatch({ type: "recordsWritten", nowMs, writeId, outcome });
+      });
     },
     sendPeer: ({ instanceId, message }) => mesh?.send(instanceId, message),
     hold: (effect) => {
@@ -179,11 +211,11 @@
       nowMs: clock.nowMs(),
       wallMs: clock.wallMs(),
     }), TICK_MS);
-  const stopReaders = startDirectoryReaders({
+  const stopReaders = startStoreReaders({
     self,
     seeds: options.seeds,
     state,
-    directory,
+    store,
     log,
     dispatch,
     clock,
@@ -207,13 +239,22 @@
         dispatch({ type: "callerGone", nowMs: clock.nowMs(), requestId });
       };
     },
+    ask(question) {
+      nextRequest += 1;
+      const requestId = String(nextRequest);
+      return new Promise((resolve) => {
+        asked.set(requestId, resolve);
+        const nowMs = clock.nowMs();
+        dispatch({ type: "callerAsked", nowMs, requestId, question });
+      });
+    },
     drain: () => dispatch({ type: "drainRequested", nowMs: clock.nowMs() }),
     async stop() {
       clearInterval(ticker);
       stopReaders();
       await mesh?.close();
       await workers.close();
-      await directory.close();
+      await store.close();
     },
   };
 }
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -2,7 +2,7 @@
 
 import { createServer, type Server } from "node:http";
 import * as hdr from "hdr-histogram-js";
-import type { EngineState, JobOutcome } from "../engine/types.ts";
+import type { CallerReply, EngineState } from "../engine/types.ts";
 
 /** The longest latency that is told apart. */
 const MAX_LATENCY_MS = 120_000;
@@ -10,7 +10,7 @@
 
 /** What an instance measures of its answers. */
 export interface Metrics {
-  readonly noteAnswer: (outcome: JobOutcome, tookMs: number) => void;
+  readonly noteAnswer: (outcome: CallerReply, tookMs: number) => void;
   /** One line a figure: a name, labels, and a value. */
   readonly text: () => string;
 }
@@ -26,9 +26,9 @@
  * ```
  */
 export function createMetrics(state: EngineState): Metrics {
-  const latencies = new Map<JobOutcome["kind"], hdr.Histogram>();
+  const latencies = new Map<CallerReply["kind"], hdr.Histogram>();
 
-  function latencyOf(kind: JobOutcome["kind"]): hdr.Histogram {
+  function latencyOf(kind: CallerReply["kind"]): hdr.Histogram {
     let histogram = latencies.get(kind);
     if (histogram === undefined) {
       histogram = hdr.build({
--- a/src/instance/directory_readers.ts
+++ b/src/instance/store_readers.ts
@@ -4,7 +4,8 @@
 import type { EngineEvent, EngineState } from "../engine/types.ts";
 import type { ClockHost } from "../host/hosts.ts";
 import { sleep } from "../host/sleep.ts";
-import type { DirectoryHost } from "./hosts.ts";
+import type { StoreHost } from "./hosts.ts";
+import { announceInstance, readInstances } from "./instance_table.ts";
 import type { JsonLog } from "./json_log.ts";
 
 /** How often the list of workers is read. */
@@ -21,7 +22,7 @@
   readonly self: InstanceInfo;
   readonly seeds: readonly string[];
   readonly state: EngineState;
-  readonly directory: DirectoryHost;
+  readonly store: StoreHost;
   readonly log: JsonLog;
   readonly clock: ClockHost;
   readonly dispatch: (event: EngineEvent) => void;
@@ -35,8 +36,8 @@
 }
 
 /** Starts all readers; the function returned stops them. */
-export function startDirectoryReaders(host: ReaderHost): () => void {
-  const { state, directory, log, clock, dispatch } = host;
+export function startStoreReaders(host: ReaderHost): () => void {
+  const { state, store, log, clock, dispatch } = host;
   let stopped = false;
   let reachable = true;
 
@@ -65,7 +66,7 @@
     let known = false;
     while (!stopped) {
       const configuration: Configuration | null | undefined = await attempt(
-        known ? directory.awaitConfiguration : directory.readConfiguration,
+        known ? store.awaitConfiguration : store.readConfiguration,
       );
       if (stopped) return;
       known = configuration !== undefined;
@@ -80,7 +81,7 @@
   async function followWorkers(): Promise<void> {
     while (!stopped) {
       if (shouldReadWorkers(state)) {
-        const workers = await attempt(directory.readWorkers);
+        const workers = await attempt(store.readWorkers);
         if (stopped) return;
         const nowMs = clock.nowMs();
         if (workers === undefined) dispatch({ type: "workersUnread", nowMs });
@@ -96,12 +97,12 @@
     while (!stopped) {
       if (!announced) {
         const result = await attempt(async () => {
-          await directory.announce(host.self);
+          await announceInstance(store, host.self);
           return true;
         });
         announced = result === true;
       }
-      const instances = await attempt(directory.readInstances);
+      const instances = await attempt(() => readInstances(store));
       if (stopped) return;
       const nowMs = clock.nowMs();
       dispatch({
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -6,7 +6,7 @@
 
 export { type CoreOptions, createCore, reduce } from "./core/reduce.ts";
 export { defaultGuards, type Guards } from "./core/guards.ts";
-export { invariantChecks, InvariantError } from "./core/debug.ts";
+export { invariantChecks, InvariantError } from "./engine/debug.ts";
 export { Diagnostics } from "./core/diagnostics.ts";
 export type { CoreEvent, CoreState, Effect } from "./core/types.ts";
 export type {
