A leader in each zone beyond 100 workers; two leaders of one job

Ruled out: one leader on the largest machine alone (one core still carries all); cells in the store (a vote, and writes). Up to 100 workers are one cell, as before; beyond that each availability zone has a leader of its own (again one cell below 70). Larger machines lead. A job that its own cell refuses is handed once to a cell with room, and follows that cell's leaders; one that comes back waits until what may run there has lapsed. Records are held by one zone's leader, and stay with a zone that is cut off.

Change: for a job that a former leader had, lists read before the job came don't count (workers are read anew); an entry that leaves a living leader withdraws the job there. Randomised runs with zone cells found, each mended: jobs left behind when cells change; a job followed to a leader that stepped down; records taken from a zone that was only cut off; followers without the list of workers.

--- a/bench/engine_prove.ts
+++ b/bench/engine_prove.ts
@@ -4,6 +4,7 @@
  */
 
 import {
+  drawCellsRun,
   drawRecordedRun,
   drawRun,
   type EngineRun,
@@ -15,6 +16,7 @@
 const kinds: Record<string, (seed: number) => EngineRun> = {
   memory: drawRun,
   recorded: drawRecordedRun,
+  cells: drawCellsRun,
 };
 let runs = 0;
 let failures = 0;
--- a/src/engine/admit.ts
+++ b/src/engine/admit.ts
@@ -7,6 +7,8 @@
 import { compareJobs, hasQueuedTasks } from "./queue.ts";
 import type { EngineState, Job, JobOutcome, Scheduler } from "./types.ts";
 
+/** What a service without workers is said to let work wait. */
+const LONGEST_WAIT_MS = 600_000;
 /** The least time after which callers of refused jobs should come back. */
 const MIN_RETRY_MS = 250;
 
@@ -51,6 +53,19 @@
   return aheadMilliMs / capacityMilli;
 }
 
+/** Notes how long work of each service would wait, for peers to be told. */
+export function noteWaits(state: EngineState, scheduler: Scheduler): void {
+  for (const [service, jobs] of scheduler.waiting) {
+    let workMilliMs = 0;
+    for (const job of jobs) workMilliMs += queuedWork(job);
+    const capacityMilli = usableCpuMilli(state, scheduler, service);
+    const waitMs = capacityMilli === 0
+      ? LONGEST_WAIT_MS
+      : Math.round(workMilliMs / capacityMilli);
+    scheduler.waitMsByService.set(service, waitMs);
+  }
+}
+
 /** The work of a job's tasks that have not started, in cpu milliseconds. */
 function queuedWork(job: Job): number {
   let work = 0;
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -3,6 +3,7 @@
  * them, and what their callers are told.
  */
 
+import { type Lead, leadFor, ownLead, roomiestZone } from "./leads.ts";
 import type { PeerMessageOf } from "./schemas.ts";
 import { emit, logDecision, sendPeer } from "./turn.ts";
 import type {
@@ -44,29 +45,43 @@
     receivedAtMs: event.nowMs,
     deadlineAtMs: event.nowMs + event.timeoutMs,
     requestIds: [event.requestId],
+    submittedTo: null,
     submittedTerm: 0,
-    termsSubmitted: 0,
+    submissions: 0,
+    mayHaveBegun: false,
     doneTasks: [],
     answerAt: event.answerAt,
+    spilledTo: null,
+    leftCell: false,
+    leaderlessSinceMs: 0,
   };
   state.callerJobs.set(event.jobId, callerJob);
-  submit(turn, callerJob);
+  const lead = leadFor(state, callerJob);
+  if (lead !== null) submit(turn, callerJob, lead);
 }
 
 /** Names what was handed to the present leader: earlier answers don't count. */
-function submissionIdOf({ name, termsSubmitted }: CallerJob): string {
-  return `${name}.${termsSubmitted}`;
+function submissionIdOf({ name, submissions }: CallerJob): string {
+  return `${name}.${submissions}`;
 }
 
-/** Gives a job to the leader, if one is known. */
-function submit(turn: Turn, callerJob: CallerJob): void {
+/** Whether a job is at a leader already, in its present term. */
+function isWith({ submittedTo, submittedTerm }: CallerJob, lead: Lead) {
+  return submittedTo === lead.instanceId && submittedTerm === lead.term;
+}
+
+/** Gives a job to a leader, which may know it already. */
+function submit(turn: Turn, callerJob: CallerJob, lead: Lead): void {
   const { state } = turn;
-  if (state.leaderId === null) return;
-  if (callerJob.submittedTerm !== state.leaderTerm) {
-    callerJob.submittedTerm = state.leaderTerm;
-    callerJob.termsSubmitted += 1;
+  if (!isWith(callerJob, lead)) {
+    callerJob.mayHaveBegun ||= callerJob.submittedTo !== null;
+    leaveFormer(turn, callerJob, lead);
+    noteReturn(state, callerJob, lead);
+    callerJob.submittedTo = lead.instanceId;
+    callerJob.submittedTerm = lead.term;
+    callerJob.submissions += 1;
   }
-  sendPeer(turn, state.leaderId, {
+  sendPeer(turn, lead.instanceId, {
     type: "submit",
     jobId: callerJob.jobId,
     submissionId: submissionIdOf(callerJob),
@@ -75,16 +90,47 @@
     availabilityZone: state.self.availabilityZone,
     ageMs: Math.round(state.nowMs - callerJob.receivedAtMs),
     timeLeftMs: Math.round(callerJob.deadlineAtMs - state.nowMs),
-    resubmitted: callerJob.termsSubmitted > 1,
+    resubmitted: callerJob.mayHaveBegun,
+    leftCell: callerJob.leftCell,
     answerAt: callerJob.answerAt,
     doneTasks: [...callerJob.doneTasks],
   });
 }
 
-/** Gives every job to the leader, which may know some of them already. */
-export function resubmitAll(turn: Turn): void {
-  for (const callerJob of turn.state.callerJobs.values()) {
-    submit(turn, callerJob);
+/** A leader that lost a job, and is still there, stops what runs of it. */
+function leaveFormer(turn: Turn, callerJob: CallerJob, lead: Lead): void {
+  const { jobId, submittedTo, job } = callerJob;
+  if (submittedTo === null || submittedTo === lead.instanceId) return;
+  if (job.isRecorded === true) return;
+  sendPeer(turn, submittedTo, { type: "withdraw", jobId });
+}
+
+/** A job that comes back from another cell may have begun there. */
+function noteReturn(
+  state: EngineState,
+  callerJob: CallerJob,
+  lead: Lead,
+): void {
+  const isBack = callerJob.spilledTo !== null &&
+    callerJob.submittedTo !== null &&
+    lead.instanceId === ownLead(state)?.instanceId;
+  if (!isBack) return;
+  callerJob.leftCell = true;
+  callerJob.spilledTo = null;
+}
+
+/**
+ * Gives every job to its leader, which may know some of them already; those of
+ * one leader only, where that is named.
+ */
+export function resubmitAll(turn: Turn, leaderId?: string): void {
+  const { state } = turn;
+  for (const callerJob of state.callerJobs.values()) {
+    const lead = leadFor(state, callerJob);
+    if (lead === null) continue;
+    if (leaderId === undefined || lead.instanceId === leaderId) {
+      submit(turn, callerJob, lead);
+    }
   }
 }
 
@@ -116,8 +162,8 @@
     waitedMs: Math.round(state.nowMs - callerJob.receivedAtMs),
   });
   if (goesOn) return;
-  if (callerJob.termsSubmitted > 0 && state.leaderId !== null) {
-    sendPeer(turn, state.leaderId, { type: "withdraw", jobId });
+  if (callerJob.submittedTo !== null) {
+    sendPeer(turn, callerJob.submittedTo, { type: "withdraw", jobId });
   }
 }
 
@@ -135,19 +181,49 @@
   if (callerJob === undefined) return;
   const isWhole = outcome.kind === "done" || outcome.kind === "failed" ||
     outcome.kind === "cancelled";
-  const isCurrent = from === state.leaderId &&
-    submissionIdOf(callerJob) === submissionId &&
-    callerJob.submittedTerm === state.leaderTerm;
+  const lead = leadFor(state, callerJob);
+  const isCurrent = lead !== null && from === lead.instanceId &&
+    isWith(callerJob, lead) && submissionIdOf(callerJob) === submissionId;
   if (!isWhole && !isCurrent) return;
+  if (outcome.kind === "refused" && spill(turn, callerJob, outcome)) return;
   answer(turn, callerJob, trueOutcome(callerJob, outcome));
 }
 
+/**
+ * Hands a job that its own cell has no room for to another that has. Nothing
+ * of it has run. Returns whether it was handed on.
+ */
+function spill(
+  turn: Turn,
+  callerJob: CallerJob,
+  { reason }: Extract<JobOutcome, { kind: "refused" }>,
+): boolean {
+  const { state } = turn;
+  const { jobId, job, queue, submittedTo } = callerJob;
+  const isFull = reason === "overloaded" || reason === "noWorker";
+  const { spilledTo, mayHaveBegun } = callerJob;
+  if (!isFull || spilledTo !== null || mayHaveBegun) return false;
+  if (job.isRecorded === true) return false;
+  callerJob.spilledTo = roomiestZone(state, queue.service);
+  const lead = leadFor(state, callerJob);
+  const isElsewhere = lead !== null && lead.instanceId !== submittedTo;
+  if (callerJob.spilledTo === null || !isElsewhere) return false;
+  callerJob.submittedTo = null;
+  logDecision(turn, { part: "callers", text: "handed to another cell" }, {
+    jobId,
+    leaderId: lead.instanceId,
+    waitedMs: Math.round(state.nowMs - callerJob.receivedAtMs),
+  });
+  submit(turn, callerJob, lead);
+  return true;
+}
+
 /** A leader that had a job before may keep a record of it yet. */
 function trueOutcome(
-  { job, termsSubmitted }: CallerJob,
+  { job, mayHaveBegun }: CallerJob,
   outcome: JobOutcome,
 ): JobOutcome {
-  const kept = job.isRecorded === true && termsSubmitted > 1;
+  const kept = job.isRecorded === true && mayHaveBegun;
   if (outcome.kind !== "refused" || !kept) return outcome;
   return { kind: "unknown", reason: "leaderLost" };
 }
@@ -209,10 +285,19 @@
 export function checkCallerJobs(turn: Turn): void {
   const { state } = turn;
   for (const callerJob of state.callerJobs.values()) {
-    if (state.leaderId !== null) {
-      if (callerJob.submittedTerm !== state.leaderTerm) submit(turn, callerJob);
+    const lead = leadFor(state, callerJob);
+    if (lead !== null) {
+      callerJob.leaderlessSinceMs = 0;
+      if (!isWith(callerJob, lead)) submit(turn, callerJob, lead);
       continue;
     }
+    if (callerJob.leaderlessSinceMs === 0) {
+      const { leaderlessSinceMs } = state;
+      callerJob.leaderlessSinceMs = Math.max(
+        callerJob.receivedAtMs,
+        leaderlessSinceMs,
+      );
+    }
     const outcome = giveUpOutcome(state, callerJob);
     if (outcome !== null) answer(turn, callerJob, outcome);
   }
@@ -222,9 +307,8 @@
   state: EngineState,
   callerJob: CallerJob,
 ): JobOutcome | null {
-  const waitedMs = state.nowMs -
-    Math.max(callerJob.receivedAtMs, state.leaderlessSinceMs);
-  if (callerJob.termsSubmitted > 0) {
+  const waitedMs = state.nowMs - callerJob.leaderlessSinceMs;
+  if (callerJob.submissions > 0) {
     return waitedMs < LOST_LEADER_WAIT_MS
       ? null
       : { kind: "unknown", reason: "leaderLost" };
--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -30,6 +30,7 @@
     ageMs: 0,
     timeLeftMs: 6_000,
     resubmitted: false,
+    leftCell: false,
     answerAt: "ended",
     doneTasks: [],
     ...fields,
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -14,6 +14,7 @@
   /** A former leader had it, and may have begun any task that is not done. */
   readonly isResumed: boolean;
   readonly formerRunsLapseAtMs: number;
+  readonly leftCell?: boolean;
   readonly doneTasks?: readonly string[];
   readonly record: RecordState | null;
   readonly isSurplus: boolean;
@@ -38,6 +39,8 @@
     unfinished: tasks.filter((task) => task.state !== "done").length,
     begun: options.isResumed,
     formerRunsLapseAtMs: options.formerRunsLapseAtMs,
+    submittedAtMs: options.isResumed ? state.nowMs : -Infinity,
+    leftCell: options.leftCell ?? false,
     paused: false,
     outcome: null,
     endedAtMs: 0,
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -1,8 +1,15 @@
 /** The other instances: who is known, who is heard, what they say. */
 
+import { cellPeers, isOfCell } from "./cells.ts";
 import type { InstanceInfo, PeerMessageOf } from "./schemas.ts";
 import { emit, logDecision, sendPeer } from "./turn.ts";
-import type { EngineEventOf, EngineState, Peer, Turn } from "./types.ts";
+import type {
+  EngineEventOf,
+  EngineState,
+  Peer,
+  Scheduler,
+  Turn,
+} from "./types.ts";
 
 /** Period of heartbeats from and to the leader; three make a silence. */
 export const LEADER_HEARTBEAT_MS = 150;
@@ -24,20 +31,26 @@
 }
 
 /** The peers that are heard from now. */
-export function livePeers(state: EngineState): Peer[] {
+function livePeers(state: EngineState): Peer[] {
   return [...state.peers.values()].filter((peer) => isLive(state, peer));
 }
 
+/** The peers with the same leader that are heard from now. */
+export function liveCellPeers(state: EngineState): Peer[] {
+  return cellPeers(state).filter((peer) => isLive(state, peer));
+}
+
 /**
- * How many instances are heard from, and how many should be: a process that is
- * known to have ended, or that was silent for long, is not expected.
+ * How many instances of the cell are heard from, and how many should be: a
+ * process that is known to have ended, or that was silent for long, is not
+ * expected.
  */
 export function countInstances(
   state: EngineState,
 ): { visible: number; expected: number } {
   let visible = 1;
   let expected = 1;
-  for (const peer of state.peers.values()) {
+  for (const peer of cellPeers(state)) {
     if (isLive(state, peer)) {
       visible += 1;
       expected += 1;
@@ -48,15 +61,15 @@
   return { visible, expected };
 }
 
-/** Whether more than half of the expected instances are heard from. */
+/** Whether more than half of the cell's expected instances are heard from. */
 export function seesMajority(state: EngineState): boolean {
   const { visible, expected } = countInstances(state);
   return visible * 2 > expected;
 }
 
-/** Whether an instance that is not known to have ended is not heard. */
+/** Whether an instance of the cell is not heard, nor known to have ended. */
 export function hasMissingPeers(state: EngineState): boolean {
-  for (const peer of state.peers.values()) {
+  for (const peer of cellPeers(state)) {
     if (peer.refusedAtMs > peer.lastHeardMs) continue;
     if (state.nowMs - peer.lastHeardMs > MISSING_AFTER_MS) return true;
   }
@@ -97,6 +110,9 @@
     isLeader: false,
     leaderId: null,
     provisional: false,
+    hasZoneCells: false,
+    holdsRecords: false,
+    waitMsByService: {},
     term: 0,
     workersAgeMs: Infinity,
     configurationVersion: -1,
@@ -194,7 +210,16 @@
   peer.term = message.term;
   peer.workersAgeMs = message.workersAgeMs;
   peer.configurationVersion = message.configurationVersion;
-  if (message.isLeader) state.recordsExist = message.recordsExist;
+  peer.hasZoneCells = message.hasZoneCells;
+  if (message.workersAgeMs < workersAgeMs(state)) {
+    state.hasZoneCells = message.hasZoneCells;
+  }
+  peer.holdsRecords = message.holdsRecords;
+  peer.waitMsByService = message.waitMsByService;
+  if (message.holdsRecords) {
+    state.recordsExist = message.recordsExist;
+    state.recordsZone = peer.info.availabilityZone;
+  }
   state.maxTermSeen = Math.max(state.maxTermSeen, message.maxTermSeen);
   const version = state.configuration?.version ?? -1;
   if (message.configurationVersion > version) {
@@ -205,9 +230,12 @@
 /** Sends a heartbeat at once. */
 export function sendHeartbeat(turn: Turn, peer: Peer): void {
   const { state } = turn;
-  const isLeader = state.scheduler !== null;
-  const fast = isLeader || peer.info.instanceId === state.leaderId ||
-    state.leaderId === null;
+  const { scheduler } = state;
+  const isLeader = scheduler !== null;
+  const fast = isOfCell(state, peer.info)
+    ? isLeader || peer.info.instanceId === state.leaderId ||
+      state.leaderId === null
+    : isLeader || peer.isLeader;
   peer.nextHeartbeatMs = state.nowMs +
     (fast ? LEADER_HEARTBEAT_MS : FOLLOWER_HEARTBEAT_MS);
   if (!peer.connected) return;
@@ -217,16 +245,23 @@
     sentAtMs: Math.round(state.nowMs),
     draining: state.draining,
     isLeader,
-    provisional: state.scheduler?.provisional ?? false,
+    provisional: scheduler?.provisional ?? false,
     term: state.leaderTerm,
     leaderId: state.leaderId,
     maxTermSeen: state.maxTermSeen,
     workersAgeMs: workersAgeMs(state),
     configurationVersion: state.configuration?.version ?? -1,
     recordsExist: state.recordsExist,
+    hasZoneCells: state.hasZoneCells,
+    holdsRecords: scheduler?.records.phase === "open",
+    waitMsByService: scheduler === null ? {} : waitsOf(scheduler),
   });
 }
 
+function waitsOf({ waitMsByService }: Scheduler): Record<string, number> {
+  return Object.fromEntries(waitMsByService);
+}
+
 /** How old this instance's list of workers is, bounded for the wire. */
 export function workersAgeMs(state: EngineState): number {
   return Math.min(1e9, Math.round(state.nowMs - state.workersReadAtMs));
--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -6,15 +6,17 @@
  * deposed leader still sends does nothing.
  */
 
+import { cellPeers, cellWorkers, isOfCell } from "./cells.ts";
 import type { InstanceInfo, PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import { resubmitAll } from "./callers.ts";
+import { isLeading } from "./leads.ts";
 import {
   countInstances,
   heartbeatAll,
   isLive,
-  LEADER_SILENT_MS,
-  livePeers,
+  liveCellPeers,
   seesMajority,
+  workersAgeMs,
 } from "./membership.ts";
 import { createRecords } from "./records.ts";
 import { logDecision, sendPeer } from "./turn.ts";
@@ -46,6 +48,9 @@
 const WARM_AFTER_MS = 6_000;
 /** Keeps ages at one number of digits, so that they compare as text. */
 const RANK_OFFSET = 1e13;
+/** Machines are compared in quarters of a core, up to so many. */
+const CORE_STEPS = 4;
+const MAX_RANKED_CORES = 512;
 /** Instances that start together start within so long of each other. */
 const START_TOGETHER_MS = 250;
 /** The next in rank leads if those before it did not by then. */
@@ -87,16 +92,12 @@
   const leader = state.leaderId === null
     ? undefined
     : state.peers.get(state.leaderId);
-  if (leader !== undefined && isLeading(state, leader)) return;
+  const isOwnLeader = leader !== undefined && isOfCell(state, leader.info);
+  if (isOwnLeader && isLeading(state, leader)) return;
   if (state.leaderId !== null) loseLeader(turn);
   if (mayLead(state)) becomeLeader(turn);
 }
 
-function isLeading(state: EngineState, peer: Peer): boolean {
-  return peer.isLeader && isLive(state, peer) &&
-    state.nowMs - peer.lastHeardMs < LEADER_SILENT_MS;
-}
-
 /** A claim to lead: its term, and whether most instances were heard. */
 interface Claim {
   readonly term: number;
@@ -112,7 +113,7 @@
 function followHighestLeader(turn: Turn): void {
   const { state } = turn;
   let best: Peer | null = null;
-  for (const peer of state.peers.values()) {
+  for (const peer of cellPeers(state)) {
     if (!isLeading(state, peer)) continue;
     if (best === null || outranks(peer, best)) best = peer;
   }
@@ -194,10 +195,11 @@
 
 /** Whether a peer that is heard now follows a leader that may be alive. */
 function othersHearLeader(state: EngineState): boolean {
-  for (const peer of livePeers(state)) {
+  for (const peer of liveCellPeers(state)) {
     const { leaderId } = peer;
     if (leaderId === null || leaderId === state.self.instanceId) continue;
     const leader = state.peers.get(leaderId);
+    if (leader !== undefined && !isOfCell(state, leader.info)) continue;
     const ended = leader !== undefined &&
       leader.refusedAtMs > leader.lastHeardMs;
     if (!ended) return true;
@@ -206,7 +208,7 @@
 }
 
 function everyPeerAnswered(state: EngineState): boolean {
-  const peers = [...state.peers.values()];
+  const peers = cellPeers(state);
   return peers.length > 0 &&
     peers.every((peer) => peer.lastHeardMs > 0 || peer.refusedAtMs > 0);
 }
@@ -216,7 +218,7 @@
   const selfRank = rankKey(state, state.self, state.draining);
   const starting = state.nowMs - state.bornAtMs < YOUNG_MS &&
     state.nowMs - state.candidateSinceMs < START_TOGETHER_MS;
-  return [...state.peers.values()].filter((peer) =>
+  return cellPeers(state).filter((peer) =>
     (isLive(state, peer) || (starting && peer.refusedAtMs > 0)) &&
     peerRank(state, peer) < selfRank
   ).length;
@@ -227,18 +229,23 @@
 }
 
 /**
- * The order in which instances lead: not those that drain, nor those that just
- * started and run cold code; then the youngest, which a rolling restart that
- * is under way has behind it.
+ * The order in which instances lead: not those that drain; those on the larger
+ * machines; not those that just started and run cold code; then the youngest,
+ * which a rolling restart that is under way has behind it.
  */
 function rankKey(
   { wallMs }: EngineState,
-  { instanceId, bornMs }: InstanceInfo,
+  { instanceId, bornMs, cpuCores = 1 }: InstanceInfo,
   draining: boolean,
 ): string {
   const cold = wallMs - bornMs < WARM_AFTER_MS;
   const age = String(Math.max(0, wallMs - bornMs) + RANK_OFFSET).slice(-12);
-  return `${draining ? 1 : 0}${cold ? 1 : 0}${age}${instanceId}`;
+  const small = Math.max(
+    0,
+    MAX_RANKED_CORES - Math.round(CORE_STEPS * cpuCores),
+  );
+  const size = String(small).padStart(3, "0");
+  return `${draining ? 1 : 0}${size}${cold ? 1 : 0}${age}${instanceId}`;
 }
 
 /** Starts to lead: in a new term, with no worker taken yet. */
@@ -259,9 +266,23 @@
     leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
   });
   heartbeatAll(turn);
+  shareWorkers(turn);
   resubmitAll(turn);
 }
 
+/** Whoever leads next has the list also while the store is away. */
+function shareWorkers(turn: Turn): void {
+  const { state } = turn;
+  for (const peer of liveCellPeers(state)) {
+    if (peer.workersAgeMs <= workersAgeMs(state)) continue;
+    sendPeer(turn, peer.info.instanceId, {
+      type: "workers",
+      ageMs: workersAgeMs(state),
+      workers: [...state.workers.values()],
+    });
+  }
+}
+
 function createScheduler(state: EngineState, term: number): Scheduler {
   return {
     term,
@@ -272,7 +293,10 @@
     waiting: new Map(),
     workers: new Map(),
     ended: [],
-    records: createRecords(),
+    records: createRecords(term),
+    rereadAtMs: -Infinity,
+    rereadWanted: false,
+    waitMsByService: new Map(),
     shares: new Map(),
     sharesSampledAtMs: state.nowMs,
   };
@@ -316,7 +340,7 @@
   const { state } = turn;
   const { scheduler } = state;
   if (scheduler === null) return;
-  const successor = livePeers(state)
+  const successor = liveCellPeers(state)
     .filter((peer) => !peer.draining && peer.configurationVersion >= 0)
     .sort((a, b) => peerRank(state, a) < peerRank(state, b) ? -1 : 1)[0];
   if (successor === undefined) return;
@@ -385,7 +409,7 @@
  * sides of a cut that reach the same workers divide them.
  */
 export function workersOfSide(state: EngineState): WorkerInfo[] {
-  const workers = [...state.workers.values()];
+  const workers = cellWorkers(state);
   if (seesMajority(state)) return withinLead(state, workers);
   const { visible, expected } = countInstances(state);
   const share = Math.ceil(workers.length * visible / expected);
--- a/src/engine/place.ts
+++ b/src/engine/place.ts
@@ -4,6 +4,7 @@
  * where it fits and leaves the least room unused, faster workers first.
  */
 
+import { cellWorkers } from "./cells.ts";
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
 import type {
@@ -50,9 +51,12 @@
 ): boolean {
   const { nowMs, guards } = state;
   if (!guards.mayRunElsewhere(nowMs, job.formerRunsLapseAtMs)) return false;
-  if (state.vanishedAtMs.size > 0) return true;
-  for (const workerId of state.workers.keys()) {
-    if (scheduler.workers.get(workerId)?.phase !== "ready") return true;
+  if (job.leftCell || state.vanishedAtMs.size > 0) return true;
+  for (const { workerId } of cellWorkers(state)) {
+    const worker = scheduler.workers.get(workerId);
+    if (worker?.phase !== "ready") return true;
+    // Another leader may have taken it, and started tasks, since it was read.
+    if (worker.readAtMs < job.submittedAtMs) return true;
   }
   return false;
 }
--- a/src/engine/questions.ts
+++ b/src/engine/questions.ts
@@ -2,6 +2,7 @@
 
 import { hasStarted } from "./job_state.ts";
 import { cancelJob } from "./jobs.ts";
+import { recordsLead } from "./leads.ts";
 import type { PeerMessageOf, Question, Reply } from "./schemas.ts";
 import { emit, logDecision, sendPeer } from "./turn.ts";
 import type {
@@ -26,6 +27,7 @@
     requestId,
     question,
     askedAtMs: nowMs,
+    askedId: null,
     askedTerm: 0,
   };
   turn.state.questions.set(requestId, open);
@@ -33,10 +35,12 @@
 }
 
 function askLeader(turn: Turn, open: OpenQuestion): void {
-  const { state } = turn;
-  if (state.leaderId === null || open.askedTerm === state.leaderTerm) return;
-  open.askedTerm = state.leaderTerm;
-  sendPeer(turn, state.leaderId, {
+  const lead = recordsLead(turn.state);
+  if (lead === null) return;
+  if (open.askedId === lead.instanceId && open.askedTerm === lead.term) return;
+  open.askedId = lead.instanceId;
+  open.askedTerm = lead.term;
+  sendPeer(turn, lead.instanceId, {
     type: "question",
     questionId: open.requestId,
     question: open.question,
--- a/src/engine/recording.ts
+++ b/src/engine/recording.ts
@@ -7,9 +7,10 @@
 
 import { createJob, openSteps } from "./job_state.ts";
 import { beginJob, settleTaskEnds, stopRunsOf, tellEnded } from "./jobs.ts";
+import { recordsLead } from "./leads.ts";
 import { longestLeaseMs } from "./leases.ts";
 import { hasMissingPeers, seesMajority } from "./membership.ts";
-import { stepDown } from "./ownership.ts";
+import { nextTerm } from "./ownership.ts";
 import { dequeue } from "./queue.ts";
 import {
   createRecords,
@@ -55,8 +56,9 @@
   const { records } = scheduler;
   if (records.phase === "closed") {
     if (state.nowMs < records.retryAtMs || !seesMajority(state)) return;
+    if (recordsLead(state)?.instanceId !== state.self.instanceId) return;
     records.phase = "opening";
-    emit(turn, { type: "openRecords", term: scheduler.term });
+    emit(turn, { type: "openRecords", term: records.term });
     return;
   }
   if (records.phase === "open") confirmHold(turn, scheduler);
@@ -100,9 +102,10 @@
     records.phase = "open";
     records.awaySinceMs = 0;
     records.confirmedAtMs = state.nowMs;
+    state.recordsZone = state.self.availabilityZone;
     state.recordsExist = stored.length > 0 || records.dirty.size > 0;
     logDecision(turn, { part: "records", text: "records taken over" }, {
-      term: scheduler.term,
+      term: scheduler.records.term,
       records: stored.length,
     });
     const jobs = stored.map((one) => adoptRecord(turn, scheduler, one));
@@ -111,21 +114,22 @@
       takeOrphanEnds(turn, worker);
     }
     settleTaskEnds(turn);
+    scheduler.rereadWanted = true;
     for (const job of jobs) {
       if (job !== null && job.outcome === null) beginJob(turn, job);
     }
   },
-  outranked: (turn, { records, term: ownTerm }, { term }) => {
+  outranked: (turn, { records }, { term }) => {
     const { state } = turn;
-    records.phase = "closed";
-    records.retryAtMs = state.nowMs + RETRY_OUTRANKED_MS;
-    state.maxTermSeen = Math.max(state.maxTermSeen, term);
     logDecision(turn, {
       level: "warn",
       part: "records",
-      text: "a higher term holds the records",
-    }, { term, ownTerm });
-    if (seesMajority(state)) stepDown(turn, "a higher term holds the records");
+      text: "a higher term held the records",
+    }, { term, ownTerm: records.term });
+    // Whoever held them is not heard as their holder any more.
+    records.phase = "closed";
+    state.maxTermSeen = Math.max(state.maxTermSeen, term);
+    records.term = nextTerm(state);
   },
   unavailable: ({ state }, { records }) => {
     records.phase = "closed";
@@ -140,7 +144,7 @@
   { outcome, term }: EngineEventOf<"recordsOpened">,
 ): void {
   const { scheduler } = turn.state;
-  if (scheduler === null || scheduler.term !== term) return;
+  if (scheduler === null || scheduler.records.term !== term) return;
   if (scheduler.records.phase !== "opening") return;
   const handler = openHandlers[outcome.kind] as (
     turn: Turn,
@@ -226,6 +230,8 @@
     // The leader before renews until it knows that it lost the records.
     formerRunsLapseAtMs: state.nowMs + CONFIRM_WITHIN_MS + state.stopMs +
       longestLeaseMs(state),
+    // A leader of another cell may have had the records.
+    leftCell: state.hasZoneCells,
     record,
     isSurplus: false,
   });
@@ -381,7 +387,7 @@
     level: "warn",
     part: "records",
     text: "the records are another leader's",
-  }, { reason, jobs: jobs.length, term: scheduler.term });
+  }, { reason, jobs: jobs.length, term: scheduler.records.term });
   for (const job of jobs) {
     dequeue(scheduler, job);
     stopRunsOf(turn, scheduler, job);
@@ -391,7 +397,7 @@
     tellEnded(turn, job, job.outcome);
   }
   scheduler.records = {
-    ...createRecords(),
+    ...createRecords(nextTerm(state)),
     retryAtMs: state.nowMs + RETRY_OUTRANKED_MS,
   };
   for (const worker of scheduler.workers.values()) {
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -31,8 +31,9 @@
 export const RETRY_WRITE_MS = 120;
 
 /** The records of a leader that has just begun. */
-export function createRecords(): Records {
+export function createRecords(term: number): Records {
   return {
+    term,
     phase: "closed",
     retryAtMs: 0,
     awaySinceMs: 0,
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -11,6 +11,7 @@
   onJobEnded,
   resubmitAll,
 } from "./callers.ts";
+import { noteWaits } from "./admit.ts";
 import { adoptConfiguration, onConfigurationWanted } from "./configuration.ts";
 import { defaultGuards } from "./guards.ts";
 import { checkJobs } from "./job_watch.ts";
@@ -58,7 +59,12 @@
   Guards,
   Turn,
 } from "./types.ts";
-import { checkWorkers, onHoldEnded, syncWorkers } from "./workers.ts";
+import {
+  checkWorkers,
+  onHoldEnded,
+  rereadForJobs,
+  syncWorkers,
+} from "./workers.ts";
 import {
   onPeerWorkers,
   onWorkersRead,
@@ -108,12 +114,15 @@
     maxTermSeen: 0,
     draining: false,
     workers: new Map(),
+    hasZoneCells: false,
+    zoneListedAtMs: new Map(),
     vanishedAtMs: new Map(),
     workersReadAtMs: -Infinity,
     workersUnreadSinceMs: 0,
     listReturnedAtMs: -Infinity,
     callerJobs: new Map(),
     questions: new Map(),
+    recordsZone: null,
     recordsExist: true,
     guards: { ...defaultGuards, ...options.guards },
     runTimes: new Map(),
@@ -251,7 +260,7 @@
 /** A peer that connected may lack what was sent while it was away. */
 function welcomePeer(turn: Turn, instanceId: string): void {
   const { state } = turn;
-  if (instanceId === state.leaderId) resubmitAll(turn);
+  resubmitAll(turn, instanceId);
   if (state.scheduler === null || state.workers.size === 0) return;
   sendPeer(turn, instanceId, {
     type: "workers",
@@ -270,8 +279,10 @@
   if (scheduler !== null) {
     syncWorkers(turn, scheduler);
     checkRecords(turn, scheduler);
+    rereadForJobs(turn, scheduler);
     checkWorkers(turn, scheduler);
     sampleShares(scheduler, state.nowMs);
+    noteWaits(state, scheduler);
     settleTaskEnds(turn);
     checkJobs(turn, scheduler);
     for (const service of scheduler.waiting.keys()) placeWaiting(turn, service);
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -3,6 +3,7 @@
 import { assert } from "./debug.ts";
 import { expectedTaskMs, learnTaskMs } from "./estimating.ts";
 import { isBarred } from "./job_state.ts";
+import { recordsLead } from "./leads.ts";
 import { leaseEndsOnWorkerMs } from "./leases.ts";
 import { holdEnd } from "./records.ts";
 import { emit, logDecision } from "./turn.ts";
@@ -161,13 +162,13 @@
   worker: OwnedWorker,
   row: FinishedRow,
 ): void {
-  const { scheduler, recordsExist, guards } = turn.state;
+  const { scheduler, guards } = turn.state;
   if (scheduler === null) return;
   const run = worker.runs.get(runKey(row.taskName, row.run));
   const job = run?.job ?? findTask(turn.state, row.taskName)?.job ?? null;
   const { sequence } = row;
   const { heldEnds } = worker;
-  if (job === null && recordsExist && scheduler.records.phase !== "open") {
+  if (job === null && mayHaveRecord(turn.state, scheduler)) {
     heldEnds.add(sequence);
     worker.orphanEnds.push(row);
   }
@@ -176,6 +177,15 @@
   holdEnd(scheduler, job.record, { job, end: { heldEnds, sequence } });
 }
 
+/** Whether a job that is not known here may have a record to be read yet. */
+export function mayHaveRecord(
+  state: EngineState,
+  { records }: Scheduler,
+): boolean {
+  return state.recordsExist && records.phase !== "open" &&
+    recordsLead(state)?.instanceId === state.self.instanceId;
+}
+
 /** Takes in the ends that came before the records were read. */
 export function takeOrphanEnds(turn: Turn, worker: OwnedWorker): void {
   const rows = worker.orphanEnds;
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -11,6 +11,8 @@
   address: z.string(),
   /** Unix milliseconds of the start of this life. */
   bornMs: z.number(),
+  /** The processor share of its machine, in cores; 1 where not told. */
+  cpuCores: z.number().positive().optional(),
 });
 
 /** One worker, as the platform or a stand-in lists it. */
@@ -122,6 +124,12 @@
   configurationVersion: z.number(),
   /** Jobs with records may exist: no leader has found that there are none. */
   recordsExist: z.boolean(),
+  /** By the sender's list of workers, each zone has a leader of its own. */
+  hasZoneCells: z.boolean(),
+  /** The sender leads, and has the records of all jobs. */
+  holdsRecords: z.boolean(),
+  /** At a leader, how long work of each service would wait, in milliseconds. */
+  waitMsByService: z.record(z.string(), z.number()),
 });
 
 const helloSchema = z.object({
@@ -142,6 +150,8 @@
   timeLeftMs: z.number(),
   /** A leader of another term had the job. */
   resubmitted: z.boolean(),
+  /** A leader of another cell may have begun it, on workers not held here. */
+  leftCell: z.boolean(),
   /** Whether its callers wait for the end, or until its record is kept. */
   answerAt: z.enum(["ended", "accepted"]),
   doneTasks: z.array(z.string()),
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -17,6 +17,7 @@
   Scheduler,
   Turn,
 } from "./types.ts";
+import { rereadForJobs } from "./workers.ts";
 
 /** Jobs to be recorded are refused once the store was away for so long. */
 export const STORE_AWAY_MS = 300;
@@ -32,7 +33,7 @@
   if (scheduler === null) return;
   const known = scheduler.jobs.get(message.jobId);
   if (known !== undefined && !isNewAttempt(known, from, message)) {
-    joinJob(turn, known, { from, message });
+    joinJob(turn, scheduler, { job: known, from, message });
     return;
   }
   const job = takeJob(state, scheduler, { message, known });
@@ -53,6 +54,10 @@
     state.recordsExist = true;
     markDirty(scheduler, job);
   }
+  if (message.resubmitted && job.formerRunsLapseAtMs > state.nowMs) {
+    scheduler.rereadWanted = true;
+    rereadForJobs(turn, scheduler);
+  }
   beginJob(turn, job);
 }
 
@@ -79,6 +84,7 @@
     formerRunsLapseAtMs: isRecorded
       ? 0
       : formerRunsLapseAtMs(state, scheduler, message),
+    leftCell: message.leftCell,
     doneTasks: message.doneTasks,
     record: isRecorded ? recordFor(state, known) : null,
     isSurplus: isSurplus(scheduler, queue.name),
@@ -165,8 +171,8 @@
 
 function joinJob(
   turn: Turn,
-  job: Job,
-  { from, message }: { from: string; message: Submit },
+  scheduler: Scheduler,
+  { job, from, message }: { job: Job; from: string; message: Submit },
 ): void {
   const { jobId, record } = job;
   const { submissionId } = message;
@@ -186,6 +192,8 @@
   }
   if (message.resubmitted) {
     job.begun = true;
+    job.submittedAtMs = turn.state.nowMs;
+    scheduler.rereadWanted = true;
     job.formerRunsLapseAtMs = turn.state.nowMs + longestLeaseMs(turn.state);
   }
   const deadlineAtMs = turn.state.nowMs + message.timeLeftMs;
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -168,6 +168,9 @@
     maxTermSeen: 0,
     workersAgeMs: 0,
     recordsExist: false,
+    hasZoneCells: false,
+    holdsRecords: false,
+    waitMsByService: {},
     configurationVersion: 1,
     ...fields,
   };
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -283,6 +283,10 @@
   leaderId: string | null;
   provisional: boolean;
   term: number;
+  hasZoneCells: boolean;
+  holdsRecords: boolean;
+  /** At a leader, how long work of each service would wait there. */
+  waitMsByService: Readonly<Record<string, number>>;
   /** How old the peer's list of workers is. */
   workersAgeMs: number;
   configurationVersion: number;
@@ -299,13 +303,22 @@
   readonly receivedAtMs: number;
   readonly deadlineAtMs: number;
   readonly requestIds: string[];
-  /** The term of the leader that was given the job last; 0 for none yet. */
+  /** The leader that was given the job last, and its term; 0 for none yet. */
+  submittedTo: string | null;
   submittedTerm: number;
-  /** Leaders of so many terms were given the job: they may have begun it. */
-  termsSubmitted: number;
+  /** How many times leaders were given the job. */
+  submissions: number;
+  /** A leader before the present one may have begun it. */
+  mayHaveBegun: boolean;
   /** Tasks that a former leader reported as done. */
   doneTasks: readonly string[];
   answerAt: AnswerAt;
+  /** The zone of the cell that it was handed to after its own refused it. */
+  spilledTo: string | null;
+  /** It came back from there: it may have begun there. */
+  leftCell: boolean;
+  /** Since when no leader is known that could take it; 0 while one is. */
+  leaderlessSinceMs: number;
 }
 
 /** A question of a caller that waits for the leader's reply. */
@@ -313,7 +326,8 @@
   readonly requestId: string;
   readonly question: Question;
   readonly askedAtMs: number;
-  /** The term of the leader that was asked last; 0 for none yet. */
+  /** The leader that was asked last, and its term; 0 for none yet. */
+  askedId: string | null;
   askedTerm: number;
 }
 
@@ -389,6 +403,10 @@
    * were not read; 0 where no former leader can have had the job.
    */
   formerRunsLapseAtMs: number;
+  /** When this leader was given it last: lists read before don't count. */
+  submittedAtMs: number;
+  /** Its former runs may be on workers of another cell. */
+  leftCell: boolean;
   /** Its entries are silent: nothing more of it starts. */
   paused: boolean;
   outcome: JobOutcome | null;
@@ -441,6 +459,8 @@
   forgottenEnd: number;
   holdCallId: number;
   holdSentAtMs: number;
+  /** When the call was sent whose answer showed its lists last. */
+  readAtMs: number;
   holdFailures: number;
   nextHoldMs: number;
   /** By then, whatever this instance granted has lapsed. */
@@ -473,6 +493,11 @@
   readonly workers: Map<string, OwnedWorker>;
   readonly ended: Job[];
   records: Records;
+  /** When workers were read anew for jobs that a former leader had. */
+  rereadAtMs: number;
+  rereadWanted: boolean;
+  /** How long work of each service would wait, as peers are told. */
+  readonly waitMsByService: Map<string, number>;
   /** What each queue usually brings and uses. */
   readonly shares: Map<string, Share>;
   sharesSampledAtMs: number;
@@ -493,6 +518,8 @@
 
 /** The records of jobs, as far as this leader has them. */
 export interface Records {
+  /** The term under which they are held; unlike that of any other holder. */
+  term: number;
   phase: "closed" | "opening" | "open";
   /** When opening them is tried again. */
   retryAtMs: number;
@@ -574,6 +601,10 @@
   maxTermSeen: number;
   draining: boolean;
   workers: Map<string, WorkerInfo>;
+  /** Each availability zone has a leader of its own. */
+  hasZoneCells: boolean;
+  /** When each zone had a worker in the list, last. */
+  readonly zoneListedAtMs: Map<string, number>;
   /** When workers left the list without having drained. */
   readonly vanishedAtMs: Map<string, number>;
   workersReadAtMs: number;
@@ -582,6 +613,8 @@
   listReturnedAtMs: number;
   readonly callerJobs: Map<string, CallerJob>;
   readonly questions: Map<string, OpenQuestion>;
+  /** The zone whose leader had the records last, as far as was heard. */
+  recordsZone: string | null;
   /** Jobs with records may exist: no leader has found that there are none. */
   recordsExist: boolean;
   readonly guards: Guards;
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -1,5 +1,6 @@
 /** The list of workers: read from the store, or passed on by peers. */
 
+import { cellPeers, chooseCells } from "./cells.ts";
 import { workersAgeMs } from "./membership.ts";
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import { logDecision, sendPeer } from "./turn.ts";
@@ -20,7 +21,7 @@
   const { state } = turn;
   const changed = adoptWorkers(turn, { workers: event.workers, ageMs: 0 });
   if (!changed) return;
-  for (const peer of state.peers.values()) {
+  for (const peer of cellPeers(state)) {
     sendPeer(turn, peer.info.instanceId, {
       type: "workers",
       ageMs: 0,
@@ -53,6 +54,9 @@
   noteListReturned(state);
   state.workersReadAtMs = state.nowMs - ageMs;
   const next = new Map(workers.map((worker) => [worker.workerId, worker]));
+  for (const { availabilityZone } of workers) {
+    state.zoneListedAtMs.set(availabilityZone, state.workersReadAtMs);
+  }
   keepMissing(state, next);
   const changed = !sameWorkers(state.workers, next);
   if (!changed) return false;
@@ -68,9 +72,22 @@
   }
   noteVanished(state, next);
   state.workers = next;
+  chooseAgain(turn);
   return true;
 }
 
+/** Whether each zone has a leader depends on the number of workers. */
+function chooseAgain(turn: Turn): void {
+  const { state } = turn;
+  const hasZoneCells = chooseCells(state);
+  if (hasZoneCells === state.hasZoneCells) return;
+  state.hasZoneCells = hasZoneCells;
+  logDecision(turn, { part: "leader", text: "cells have changed" }, {
+    hasZoneCells,
+    workers: state.workers.size,
+  });
+}
+
 /** After an outage of the list, entries that lapsed have time to return. */
 function noteListReturned(state: EngineState): void {
   if (state.workersUnreadSinceMs === 0) return;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -7,7 +7,14 @@
 import { hasMissingPeers, seesMajority } from "./membership.ts";
 import { leaseEndsOnWorkerMs, longestLeaseMs } from "./leases.ts";
 import { FENCES_PER_TERM, firstFence, workersOfSide } from "./ownership.ts";
-import { checkRuns, dropRun, reconcileRuns, stopRun, takeEnd } from "./runs.ts";
+import {
+  checkRuns,
+  dropRun,
+  mayHaveRecord,
+  reconcileRuns,
+  stopRun,
+  takeEnd,
+} from "./runs.ts";
 import { emit, logDecision } from "./turn.ts";
 import type {
   EngineEventOf,
@@ -38,6 +45,8 @@
 const REST_SLACK_MS = 10;
 /** The id of no call. */
 const NO_CALL = 0;
+/** Workers are read anew for jobs of former leaders at most so often. */
+const REREAD_EVERY_MS = 20;
 /** By so many terms the token rises when a worker has seen a higher one. */
 const FENCE_JUMP_TERMS = 512 * 100;
 /** A run of a former leader is claimed by its entry within so long. */
@@ -108,6 +117,7 @@
     forgottenEnd: 0,
     holdCallId: 0,
     holdSentAtMs: 0,
+    readAtMs: -Infinity,
     holdFailures: 0,
     nextHoldMs: state.nowMs,
     leaseLapsesAtMs: 0,
@@ -211,6 +221,7 @@
   const { state } = turn;
   const fresh = worker.phase !== "ready";
   worker.holdFailures = 0;
+  worker.readAtMs = worker.holdSentAtMs;
   worker.clockOffsetMs = outcome.clockMs - state.nowMs;
   noteLife(turn, worker, outcome.bornMs);
   for (const row of outcome.finished) {
@@ -333,6 +344,24 @@
     (worker.holdFailures === 1 ? 0 : RETRY_WORKER_MS);
 }
 
+/**
+ * Reads the workers anew for jobs that a former leader had: one that led beside
+ * this one may have taken some of them and started tasks there.
+ */
+export function rereadForJobs(turn: Turn, scheduler: Scheduler): void {
+  const { state } = turn;
+  const { rereadWanted, rereadAtMs } = scheduler;
+  if (!rereadWanted || state.nowMs - rereadAtMs < REREAD_EVERY_MS) return;
+  scheduler.rereadWanted = false;
+  scheduler.rereadAtMs = state.nowMs;
+  for (const worker of scheduler.workers.values()) {
+    if (worker.phase !== "ready" || worker.released) continue;
+    if (worker.holdSentAtMs >= state.nowMs) continue;
+    const renews = worker.runs.size > 0 && worker.unknownRuns === 0;
+    sendHold(turn, worker, { waitMs: 0, renews });
+  }
+}
+
 /** Looks after every worker: leases, calls that are due, lost workers. */
 export function checkWorkers(turn: Turn, scheduler: Scheduler): void {
   const { state } = turn;
@@ -367,9 +396,9 @@
 }
 
 function stopUnclaimedRuns(turn: Turn, worker: OwnedWorker): void {
-  const { scheduler, recordsExist } = turn.state;
+  const { scheduler } = turn.state;
   // A record that was not read yet may claim them.
-  if (recordsExist && scheduler?.records.phase !== "open") return;
+  if (scheduler === null || mayHaveRecord(turn.state, scheduler)) return;
   for (const run of worker.runs.values()) {
     if (run.job !== null) continue;
     if (turn.state.nowMs - run.placedAtMs < ADOPTION_MS) continue;
