--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -43,8 +43,9 @@
   );
   const whole = tasks.length === job.tasks.length &&
     tasks.every(({ end, result }) => end === "done" && result !== undefined);
-  const refused = body.ran === "no" ? "refused" : "unknown";
-  const state = body.state ?? refused;
+  const told = body.ran === "no" ? "refused" : "unknown";
+  const ended = body.error === "taskFailed" ? "failed" : told;
+  const state = body.state ?? ended;
   const half = state === "complete" && !whole;
   return { state, crossed, half, error: body.error ?? "" };
 }
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -36,7 +36,7 @@
 async function main(): Promise<void> {
   const tally = createTally();
   const portBase = 20_000 + (process.pid % 25) * 400;
-  say("starting the platform, upstreams of three zones and seven instances");
+  say("starting the store, workers of three zones and seven instances");
   const fleet = await startFleet({ portBase, zoneLatencyMs: 0.5 });
   const caller = createCaller(fleet.balancerPort);
   const workload = createWorkload(SEED, "demo");
@@ -84,7 +84,7 @@
   await Promise.all(running);
   const code = await drained;
   if (code !== 0) tally.requestsCutByDrain += 1;
-  say("every job ended; counting what the upstreams started");
+  say("every job ended; counting what the workers started");
   await countStarts(fleet, tally);
   await countCrossZone(fleet, tally, { jobs, refused });
   await caller.close();
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -28,14 +28,14 @@
   createRecordStore,
   type RecordStore,
 } from "../src/instance/record_store.ts";
-import { createFakeStore } from "./fake_store.ts";
+import { createFakeStore } from "../src/host/fake_store.ts";
 import { createEventQueue, type EventQueue } from "./event_queue.ts";
 import {
   createFakeWorker,
   type FakeWorker,
   type TrueRun,
   type TrueTask,
-} from "./fake_worker.ts";
+} from "../standins/worker_model.ts";
 
 const TICK_MS = 25;
 const READ_WORKERS_MS = 700;
@@ -213,7 +213,7 @@
           cpuMilli: sizeAt(index).cpuMilli,
           speed: sizeAt(index).slowness,
           leaseMs: LEASE_MS,
-          taskOf: (taskName) => truth.get(taskName),
+          taskOf: ({ taskName }) => truth.get(taskName),
           onStart: checkStart,
           onEnd: (worker, run, end) => {
             if (end === "done") doneTasks.add(run.taskName);
--- a/bench/operators.ts
+++ b/bench/operators.ts
@@ -1,6 +1,6 @@
 /** Operators who change the configuration, and race each other. */
 
-import type { ConfigurationDocument } from "../src/core/schemas.ts";
+import type { ConfigurationDocument } from "../src/entry/schemas.ts";
 import { callControl } from "./control.ts";
 import { type Fleet, type FleetEntry, OPERATOR_KEY } from "./fleet.ts";
 
--- a/src/admin/accept.ts
+++ b/src/admin/accept.ts
@@ -1,18 +1,15 @@
 /** Accepts configuration changes by compare-and-swap on their version. */
 
+import { setTimeout as sleep } from "node:timers/promises";
 import VError from "verror";
 import { z } from "zod";
+import { effectiveConfiguration } from "../entry/configuration.ts";
 import {
   type ConfigurationDocument,
   configurationDocumentSchema,
-} from "../core/schemas.ts";
-import { effectiveConfiguration } from "../core/configuration.ts";
-import {
-  CONFIGURATION_ROW,
-  historyRow,
-  type PlatformHost,
-  type TableRow,
-} from "../host/hosts.ts";
+} from "../entry/schemas.ts";
+import { CONFIGURATION_PLACE } from "../host/store_client.ts";
+import type { StoreHost, StoreRow } from "../instance/hosts.ts";
 
 /** What an operator proposes. */
 export const proposalSchema = configurationDocumentSchema.omit({
@@ -29,10 +26,12 @@
   | { readonly kind: "accepted"; readonly document: ConfigurationDocument }
   | { readonly kind: "conflict"; readonly version: number };
 
-/** How often a row is read again after a write whose answer was lost. */
+/** How often the row is read again after a write whose answer was lost. */
 const RESOLVE_READS = 5;
 /** The pause between those reads. */
 const RESOLVE_PAUSE_MS = 200;
+/** Accepted versions are kept beside the current one, under their number. */
+const { table: TABLE, part: PART, key: CURRENT_KEY } = CONFIGURATION_PLACE;
 
 /** Checks a proposal whole: the base alone, and under each overlay. */
 export function checkProposal(
@@ -62,96 +61,98 @@
   }
 }
 
-/** The accepted document, or null where none was accepted yet. */
-export function documentOfRow(row: TableRow): ConfigurationDocument | null {
-  if (row.version === 0) return null;
+interface StoredDocument {
+  readonly document: ConfigurationDocument;
+  readonly rowVersion: number;
+}
+
+function decode(row: StoreRow): StoredDocument {
   const parsed = configurationDocumentSchema.safeParse(row.value);
-  if (parsed.success) return parsed.data;
-  throw new VError(parsed.error, "the configuration row is malformed");
+  if (parsed.success) {
+    return { document: parsed.data, rowVersion: row.version };
+  }
+  throw new VError(parsed.error, "a configuration row is malformed");
+}
+
+async function readDocuments(
+  store: StoreHost,
+): Promise<Map<string, StoredDocument>> {
+  const rows = await store.readRows({ table: TABLE, part: PART });
+  return new Map(rows.map((row) => [row.key, decode(row)]));
+}
+
+/** The accepted versions that are kept, the newest first. */
+export async function readHistory(
+  store: StoreHost,
+): Promise<ConfigurationDocument[]> {
+  const stored = await readDocuments(store);
+  stored.delete(CURRENT_KEY);
+  return [...stored.values()].map(({ document }) => document)
+    .sort((a, b) => b.version - a.version);
 }
 
 /**
- * Writes a checked proposal. A lost answer is resolved by reading the row and
- * looking for the change's id, never by writing again.
+ * Writes a checked proposal. A lost answer is resolved by reading, looking for
+ * the change's id, never by writing again.
  *
- * @throws {import("../host/platform_client.ts").PlatformError} when the
- * platform does not say what became of it.
+ * @throws {import("../host/store_client.ts").StoreClientError} when the store
+ * does not say what became of it.
  */
 export async function acceptProposal(
-  platform: PlatformHost,
+  store: StoreHost,
   proposal: Proposal,
 ): Promise<Acceptance> {
   const { expectedVersion, changeId, base, overlays } = proposal;
-  const version = expectedVersion + 1;
-  const document = { version, changeId, base, overlays };
+  const document = { version: expectedVersion + 1, changeId, base, overlays };
+  const known = await acceptanceIn(store, document);
+  if (known !== null) return known;
+  const stored = (await readDocuments(store)).get(CURRENT_KEY);
   try {
-    const result = await platform.writeRow(CONFIGURATION_ROW, {
-      value: document,
-      expectedVersion,
+    const result = await store.transact({
+      part: PART,
+      expected: [{
+        table: TABLE,
+        key: CURRENT_KEY,
+        version: stored?.rowVersion ?? 0,
+      }],
+      writes: [CURRENT_KEY, String(document.version)].map((key) => ({
+        table: TABLE,
+        key,
+        value: document,
+      })),
+      removes: [],
     });
-    if (result.kind === "conflict") return onConflict(result.row, document);
+    if (result.kind === "done") return { kind: "accepted", document };
+    return await resolve(store, document, new Error("a row changed"));
   } catch (error) {
-    return await resolveLostAnswer(platform, document, error);
+    return await resolve(store, document, error);
   }
-  await keepHistory(platform, document);
-  return { kind: "accepted", document };
 }
 
-/** A conflict with our own earlier write is that write's success. */
-function onConflict(
-  row: TableRow,
+/** What the store tells of a change; null where it may still be made. */
+async function acceptanceIn(
+  store: StoreHost,
   document: ConfigurationDocument,
-): Acceptance {
-  const current = documentOfRow(row);
-  if (current?.changeId === document.changeId) {
-    return { kind: "accepted", document: current };
+): Promise<Acceptance | null> {
+  const stored = await readDocuments(store);
+  const same = stored.get(String(document.version))?.document;
+  if (same?.changeId === document.changeId) {
+    return { kind: "accepted", document: same };
   }
-  return { kind: "conflict", version: row.version };
+  const version = stored.get(CURRENT_KEY)?.document.version ?? 0;
+  if (version === document.version - 1) return null;
+  return { kind: "conflict", version };
 }
 
-async function resolveLostAnswer(
-  platform: PlatformHost,
+async function resolve(
+  store: StoreHost,
   document: ConfigurationDocument,
   cause: unknown,
 ): Promise<Acceptance> {
   for (let read = 0; read < RESOLVE_READS; read += 1) {
-    await new Promise((resolve) => setTimeout(resolve, RESOLVE_PAUSE_MS));
-    try {
-      const row = await platform.readRow(CONFIGURATION_ROW);
-      const mine = documentOfRow(row)?.changeId === document.changeId;
-      if (mine) return { kind: "accepted", document };
-      if (row.version >= document.version) {
-        return await fromHistory(platform, document, row.version);
-      }
-    } catch {
-      continue;
-    }
+    await sleep(RESOLVE_PAUSE_MS);
+    const known = await acceptanceIn(store, document).catch(() => null);
+    if (known !== null) return known;
   }
   throw cause;
 }
-
-/** A later change stands; history tells whether ours came before it. */
-async function fromHistory(
-  platform: PlatformHost,
-  document: ConfigurationDocument,
-  version: number,
-): Promise<Acceptance> {
-  const row = await platform.readRow(historyRow(document.version));
-  const mine = documentOfRow(row)?.changeId === document.changeId;
-  return mine ? { kind: "accepted", document } : { kind: "conflict", version };
-}
-
-/** History is for people: a failure to keep it does not undo the change. */
-async function keepHistory(
-  platform: PlatformHost,
-  document: ConfigurationDocument,
-): Promise<void> {
-  try {
-    await platform.writeRow(historyRow(document.version), {
-      value: document,
-      expectedVersion: 0,
-    });
-  } catch {
-    return;
-  }
-}
--- a/src/admin/admin_listener.ts
+++ b/src/admin/admin_listener.ts
@@ -1,10 +1,9 @@
 /** The administration interface: configuration, teams, drain, state. */
 
 import type { Server } from "node:http";
-import type { CoreEvent, CoreState } from "../core/types.ts";
-import type { JsonObject } from "../core/schemas.ts";
-import { zonesOf } from "../core/chain.ts";
+import type { EngineState } from "../engine/types.ts";
 import type { AccessTable, Identity } from "../entry/access.ts";
+import { documentOf } from "../entry/configuration.ts";
 import { dumpState } from "../entry/dump.ts";
 import {
   createListener,
@@ -14,31 +13,35 @@
   type RouteContext,
   sendJson,
 } from "../entry/http.ts";
-import type { Logger } from "../entry/log.ts";
-import {
-  type ClockHost,
-  historyRow,
-  type PlatformHost,
-} from "../host/hosts.ts";
-import { PlatformError } from "../host/platform_client.ts";
+import type {
+  ConfigurationDocument,
+  JsonObject,
+  SiteConfiguration,
+} from "../entry/schemas.ts";
+import { StoreClientError } from "../host/store_client.ts";
+import type { StoreHost } from "../instance/hosts.ts";
+import type { JsonLog } from "../instance/json_log.ts";
 import type { Settings } from "../settings/schema.ts";
 import {
   acceptProposal,
   checkProposal,
-  documentOfRow,
   InvalidConfigurationError,
   proposalSchema,
+  readHistory,
 } from "./accept.ts";
 
 /** What the administration listener needs of the shell. */
 export interface AdminHost {
-  readonly clock: ClockHost;
   readonly access: AccessTable;
-  readonly platform: PlatformHost;
-  readonly state: CoreState;
-  readonly dispatch: (event: CoreEvent) => void;
+  readonly store: StoreHost;
+  readonly state: EngineState;
+  readonly site: () => SiteConfiguration | null;
+  /** The availability zones that overlays may name. */
+  readonly zones: readonly string[];
+  readonly onAccepted: (document: ConfigurationDocument) => void;
+  readonly onDrain: () => void;
   readonly measures: () => object;
-  readonly log: Logger;
+  readonly log: JsonLog;
 }
 
 /** How many versions a history lists. */
@@ -53,13 +56,17 @@
   host: AdminHost,
   limits: Settings["entry"],
 ): Server {
-  const { state, platform } = host;
+  const { state, store } = host;
+
+  function warn(text: string): void {
+    host.log.write("warn", { part: "admin", text });
+  }
 
   function identify(context: RouteContext): Identity {
     try {
       return host.access.identify(context.request);
     } catch (error) {
-      host.log.warn("admin", `refused ${context.url.pathname}`);
+      warn(`refused ${context.url.pathname}`);
       throw error;
     }
   }
@@ -67,7 +74,7 @@
   function requireOperator(context: RouteContext): void {
     const { team, role } = identify(context);
     if (team === null && role === "operator") return;
-    host.log.warn("admin", `refused ${context.url.pathname} to team ${team}`);
+    warn(`refused ${context.url.pathname} to team ${team}`);
     throw new RequestError("forbidden");
   }
 
@@ -79,8 +86,9 @@
 
   function getConfiguration(context: RouteContext): void {
     requireOperator(context);
-    if (state.document === null) throw new RequestError("notReady");
-    sendJson(context.response, 200, { body: state.document });
+    const document = documentOf(state.configuration);
+    if (document === null) throw new RequestError("notReady");
+    sendJson(context.response, 200, { body: document });
   }
 
   async function putConfiguration(context: RouteContext): Promise<void> {
@@ -88,15 +96,14 @@
     const text = await readBody(context.request, limits.maxBodyBytes);
     const proposal = parseBody(proposalSchema, text);
     try {
-      checkProposal(proposal, zonesOf(state.slots));
-      const acceptance = await acceptProposal(platform, proposal);
+      checkProposal(proposal, host.zones);
+      const acceptance = await acceptProposal(store, proposal);
       if (acceptance.kind === "conflict") {
         const version = String(acceptance.version);
         throw new RequestError("versionConflict", version);
       }
       const { document } = acceptance;
-      const nowMs = host.clock.nowMs();
-      host.dispatch({ type: "configurationRead", nowMs, document });
+      host.onAccepted(document);
       const body = { version: document.version };
       sendJson(context.response, 200, { body });
     } catch (error) {
@@ -106,19 +113,14 @@
 
   async function getHistory(context: RouteContext): Promise<void> {
     requireOperator(context);
-    const newest = state.document?.version ?? 0;
-    const oldest = Math.max(1, newest - HISTORY_LENGTH + 1);
-    const versions: { version: number; changeId: string }[] = [];
+    let documents: ConfigurationDocument[];
     try {
-      for (let version = newest; version >= oldest; version -= 1) {
-        const row = await platform.readRow(historyRow(version));
-        const document = documentOfRow(row);
-        if (document === null) continue;
-        versions.push({ version, changeId: document.changeId });
-      }
+      documents = await readHistory(store);
     } catch (error) {
       throw toRequestError(error);
     }
+    const versions = documents.slice(0, HISTORY_LENGTH)
+      .map(({ version, changeId }) => ({ version, changeId }));
     sendJson(context.response, 200, { body: { versions } });
   }
 
@@ -127,7 +129,7 @@
     const services: JsonObject = {};
     for (
       const [name, service] of Object.entries(
-        state.configuration?.services ?? {},
+        host.site()?.services ?? {},
       )
     ) {
       services[name] = { kinds: Object.keys(service.kinds) };
@@ -137,7 +139,7 @@
 
   function getTeams(context: RouteContext): void {
     const identity = identify(context);
-    const teams = Object.entries(state.configuration?.teams ?? {})
+    const teams = Object.entries(host.site()?.teams ?? {})
       .filter(([team]) => own(identity, team))
       .map(([team, { shareWeight }]) => ({ team, shareWeight }));
     sendJson(context.response, 200, { body: { teams } });
@@ -147,25 +149,25 @@
     const identity = identify(context);
     const team = context.captured[0] ?? "";
     if (!own(identity, team)) {
-      host.log.warn("admin", `refused team ${team} to team ${identity.team}`);
+      warn(`refused team ${team} to team ${identity.team}`);
       throw new RequestError("forbidden");
     }
-    const found = state.configuration?.teams[team];
+    const found = host.site()?.teams[team];
     if (found === undefined) throw new RequestError("notFound");
-    const flows = [...state.flows.values()]
-      .filter((flow) => flow.flow.startsWith(`${team}/`))
-      .map(({ flow, queuedTasks, inFlight }) => ({
-        flow,
-        queuedTasks,
-        inFlight,
+    const shares = state.scheduler?.shares ?? new Map();
+    const queues = [...shares].filter(([name]) => name.startsWith(`${team}/`))
+      .map(([queue, { openTasks, usualTasks }]) => ({
+        queue,
+        openTasks,
+        usualTasks,
       }));
     const { shareWeight } = found;
-    sendJson(context.response, 200, { body: { team, shareWeight, flows } });
+    sendJson(context.response, 200, { body: { team, shareWeight, queues } });
   }
 
   function postDrain(context: RouteContext): void {
     requireOperator(context);
-    host.dispatch({ type: "drainRequested", nowMs: host.clock.nowMs() });
+    host.onDrain();
     sendJson(context.response, 202, { body: { draining: true } });
   }
 
@@ -193,7 +195,12 @@
   ], {
     maxHeaderBytes: limits.maxHeaderBytes,
     maxConnections: limits.maxConnections,
-    onError: (error) => host.log.error("admin", String(error)),
+    onError: (error) =>
+      host.log.write("error", {
+        part: "admin",
+        text: "a request broke off",
+        fields: { detail: String(error) },
+      }),
   });
 }
 
@@ -201,7 +208,7 @@
   if (error instanceof InvalidConfigurationError) {
     return new RequestError("invalidConfiguration", error.message);
   }
-  if (error instanceof PlatformError) {
+  if (error instanceof StoreClientError) {
     return new RequestError("platformUnavailable");
   }
   return error;
--- a/src/cli/config_commands.ts
+++ b/src/cli/config_commands.ts
@@ -2,7 +2,7 @@
 
 import { randomUUID } from "node:crypto";
 import { defineCommand } from "citty";
-import type { JsonObject } from "../core/schemas.ts";
+import type { JsonObject } from "../entry/schemas.ts";
 import {
   callAndPrint,
   callArgs,
--- a/src/cli/entry_command.ts
+++ b/src/cli/entry_command.ts
@@ -2,7 +2,7 @@
 
 import { defineCommand } from "citty";
 import { startEntry } from "../entry/entry.ts";
-import { createLogger } from "../entry/log.ts";
+import { createLog } from "../entry/log.ts";
 import { loadOrExit, settingsArgs } from "./common.ts";
 
 /** Exit codes of the daemon. */
@@ -18,7 +18,7 @@
   async run({ args }) {
     const { settings } = loadOrExit(args);
     const slot = args.slot ?? settings.entry.slot ?? "";
-    const log = createLogger(settings.log);
+    const log = createLog(settings.log, { instanceId: slot });
     const entry = await startEntry({ settings, slot, log });
     let signals = 0;
     function onSignal(): void {
@@ -26,10 +26,12 @@
       if (signals > 1) process.exit(EXIT_CUT_OFF);
       const { drainDeadlineMs } = settings.entry;
       setTimeout(() => {
-        log.error("entry", "the drain deadline passed, work is cut off");
+        log.write("error", {
+          part: "instance",
+          text: "the drain deadline passed, work is cut off",
+        });
         process.exit(EXIT_CUT_OFF);
       }, drainDeadlineMs).unref();
-      log.info("entry", "draining");
       void entry.drain();
     }
     process.on("SIGTERM", onSignal);
--- a/src/engine/admit.ts
+++ b/src/engine/admit.ts
@@ -32,7 +32,9 @@
 function latestEndMs(job: Job): number {
   const { receivedAtMs, objectiveAtMs, deadlineAtMs, spec } = job;
   const objectiveMs = objectiveAtMs - receivedAtMs;
-  const lateAtMs = receivedAtMs + (spec.lateFactor ?? 1) * objectiveMs;
+  // Work of a flood beyond its share waits no longer than it is in time.
+  const factor = job.isSurplus ? 1 : spec.lateFactor ?? 1;
+  const lateAtMs = receivedAtMs + factor * objectiveMs;
   return Math.min(deadlineAtMs, lateAtMs);
 }
 
--- a/src/entry/access.ts
+++ b/src/entry/access.ts
@@ -1,7 +1,7 @@
 /** Who a bearer key belongs to, and what it allows. */
 
 import type { IncomingMessage } from "node:http";
-import type { Configuration, Role } from "../core/schemas.ts";
+import type { Role, SiteConfiguration } from "./schemas.ts";
 import { bearerHash, RequestError } from "./http.ts";
 
 /** The owner of a key. */
@@ -19,12 +19,12 @@
 /** Looks keys up in the settings and in the configuration in force. */
 export function createAccessTable(
   operatorKeys: readonly string[],
-  configuration: () => Configuration | null,
+  configuration: () => SiteConfiguration | null,
 ): AccessTable {
-  let indexed: Configuration | null = null;
+  let indexed: SiteConfiguration | null = null;
   let byHash = new Map<string, Identity>();
 
-  function index(current: Configuration | null): void {
+  function index(current: SiteConfiguration | null): void {
     indexed = current;
     byHash = new Map();
     for (const [team, { keys }] of Object.entries(current?.teams ?? {})) {
--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -2,89 +2,59 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { z } from "zod";
-import { Diagnostics } from "../core/diagnostics.ts";
-import { submissionSchema } from "../core/schemas.ts";
-import type { Answer } from "../core/schemas.ts";
-import type { CallerReply, CoreEvent } from "../core/types.ts";
-import type { ClockHost } from "../host/hosts.ts";
+import type { Question } from "../engine/schemas.ts";
+import { sleep } from "../host/sleep.ts";
+import type { Instance } from "../instance/instance.ts";
 import type { Settings } from "../settings/schema.ts";
 import type { AccessTable, Identity } from "./access.ts";
+import { queueOf } from "./configuration.ts";
+import type { DiagnosticName } from "./diagnostics.ts";
 import {
   createListener,
-  errorBody,
   parseBody,
   readBody,
   RequestError,
   type RouteContext,
   sendDiagnostic,
   sendJson,
-  sha256Hex,
 } from "./http.ts";
+import {
+  type CallerAnswer,
+  isJobOf,
+  jobIdOf,
+  toAnswer,
+  toJobSpec,
+  toQuestionAnswer,
+} from "./job_translation.ts";
+import { type SiteConfiguration, submissionSchema } from "./schemas.ts";
 
 /** The longest idempotency key. */
 const MAX_KEY_CHARS = 200;
 /** How many jobs one request may cancel. */
 const MAX_CANCELLED_JOBS = 1_000;
+/** A caller that waits for a job has it looked up so often. */
+const LOOK_UP_MS = 100;
+
+/** What is said of jobs that were cancelled. */
+const CANCELLED: ReadonlySet<DiagnosticName> = new Set([
+  "cancelled",
+  "cancelledNotRun",
+]);
 
 const cancelSchema = z.strictObject({
   jobIds: z.array(z.string().max(200)).min(1).max(MAX_CANCELLED_JOBS),
 });
 
-/** What the caller listener needs of the shell. */
+/** What the caller listener needs of the instance. */
 export interface CallerHost {
-  readonly clock: ClockHost;
-  /** When a request that arrives now was received, at the earliest. */
-  readonly receivedMs: () => number;
+  readonly instance: Pick<Instance, "submit" | "ask">;
   readonly access: AccessTable;
-  readonly dispatch: (event: CoreEvent) => void;
+  readonly site: () => SiteConfiguration | null;
   readonly isReady: () => boolean;
+  readonly isDraining: () => boolean;
   readonly onError: (error: unknown) => void;
 }
 
-/** The listener, and the way back to the callers that wait. */
-export interface CallerListener {
-  readonly server: Server;
-  readonly reply: (requestId: string, reply: CallerReply) => void;
-  readonly waiting: () => number;
-}
-
-const statusOfState: Record<Answer["state"], number> = {
-  complete: 200,
-  failed: 502,
-  refused: 503,
-  unknown: 504,
-};
-
-function sendAnswer(response: ServerResponse, answer: Answer): void {
-  const name = answer.diagnostic as keyof typeof Diagnostics | undefined;
-  const status = name === undefined
-    ? statusOfState[answer.state]
-    : Diagnostics[name].status;
-  const error = name === undefined ? {} : errorBody(name);
-  sendJson(response, status, { body: { ...answer, ...error } });
-}
-
-const replyHandlers: {
-  [K in CallerReply["kind"]]: (
-    response: ServerResponse,
-    reply: Extract<CallerReply, { kind: K }>,
-  ) => void;
-} = {
-  answer: (response, { answer }) => sendAnswer(response, answer),
-  accepted: (response, { jobId }) =>
-    sendJson(response, 202, { body: { jobId, state: "accepted" } }),
-  refused: (response, { diagnostic, argument }) =>
-    sendDiagnostic(response, diagnostic, argument),
-};
-
-function sendReply(response: ServerResponse, reply: CallerReply): void {
-  const handler = replyHandlers[reply.kind] as (
-    response: ServerResponse,
-    reply: CallerReply,
-  ) => void;
-  handler(response, reply);
-}
-
 function teamOf(identity: Identity): string {
   if (identity.team === null || identity.role === "reader") {
     throw new RequestError("forbidden");
@@ -92,108 +62,126 @@
   return identity.team;
 }
 
-function headerOf(request: IncomingMessage, name: string): string | null {
-  const value = request.headers[name];
-  return typeof value === "string" ? value : null;
-}
-
 function keyOf(request: IncomingMessage): string | null {
-  const key = headerOf(request, "idempotency-key");
-  if (key === null) return null;
+  const key = request.headers["idempotency-key"];
+  if (typeof key !== "string") return null;
   if (key.length > 0 && key.length <= MAX_KEY_CHARS) return key;
   const message = `idempotency-key: 1 to ${MAX_KEY_CHARS} characters`;
   throw new RequestError("invalidRequest", message);
 }
 
-function attemptOf(request: IncomingMessage): number | null {
-  const text = headerOf(request, "bronzemill-attempt");
-  if (text === null) return null;
-  if (/^[1-9]\d{0,5}$/.test(text)) return Number(text);
+/** Callers may number their attempts; the key alone decides what is one job. */
+function checkAttempt(request: IncomingMessage): void {
+  const attempt = request.headers["bronzemill-attempt"];
+  if (attempt === undefined || /^[1-9]\d{0,5}$/.test(String(attempt))) return;
   throw new RequestError("invalidRequest", "bronzemill-attempt: 1 or more");
 }
 
-/** Hex digits of a version 7 UUID's timestamp, in milliseconds. */
-const UUID7 =
-  /(?:^|:)([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-/i;
+type Senders = {
+  [K in CallerAnswer["kind"]]: (
+    response: ServerResponse,
+    jobId: string,
+    answer: Extract<CallerAnswer, { kind: K }>,
+  ) => void;
+};
 
-/** When a key was made, where it is a version 7 UUID (RFC 9562). */
-export function keyCreatedMs(key: string | null): number | null {
-  const match = UUID7.exec(key ?? "");
-  return match === null ? null : parseInt(`${match[1]}${match[2]}`, 16);
+const senders: Senders = {
+  accepted: (response, jobId) =>
+    sendJson(response, 202, { body: { jobId, state: "accepted" } }),
+  answer: (response, _jobId, { answer }) =>
+    sendJson(response, 200, { body: answer }),
+  diagnostic: (response, jobId, { diagnostic, retryAfterMs }) =>
+    sendDiagnostic(response, diagnostic, {
+      jobId,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    }),
+};
+
+function send(
+  response: ServerResponse,
+  jobId: string,
+  answer: CallerAnswer,
+): void {
+  const sender = senders[answer.kind] as (
+    response: ServerResponse,
+    jobId: string,
+    answer: CallerAnswer,
+  ) => void;
+  sender(response, jobId, answer);
 }
 
-/** Creates the listener; `reply` ends the requests that the core answers. */
+/** Creates the listener for callers. */
 export function createCallerListener(
   host: CallerHost,
   limits: Settings["entry"],
-): CallerListener {
-  const waiting = new Map<string, ServerResponse>();
-  let nextRequest = 0;
-
-  function waitFor(response: ServerResponse): string {
-    nextRequest += 1;
-    const requestId = `r${nextRequest}`;
-    waiting.set(requestId, response);
-    response.on("close", () => {
-      if (!waiting.delete(requestId)) return;
-      const nowMs = host.clock.nowMs();
-      host.dispatch({ type: "callerGone", nowMs, requestId });
-    });
-    return requestId;
-  }
+): Server {
+  const { instance } = host;
 
   async function submit({ request, response, url }: RouteContext) {
-    const receivedMs = host.receivedMs();
     const team = teamOf(host.access.identify(request));
     const key = keyOf(request);
-    const attempt = attemptOf(request);
+    checkAttempt(request);
     const text = await readBody(request, limits.maxBodyBytes);
     const submission = parseBody(submissionSchema, text);
-    const { service, kind, idempotent, tasks } = submission;
-    host.dispatch({
-      type: "callerSubmit",
-      nowMs: receivedMs,
-      wallMs: host.clock.wallMs(),
-      requestId: waitFor(response),
-      team,
-      key,
-      attempt,
-      keyCreatedMs: keyCreatedMs(key),
-      payloadHash: sha256Hex(
-        JSON.stringify([service, kind, idempotent, tasks]),
-      ),
-      wait: url.searchParams.get("wait") !== "false",
-      submission,
+    if (host.isDraining()) throw new RequestError("draining");
+    const site = host.site();
+    if (site === null) throw new RequestError("notReady");
+    const queue = queueOf(site, team, submission);
+    if (queue === null) {
+      const name = `${submission.service}/${submission.kind}`;
+      throw new RequestError("unknownService", name);
+    }
+    const waits = url.searchParams.get("wait") !== "false";
+    const jobId = jobIdOf(team, key);
+    const isRecorded = key !== null || !waits;
+    const leave = instance.submit({
+      jobId,
+      queue,
+      job: toJobSpec(submission, { queue, isRecorded }),
+      timeoutMs: queue.timeoutMs,
+      answerAt: waits ? "ended" : "accepted",
+      onAnswer: (reply) => send(response, jobId, toAnswer(jobId, reply)),
     });
+    response.once("close", leave);
+  }
+
+  async function ask(question: Question & { jobId: string }) {
+    return toQuestionAnswer(question.jobId, await instance.ask(question));
   }
 
-  function query({ request, response, url, captured }: RouteContext) {
+  async function query({ request, response, url, captured }: RouteContext) {
     const team = teamOf(host.access.identify(request));
-    host.dispatch({
-      type: "callerQuery",
-      nowMs: host.clock.nowMs(),
-      requestId: waitFor(response),
-      team,
-      jobId: captured[0] ?? "",
-      wait: url.searchParams.get("wait") === "true",
-    });
+    const jobId = captured[0] ?? "";
+    if (!isJobOf(team, jobId)) throw new RequestError("jobNotFound");
+    const waits = url.searchParams.get("wait") === "true";
+    let answer = await ask({ kind: "job", jobId });
+    while (waits && answer.kind === "accepted" && !response.destroyed) {
+      await sleep(LOOK_UP_MS);
+      answer = await ask({ kind: "job", jobId });
+    }
+    send(response, jobId, answer);
   }
 
-  function cancelOne({ request, response, captured }: RouteContext) {
+  async function cancelOne({ request, response, captured }: RouteContext) {
     const team = teamOf(host.access.identify(request));
-    cancel(response, team, [captured[0] ?? ""]);
+    const jobId = captured[0] ?? "";
+    if (!isJobOf(team, jobId)) throw new RequestError("jobNotFound");
+    send(response, jobId, await ask({ kind: "cancel", jobId }));
   }
 
   async function cancelMany({ request, response }: RouteContext) {
     const team = teamOf(host.access.identify(request));
     const text = await readBody(request, limits.maxBodyBytes);
-    cancel(response, team, parseBody(cancelSchema, text).jobIds);
-  }
-
-  function cancel(response: ServerResponse, team: string, jobIds: string[]) {
-    const nowMs = host.clock.nowMs();
-    const requestId = waitFor(response);
-    host.dispatch({ type: "callerCancel", nowMs, requestId, team, jobIds });
+    const { jobIds } = parseBody(cancelSchema, text);
+    const own = jobIds.filter((jobId) => isJobOf(team, jobId));
+    const answers = await Promise.all(
+      own.map((jobId) => ask({ kind: "cancel", jobId })),
+    );
+    const cancelled =
+      answers.filter((answer) =>
+        answer.kind === "diagnostic" && CANCELLED.has(answer.diagnostic)
+      ).length;
+    sendJson(response, 200, { body: { asked: jobIds.length, cancelled } });
   }
 
   function ready({ response }: RouteContext) {
@@ -201,7 +189,7 @@
     sendJson(response, isReady ? 200 : 503, { body: { ready: isReady } });
   }
 
-  const server = createListener([
+  return createListener([
     { method: "POST", pattern: /^\/v1\/jobs$/, handle: submit },
     { method: "GET", pattern: /^\/v1\/jobs\/([^/]+)$/, handle: query },
     { method: "DELETE", pattern: /^\/v1\/jobs\/([^/]+)$/, handle: cancelOne },
@@ -212,15 +200,4 @@
     maxConnections: limits.maxConnections,
     onError: host.onError,
   });
-
-  return {
-    server,
-    waiting: () => waiting.size,
-    reply(requestId, reply) {
-      const response = waiting.get(requestId);
-      if (response === undefined) return;
-      waiting.delete(requestId);
-      sendReply(response, reply);
-    },
-  };
 }
--- a/src/core/diagnostics.ts
+++ b/src/entry/diagnostics.ts
@@ -42,7 +42,7 @@
   }),
   jobNotFound: diagnostic(1005, 404, {
     ran: "unknown",
-    text: "No instance that answered holds this job.",
+    text: "No job of this id is known; its record may have expired.",
   }),
   unauthenticated: diagnostic(2001, 401, {
     ran: "no",
@@ -68,10 +68,6 @@
     ran: "no",
     text: "The idempotency key was used with a different request.",
   }),
-  registrarsUnreachable: diagnostic(3005, 503, {
-    ran: "no",
-    text: "The instances that guard this key are unreachable; nothing was run.",
-  }),
   noUpstream: diagnostic(3006, 503, {
     ran: "no",
     text: "No upstream could take the tasks in time; nothing was run.",
@@ -80,14 +76,22 @@
     ran: "no",
     text: "The job was cancelled before any task started.",
   }),
+  noLeader: diagnostic(3008, 503, {
+    ran: "no",
+    text: "No instance places tasks at the moment; nothing was run.",
+  }),
+  storeAway: diagnostic(3009, 503, {
+    ran: "no",
+    text: "The store can't keep a record of the job now; nothing was run.",
+  }),
+  recordTooLarge: diagnostic(3010, 413, {
+    ran: "no",
+    text: "The job is too large for a record; nothing was run.",
+  }),
   outcomeUnknown: diagnostic(4001, 504, {
     ran: "unknown",
     text: "An earlier attempt may have run; its outcome is not known.",
   }),
-  keyExpired: diagnostic(4002, 410, {
-    ran: "unknown",
-    text: "The idempotency key is older than claims are kept.",
-  }),
   taskFailed: diagnostic(4003, 502, {
     ran: "yes",
     text: "A task of the job failed.",
@@ -104,10 +108,6 @@
     ran: "unknown",
     text: "The job was cancelled while tasks were in progress.",
   }),
-  answerLost: diagnostic(4007, 502, {
-    ran: "yes",
-    text: "The job ran to completion but its answer is no longer kept.",
-  }),
   versionConflict: diagnostic(5001, 409, {
     ran: "no",
     text: "Another change was accepted first; the version is now {0}.",
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -1,67 +1,94 @@
-/** The state dump of an entry instance, bounded in size. */
+/** The state dump of an instance, bounded in size. */
 
-import type { CoreState } from "../core/types.ts";
+import type { EngineState, OwnedWorker, Scheduler } from "../engine/types.ts";
 
 /** How many entries of each list a dump names. */
 const MAX_LISTED = 50;
 
 /** A view of the state for people: counts, and the first of each list. */
-export function dumpState(state: CoreState, extra: object): object {
+export function dumpState(state: EngineState, extra: object): object {
+  const { scheduler } = state;
   return {
-    slot: state.self.slot,
-    incarnation: state.self.incarnation,
-    availabilityZone: state.self.availabilityZone,
+    ...state.self,
     upMs: Math.round(state.nowMs - state.bornAtMs),
-    drain: state.drain,
-    configurationVersion: state.document?.version ?? null,
-    membershipVersion: state.membershipVersion,
+    draining: state.draining,
+    configurationVersion: state.configuration?.version ?? null,
+    leaderId: state.leaderId,
+    leaderTerm: state.leaderTerm,
+    hasZoneCells: state.hasZoneCells,
+    recordsZone: state.recordsZone,
     counters: state.counters,
     sizes: {
-      jobs: state.jobs.size,
-      sends: state.sends.size,
-      attaches: state.attaches.size,
-      upstreams: state.upstreams.size,
-      flows: state.flows.size,
+      callerJobs: state.callerJobs.size,
+      questions: state.questions.size,
+      workers: state.workers.size,
     },
-    peers: [...state.peers.values()].map((peer) => ({
-      slot: peer.slot,
-      incarnation: peer.incarnation,
-      lost: peer.lost,
-      ready: peer.ready,
-      leaving: peer.leaving,
+    peers: [...state.peers.values()].slice(0, MAX_LISTED).map((peer) => ({
+      instanceId: peer.info.instanceId,
+      availabilityZone: peer.info.availabilityZone,
+      connected: peer.connected,
+      draining: peer.draining,
+      isLeader: peer.isLeader,
       silentMs: finite(state.nowMs - peer.lastHeardMs),
       configurationVersion: peer.configurationVersion,
     })),
-    claimGroups: [...state.groups.values()].map((group) => ({
-      group: group.group,
-      role: group.role,
-      partner: group.partner,
-      formedAgoMs: finite(state.nowMs - group.formedAtMs),
-      memoryAgoMs: finite(state.nowMs - group.memorySinceMs),
-      records: group.records.size,
-    })),
-    flows: [...state.flows.values()].slice(0, MAX_LISTED).map((flow) => ({
-      flow: flow.flow,
-      queuedTasks: flow.queuedTasks,
-      inFlight: flow.inFlight,
-      meanRunMs: Math.round(flow.runs.meanMs),
-      longRunMs: Math.round(flow.runs.longMs),
-      usualSlots: Math.round(flow.usualSlots * 10) / 10,
-      usualArrivals: Math.round(flow.usualArrivals * 100) / 100,
-      recentArrivals: Math.round(flow.recentArrivals * 100) / 100,
-    })),
-    upstreams: [...state.upstreams.values()].slice(0, MAX_LISTED).map((u) => ({
-      id: u.id,
-      leaving: u.leaving,
-      ownedSlots: u.ownedSlots,
-      inFlight: u.inFlight,
-      ejections: u.ejections,
-      ejectedForMs: Math.max(0, Math.round(u.ejectedUntilMs - state.nowMs)),
-    })),
+    leading: scheduler === null ? null : dumpScheduler(state, scheduler),
     ...extra,
   };
 }
 
+function dumpScheduler(state: EngineState, scheduler: Scheduler): object {
+  const { jobs, records, waiting, workers, shares } = scheduler;
+  return {
+    sinceMs: Math.round(state.nowMs - scheduler.sinceMs),
+    provisional: scheduler.provisional,
+    jobs: jobs.size,
+    waiting: Object.fromEntries(
+      [...waiting].map(([service, list]) => [service, list.length]),
+    ),
+    records: {
+      phase: records.phase,
+      term: records.term,
+      awayMs: records.awaySinceMs === 0
+        ? 0
+        : Math.round(state.nowMs - records.awaySinceMs),
+      kept: records.kept.length,
+      writesUnderWay: records.writes.size,
+    },
+    workers: [...workers.values()].slice(0, MAX_LISTED)
+      .map((worker) => dumpWorker(state, worker)),
+    queues: [...shares].slice(0, MAX_LISTED).map(([queue, share]) => ({
+      queue,
+      openTasks: share.openTasks,
+      usualTasks: round(share.usualTasks),
+      usualArrivals: round(share.usualArrivals),
+      recentArrivals: round(share.recentArrivals),
+      meanRunMs: Math.round(state.runTimes.get(queue)?.meanMs ?? 0),
+    })),
+  };
+}
+
+function dumpWorker(state: EngineState, worker: OwnedWorker): object {
+  return {
+    workerId: worker.info.workerId,
+    phase: worker.phase,
+    draining: worker.info.draining,
+    runs: worker.runs.size,
+    usedCpuMilli: worker.usedCpuMilli,
+    cpuMilli: worker.info.cpuMilli,
+    slowness: round(worker.slowness),
+    suspendedForMs: Math.max(
+      0,
+      Math.round(worker.suspendedUntilMs - state.nowMs),
+    ),
+    endsHeld: worker.heldEnds.size,
+  };
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 /** Milliseconds, or null where the moment lies beyond memory. */
 function finite(ms: number): number | null {
   return Number.isFinite(ms) ? Math.round(ms) : null;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,49 +1,48 @@
 /**
- * An entry instance as a library: the shell that feeds the reducer with events
- * and carries out its effects. The daemon in `src/cli/` is a thin wrapper.
+ * An entry instance as a library: the engine's instance with our own interface
+ * to callers and operators. The daemon in `src/cli/` is a thin wrapper.
  */
 
 import VError from "verror";
 import { createAdminListener } from "../admin/admin_listener.ts";
-import { createCore, reduce } from "../core/reduce.ts";
-import type { CoreEvent, CoreState, Effect, Slot } from "../core/types.ts";
-import {
-  type ClockHost,
-  type PeerHost,
-  type PlatformHost,
-  type UpstreamHost,
-} from "../host/hosts.ts";
+import type { InstanceInfo } from "../engine/schemas.ts";
+import type { EngineState } from "../engine/types.ts";
 import { createClock } from "../host/clock.ts";
-import { createPeerTransport } from "../host/peer_transport.ts";
-import { createPlatformClient } from "../host/platform_client.ts";
-import { createUpstreamClient } from "../host/upstream_client.ts";
+import type { ClockHost } from "../host/hosts.ts";
+import { listen } from "../host/listen.ts";
+import { sleep } from "../host/sleep.ts";
+import { createStoreClient } from "../host/store_client.ts";
+import { createWorkerClient } from "../host/worker_client.ts";
+import type { StoreHost, WorkerHost } from "../instance/hosts.ts";
+import { startInstance } from "../instance/instance.ts";
+import type { JsonLog } from "../instance/json_log.ts";
 import type { InstanceSettings, Settings } from "../settings/schema.ts";
 import { createAccessTable } from "./access.ts";
-import { createFreezeWatch } from "./freeze_watch.ts";
 import { createCallerListener } from "./caller_listener.ts";
-import { listen } from "../host/listen.ts";
+import { createSiteView, toEngineConfiguration } from "./configuration.ts";
 import { closeListener } from "./http.ts";
-import { registerIncarnation } from "./incarnation.ts";
-import { createLogger, type Logger } from "./log.ts";
+import { createLog } from "./log.ts";
 import { startMetrics } from "./metrics.ts";
-import { startPolling } from "./polling.ts";
 
 /** The entry instance could not be started. */
 export class EntryError extends VError {}
 
+/** How often a drain looks whether everything was answered. */
+const DRAIN_LOOK_MS = 20;
+
 /** What an entry instance is made from; hosts default to the real ones. */
 export interface EntryOptions {
   readonly settings: Settings;
   readonly slot: string;
   readonly clock?: ClockHost;
-  readonly upstreams?: UpstreamHost;
-  readonly platform?: PlatformHost;
-  readonly log?: Logger;
+  readonly workers?: WorkerHost;
+  readonly store?: StoreHost;
+  readonly log?: JsonLog;
 }
 
 /** A running entry instance. */
 export interface Entry {
-  readonly state: CoreState;
+  readonly state: EngineState;
   /** Starts to drain; resolves once everything in progress was answered. */
   readonly drain: () => Promise<void>;
   /** Stops at once; what was in progress is cut off. */
@@ -70,167 +69,128 @@
  */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { settings, slot } = options;
-  const instance = instanceOf(settings, slot);
+  const row = instanceOf(settings, slot);
   const clock = options.clock ?? createClock();
-  const log = options.log ?? createLogger(settings.log);
-  const platform = options.platform ??
-    createPlatformClient(settings.platform.address, {
+  const log = options.log ?? createLog(settings.log, { instanceId: slot });
+  const store = options.store ??
+    createStoreClient(settings.platform.address, {
       timeoutMs: settings.platform.timeoutMs,
     });
-  const upstreams = options.upstreams ?? createUpstreamClient();
-  const incarnation = clock.wallMs();
-  const state = createCore({
-    self: { ...placeOf(instance), incarnation },
-    slots: settings.instances.map(placeOf),
-    nowMs: clock.nowMs(),
-    wallMs: incarnation,
-    seed: incarnation % 0x7fffffff,
+  const self = infoOf(row, clock.wallMs());
+  const dialAddresses = dialAddressesOf(settings, slot);
+  const instance = await startInstance({
+    self,
+    leaseMs: settings.workers.leaseMs,
+    stopMs: settings.workers.stopMs,
+    seeds: [...dialAddresses.values()],
+    dialAddress: ({ instanceId, address }) =>
+      dialAddresses.get(instanceId) ?? address,
+    clock,
+    workers: options.workers ?? createWorkerClient(),
+    store,
+    log,
   });
+  const { state } = instance;
   let onStopped = () => {};
   const stopped = new Promise<void>((resolve) => {
     onStopped = resolve;
   });
-  let peers: PeerHost | null = null;
-
-  function dispatch(event: CoreEvent): void {
-    for (const effect of reduce(state, event)) perform(effect);
-  }
+  let draining = false;
 
-  const performers: {
-    [T in Effect["type"]]: (effect: Extract<Effect, { type: T }>) => void;
-  } = {
-    replyCaller: ({ requestId, reply }) => callers.reply(requestId, reply),
-    sendTask: (effect) => {
-      const { sendId } = effect;
-      void upstreams.send(effect).then((outcome) => {
-        const nowMs = clock.nowMs();
-        dispatch({ type: "sendEnded", nowMs, sendId, outcome });
-      });
-    },
-    sendPeer: ({ slot, message }) => peers?.send(slot, message),
-    log: ({ level, part, text }) => log[level](part, text),
-    drained: () => void finish(),
-  };
-
-  function perform(effect: Effect): void {
-    const performer = performers[effect.type] as (effect: Effect) => void;
-    performer(effect);
-  }
-
-  const access = createAccessTable(
-    settings.admin.operatorKeysSha256,
-    () => state.configuration,
-  );
-  const freezes = createFreezeWatch(clock, settings.entry.tickMs);
+  const site = createSiteView(() => state.configuration, row.availabilityZone);
+  const access = createAccessTable(settings.admin.operatorKeysSha256, site);
   const callers = createCallerListener({
-    clock,
-    receivedMs: freezes.receivedMs,
+    instance,
     access,
-    dispatch,
-    isReady: () => state.configuration !== null && state.drain === "none",
-    onError: (error) => log.error("callers", String(error)),
+    site,
+    isReady: () => site() !== null && !draining && state.leaderId !== null,
+    isDraining: () => draining,
+    onError: (error) => logError("callers", error),
   }, settings.entry);
   const admin = createAdminListener({
-    clock,
     access,
-    platform,
+    store,
     state,
-    dispatch,
+    site,
+    zones: [...new Set(settings.instances.map((one) => one.availabilityZone))],
+    onAccepted: (document) =>
+      instance.adoptConfiguration(toEngineConfiguration(document)),
+    onDrain: () => void drain(),
+    measures: () => measuresOf(instance.peerBytes()),
     log,
-    measures: () => measuresOf(peers),
   }, settings.entry);
-
-  const self = { slot, incarnation };
-  const { registered, virgin } = await registerIncarnation(platform, self);
-  if (virgin) dispatch({ type: "virginBoot", nowMs: clock.nowMs() });
-  peers = await createPeerTransport({
-    self,
-    listen: instance.peerAddress,
-    peers: peerAddresses(settings, slot),
-    handlers: {
-      onMessage: (from, message) =>
-        dispatch({ type: "peerMessage", nowMs: clock.nowMs(), from, message }),
-      onDown: (down) =>
-        dispatch({ type: "peerDown", nowMs: clock.nowMs(), slot: down }),
-      onMalformed: () => {
-        state.counters.messagesMalformed += 1;
-      },
-    },
-  });
-  const ticker = setInterval(() => {
-    freezes.noteTick();
-    const wallMs = clock.wallMs();
-    dispatch({ type: "tick", nowMs: clock.nowMs(), wallMs });
-  }, settings.entry.tickMs);
-  const stopPolling = startPolling({
-    settings,
-    clock,
-    platform,
-    state,
-    dispatch,
-    registered,
-  });
   const stopMetrics = startMetrics(settings.metrics, state);
-  await listen(admin, instance.adminAddress);
-  await listen(callers.server, settings.entry.listen ?? instance.callerAddress);
-  log.info("entry", `${slot} is listening at ${instance.callerAddress}`);
+  await listen(admin, row.adminAddress);
+  await listen(callers, settings.entry.listen ?? row.callerAddress);
+  log.write("info", {
+    part: "instance",
+    text: "started",
+    fields: { ...self, callerAddress: row.callerAddress },
+  });
 
-  async function close(): Promise<void> {
-    clearInterval(ticker);
-    stopPolling();
-    stopMetrics();
-    await peers?.close();
-    await upstreams.close();
-    await platform.close();
+  function logError(part: string, error: unknown): void {
+    const fields = { detail: String(error) };
+    log.write("error", { part, text: "a request broke off", fields });
   }
 
-  async function finish(): Promise<void> {
-    await closeListener(callers.server);
-    await peers?.flush();
+  async function drain(): Promise<void> {
+    if (draining) return await stopped;
+    draining = true;
+    instance.drain();
+    while (state.callerJobs.size > 0) await sleep(DRAIN_LOOK_MS);
+    await closeListener(callers);
     admin.closeAllConnections();
     await closeListener(admin);
-    await close();
-    log.info("entry", `${slot} has drained`);
+    await end();
+  }
+
+  async function end(): Promise<void> {
+    stopMetrics();
+    await instance.stop();
+    log.write("info", { part: "instance", text: "stopped" });
     onStopped();
   }
 
   return {
     state,
     stopped,
-    async drain() {
-      dispatch({ type: "drainRequested", nowMs: clock.nowMs() });
-      await stopped;
-    },
+    drain,
     async stop() {
-      callers.server.closeAllConnections();
+      callers.closeAllConnections();
       admin.closeAllConnections();
-      await Promise.all([closeListener(callers.server), closeListener(admin)]);
-      await close();
-      onStopped();
+      await Promise.all([closeListener(callers), closeListener(admin)]);
+      await end();
     },
   };
 }
 
-function placeOf({ slot, availabilityZone, region }: InstanceSettings): Slot {
-  return { slot, availabilityZone, region };
+function infoOf(row: InstanceSettings, bornMs: number): InstanceInfo {
+  return {
+    instanceId: row.slot,
+    availabilityZone: row.availabilityZone,
+    region: row.region,
+    address: row.peerAddress,
+    bornMs,
+  };
 }
 
-function peerAddresses(
+/** Where this instance reaches each of the others. */
+function dialAddressesOf(
   settings: Settings,
-  self: string,
+  slot: string,
 ): Map<string, string> {
   return new Map(
     settings.instances
-      .filter((row) => row.slot !== self)
+      .filter((row) => row.slot !== slot)
       .map((row) => [row.slot, row.peerDialAddress ?? row.peerAddress]),
   );
 }
 
-function measuresOf(peers: PeerHost | null): object {
+function measuresOf(peerTraffic: { sent: number; received: number }): object {
   const { user, system } = process.cpuUsage();
   return {
     cpuMs: Math.round((user + system) / 1_000),
     rssMb: Math.round(process.memoryUsage.rss() / 1_048_576),
-    peerTraffic: peers?.trafficBytes() ?? { sent: 0, received: 0 },
+    peerTraffic,
   };
 }
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -13,7 +13,7 @@
   type DiagnosticName,
   Diagnostics,
   formatDiagnostic,
-} from "../core/diagnostics.ts";
+} from "./diagnostics.ts";
 
 /** A request that cannot be served, with what to tell its sender. */
 export class RequestError extends VError {
@@ -54,17 +54,28 @@
   response.end(text);
 }
 
-/** Sends what a diagnostic says. */
+/** Callers come back after so long where nothing better is known. */
+const DEFAULT_RETRY_MS = 1_000;
+
+/** Sends what a diagnostic says, and when to come back where that helps. */
 export function sendDiagnostic(
   response: ServerResponse,
   diagnostic: DiagnosticName,
-  argument = "",
+  { argument = "", jobId, retryAfterMs = DEFAULT_RETRY_MS }: {
+    argument?: string;
+    jobId?: string;
+    retryAfterMs?: number;
+  } = {},
 ): void {
   const { status } = Diagnostics[diagnostic];
   const retry = status === 429 || status === 503;
+  const retryAfterS = String(Math.max(1, Math.ceil(retryAfterMs / 1_000)));
   sendJson(response, status, {
-    body: errorBody(diagnostic, argument),
-    ...(retry ? { headers: { "retry-after": "1" } } : {}),
+    body: {
+      ...(jobId === undefined ? {} : { jobId }),
+      ...errorBody(diagnostic, argument),
+    },
+    ...(retry ? { headers: { "retry-after": retryAfterS } } : {}),
   });
 }
 
@@ -143,7 +154,7 @@
       serve(routes, request, response).catch((error) => {
         if (error instanceof RequestError) {
           const { diagnostic, argument } = error;
-          sendDiagnostic(response, diagnostic, argument);
+          sendDiagnostic(response, diagnostic, { argument });
         } else onError(error);
         if (!request.complete) response.once("finish", () => request.destroy());
       });
--- a/src/entry/log.ts
+++ b/src/entry/log.ts
@@ -1,48 +1,51 @@
-/** Logs: short sentences with a fixed prefix for each part. */
+/**
+ * The log of a daemon: JSON lines on standard output, or short sentences for a
+ * terminal, with a fixed prefix for each part.
+ */
 
-import { type ConsolaInstance, createConsola } from "consola";
+import { createConsola } from "consola";
+import { createJsonLog, type JsonLog } from "../instance/json_log.ts";
 import type { Settings } from "../settings/schema.ts";
 
-const levels: Record<Settings["log"]["level"], number> = {
+type Level = Parameters<JsonLog["write"]>[0];
+
+const ranks: Record<Settings["log"]["level"], number> = {
   error: 0,
   warn: 1,
-  info: 3,
-  debug: 4,
+  info: 2,
 };
 
-/** Writes the log lines of one process. */
-export interface Logger {
-  readonly info: (part: string, text: string) => void;
-  readonly warn: (part: string, text: string) => void;
-  readonly error: (part: string, text: string) => void;
+/** Creates the log of a process. */
+export function createLog(
+  settings: Settings["log"],
+  { instanceId }: { instanceId: string },
+): JsonLog {
+  const log = settings.json
+    ? createJsonLog({ instanceId })
+    : createTerminalLog(instanceId);
+  const most = ranks[settings.level];
+  return {
+    write(level, line) {
+      if (ranks[level] <= most) log.write(level, line);
+    },
+  };
 }
 
-function jsonConsola(level: number): ConsolaInstance {
-  return createConsola({
-    level,
-    reporters: [{
-      log: ({ type, tag, date, args }) => {
-        const line = {
-          time: date,
-          level: type,
-          part: tag,
-          text: args.join(" "),
-        };
-        process.stderr.write(`${JSON.stringify(line)}\n`);
-      },
-    }],
+function createTerminalLog(instanceId: string): JsonLog {
+  const terminal = createConsola({
+    stdout: process.stderr,
+    stderr: process.stderr,
   });
-}
-
-/** Creates the log of a process; it goes to standard error. */
-export function createLogger(settings: Settings["log"]): Logger {
-  const level = levels[settings.level];
-  const log = settings.json
-    ? jsonConsola(level)
-    : createConsola({ level, stdout: process.stderr, stderr: process.stderr });
+  const writers: Record<Level, (text: string) => void> = {
+    info: (text) => terminal.info(text),
+    warn: (text) => terminal.warn(text),
+    error: (text) => terminal.error(text),
+  };
   return {
-    info: (part, text) => log.withTag(part).info(text),
-    warn: (part, text) => log.withTag(part).warn(text),
-    error: (part, text) => log.withTag(part).error(text),
+    write(level, { part, text, fields = {} }) {
+      const told = Object.entries(fields)
+        .map(([name, value]) => `${name}=${JSON.stringify(value)}`);
+      writers[level](`[${instanceId} ${part}] ${text} ${told.join(" ")}`);
+    },
   };
 }
--- a/src/core/merge_patch.ts
+++ b/src/entry/merge_patch.ts
@@ -25,21 +25,3 @@
   }
   return result;
 }
-
-/** The smallest patch that turns one object into another. */
-export function diffPatch(from: JsonObject, to: JsonObject): JsonObject {
-  const patch: JsonObject = {};
-  for (const name of Object.keys(from)) {
-    if (!(name in to)) patch[name] = null;
-  }
-  for (const [name, value] of Object.entries(to)) {
-    const old = from[name];
-    if (isObject(value) && isObject(old)) {
-      const inner = diffPatch(old, value);
-      if (Object.keys(inner).length > 0) patch[name] = inner;
-    } else if (JSON.stringify(old) !== JSON.stringify(value)) {
-      patch[name] = value;
-    }
-  }
-  return patch;
-}
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -1,7 +1,7 @@
-/** Sends the core's counters to a statsd server, where settings name one. */
+/** Sends the engine's counters to a statsd server, where settings name one. */
 
 import { StatsD } from "hot-shots";
-import type { CoreState, Counters } from "../core/types.ts";
+import type { Counters, EngineState } from "../engine/types.ts";
 import type { Settings } from "../settings/schema.ts";
 
 /** How often metrics are sent. */
@@ -10,14 +10,15 @@
 /** Starts to send metrics; the function returned stops it. */
 export function startMetrics(
   settings: Settings["metrics"],
-  state: CoreState,
+  state: EngineState,
 ): () => void {
   if (settings === undefined) return () => {};
+  const { instanceId, availabilityZone } = state.self;
   const client = new StatsD({
     host: settings.host,
     port: settings.port,
     prefix: settings.prefix,
-    globalTags: { slot: state.self.slot, zone: state.self.availabilityZone },
+    globalTags: { instance: instanceId, zone: availabilityZone },
     errorHandler: () => {},
   });
   const before: Counters = { ...state.counters };
@@ -26,8 +27,8 @@
       client.increment(name, state.counters[name] - before[name]);
       before[name] = state.counters[name];
     }
-    client.gauge("jobs", state.jobs.size);
-    client.gauge("sends", state.sends.size);
+    client.gauge("callerJobs", state.callerJobs.size);
+    client.gauge("jobsAtLeader", state.scheduler?.jobs.size ?? 0);
   }, METRICS_EVERY_MS);
   return () => {
     clearInterval(timer);
--- a/bench/fake_store.ts
+++ b/src/host/fake_store.ts
@@ -1,13 +1,14 @@
 /**
- * A store of rows for randomised runs and tests: transactions with expected
- * versions, outages, answers that are lost, and writes carried out late.
+ * A store in memory, for tests and stand-ins: transactions with expected
+ * versions, of which answers can be lost.
  */
 
 import type {
+  StoreHost,
   StoreRow,
   StoreTransaction,
   TransactionResult,
-} from "../src/instance/hosts.ts";
+} from "../instance/hosts.ts";
 
 interface StoredRow extends StoreRow {
   readonly part: string;
@@ -58,3 +59,39 @@
     },
   };
 }
+
+/** A store whose failures a test sets. */
+export interface FakeStoreHost extends StoreHost {
+  /** So many transactions take effect, and their answers are lost. */
+  loseAnswers: number;
+  /** Every call fails. */
+  down: boolean;
+}
+
+/** Creates an empty store behind the interface of an instance. */
+export function createFakeStoreHost(): FakeStoreHost {
+  const store = createFakeStore();
+
+  async function call<T>(run: () => T): Promise<T> {
+    if (host.down) throw new Error("down");
+    return await run();
+  }
+
+  const host: FakeStoreHost = {
+    loseAnswers: 0,
+    down: false,
+    readConfiguration: () => call(() => null),
+    awaitConfiguration: () => call(() => null),
+    readWorkers: () => call(() => []),
+    readRows: (place) => call(() => store.readRows(place)),
+    transact: (transaction) =>
+      call(() => {
+        const result = store.transact(transaction);
+        if (host.loseAnswers === 0) return result;
+        host.loseAnswers -= 1;
+        throw new Error("the answer was lost");
+      }),
+    close: () => Promise.resolve(),
+  };
+  return host;
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -5,6 +5,7 @@
 
 import { createEngine, reduce } from "../engine/reduce.ts";
 import type {
+  Configuration,
   InstanceInfo,
   JobSpec,
   Question,
@@ -38,6 +39,8 @@
   readonly stopMs: number;
   /** Addresses of instances that may tell of others, as HOST:PORT. */
   readonly seeds: readonly string[];
+  /** Where a peer is reached, if not at the address that it tells. */
+  readonly dialAddress?: (peer: InstanceInfo) => string;
   readonly clock: ClockHost;
   readonly workers: WorkerHost;
   readonly store: StoreHost;
@@ -68,6 +71,10 @@
   readonly submit: (submission: CallerSubmission) => () => void;
   /** Asks the leader. */
   readonly ask: (question: Question) => Promise<Reply>;
+  /** Puts a configuration in force, if it is newer. */
+  readonly adoptConfiguration: (configuration: Configuration) => void;
+  /** Bytes to and from peers since the start. */
+  readonly peerBytes: () => { sent: number; received: number };
   /** Stops leading and taking new work. */
   readonly drain: () => void;
   readonly stop: () => Promise<void>;
@@ -185,6 +192,7 @@
 
   mesh = await createPeerMesh({
     self,
+    dialAddress: options.dialAddress ?? (({ address }) => address),
     handlers: {
       onMessage: (from, message) =>
         dispatch({ type: "peerMessage", nowMs: clock.nowMs(), from, message }),
@@ -248,6 +256,11 @@
         dispatch({ type: "callerAsked", nowMs, requestId, question });
       });
     },
+    adoptConfiguration(configuration) {
+      const nowMs = clock.nowMs();
+      dispatch({ type: "configurationRead", nowMs, configuration });
+    },
+    peerBytes: () => mesh?.bytes() ?? { sent: 0, received: 0 },
     drain: () => dispatch({ type: "drainRequested", nowMs: clock.nowMs() }),
     async stop() {
       clearInterval(ticker);
--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -48,6 +48,7 @@
 export interface PeerMesh {
   readonly setPeers: (peers: readonly InstanceInfo[]) => void;
   readonly send: (instanceId: string, message: PeerMessage) => void;
+  readonly bytes: () => { sent: number; received: number };
   readonly close: () => Promise<void>;
 }
 
@@ -65,11 +66,16 @@
 
 /** Opens the listener for peers; connections open as peers become known. */
 export async function createPeerMesh(
-  { self, handlers }: { self: InstanceInfo; handlers: MeshHandlers },
+  { self, handlers, dialAddress = ({ address }) => address }: {
+    self: InstanceInfo;
+    handlers: MeshHandlers;
+    dialAddress?: (peer: InstanceInfo) => string;
+  },
 ): Promise<PeerMesh> {
   const incoming = new Set<Socket>();
   const links = new Map<string, Link>();
   let flushScheduled = false;
+  const traffic = { sent: 0, received: 0 };
 
   const server = createServer((socket) => {
     incoming.add(socket);
@@ -78,7 +84,10 @@
     socket.on("error", () => socket.destroy());
     const takeLines = createLineSplitter(receive);
     socket.setEncoding("utf8");
-    socket.on("data", takeLines);
+    socket.on("data", (chunk: string) => {
+      traffic.received += chunk.length;
+      takeLines(chunk);
+    });
   });
   await listen(server, self.address);
   const checker = setInterval(checkLinks, CHECK_EVERY_MS);
@@ -158,6 +167,7 @@
     const line = `${
       JSON.stringify(createJSONRPCNotification(DELIVER, params))
     }\n`;
+    traffic.sent += line.length;
     socket.write(line);
     if (socket.writableLength > MAX_WAITING_BYTES) socket.destroy();
   }
@@ -176,12 +186,13 @@
 
   return {
     setPeers(peers) {
-      const wanted = new Map(peers.map((peer) => [peer.instanceId, peer]));
+      const wanted = new Map(
+        peers.map((peer) => [peer.instanceId, dialAddress(peer)]),
+      );
       for (const link of [...links.values()]) {
-        const peer = wanted.get(link.instanceId);
-        if (peer?.address !== link.address) closeLink(link);
+        if (wanted.get(link.instanceId) !== link.address) closeLink(link);
       }
-      for (const { instanceId, address } of peers) {
+      for (const [instanceId, address] of wanted) {
         if (links.has(instanceId)) continue;
         const link = createLink(instanceId, address);
         links.set(instanceId, link);
@@ -196,6 +207,7 @@
       flushScheduled = true;
       queueMicrotask(flushAll);
     },
+    bytes: () => ({ ...traffic }),
     async close() {
       clearInterval(checker);
       flushAll();
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -4,18 +4,33 @@
  * @module
  */
 
-export { type CoreOptions, createCore, reduce } from "./core/reduce.ts";
-export { defaultGuards, type Guards } from "./core/guards.ts";
+export { createEngine, type EngineOptions, reduce } from "./engine/reduce.ts";
+export { defaultGuards } from "./engine/guards.ts";
 export { invariantChecks, InvariantError } from "./engine/debug.ts";
-export { Diagnostics } from "./core/diagnostics.ts";
-export type { CoreEvent, CoreState, Effect } from "./core/types.ts";
 export type {
-  Answer,
+  Effect,
+  EngineEvent,
+  EngineState,
+  Guards,
+} from "./engine/types.ts";
+export type {
   Configuration,
-  ConfigurationDocument,
+  JobOutcome,
+  JobSpec,
   PeerMessage,
+} from "./engine/schemas.ts";
+export { Diagnostics } from "./entry/diagnostics.ts";
+export type {
+  Answer,
+  ConfigurationDocument,
+  SiteConfiguration,
   Submission,
-} from "./core/schemas.ts";
+} from "./entry/schemas.ts";
 export { type Entry, type EntryOptions, startEntry } from "./entry/entry.ts";
+export {
+  type Instance,
+  type InstanceOptions,
+  startInstance,
+} from "./instance/instance.ts";
 export { loadSettings, SettingsError } from "./settings/load.ts";
 export type { Settings } from "./settings/schema.ts";
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -4,8 +4,8 @@
 import { type Document, isMap, LineCounter, parseDocument } from "yaml";
 import VError from "verror";
 import type { z } from "zod";
-import { configurationSchema, type JsonObject } from "../core/schemas.ts";
-import { applyPatch } from "../core/merge_patch.ts";
+import { type JsonObject, siteConfigurationSchema } from "../entry/schemas.ts";
+import { applyPatch } from "../entry/merge_patch.ts";
 import { nearestName } from "./nearest.ts";
 import { type Settings, settingsSchema } from "./schema.ts";
 
@@ -201,8 +201,8 @@
   }
   const section = merged["configuration"];
   if (section !== undefined) {
-    const checked = configurationSchema.safeParse(section);
-    const place = { at: ["configuration"], shape: configurationSchema };
+    const checked = siteConfigurationSchema.safeParse(section);
+    const place = { at: ["configuration"], shape: siteConfigurationSchema };
     if (!checked.success) {
       problems.push(...problemsOf(checked.error, files, place));
     }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -17,13 +17,11 @@
   maxHeaderBytes: z.int().positive().default(16_384),
   maxConnections: z.int().positive().default(2_000),
   drainDeadlineMs: z.int().positive().default(60_000),
-  tickMs: z.int().positive().default(50),
 });
 
 const instanceSchema = z.strictObject({
   slot: z.string().regex(/^[a-z][a-z0-9-]{0,62}$/),
   availabilityZone: zoneSchema,
-  /** Slots are shared and lent within a region only. */
   region: zoneSchema.default("main"),
   callerAddress: addressSchema,
   adminAddress: addressSchema,
@@ -34,18 +32,25 @@
 
 const platformSchema = z.strictObject({
   address: addressSchema,
-  pollMs: z.int().positive().default(1_000),
   timeoutMs: z.int().positive().default(1_000),
 });
 
+const workersSchema = z.strictObject({
+  /** The longest lease that workers grant. */
+  leaseMs: z.int().positive().default(1_000),
+  /** The longest that a worker takes to stop a task. */
+  stopMs: z.int().nonnegative().default(50),
+});
+
 const adminSchema = z.strictObject({
   /** SHA-256 of each operator's bearer key, in hexadecimal. */
   operatorKeysSha256: z.array(z.string().regex(/^[0-9a-f]{64}$/)).default([]),
 });
 
 const logSchema = z.strictObject({
-  level: z.enum(["error", "warn", "info", "debug"]).default("info"),
-  json: z.boolean().default(false),
+  level: z.enum(["error", "warn", "info"]).default("info"),
+  /** JSON lines on standard output; sentences for a terminal without it. */
+  json: z.boolean().default(true),
 });
 
 const metricsSchema = z.strictObject({
@@ -59,6 +64,7 @@
   entry: entrySchema.prefault({}),
   instances: z.array(instanceSchema).min(1),
   platform: platformSchema,
+  workers: workersSchema.prefault({}),
   admin: adminSchema.prefault({}),
   log: logSchema.prefault({}),
   metrics: metricsSchema.optional(),
--- a/bench/fake_worker.ts
+++ b/standins/worker_model.ts
@@ -1,5 +1,5 @@
 /**
- * A worker for randomised runs: it starts what it is told, checks fencing
+ * A worker in randomised runs and stand-ins: it starts what it is told, checks fencing
  * tokens, lets leases lapse, and can be late, lose answers, hang and start
  * again. It is the truth that promises are checked against.
  */
@@ -21,6 +21,7 @@
   readonly startedAtMs: number;
   readonly endsAtMs: number;
   readonly fails: boolean;
+  readonly result?: string | undefined;
 }
 
 /** What a task needs and how long it runs, in truth. */
@@ -28,6 +29,7 @@
   readonly cpuMilli: number;
   readonly runMs: number;
   readonly fails: boolean;
+  readonly result?: string;
 }
 
 /** What a fake worker is made from. */
@@ -37,7 +39,7 @@
   readonly cpuMilli: number;
   readonly speed: number;
   readonly leaseMs: number;
-  readonly taskOf: (taskName: string) => TrueTask | undefined;
+  readonly taskOf: (call: EffectOf<"startTask">) => TrueTask | undefined;
   readonly onStart: (worker: FakeWorker, run: TrueRun) => void;
   readonly onEnd: (worker: FakeWorker, run: TrueRun, end: RunEnd) => void;
 }
@@ -84,8 +86,14 @@
 
   function endRun(run: TrueRun, end: RunEnd): void {
     running.delete(run.taskName);
-    const { taskName } = run;
-    finished.push({ sequence: nextEnd, taskName, run: run.run, end });
+    const { taskName, result } = run;
+    finished.push({
+      sequence: nextEnd,
+      taskName,
+      run: run.run,
+      end,
+      ...(end === "done" && result !== undefined ? { result } : {}),
+    });
     nextEnd += 1;
     options.onEnd(worker, run, end);
   }
@@ -141,7 +149,7 @@
       if (call.run <= (highestRun.get(call.taskName) ?? 0)) {
         return { kind: "refused", reason: "oldRun" };
       }
-      const task = options.taskOf(call.taskName);
+      const task = options.taskOf(call);
       if (task === undefined) return { kind: "unknown", detail: "no task" };
       noteRun(call.taskName, call.run);
       extendLease(call.leaseEndsMs, nowMs);
@@ -153,6 +161,7 @@
         startedAtMs: nowMs,
         endsAtMs: nowMs + runMs,
         fails: task.fails || worker.failsAll,
+        result: task.result,
       };
       running.set(call.taskName, run);
       options.onStart(worker, run);
