After a cut: who leads sooner, and what waits does not turn new work away

Change: an instance that lost its leader is answered at once, so whoever stays silent for 0.4 s is out of reach and neither vouches for a leader nor comes before it; work held back by former leases is not counted as before new work; a job beyond its objective stands behind those that can be in time.

--- a/bench/engine_runs_test.ts
+++ b/bench/engine_runs_test.ts
@@ -1,6 +1,12 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { drawRun, type EngineRun, playRun } from "./engine_runs.ts";
+import {
+  drawCellsRun,
+  drawRecordedRun,
+  drawRun,
+  type EngineRun,
+  playRun,
+} from "./engine_runs.ts";
 import { loadPatterns, playLoad } from "./load_model.ts";
 
 /** Runs that once broke a promise, with the cause. */
@@ -32,6 +38,62 @@
   }
 }
 
+/** The same for runs with records, and with a leader in each zone. */
+const drawnRegressions: {
+  cause: string;
+  draw: (seed: number) => EngineRun;
+  seeds: number[];
+}[] = [
+  {
+    cause: "a job was refused by one leader while another kept it",
+    draw: drawRecordedRun,
+    seeds: [26],
+  },
+  {
+    cause: "jobs began before ends from before the records were taken in",
+    draw: drawRecordedRun,
+    seeds: [68],
+  },
+  {
+    cause: "runs of dropped records kept their ends from the next holder",
+    draw: drawRecordedRun,
+    seeds: [617],
+  },
+  {
+    cause: "cells changed under jobs that their leader went on with",
+    draw: drawCellsRun,
+    seeds: [5, 13, 14, 642],
+  },
+  {
+    cause: "a job came back from another cell whose runs went on",
+    draw: drawCellsRun,
+    seeds: [22, 25],
+  },
+  {
+    cause: "records were taken from a zone that was only cut off",
+    draw: drawCellsRun,
+    seeds: [10, 70, 92],
+  },
+  {
+    cause: "cells changed, and ends lay on workers of another cell",
+    draw: drawCellsRun,
+    seeds: [648],
+  },
+  {
+    cause: "two leaders of one zone held the records one after the other",
+    draw: drawCellsRun,
+    seeds: [734, 770],
+  },
+];
+
+for (const { cause, draw, seeds } of drawnRegressions) {
+  for (const seed of seeds) {
+    test(`${draw.name} ${seed}: ${cause}`, async () => {
+      expect((await playRun(draw(seed))).broken).toEqual([]);
+    });
+  }
+}
+
 /** Faults in series, one after the other. */
 const series: { name: string; run: Omit<EngineRun, "seed"> }[] = [
   {
--- a/src/engine/admit.ts
+++ b/src/engine/admit.ts
@@ -50,6 +50,8 @@
   let aheadMilliMs = 0;
   for (const other of scheduler.waiting.get(service) ?? []) {
     if (other === job || compareJobs(other, job) > 0) break;
+    // What waits until former runs have lapsed takes no room before.
+    if (other.paused || isHeldBack(state, other)) continue;
     aheadMilliMs += queuedWork(other);
   }
   return aheadMilliMs / capacityMilli;
@@ -91,3 +93,8 @@
   }
   return cpuMilli;
 }
+
+/** Whether a job's former runs have to lapse before it goes on. */
+function isHeldBack(state: EngineState, job: Job): boolean {
+  return job.begun && state.nowMs < job.formerRunsLapseAtMs;
+}
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -53,6 +53,7 @@
     answerAt: event.answerAt,
     spilledTo: null,
     leftCell: false,
+    underZoneCells: state.hasZoneCells,
     leaderlessSinceMs: 0,
   };
   state.callerJobs.set(event.jobId, callerJob);
@@ -77,6 +78,7 @@
     callerJob.mayHaveBegun ||= callerJob.submittedTo !== null;
     leaveFormer(turn, callerJob, lead);
     noteReturn(state, callerJob, lead);
+    callerJob.underZoneCells = state.hasZoneCells;
     callerJob.submittedTo = lead.instanceId;
     callerJob.submittedTerm = lead.term;
     callerJob.submissions += 1;
@@ -105,16 +107,20 @@
   sendPeer(turn, submittedTo, { type: "withdraw", jobId });
 }
 
-/** A job that comes back from another cell may have begun there. */
+/**
+ * A job that comes back from another cell may have begun there; so may one that
+ * was handed in before the cells changed.
+ */
 function noteReturn(
   state: EngineState,
   callerJob: CallerJob,
   lead: Lead,
 ): void {
-  const isBack = callerJob.spilledTo !== null &&
-    callerJob.submittedTo !== null &&
+  const { spilledTo, submittedTo, underZoneCells } = callerJob;
+  if (submittedTo === null) return;
+  const isBack = spilledTo !== null &&
     lead.instanceId === ownLead(state)?.instanceId;
-  if (!isBack) return;
+  if (!isBack && underZoneCells === state.hasZoneCells) return;
   callerJob.leftCell = true;
   callerJob.spilledTo = null;
 }
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -42,6 +42,7 @@
     submittedAtMs: options.isResumed ? state.nowMs : -Infinity,
     leftCell: options.leftCell ?? false,
     paused: false,
+    isLate: false,
     outcome: null,
     endedAtMs: 0,
     record: options.record,
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -5,6 +5,7 @@
 import { isBarred } from "./job_state.ts";
 import { endJob } from "./jobs.ts";
 import { mayRunElsewhere } from "./place.ts";
+import { hasQueuedTasks, moveLate } from "./queue.ts";
 import { markDirty } from "./records.ts";
 import { storeRefusal } from "./submissions.ts";
 import { logDecision } from "./turn.ts";
@@ -26,6 +27,7 @@
       endJob(turn, job, outcome);
       continue;
     }
+    noteLate(state, scheduler, job);
     if (state.nowMs < job.deadlineAtMs) continue;
     endJob(turn, job, { kind: "unknown", reason: "deadline" });
   }
@@ -57,6 +59,17 @@
   return refusal;
 }
 
+/** What can't be in time must not hold up what can. */
+export function noteLate(
+  state: EngineState,
+  scheduler: Scheduler,
+  job: Job,
+): void {
+  if (job.isLate || !hasQueuedTasks(job)) return;
+  if (state.nowMs < job.objectiveAtMs) return;
+  moveLate(scheduler, job);
+}
+
 /** A task that may have begun, and is found nowhere, is lost. */
 function lostOutcome(
   state: EngineState,
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -221,6 +221,8 @@
     state.recordsZone = peer.info.availabilityZone;
   }
   state.maxTermSeen = Math.max(state.maxTermSeen, message.maxTermSeen);
+  // It lost its leader, and wants to know who else did.
+  if (message.leaderId === null) peer.nextHeartbeatMs = state.nowMs;
   const version = state.configuration?.version ?? -1;
   if (message.configurationVersion > version) {
     sendPeer(turn, from, { type: "configurationWanted" });
@@ -234,7 +236,7 @@
   const isLeader = scheduler !== null;
   const fast = isOfCell(state, peer.info)
     ? isLeader || peer.info.instanceId === state.leaderId ||
-      state.leaderId === null
+      state.leaderId === null || peer.leaderId === null
     : isLeader || peer.isLeader;
   peer.nextHeartbeatMs = state.nowMs +
     (fast ? LEADER_HEARTBEAT_MS : FOLLOWER_HEARTBEAT_MS);
--- a/src/engine/ownership.ts
+++ b/src/engine/ownership.ts
@@ -53,6 +53,10 @@
 const MAX_RANKED_CORES = 512;
 /** Instances that start together start within so long of each other. */
 const START_TOGETHER_MS = 250;
+/** Peers have answered an instance that lost its leader by then. */
+const PEERS_ANSWER_MS = 200;
+/** A peer that is asked so and was silent for so long is out of reach. */
+const OUT_OF_REACH_MS = 400;
 /** The next in rank leads if those before it did not by then. */
 const RANK_DELAY_MS = 400;
 
@@ -196,6 +200,7 @@
 /** Whether a peer that is heard now follows a leader that may be alive. */
 function othersHearLeader(state: EngineState): boolean {
   for (const peer of liveCellPeers(state)) {
+    if (!isInReach(state, peer)) continue;
     const { leaderId } = peer;
     if (leaderId === null || leaderId === state.self.instanceId) continue;
     const leader = state.peers.get(leaderId);
@@ -219,11 +224,22 @@
   const starting = state.nowMs - state.bornAtMs < YOUNG_MS &&
     state.nowMs - state.candidateSinceMs < START_TOGETHER_MS;
   return cellPeers(state).filter((peer) =>
-    (isLive(state, peer) || (starting && peer.refusedAtMs > 0)) &&
+    (isInReach(state, peer) || (starting && peer.refusedAtMs > 0)) &&
     peerRank(state, peer) < selfRank
   ).length;
 }
 
+/**
+ * Whether a peer has a say in who leads. Whoever is told that an instance lost
+ * its leader answers at once: one that stays silent is out of reach, too.
+ */
+function isInReach(state: EngineState, peer: Peer): boolean {
+  if (!isLive(state, peer)) return false;
+  const waitedMs = state.nowMs - state.leaderlessSinceMs;
+  return waitedMs < PEERS_ANSWER_MS ||
+    state.nowMs - peer.lastHeardMs < OUT_OF_REACH_MS;
+}
+
 function peerRank(state: EngineState, { info, draining }: Peer): string {
   return rankKey(state, info, draining);
 }
--- a/src/engine/queue.ts
+++ b/src/engine/queue.ts
@@ -9,11 +9,13 @@
 
 /**
  * Which of two jobs is served first: work of a flood beyond its usual share
- * last, then the more urgent queue, then the job whose objective comes first.
+ * last, then the more urgent queue, then what can still be in time, then the
+ * job whose objective comes first.
  */
 export function compareJobs(a: Job, b: Job): number {
   return Number(a.isSurplus) - Number(b.isSurplus) ||
     a.queue.priority - b.queue.priority ||
+    Number(a.isLate) - Number(b.isLate) ||
     a.objectiveAtMs - b.objectiveAtMs ||
     (a.jobId < b.jobId ? -1 : 1);
 }
@@ -32,9 +34,18 @@
   waiting.splice(at, 0, job);
 }
 
-/** Takes a job from among those that wait. */
-export function dequeue(scheduler: Scheduler, job: Job): void {
+/** Takes a job from among those that wait; returns whether it was there. */
+export function dequeue(scheduler: Scheduler, job: Job): boolean {
   const waiting = scheduler.waiting.get(job.queue.service) ?? [];
   const at = waiting.indexOf(job);
-  if (at >= 0) waiting.splice(at, 1);
+  if (at < 0) return false;
+  waiting.splice(at, 1);
+  return true;
+}
+
+/** Moves a job that is late already behind those that can be in time. */
+export function moveLate(scheduler: Scheduler, job: Job): void {
+  const waits = dequeue(scheduler, job);
+  job.isLate = true;
+  if (waits) enqueue(scheduler, job);
 }
--- a/src/engine/recording.ts
+++ b/src/engine/recording.ts
@@ -30,6 +30,7 @@
   EngineState,
   Job,
   OpenOutcome,
+  OwnedWorker,
   RecordBatch,
   Records,
   RecordState,
@@ -61,7 +62,17 @@
     emit(turn, { type: "openRecords", term: records.term });
     return;
   }
-  if (records.phase === "open") confirmHold(turn, scheduler);
+  if (records.phase !== "open") return;
+  if (!mayBeHeldTwice(state, records)) releaseEnds(records.delayedEnds);
+  confirmHold(turn, scheduler);
+}
+
+/**
+ * Whether the holder before may not know yet that it lost the records: a task
+ * of which the workers forgot the end could be started by it again.
+ */
+function mayBeHeldTwice(state: EngineState, records: Records): boolean {
+  return state.nowMs - records.openedAtMs < CONFIRM_WITHIN_MS;
 }
 
 function confirmHold(turn: Turn, scheduler: Scheduler): void {
@@ -101,6 +112,7 @@
     const { records } = scheduler;
     records.phase = "open";
     records.awaySinceMs = 0;
+    records.openedAtMs = state.nowMs;
     records.confirmedAtMs = state.nowMs;
     state.recordsZone = state.self.availabilityZone;
     state.recordsExist = stored.length > 0 || records.dirty.size > 0;
@@ -322,7 +334,11 @@
 ): void {
   const { record } = job;
   if (record === null) return;
-  releaseEnds(record);
+  const { records } = scheduler;
+  if (mayBeHeldTwice(turn.state, records)) {
+    records.delayedEnds.push(...record.writtenEnds);
+    record.writtenEnds = [];
+  } else releaseEnds(record.writtenEnds);
   record.version = version;
   if (record.removing) {
     if (scheduler.jobs.get(job.jobId) === job) scheduler.jobs.delete(job.jobId);
@@ -401,6 +417,7 @@
     retryAtMs: state.nowMs + RETRY_OUTRANKED_MS,
   };
   for (const worker of scheduler.workers.values()) {
+    disownRecordedRuns(worker);
     if (worker.heldEnds.size === 0) continue;
     // Whoever holds the records has to see these ends.
     worker.takenEnd = Math.min(...worker.heldEnds) - 1;
@@ -408,3 +425,12 @@
     worker.orphanEnds = [];
   }
 }
+
+/** Ends of runs whose records are gone are for whoever reads these next. */
+function disownRecordedRuns(worker: OwnedWorker): void {
+  for (const run of worker.runs.values()) {
+    if (run.job?.record == null) continue;
+    run.job = null;
+    run.task = null;
+  }
+}
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -37,6 +37,8 @@
     phase: "closed",
     retryAtMs: 0,
     awaySinceMs: 0,
+    openedAtMs: 0,
+    delayedEnds: [],
     confirmedAtMs: 0,
     dirty: new Map(),
     writes: new Map(),
@@ -195,12 +197,10 @@
   emit(turn, { type: "writeRecords", writeId: batch.writeId, part, rows });
 }
 
-/** The workers may forget the ends that a write carried. */
-export function releaseEnds(record: RecordState): void {
-  for (const { heldEnds, sequence } of record.writtenEnds) {
-    heldEnds.delete(sequence);
-  }
-  record.writtenEnds = [];
+/** The workers may forget some ends. */
+export function releaseEnds(ends: HeldEnd[]): void {
+  for (const { heldEnds, sequence } of ends) heldEnds.delete(sequence);
+  ends.splice(0);
 }
 
 /** The ends that a failed write carried go with the next one. */
--- a/src/engine/records_test.ts
+++ b/src/engine/records_test.ts
@@ -106,6 +106,8 @@
 test("a worker forgets an end only once the record tells of it", () => {
   const leader = createTestLeader();
   open(leader);
+  // A holder before this one knows by then that it lost the records.
+  leader.tick(2_000);
   const started = written(leader, submit(leader));
   const worker = effectsOf(started, "startTask")[0]?.workerId ?? "";
   leader.tick();
--- /dev/null
+++ b/src/engine/takeover_test.ts
@@ -0,0 +1,118 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { noteLate } from "./job_watch.ts";
+import {
+  createTestInstance,
+  createTestLeader,
+  effectsOf,
+  testHeartbeat,
+  type TestInstance,
+  testJob,
+  testQueue,
+  testWorker,
+} from "./testing.ts";
+import type { Effect } from "./types.ts";
+
+function submit(
+  leader: TestInstance,
+  fields: { jobId: string; resubmitted?: boolean; ageMs?: number },
+): Effect[] {
+  return leader.hear("p", {
+    type: "submit",
+    submissionId: "p.1.1",
+    queue: testQueue,
+    job: testJob(1),
+    availabilityZone: "poa",
+    ageMs: 0,
+    timeLeftMs: 6_000,
+    resubmitted: false,
+    leftCell: false,
+    answerAt: "ended",
+    doneTasks: [],
+    ...fields,
+  });
+}
+
+const startsOf = (effects: readonly Effect[]) =>
+  effectsOf(effects, "startTask").map((effect) => effect.taskName);
+
+test("lists read before a former leader's job came don't count", () => {
+  const leader = createTestLeader();
+  leader.tick(2_000);
+  const effects = submit(leader, { jobId: "aa", resubmitted: true });
+  // Another leader may have taken a worker since, and started it there.
+  expect(startsOf(effects)).toEqual([]);
+  const holds = effectsOf(effects, "hold").map((hold) => hold.workerId);
+  expect(holds.sort()).toEqual(["w1", "w2"]);
+  leader.held("w1");
+  expect(startsOf(leader.held("w2"))).toEqual(["aa.0.0.0"]);
+});
+
+test("work that waits for former leases is not counted before new work", () => {
+  const leader = createTestLeader();
+  leader.tick(2_000);
+  for (const name of ["aa", "ab", "ac", "ad", "ae", "af"]) {
+    submit(leader, { jobId: name, resubmitted: true, ageMs: 400 });
+  }
+  const effects = submit(leader, { jobId: "ba" });
+  const admitted = effectsOf(effects, "log").find(({ fields }) =>
+    fields["jobId"] === "ba"
+  );
+  expect(admitted?.fields["expectedWaitMs"]).toEqual(0);
+  expect(startsOf(effects)).toEqual(["ba.0.0.0"]);
+});
+
+test("a job beyond its objective stands behind those that can be in time", () => {
+  const leader = createTestLeader();
+  leader.tick(2_000);
+  const { scheduler } = leader.state;
+  if (scheduler === null) throw new Error("not leading");
+  for (const jobId of ["aa", "ab", "ac", "ad"]) submit(leader, { jobId });
+  submit(leader, { jobId: "ba" });
+  submit(leader, { jobId: "bb" });
+  const late = scheduler.jobs.get("ba");
+  if (late === undefined) throw new Error("no job");
+  late.begun = true;
+  leader.state.nowMs = late.objectiveAtMs + 1;
+  noteLate(leader.state, scheduler, late);
+  expect(scheduler.waiting.get("s")?.map(({ jobId }) => jobId))
+    .toEqual(["bb", "ba"]);
+});
+
+test("in a cut, the first that is heard leads without waiting for the rest", () => {
+  const peers = ["a", "b", "c", "d"];
+  const instance = createTestInstance({ peers });
+  instance.after(0, { type: "workersRead", workers: [testWorker("w1")] });
+  const term = 9e12;
+  const lead = testHeartbeat({ isLeader: true, term, leaderId: "a" });
+  for (let beat = 0; beat < 10; beat += 1) {
+    instance.hear("a", { ...lead, sentAtMs: beat });
+    const follower = testHeartbeat({ leaderId: "a", sentAtMs: beat });
+    for (const peer of ["b", "c", "d"]) instance.hear(peer, follower);
+    instance.tick(150);
+  }
+  // Now all of them are silent at once.
+  let waitedMs = 0;
+  while (instance.state.scheduler === null && waitedMs < 3_000) {
+    instance.tick(25);
+    waitedMs += 25;
+  }
+  expect(waitedMs <= 800).toEqual(true);
+});
+
+test("beyond a hundred workers each zone has a leader, and holds its own", () => {
+  const instance = createTestInstance({ peers: ["other"] });
+  const workers = Array.from({ length: 120 }, (_, index) => ({
+    ...testWorker(`w${index}`),
+    availabilityZone: index < 40 ? "poa" : "caxias",
+  }));
+  instance.after(0, { type: "workersRead", workers });
+  instance.tick(1_000);
+  const effects = [...instance.tick(), ...instance.tick()];
+  expect(instance.state.hasZoneCells).toEqual(true);
+  const held = [...instance.state.scheduler?.workers.keys() ?? []];
+  expect(held.length).toEqual(40);
+  expect(
+    effectsOf(effects, "hold").every(({ workerId }) => held.includes(workerId)),
+  ).toEqual(true);
+});
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -315,8 +315,10 @@
   answerAt: AnswerAt;
   /** The zone of the cell that it was handed to after its own refused it. */
   spilledTo: string | null;
-  /** It came back from there: it may have begun there. */
+  /** It may have begun on workers that its present leader does not hold. */
   leftCell: boolean;
+  /** Whether zones had leaders of their own when it was handed in last. */
+  underZoneCells: boolean;
   /** Since when no leader is known that could take it; 0 while one is. */
   leaderlessSinceMs: number;
 }
@@ -409,6 +411,8 @@
   leftCell: boolean;
   /** Its entries are silent: nothing more of it starts. */
   paused: boolean;
+  /** It waited beyond its objective. */
+  isLate: boolean;
   outcome: JobOutcome | null;
   endedAtMs: number;
   /** Null for a job that lives in memory only. */
@@ -525,6 +529,10 @@
   retryAtMs: number;
   /** Since when the store did not take writes; 0 while it does. */
   awaySinceMs: number;
+  /** When this leader took them over. */
+  openedAtMs: number;
+  /** Ends that records tell of, but the holder before must not miss yet. */
+  readonly delayedEnds: HeldEnd[];
   /** When the store last showed that this leader holds the records. */
   confirmedAtMs: number;
   /** Jobs whose records have to be written, by part. */
