--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -7,7 +7,7 @@
 import type { Instance } from "../instance/instance.ts";
 import type { Settings } from "../settings/schema.ts";
 import type { AccessTable, Identity } from "./access.ts";
-import { queueOf } from "./configuration.ts";
+import { expectedMsOf, queueOf } from "./configuration.ts";
 import type { DiagnosticName } from "./diagnostics.ts";
 import {
   createListener,
@@ -137,7 +137,11 @@
     const leave = instance.submit({
       jobId,
       queue,
-      job: toJobSpec(submission, { queue, isRecorded }),
+      job: toJobSpec(submission, {
+        queue,
+        expectedMs: expectedMsOf(site, submission),
+        isRecorded,
+      }),
       timeoutMs: queue.timeoutMs,
       answerAt: waits ? "ended" : "accepted",
       onAnswer: (reply) => send(response, jobId, toAnswer(jobId, reply)),
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -103,3 +103,11 @@
     timeoutMs: deadlineMs ?? site.limits.defaultDeadlineMs,
   };
 }
+
+/** The run time of a task of a kind, where nothing better is known. */
+export function expectedMsOf(
+  site: SiteConfiguration,
+  { service, kind }: Submission,
+): number {
+  return site.services[service]?.kinds[kind]?.expectedMs ?? 0;
+}
--- a/src/entry/job_translation.ts
+++ b/src/entry/job_translation.ts
@@ -43,7 +43,12 @@
  */
 export function toJobSpec(
   { tasks }: Submission,
-  { queue, isRecorded }: { queue: QueueRule; isRecorded: boolean },
+  { queue, expectedMs, isRecorded }: {
+    queue: QueueRule;
+    /** Of a task whose caller declares no run time. */
+    expectedMs: number;
+    isRecorded: boolean;
+  },
 ): JobSpec {
   return {
     spec: "",
@@ -52,7 +57,7 @@
       cpuMilli: SLOT_CPU_MILLI,
       memoryMb: 0,
       accelerators: 0,
-      estimatedMs: declaredMs ?? 0,
+      estimatedMs: declaredMs ?? expectedMs,
       after: [],
       payload: JSON.stringify(payload),
     })),
--- a/src/entry/job_translation_test.ts
+++ b/src/entry/job_translation_test.ts
@@ -28,11 +28,16 @@
 test("a submission is a step a task, and no task begins twice", () => {
   const queue = queueOf(site, "benches", submission);
   if (queue === null) throw new Error("no queue");
-  const spec = toJobSpec(submission, { queue, isRecorded: true });
+  const spec = toJobSpec(submission, {
+    queue,
+    expectedMs: 300,
+    isRecorded: true,
+  });
   expect(spec.steps.map(({ payload }) => payload)).toEqual([
     '{"rib":7}',
     '"x"',
   ]);
+  expect(spec.steps.map(({ estimatedMs }) => estimatedMs)).toEqual([300, 90]);
   expect(spec.isAtMostOnce).toEqual(true);
   expect(spec.isRecorded).toEqual(true);
   expect(queueOf(site, "benches", { ...submission, kind: "none" }))
