One walk of a queue for all jobs that wait; a holder row names its instance

Two instances whose names hash alike could take each other's claim on the records for their own. Ruled out: looking at the queue less often (jobs are refused later). Change: createWaits walks each queue once a tick, and again after a change, so every decision stays the same; the holder row has the instance's id beside the term; bodies are read in one place (host/http_body.ts).

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -538,7 +538,10 @@
       wallMs,
       ...(options.guards && { guards: options.guards }),
     });
-    node.records = createRecordStore(storeOf(node, life), { log: noLog });
+    node.records = createRecordStore(storeOf(node, life), {
+      log: noLog,
+      instanceId,
+    });
     zoneOf.set(instanceId, availabilityZone);
     const tick = (): void => {
       if (node.life !== life) return;
--- a/src/engine/admit.ts
+++ b/src/engine/admit.ts
@@ -57,6 +57,54 @@
   return aheadMilliMs / capacityMilli;
 }
 
+/** Expected waits of all jobs, worked out in one walk of each queue. */
+export interface Waits {
+  readonly of: (job: Job) => number;
+  /** The queues have changed. */
+  readonly reset: () => void;
+}
+
+/** The same as {@linkcode expectedWaitMs}, for many jobs at one moment. */
+export function createWaits(state: EngineState, scheduler: Scheduler): Waits {
+  let known = new Map<string, Map<Job, number>>();
+
+  function waitsOf(service: string): Map<Job, number> {
+    let waits = known.get(service);
+    if (waits === undefined) {
+      waits = walkQueue(state, scheduler, service);
+      known.set(service, waits);
+    }
+    return waits;
+  }
+
+  return {
+    of: (job) =>
+      waitsOf(job.queue.service).get(job) ??
+        expectedWaitMs(state, scheduler, job),
+    reset() {
+      known = new Map();
+    },
+  };
+}
+
+function walkQueue(
+  state: EngineState,
+  scheduler: Scheduler,
+  service: string,
+): Map<Job, number> {
+  const waits = new Map<Job, number>();
+  const capacityMilli = usableCpuMilli(state, scheduler, service);
+  let aheadMilliMs = 0;
+  for (const job of scheduler.waiting.get(service) ?? []) {
+    waits.set(
+      job,
+      capacityMilli === 0 ? Infinity : aheadMilliMs / capacityMilli,
+    );
+    if (!job.paused && !isHeldBack(state, job)) aheadMilliMs += queuedWork(job);
+  }
+  return waits;
+}
+
 /** Notes how long work of each service would wait, for peers to be told. */
 export function noteWaits(state: EngineState, scheduler: Scheduler): void {
   for (const [service, jobs] of scheduler.waiting) {
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -1,6 +1,6 @@
 /** What becomes of jobs as time passes: late, dropped, lost, forgotten. */
 
-import { expectedWaitMs, refusalOf } from "./admit.ts";
+import { createWaits, refusalOf, type Waits } from "./admit.ts";
 import { DROP_SILENT_MS, PAUSE_SILENT_MS } from "./former_runs.ts";
 import { isBarred } from "./job_state.ts";
 import { endJob } from "./jobs.ts";
@@ -19,27 +19,40 @@
 /** Turns away what can't make it any more, and forgets old jobs. */
 export function checkJobs(turn: Turn, scheduler: Scheduler): void {
   const { state } = turn;
+  const waits = createWaits(state, scheduler);
   for (const job of scheduler.jobs.values()) {
-    if (job.outcome !== null || watchEntries(turn, job)) continue;
-    const outcome = lateRefusal(turn, scheduler, job) ??
-      lostOutcome(state, scheduler, job);
-    if (outcome !== null) {
-      endJob(turn, job, outcome);
-      continue;
-    }
-    noteLate(state, scheduler, job);
-    if (state.nowMs < job.deadlineAtMs) continue;
-    endJob(turn, job, { kind: "unknown", reason: "deadline" });
+    if (job.outcome !== null) continue;
+    if (checkJob(turn, scheduler, { job, waits })) waits.reset();
   }
   forgetEnded(state, scheduler);
   removeKept(state, scheduler);
 }
 
+/** Looks after one job; returns whether the queues have changed. */
+function checkJob(
+  turn: Turn,
+  scheduler: Scheduler,
+  { job, waits }: { job: Job; waits: Waits },
+): boolean {
+  const { state } = turn;
+  if (watchEntries(turn, job)) return true;
+  const outcome = lateRefusal(turn, scheduler, { job, waits }) ??
+    lostOutcome(state, scheduler, job);
+  if (outcome !== null) {
+    endJob(turn, job, outcome);
+    return true;
+  }
+  const isMoved = noteLate(state, scheduler, job);
+  if (state.nowMs < job.deadlineAtMs) return isMoved;
+  endJob(turn, job, { kind: "unknown", reason: "deadline" });
+  return true;
+}
+
 /** The refusal of a job that waited in vain, or null. */
 function lateRefusal(
   turn: Turn,
   scheduler: Scheduler,
-  job: Job,
+  { job, waits }: { job: Job; waits: Waits },
 ): JobOutcome | null {
   const { state } = turn;
   if (!state.guards.mayRefuse(job)) return null;
@@ -48,7 +61,7 @@
   const away = record === null ? null : storeRefusal(state, scheduler);
   if (away !== null) return away;
   if (record !== null && scheduler.records.phase !== "open") return null;
-  const waitMs = expectedWaitMs(state, scheduler, job);
+  const waitMs = waits.of(job);
   const refusal = refusalOf(state, job, waitMs);
   if (refusal === null) return null;
   logDecision(turn, { part: "admit", text: "refused after waiting" }, {
@@ -59,15 +72,19 @@
   return refusal;
 }
 
-/** What can't be in time must not hold up what can. */
+/**
+ * What can't be in time must not hold up what can. Returns whether the job was
+ * moved.
+ */
 export function noteLate(
   state: EngineState,
   scheduler: Scheduler,
   job: Job,
-): void {
-  if (job.isLate || !hasQueuedTasks(job)) return;
-  if (state.nowMs < job.objectiveAtMs) return;
+): boolean {
+  if (job.isLate || !hasQueuedTasks(job)) return false;
+  if (state.nowMs < job.objectiveAtMs) return false;
   moveLate(scheduler, job);
+  return true;
 }
 
 /** A task that may have begun, and is found nowhere, is lost. */
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -9,6 +9,7 @@
 } from "node:http";
 import VError from "verror";
 import type { z } from "zod";
+import { readText } from "../host/http_body.ts";
 import {
   type DiagnosticName,
   Diagnostics,
@@ -84,16 +85,9 @@
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<string> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > maxBytes) {
-      throw new RequestError("bodyTooLarge", String(maxBytes));
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString("utf8");
+  const text = await readText(request, maxBytes);
+  if (text === null) throw new RequestError("bodyTooLarge", String(maxBytes));
+  return text;
 }
 
 /** Parses and checks a JSON body; the error names the field. */
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -85,7 +85,10 @@
   options: InstanceOptions,
 ): Promise<Instance> {
   const { self, clock, workers, store, log } = options;
-  const records = createRecordStore(store, { log });
+  const records = createRecordStore(store, {
+    log,
+    instanceId: self.instanceId,
+  });
   const state = createEngine({
     self,
     leaseMs: options.leaseMs,
--- a/src/instance/record_store.ts
+++ b/src/instance/record_store.ts
@@ -26,7 +26,7 @@
 /** How often a part is claimed anew after another wrote in between. */
 const CLAIM_TRIES = 3;
 
-const holderSchema = z.object({ term: z.number() });
+const holderSchema = z.object({ term: z.number(), instanceId: z.string() });
 
 /** Opens and writes records; no promise rejects. */
 export interface RecordStore {
@@ -45,7 +45,7 @@
 /** Creates the records of an instance over its store. */
 export function createRecordStore(
   store: StoreHost,
-  { log }: { log: JsonLog },
+  { log, instanceId }: { log: JsonLog; instanceId: string },
 ): RecordStore {
   /** The version of each part's holder row, as this instance wrote it. */
   let holderVersions: number[] = [];
@@ -60,15 +60,18 @@
       const holder = holderSchema.safeParse(row?.value);
       const heldTerm = holder.success ? holder.data.term : 0;
       if (heldTerm > term) return { kind: "outranked", term: heldTerm };
-      // An earlier claim took effect, and its answer was lost.
       if (row !== undefined && heldTerm === term) {
-        return { kind: "claimed", version: row.version };
+        // An earlier claim took effect, and its answer was lost.
+        const isOwn = holder.success && holder.data.instanceId === instanceId;
+        return isOwn
+          ? { kind: "claimed", version: row.version }
+          : { kind: "outranked", term };
       }
       const place = { table: HOLDERS_TABLE, key: HOLDER_KEY };
       const result = await store.transact({
         part: partName(part),
         expected: [{ ...place, version: row?.version ?? 0 }],
-        writes: [{ ...place, value: { term } }],
+        writes: [{ ...place, value: { term, instanceId } }],
         removes: [],
       });
       if (result.kind === "done") {
