A lapsed run is not started again while another leader may renew it

Ruled out: pausing after a shorter silence (heartbeats are 150 to 500 ms apart). Change: a run counts as lapsed for its job only once the job's entries were heard, as following this leader, after the lease ran out. Before: the new test fails without the check (seen).

--- a/src/engine/takeover_test.ts
+++ b/src/engine/takeover_test.ts
@@ -116,3 +116,34 @@
     effectsOf(effects, "hold").every(({ workerId }) => held.includes(workerId)),
   ).toEqual(true);
 });
+
+test("a lapsed run is not started again while its entry may have left", () => {
+  const leader = createTestInstance({ peers: ["p"] });
+  const workers = [testWorker("w1"), testWorker("w2")];
+  leader.after(0, { type: "workersRead", workers });
+  leader.tick(2_000);
+  leader.tick();
+  for (const { workerId } of workers) leader.held(workerId);
+  leader.tick(100);
+  const following = testHeartbeat({ leaderId: "self" });
+  leader.hear("p", { ...following, sentAtMs: 1 });
+  const [first] = effectsOf(submit(leader, { jobId: "aa" }), "startTask");
+  const workerId = first?.workerId ?? "";
+  // The worker is out of reach; another leader may hold it, and renew the run.
+  const callId = leader.state.scheduler?.workers.get(workerId)?.holdCallId ?? 0;
+  const outcome = { kind: "unreachable" as const, detail: "timeout" };
+  leader.after(5, { type: "holdEnded", workerId, callId, outcome });
+  const worker = leader.state.scheduler?.workers.get(workerId);
+  if (worker === undefined) throw new Error("no worker");
+  worker.phase = "lost";
+  worker.retryAtMs = Infinity;
+  leader.state.nowMs += 450;
+  worker.leaseLapsesAtMs = leader.state.nowMs - 10;
+  const run = [...worker.runs.values()][0];
+  if (run !== undefined) Object.assign(run, { placedAtMs: 0 });
+  const before = leader.tick(460);
+  expect(startsOf(before)).toEqual([]);
+  leader.hear("p", { ...following, sentAtMs: 2 });
+  const after = [...leader.tick(), ...leader.tick()];
+  expect(startsOf(after)).toEqual(["aa.0.0.0"]);
+});
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -3,6 +3,7 @@
  * renewing leases, read for ends, and let go.
  */
 
+import { isOfCell } from "./cells.ts";
 import type { WorkerInfo } from "./schemas.ts";
 import { hasMissingPeers, seesMajority } from "./membership.ts";
 import { leaseEndsOnWorkerMs, longestLeaseMs } from "./leases.ts";
@@ -20,6 +21,7 @@
   EngineEventOf,
   EngineState,
   HoldOutcome,
+  Job,
   OwnedWorker,
   Scheduler,
   Turn,
@@ -390,11 +392,34 @@
   for (const run of [...worker.runs.values()]) {
     const lapsesAtMs = run.placedAtMs + longestLeaseMs(state);
     if (!state.guards.hasLapsed(state.nowMs, lapsesAtMs)) continue;
+    if (run.job !== null && mayBeRenewedElsewhere(state, worker, run.job)) {
+      continue;
+    }
     state.counters.tasksLapsed += 1;
     dropRun(turn, worker, { run, kind: "lost" });
   }
 }
 
+/**
+ * Whether an entry may have handed a job to another leader, which renews its
+ * runs: it was not heard as following this one since the lease ran out.
+ */
+function mayBeRenewedElsewhere(
+  state: EngineState,
+  { leaseLapsesAtMs }: OwnedWorker,
+  job: Job,
+): boolean {
+  if (job.record !== null) return false;
+  for (const entryId of job.entries.keys()) {
+    const peer = state.peers.get(entryId);
+    if (peer === undefined) continue;
+    const isOwnCell = isOfCell(state, peer.info);
+    const follows = !isOwnCell || peer.leaderId === state.self.instanceId;
+    if (!follows || peer.lastHeardMs < leaseLapsesAtMs) return true;
+  }
+  return false;
+}
+
 function stopUnclaimedRuns(turn: Turn, worker: OwnedWorker): void {
   const { scheduler } = turn.state;
   // A record that was not read yet may claim them.
