--- a/src/engine/recording.ts
+++ b/src/engine/recording.ts
@@ -5,31 +5,27 @@
  * for them.
  */
 
-import { createJob, openSteps } from "./job_state.ts";
-import { beginJob, settleTaskEnds, stopRunsOf, tellEnded } from "./jobs.ts";
+import { openSteps } from "./job_state.ts";
+import { beginJob, stopRunsOf, tellEnded } from "./jobs.ts";
 import { recordsLead } from "./leads.ts";
-import { longestLeaseMs } from "./leases.ts";
 import { hasMissingPeers, seesMajority } from "./membership.ts";
 import { nextTerm } from "./ownership.ts";
 import { dequeue } from "./queue.ts";
 import {
+  CONFIRM_WITHIN_MS,
   createRecords,
-  createRecordState,
   keepEnds,
   markDirty,
   mergeRecord,
-  partOf,
   releaseEnds,
   RETRY_WRITE_MS,
   writeRows,
 } from "./records.ts";
-import { takeOrphanEnds } from "./runs.ts";
 import { emit, logDecision, sendPeer } from "./turn.ts";
 import type {
   EngineEventOf,
   EngineState,
   Job,
-  OpenOutcome,
   OwnedWorker,
   RecordBatch,
   Records,
@@ -40,14 +36,10 @@
   WriteOutcome,
 } from "./types.ts";
 
-/** Opening the records is tried again after so long. */
-const RETRY_OPEN_MS = 250;
-/** And after another leader took them. */
+/** After another leader took the records, they are opened again so late. */
 const RETRY_OUTRANKED_MS = 2_000;
 /** While recorded jobs run, the hold on the records is shown so often. */
 const CONFIRM_EVERY_MS = 500;
-/** A hold that was not shown for so long may be another leader's. */
-const CONFIRM_WITHIN_MS = 1_500;
 /** The part whose writes show the hold where nothing else is written. */
 const CONFIRM_PART = 0;
 
@@ -98,120 +90,6 @@
   return false;
 }
 
-type OpenHandlers = {
-  [K in OpenOutcome["kind"]]: (
-    turn: Turn,
-    scheduler: Scheduler,
-    outcome: Extract<OpenOutcome, { kind: K }>,
-  ) => void;
-};
-
-const openHandlers: OpenHandlers = {
-  opened: (turn, scheduler, { records: stored }) => {
-    const { state } = turn;
-    const { records } = scheduler;
-    records.phase = "open";
-    records.awaySinceMs = 0;
-    records.openedAtMs = state.nowMs;
-    records.confirmedAtMs = state.nowMs;
-    state.recordsZone = state.self.availabilityZone;
-    state.recordsExist = stored.length > 0 || records.dirty.size > 0;
-    logDecision(turn, { part: "records", text: "records taken over" }, {
-      term: scheduler.records.term,
-      records: stored.length,
-    });
-    const jobs = stored.map((one) => adoptRecord(turn, scheduler, one));
-    // What ended meanwhile must not start again.
-    for (const worker of scheduler.workers.values()) {
-      takeOrphanEnds(turn, worker);
-    }
-    settleTaskEnds(turn);
-    scheduler.rereadWanted = true;
-    for (const job of jobs) {
-      if (job !== null && job.outcome === null) beginJob(turn, job);
-    }
-  },
-  outranked: (turn, { records }, { term }) => {
-    const { state } = turn;
-    logDecision(turn, {
-      level: "warn",
-      part: "records",
-      text: "a higher term held the records",
-    }, { term, ownTerm: records.term });
-    // Whoever held them is not heard as their holder any more.
-    records.phase = "closed";
-    state.maxTermSeen = Math.max(state.maxTermSeen, term);
-    records.term = nextTerm(state);
-  },
-  unavailable: ({ state }, { records }) => {
-    records.phase = "closed";
-    records.retryAtMs = state.nowMs + RETRY_OPEN_MS;
-    if (records.awaySinceMs === 0) records.awaySinceMs = state.nowMs;
-  },
-};
-
-/** The records were taken over, or could not be. */
-export function onRecordsOpened(
-  turn: Turn,
-  { outcome, term }: EngineEventOf<"recordsOpened">,
-): void {
-  const { scheduler } = turn.state;
-  if (scheduler === null || scheduler.records.term !== term) return;
-  if (scheduler.records.phase !== "opening") return;
-  const handler = openHandlers[outcome.kind] as (
-    turn: Turn,
-    scheduler: Scheduler,
-    outcome: OpenOutcome,
-  ) => void;
-  handler(turn, scheduler, outcome);
-}
-
-/** Takes in a job that was accepted before; null for a refused attempt. */
-function adoptRecord(
-  turn: Turn,
-  scheduler: Scheduler,
-  stored: StoredRecord,
-): Job | null {
-  const { state } = turn;
-  const known = scheduler.jobs.get(stored.record.jobId);
-  const waits = known?.outcome === null && known.record !== null;
-  // An attempt after a refusal is a new one, over the row of the old.
-  if (waits && stored.record.outcome?.kind === "refused") {
-    known.record.version = stored.version;
-    known.record.sent = true;
-    return null;
-  }
-  const job = resumeJob(state, stored);
-  scheduler.jobs.set(job.jobId, job);
-  scheduler.records.dirty.get(partOf(job.jobId))?.delete(known as Job);
-  if (waits) joinWaiting(turn, job, known);
-  if (job.outcome !== null) {
-    job.endedAtMs = state.nowMs;
-    scheduler.records.kept.push(job);
-    return job;
-  }
-  logDecision(turn, { part: "records", text: "a job goes on" }, {
-    jobId: job.jobId,
-    queue: job.queue.name,
-    unfinished: job.unfinished,
-    acceptedMsAgo: Math.round(state.nowMs - job.receivedAtMs),
-  });
-  return job;
-}
-
-/** Entries that handed the job in before its record was read are told. */
-function joinWaiting(turn: Turn, job: Job, known: Job): void {
-  const { jobId, record } = job;
-  // Runs that were found for it are claimed anew.
-  known.outcome = { kind: "unknown", reason: "leaderLost" };
-  for (const [entryId, submissionId] of known.entries) {
-    job.entries.set(entryId, submissionId);
-    sendPeer(turn, entryId, { type: "jobAccepted", jobId, submissionId });
-  }
-  record?.cancels.push(...known.record?.cancels ?? []);
-  if (job.outcome !== null) tellEnded(turn, job, job.outcome);
-}
-
 /** Takes over what a row tells of a job that this leader wrote before. */
 function adoptRow(
   job: Job,
@@ -225,36 +103,6 @@
   mergeRecord(job, row);
 }
 
-function resumeJob(
-  state: EngineState,
-  { record: row, version }: StoredRecord,
-): Job {
-  const record = createRecordState(row.acceptedAtMs);
-  const ageMs = Math.max(0, state.wallMs - row.acceptedAtMs);
-  const receivedAtMs = state.nowMs - ageMs;
-  const job = createJob(state, {
-    jobId: row.jobId,
-    queue: row.queue,
-    spec: row.job,
-    receivedAtMs,
-    deadlineAtMs: receivedAtMs + (row.job.deadlineMs ?? Infinity),
-    isResumed: true,
-    // The leader before renews until it knows that it lost the records.
-    formerRunsLapseAtMs: state.nowMs + CONFIRM_WITHIN_MS + state.stopMs +
-      longestLeaseMs(state),
-    // A leader of another cell may have had the records.
-    leftCell: state.hasZoneCells,
-    record,
-    isSurplus: false,
-  });
-  record.version = version;
-  record.sent = true;
-  record.accepted = true;
-  mergeRecord(job, row);
-  openSteps(job);
-  return job;
-}
-
 /** The record of a job is kept: its callers are told, and it begins. */
 function acceptJob(turn: Turn, job: Job, record: RecordState): void {
   record.accepted = true;
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -27,6 +27,8 @@
 const MAX_RECORD_BYTES = 44_000;
 /** The longest content of one transaction, below the store's limit. */
 const MAX_BATCH_BYTES = 600_000;
+/** A hold that was not shown for so long may be another leader's. */
+export const CONFIRM_WITHIN_MS = 1_500;
 /** A write that failed is sent again after so long. */
 export const RETRY_WRITE_MS = 120;
 
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -40,11 +40,8 @@
   onQuestion,
   onReply,
 } from "./questions.ts";
-import {
-  checkRecords,
-  onRecordsOpened,
-  onRecordsWritten,
-} from "./recording.ts";
+import { onRecordsOpened } from "./record_opening.ts";
+import { checkRecords, onRecordsWritten } from "./recording.ts";
 import { flushRecords } from "./records.ts";
 import { sampleShares } from "./shares.ts";
 import { onStartEnded, onStopEnded } from "./starts.ts";
