A job that is submitted again is not said not to have run by who can't know

An instance that drains, has no configuration, or finds no leader refused any request as not run; only the leader with the records can say that of a key. Change: in our own interface such requests are answered as unknown, unless they say that they are the first attempt or have no key. Test: job_translation_test.

--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -25,6 +25,7 @@
   toAnswer,
   toJobSpec,
   toQuestionAnswer,
+  withoutRecord,
 } from "./job_translation.ts";
 import { type SiteConfiguration, submissionSchema } from "./schemas.ts";
 
@@ -70,10 +71,19 @@
   throw new RequestError("invalidRequest", message);
 }
 
-/** Callers may number their attempts; the key alone decides what is one job. */
-function checkAttempt(request: IncomingMessage): void {
+/**
+ * Whether a request may be a later attempt: it has a key and does not say that
+ * it is the first.
+ */
+function isSubmittedAgain(
+  request: IncomingMessage,
+  key: string | null,
+): boolean {
   const attempt = request.headers["bronzemill-attempt"];
-  if (attempt === undefined || /^[1-9]\d{0,5}$/.test(String(attempt))) return;
+  if (attempt === undefined) return key !== null;
+  if (/^[1-9]\d{0,5}$/.test(String(attempt))) {
+    return key !== null && attempt !== "1";
+  }
   throw new RequestError("invalidRequest", "bronzemill-attempt: 1 or more");
 }
 
@@ -120,12 +130,17 @@
   async function submit({ request, response, url }: RouteContext) {
     const team = teamOf(host.access.identify(request));
     const key = keyOf(request);
-    checkAttempt(request);
+    const again = isSubmittedAgain(request, key);
     const text = await readBody(request, limits.maxBodyBytes);
     const submission = parseBody(submissionSchema, text);
-    if (host.isDraining()) throw new RequestError("draining");
+    // An earlier attempt may have run; this instance can't tell.
+    if (host.isDraining()) {
+      throw new RequestError(again ? "outcomeUnknown" : "draining");
+    }
     const site = host.site();
-    if (site === null) throw new RequestError("notReady");
+    if (site === null) {
+      throw new RequestError(again ? "outcomeUnknown" : "notReady");
+    }
     const queue = queueOf(site, team, submission);
     if (queue === null) {
       const name = `${submission.service}/${submission.kind}`;
@@ -144,7 +159,10 @@
       }),
       timeoutMs: queue.timeoutMs,
       answerAt: waits ? "ended" : "accepted",
-      onAnswer: (reply) => send(response, jobId, toAnswer(jobId, reply)),
+      onAnswer: (reply) => {
+        const told = withoutRecord(reply, { isSubmittedAgain: again });
+        send(response, jobId, toAnswer(jobId, told));
+      },
     });
     response.once("close", leave);
   }
--- a/src/entry/job_translation.ts
+++ b/src/entry/job_translation.ts
@@ -159,3 +159,16 @@
   }
   return { kind: "accepted" };
 }
+
+/**
+ * What an instance that does not know a job's record may say of it. A job that
+ * is submitted again may have run at an earlier attempt.
+ */
+export function withoutRecord(
+  reply: CallerReply,
+  { isSubmittedAgain }: { isSubmittedAgain: boolean },
+): CallerReply {
+  const saysNotRun = reply.kind === "refused" && reply.reason === "noLeader";
+  if (!saysNotRun || !isSubmittedAgain) return reply;
+  return { kind: "unknown", reason: "leaderLost" };
+}
--- a/src/entry/job_translation_test.ts
+++ b/src/entry/job_translation_test.ts
@@ -3,7 +3,13 @@
 import type { CallerReply } from "../engine/types.ts";
 import { queueOf } from "./configuration.ts";
 import { Diagnostics, type Ran } from "./diagnostics.ts";
-import { isJobOf, jobIdOf, toAnswer, toJobSpec } from "./job_translation.ts";
+import {
+  isJobOf,
+  jobIdOf,
+  toAnswer,
+  toJobSpec,
+  withoutRecord,
+} from "./job_translation.ts";
 import { siteConfigurationSchema, submissionSchema } from "./schemas.ts";
 
 const submission = submissionSchema.parse({
@@ -92,3 +98,16 @@
     },
   });
 });
+
+test("a job submitted again is not said not to have run by who can't know", () => {
+  const reply = {
+    kind: "refused" as const,
+    reason: "noLeader" as const,
+    retryAfterMs: 300,
+  };
+  const again = withoutRecord(reply, { isSubmittedAgain: true });
+  expect(again.kind).toEqual("unknown");
+  expect(withoutRecord(reply, { isSubmittedAgain: false })).toEqual(reply);
+  const told = { ...reply, reason: "overloaded" as const };
+  expect(withoutRecord(told, { isSubmittedAgain: true })).toEqual(told);
+});
