A job enters the queue only if its record is persisted

Cause: onTaskDone and onTaskNotDone put a job back into its service's queue without asking whether its record is persisted. Ruled out: a check in each caller (two had been forgotten; startJob had it). Change: enqueue asks mayStartJob and whether the job has ended; every way into the queue passes it, also a late job that is queued again.

--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -113,7 +113,7 @@
 ): boolean {
   if (job.isLate || !hasQueuedTasks(job)) return false;
   if (state.nowMs < job.objectiveAtMs) return false;
-  markLate(scheduler, job);
+  markLate(state, scheduler, job);
   return true;
 }
 
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -29,7 +29,7 @@
     return;
   }
   attachRuns(context, scheduler, job);
-  enqueue(scheduler, job);
+  enqueue(context.state, job);
   placeQueuedTasks(context, job.queue.service);
 }
 
@@ -58,10 +58,9 @@
     finishJob(context, job, doneOutcome(job));
     return;
   }
-  const { scheduler } = context.state;
-  if (job.steps.length > 1 && scheduler !== null) {
+  if (job.steps.length > 1) {
     queueReadyTasks(job);
-    enqueue(scheduler, job);
+    enqueue(context.state, job);
   }
 }
 
@@ -108,7 +107,7 @@
     finishJob(context, job, { kind: "unknown", reason: "taskLost" });
     return;
   }
-  if (state.scheduler !== null) enqueue(state.scheduler, job);
+  enqueue(state, job);
 }
 
 /**
--- a/src/engine/queue.ts
+++ b/src/engine/queue.ts
@@ -4,7 +4,7 @@
  * that the service runs.
  */
 
-import type { Job, Scheduler } from "./types.ts";
+import type { EngineState, Job, Scheduler } from "./types.ts";
 
 /** Whether a job has tasks that wait only for a worker. */
 export function hasQueuedTasks(job: Job): boolean {
@@ -25,8 +25,15 @@
     (a.jobId < b.jobId ? -1 : 1);
 }
 
-/** Inserts a job into its service's queue, unless it is there already. */
-export function enqueue(scheduler: Scheduler, job: Job): void {
+/**
+ * Inserts a job into its service's queue, unless it is there already. The only
+ * way into the queue: a job that has ended, or that has a record which is not
+ * persisted, is left out, so that none of its tasks starts.
+ */
+export function enqueue(state: EngineState, job: Job): void {
+  const { scheduler, guards } = state;
+  if (scheduler === null || job.outcome !== null) return;
+  if (!guards.mayStartJob(job.record)) return;
   const { service } = job.queue;
   let waiting = scheduler.waiting.get(service);
   if (waiting === undefined) {
@@ -52,8 +59,12 @@
  * Marks a job as late, which moves it behind the jobs of equal priority that
  * can still meet their objectives.
  */
-export function markLate(scheduler: Scheduler, job: Job): void {
+export function markLate(
+  state: EngineState,
+  scheduler: Scheduler,
+  job: Job,
+): void {
   const wasWaiting = dequeue(scheduler, job);
   job.isLate = true;
-  if (wasWaiting) enqueue(scheduler, job);
+  if (wasWaiting) enqueue(state, job);
 }
