A fault of one job ends that job, not the process

Cause: every violated invariant and unexpected error in the reducer ended the process. Ruled out: catching errors around whole events (the rest of the event is lost: a worker would not be polled again); ending the job in the place that fails (its runs and reports need modules that call placement: import cycles). Change: isolateJob wraps each stage in which one job is handled (submit, admit, place, complete, persist, restore, cancel, query, hand over). An error there ends the job as unknown (internalError), stops its runs, logs an error line and counts jobFaults; afterwards the capacity in use on the workers is verified. Entries' own state of a caller's job is not isolated.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -4,6 +4,7 @@
  */
 
 import type { QueueRule } from "../src/engine/schemas.ts";
+import { jobDamages } from "../src/engine/testing.ts";
 import {
   type CallerRecord,
   createWorld,
@@ -102,7 +103,8 @@
   | "workerHang"
   | "workerFailsAll"
   | "workerLeaves"
-  | "storeAway";
+  | "storeAway"
+  | "damageJob";
 
 type FaultHandler = (world: World, forMs: number) => void;
 
@@ -199,8 +201,20 @@
       begin: () => world.setStoreUnavailable(true),
       end: () => world.setStoreUnavailable(false),
     }),
+  damageJob,
 };
 
+/** Damages the state of a job that has not ended, at one of the leaders. */
+function damageJob(world: World): void {
+  const leaders = world.instances.flatMap(({ state }) =>
+    state?.scheduler ? [state.scheduler] : []
+  );
+  const open = leaders.flatMap(({ jobs }) => [...jobs.values()])
+    .filter((job) => job.outcome === null);
+  if (open.length === 0) return;
+  pick(world, jobDamages).damage(pick(world, open));
+}
+
 /** The reference kinds, two of them with persisted records. */
 export const recordedKinds: readonly JobKind[] = referenceKinds.map((
   kind,
@@ -213,7 +227,10 @@
     : kind
 );
 
-/** The faults that {@linkcode drawRun} draws; `workerLeaves` is not drawn. */
+/**
+ * The faults that {@linkcode drawRun} draws; `workerLeaves` and `damageJob` are
+ * not drawn.
+ */
 const drawnFaults: readonly FaultName[] = [
   "kill",
   "killAll",
--- a/bench/engine_runs_test.ts
+++ b/bench/engine_runs_test.ts
@@ -5,6 +5,8 @@
   drawRecordedRun,
   drawRun,
   type EngineRun,
+  recordedKinds,
+  referenceKinds,
   simulateRun,
 } from "./engine_runs.ts";
 import { loadPatterns, simulateLoad } from "./load_model.ts";
@@ -144,6 +146,27 @@
   },
 ];
 
+/** Kinds of jobs, and whether their callers wait for the end of each job. */
+const damagedKinds = [
+  { name: "in memory", kinds: referenceKinds, waitsForEnd: true },
+  { name: "recorded", kinds: recordedKinds, waitsForEnd: false },
+];
+
+// An instance that ends by an error counts as a violated guarantee.
+for (const { name, kinds, waitsForEnd } of damagedKinds) {
+  test(`jobs damaged one after another end no instance: ${name}`, async () => {
+    const faults = Array.from({ length: 120 }, (_, number) => ({
+      atMs: 4_000 + 100 * number,
+      name: "damageJob" as const,
+      forMs: 0,
+    }));
+    const result = await simulateRun({ seed: 1, load: 1, faults, kinds });
+    expect(result.violations).toEqual([]);
+    expect(result.unknown <= faults.length).toEqual(true);
+    if (waitsForEnd) expect(result.unanswered).toEqual(0);
+  });
+}
+
 for (const { name, run } of faultSequences) {
   for (const seed of [1, 2, 3]) {
     test(`fault sequence, seed ${seed}: ${name}`, async () => {
--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -4,8 +4,15 @@
  * complete in time is still admitted.
  */
 
+import { isolateJob } from "./job_faults.ts";
 import { compareJobs, hasQueuedTasks } from "./queue.ts";
-import type { EngineState, Job, JobOutcome, Scheduler } from "./types.ts";
+import type {
+  EngineState,
+  Job,
+  JobOutcome,
+  ReduceContext,
+  Scheduler,
+} from "./types.ts";
 
 /** Expected wait reported to peers for a service without usable workers. */
 const NO_WORKERS_WAIT_MS = 600_000;
@@ -49,10 +56,11 @@
  * there is no usable worker.
  */
 export function expectedWaitMs(
-  state: EngineState,
+  context: ReduceContext,
   scheduler: Scheduler,
   job: Job,
 ): number {
+  const { state } = context;
   const { service } = job.queue;
   const capacityMilli = usableCpuMilli(state, scheduler, service);
   if (capacityMilli === 0) return Infinity;
@@ -62,7 +70,7 @@
     // A paused job starts no tasks, and a job that a previous leader may have
     // run may have to wait until those runs expire: neither counts here.
     if (other.paused || mayHavePreviousRuns(state, other)) continue;
-    aheadMilliMs += queuedWork(other);
+    aheadMilliMs += queuedWork(context, other);
   }
   return aheadMilliMs / capacityMilli;
 }
@@ -80,7 +88,7 @@
  * at a lower cost.
  */
 export function createExpectedWaits(
-  state: EngineState,
+  context: ReduceContext,
   scheduler: Scheduler,
 ): ExpectedWaits {
   let known = new Map<string, Map<Job, number>>();
@@ -88,7 +96,7 @@
   function waitsOf(service: string): Map<Job, number> {
     let waits = known.get(service);
     if (waits === undefined) {
-      waits = computeQueueWaits(state, scheduler, service);
+      waits = computeQueueWaits(context, scheduler, service);
       known.set(service, waits);
     }
     return waits;
@@ -97,7 +105,7 @@
   return {
     get: (job) =>
       waitsOf(job.queue.service).get(job) ??
-        expectedWaitMs(state, scheduler, job),
+        expectedWaitMs(context, scheduler, job),
     reset() {
       known = new Map();
     },
@@ -106,10 +114,11 @@
 
 /** Returns the expected wait of every job in a service's queue. */
 function computeQueueWaits(
-  state: EngineState,
+  context: ReduceContext,
   scheduler: Scheduler,
   service: string,
 ): Map<Job, number> {
+  const { state } = context;
   const waits = new Map<Job, number>();
   const capacityMilli = usableCpuMilli(state, scheduler, service);
   let aheadMilliMs = 0;
@@ -119,7 +128,7 @@
       capacityMilli === 0 ? Infinity : aheadMilliMs / capacityMilli,
     );
     if (!job.paused && !mayHavePreviousRuns(state, job)) {
-      aheadMilliMs += queuedWork(job);
+      aheadMilliMs += queuedWork(context, job);
     }
   }
   return waits;
@@ -130,12 +139,13 @@
  * queued tasks count here, also those of paused jobs.
  */
 export function updateWaitsByService(
-  state: EngineState,
+  context: ReduceContext,
   scheduler: Scheduler,
 ): void {
+  const { state } = context;
   for (const [service, jobs] of scheduler.waiting) {
     let workMilliMs = 0;
-    for (const job of jobs) workMilliMs += queuedWork(job);
+    for (const job of jobs) workMilliMs += queuedWork(context, job);
     const capacityMilli = usableCpuMilli(state, scheduler, service);
     const waitMs = capacityMilli === 0
       ? NO_WORKERS_WAIT_MS
@@ -148,14 +158,20 @@
  * Returns the work of a job's queued tasks, in thousandths of a core times
  * milliseconds. Each task counts with the length of the job's critical path.
  */
-function queuedWork(job: Job): number {
-  let work = 0;
-  for (const task of job.tasks) {
-    if (task.state === "queued") {
-      work += task.demand.cpuMilli * job.criticalPathMs;
-    }
-  }
-  return work;
+function queuedWork(context: ReduceContext, job: Job): number {
+  if (job.outcome !== null) return 0;
+  return isolateJob(context, job, {
+    stage: "admit",
+    fallback: 0,
+    run: () => {
+      let work = 0;
+      for (const task of job.tasks) {
+        if (task.state !== "queued") continue;
+        work += task.demand.cpuMilli * job.criticalPathMs;
+      }
+      return work;
+    },
+  });
 }
 
 /**
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -4,6 +4,7 @@
  */
 
 import { emit, logDecision, sendPeer } from "./effects.ts";
+import { faultyJobOutcome, rememberFaultyJob } from "./job_faults.ts";
 import {
   cellLeader,
   leaderFor,
@@ -312,6 +313,27 @@
   reply(context, callerJob, { kind: "accepted" });
 }
 
+/**
+ * Handles a leader's report that it ends because of an error while it handled a
+ * job. The job's callers get an answer now: if it were resubmitted, it could end
+ * the next leader, too.
+ */
+export function onJobFault(
+  context: ReduceContext,
+  from: string,
+  { jobId }: PeerMessageOf<"jobFault">,
+): void {
+  const { state } = context;
+  rememberFaultyJob(state, jobId);
+  logDecision(context, {
+    level: "error",
+    part: "jobs",
+    text: "an instance ended by an internal error while it handled the job",
+  }, { jobId, endedInstanceId: from });
+  const callerJob = state.callerJobs.get(jobId);
+  if (callerJob !== undefined) answer(context, callerJob, faultyJobOutcome);
+}
+
 function reply(
   context: ReduceContext,
   callerJob: CallerJob,
--- a/src/engine/debug.ts
+++ b/src/engine/debug.ts
@@ -1,6 +1,7 @@
 /**
- * Assertions that stay enabled in production: a violated invariant stops the
- * process before it can emit a wrong effect.
+ * Assertions that stay enabled in production. A violated invariant ends the job
+ * that it concerns, or the process if it concerns shared state, before a wrong
+ * effect is performed; see `job_faults.ts`.
  */
 
 /**
@@ -8,6 +9,9 @@
  * docs/PROOFS.md lists it.
  */
 export class InvariantError extends Error {
+  /** The job that was handled at the violation; undefined if there was none. */
+  jobId: string | undefined;
+
   constructor(readonly invariant: string, detail: string) {
     super(`invariant ${invariant}: ${detail}`);
     this.name = "InvariantError";
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -9,6 +9,7 @@
   refusalOf,
 } from "./admission.ts";
 import { logDecision } from "./effects.ts";
+import { isolateJob } from "./job_faults.ts";
 import { mustNotRestart } from "./job_state.ts";
 import { finishJob } from "./jobs.ts";
 import { mayHaveUnknownRuns } from "./placement.ts";
@@ -43,10 +44,15 @@
  */
 export function checkJobs(context: ReduceContext, scheduler: Scheduler): void {
   const { state } = context;
-  const waits = createExpectedWaits(state, scheduler);
+  const waits = createExpectedWaits(context, scheduler);
   for (const job of scheduler.jobs.values()) {
     if (job.outcome !== null) continue;
-    if (checkJob(context, scheduler, { job, waits })) waits.reset();
+    const hasChanged = isolateJob(context, job, {
+      stage: "admit",
+      fallback: true,
+      run: () => checkJob(context, scheduler, { job, waits }),
+    });
+    if (hasChanged) waits.reset();
   }
   discardEndedJobs(state, scheduler);
   removeExpiredRecords(state, scheduler);
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -2,6 +2,11 @@
 
 import { assert } from "./debug.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import {
+  checkCapacityInUse,
+  faultyJobOutcome,
+  isolateJob,
+} from "./job_faults.ts";
 import { hasStarted, queueReadyTasks } from "./job_state.ts";
 import { placeQueuedTasks } from "./placement.ts";
 import { dequeue, enqueue } from "./queue.ts";
@@ -38,12 +43,23 @@
   for (let next = 0; next < context.taskCompletions.length; next += 1) {
     const completion = context.taskCompletions[next];
     if (completion === undefined) continue;
-    if (completion.kind === "done") onTaskDone(context, completion);
-    else onTaskNotDone(context, completion);
+    isolateJob(context, completion.job, {
+      stage: "complete",
+      fallback: undefined,
+      run: () => applyTaskCompletion(context, completion),
+    });
   }
   context.taskCompletions.length = 0;
 }
 
+function applyTaskCompletion(
+  context: ReduceContext,
+  completion: TaskCompletion,
+): void {
+  if (completion.kind === "done") onTaskDone(context, completion);
+  else onTaskNotDone(context, completion);
+}
+
 function onTaskDone(
   context: ReduceContext,
   { job, task, result }: TaskCompletion,
@@ -140,6 +156,44 @@
   markDirty(scheduler, job);
 }
 
+/**
+ * Ends the jobs of which the handling failed during this event: their runs are
+ * stopped and their entries are told that the outcome is unknown. A recorded
+ * job gets this outcome in its record, unless writing the record is what failed.
+ */
+export function endFaultyJobs(context: ReduceContext): void {
+  const { state, jobFaults } = context;
+  const { scheduler } = state;
+  if (jobFaults.length === 0) return;
+  if (scheduler === null) {
+    jobFaults.length = 0;
+    return;
+  }
+  for (const { job, stage } of jobFaults) {
+    state.counters.jobFaults += 1;
+    removeFromQueues(scheduler, job);
+    stopJobRuns(context, scheduler, job);
+    job.endedAtMs = state.nowMs;
+    reportOutcome(context, job, faultyJobOutcome);
+    const { record } = job;
+    if (record === null) scheduler.endedJobs.push(job);
+    if (record?.storedOutcome !== null || stage === "persist") continue;
+    record.endedAtMs = state.wallMs;
+    markDirty(scheduler, job);
+  }
+  jobFaults.length = 0;
+  checkCapacityInUse(scheduler.workers.values());
+}
+
+/** Removes a job from all queues, whichever its fields say it is in. */
+function removeFromQueues({ waiting, records }: Scheduler, job: Job): void {
+  for (const jobs of waiting.values()) {
+    const at = jobs.indexOf(job);
+    if (at >= 0) jobs.splice(at, 1);
+  }
+  for (const jobs of records.dirty.values()) jobs.delete(job);
+}
+
 /**
  * Reports the outcome of a job to its entries and to the instances that
  * requested its cancellation.
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -10,6 +10,7 @@
 import { resubmitAll } from "./callers.ts";
 import { cellPeers, cellWorkers, isInOwnCell } from "./cells.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { isolateJob } from "./job_faults.ts";
 import { isActiveLeader } from "./leader_lookup.ts";
 import { isReachable, peerRankKey, rankOfSelf } from "./leader_ranking.ts";
 import {
@@ -390,8 +391,13 @@
     .filter((job) => job.outcome === null && job.record === null)
     .map((job) => ({
       jobId: job.jobId,
-      doneTasks: job.tasks.filter((task) => task.state === "done")
-        .map((task) => task.name),
+      doneTasks: isolateJob<string[]>(context, job, {
+        stage: "handOver",
+        fallback: [],
+        run: () =>
+          job.tasks.filter((task) => task.state === "done")
+            .map((task) => task.name),
+      }),
     }));
   stepDown(context, "draining");
   sendPeer(context, successorId, { type: "released", successorId, jobs });
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -6,6 +6,7 @@
  */
 
 import { cellWorkers } from "./cells.ts";
+import { isolateJob } from "./job_faults.ts";
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
 import type {
@@ -37,12 +38,22 @@
   );
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
-    if (job.paused || mayHaveUnknownRuns(state, scheduler, job)) {
+    if (
+      job.outcome !== null || job.paused ||
+      mayHaveUnknownRuns(state, scheduler, job)
+    ) {
       at += 1;
       continue;
     }
-    placeJob(context, workers, job);
-    if (hasQueuedTasks(job)) at += 1;
+    const hasQueued = isolateJob(context, job, {
+      stage: "place",
+      fallback: true,
+      run: () => {
+        placeJob(context, workers, job);
+        return hasQueuedTasks(job);
+      },
+    });
+    if (hasQueued) at += 1;
     else waiting.splice(at, 1);
   }
 }
--- a/src/engine/queries.ts
+++ b/src/engine/queries.ts
@@ -4,6 +4,7 @@
  */
 
 import { emit, logDecision, sendPeer } from "./effects.ts";
+import { faultyJobOutcome, isolateJob } from "./job_faults.ts";
 import { hasStarted } from "./job_state.ts";
 import { cancelJob } from "./jobs.ts";
 import { recordsLeader } from "./leader_lookup.ts";
@@ -117,18 +118,27 @@
 };
 
 const replyHandlers: ReplyHandlers = {
-  job: (_context, scheduler, { query }) => {
+  job: (context, scheduler, { query }) => {
     const job = scheduler.jobs.get(query.jobId);
-    return job === undefined ? unknownJobReply(scheduler) : jobStateReply(job);
+    if (job === undefined) return unknownJobReply(scheduler);
+    return isolateJob<Reply>(context, job, {
+      stage: "query",
+      fallback: { kind: "unavailable" },
+      run: () => jobStateReply(job),
+    });
   },
   cancel: (context, scheduler, { query, from, questionId }) => {
     const job = scheduler.jobs.get(query.jobId);
     if (job === undefined) return unknownJobReply(scheduler);
-    return cancelJob(context, job, { from, questionId });
+    return isolateJob<Reply | null>(context, job, {
+      stage: "cancel",
+      fallback: { kind: "ended", outcome: faultyJobOutcome },
+      run: () => cancelJob(context, job, { from, questionId }),
+    });
   },
-  pending: (_context, scheduler, { query }) => ({
+  pending: (context, scheduler, { query }) => ({
     kind: "pending",
-    count: countPending(scheduler, query.queueName),
+    count: countPending(context, scheduler, query.queueName),
   }),
 };
 
@@ -146,6 +156,8 @@
  */
 function jobStateReply(job: Job): Reply {
   const { record, outcome } = job;
+  // The outcome of a fault is not in the record if writing the record failed.
+  if (outcome === faultyJobOutcome) return { kind: "ended", outcome };
   if (record === null) {
     if (outcome !== null) return { kind: "ended", outcome };
   } else {
@@ -161,12 +173,22 @@
  * Counts the jobs of a queue that have not started. Recorded jobs count once
  * their records are persisted.
  */
-function countPending(scheduler: Scheduler, queueName: string): number {
+function countPending(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  queueName: string,
+): number {
   let count = 0;
   for (const job of scheduler.jobs.values()) {
     const isOpen = job.queue.name === queueName && job.outcome === null &&
       (job.record === null || job.record.accepted);
-    if (isOpen && !hasStarted(job)) count += 1;
+    if (!isOpen) continue;
+    const isPending = isolateJob(context, job, {
+      stage: "query",
+      fallback: false,
+      run: () => !hasStarted(job),
+    });
+    if (isPending) count += 1;
   }
   return count;
 }
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -5,8 +5,14 @@
  */
 
 import { logDecision, sendPeer } from "./effects.ts";
+import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
 import { createJob, queueReadyTasks } from "./job_state.ts";
-import { applyTaskCompletions, reportOutcome, startJob } from "./jobs.ts";
+import {
+  applyTaskCompletions,
+  finishJob,
+  reportOutcome,
+  startJob,
+} from "./jobs.ts";
 import { nextTerm } from "./leadership.ts";
 import { maxLeaseMs } from "./leases.ts";
 import {
@@ -62,7 +68,12 @@
     applyTaskCompletions(context);
     scheduler.rereadWanted = true;
     for (const job of jobs) {
-      if (job !== null && job.outcome === null) startJob(context, job);
+      if (job === null || job.outcome !== null) continue;
+      isolateJob(context, job, {
+        stage: "restore",
+        fallback: undefined,
+        run: () => resumeJob(context, job),
+      });
     }
   },
   outranked: (context, { records }, { term }) => {
@@ -105,6 +116,13 @@
   handler(context, scheduler, outcome);
 }
 
+/** Starts a restored job, unless it ended a previous leader. */
+function resumeJob(context: ReduceContext, job: Job): void {
+  if (isFaultyJob(context.state, job.jobId)) {
+    finishJob(context, job, faultyJobOutcome);
+  } else startJob(context, job);
+}
+
 /**
  * Restores a job from its record. Returns null if the record is that of a
  * refused attempt and a new attempt of the job is pending here.
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -7,6 +7,7 @@
  */
 
 import { emit, logDecision, sendPeer } from "./effects.ts";
+import { isolateJob } from "./job_faults.ts";
 import { queueReadyTasks } from "./job_state.ts";
 import { reportOutcome, startJob, stopJobRuns } from "./jobs.ts";
 import { recordsLeader } from "./leader_lookup.ts";
@@ -172,7 +173,11 @@
     markConfirmed(context.state, scheduler.records);
     for (const [index, job] of batch.jobs.entries()) {
       const outcome = batch.outcomes[index] ?? null;
-      onJobWritten(context, scheduler, { job, outcome, version });
+      isolateJob(context, job, {
+        stage: "persist",
+        fallback: undefined,
+        run: () => onJobWritten(context, scheduler, { job, outcome, version }),
+      });
     }
   },
   changed: (context, { scheduler, batch }, { records: rows }) => {
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -7,6 +7,7 @@
 
 import { emit } from "./effects.ts";
 import { hashText } from "./hash.ts";
+import { isolateJob } from "./job_faults.ts";
 import type { JobRecord } from "./schemas.ts";
 import type {
   Job,
@@ -165,6 +166,16 @@
   }
 }
 
+/** Returns the new content of a job's row, and its length. */
+function contentOf(
+  job: Job,
+  record: RecordState,
+): { record: JobRecord | null; length: number } {
+  if (record.removing) return { record: null, length: 0 };
+  const content = recordOf(job, record);
+  return { record: content, length: JSON.stringify(content).length };
+}
+
 function writePart(
   context: ReduceContext,
   records: RecordStoreState,
@@ -180,8 +191,13 @@
     ) break;
     jobs.delete(job);
     if (record === null) continue;
-    const content = record.removing ? null : recordOf(job, record);
-    batchLength += content === null ? 0 : JSON.stringify(content).length;
+    const content = isolateJob(context, job, {
+      stage: "persist",
+      fallback: undefined,
+      run: () => contentOf(job, record),
+    });
+    if (content === undefined) continue;
+    batchLength += content.length;
     record.mayExist = true;
     record.inFlightCompletions = record.pendingCompletions;
     record.pendingCompletions = [];
@@ -189,7 +205,7 @@
     rows.push({
       jobId: job.jobId,
       expectedVersion: record.version,
-      record: content,
+      record: content.record,
     });
   }
   if (jobs.size === 0) records.dirty.delete(part);
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -10,13 +10,14 @@
   onCallerSubmit,
   onJobAccepted,
   onJobEnded,
+  onJobFault,
   resubmitAll,
 } from "./callers.ts";
 import { applyConfiguration, onConfigurationWanted } from "./configuration.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import { defaultGuards } from "./guards.ts";
 import { checkJobs } from "./job_watch.ts";
-import { applyTaskCompletions, onWithdraw } from "./jobs.ts";
+import { applyTaskCompletions, endFaultyJobs, onWithdraw } from "./jobs.ts";
 import {
   checkLeadership,
   handOverLeadership,
@@ -121,6 +122,7 @@
     pendingQueries: new Map(),
     recordsZone: null,
     recordsExist: true,
+    faultyJobs: new Map(),
     guards: { ...defaultGuards, ...options.guards },
     runTimes: new Map(),
     scheduler: null,
@@ -135,6 +137,7 @@
       jobsUnknown: 0,
       jobsCancelled: 0,
       jobsAccepted: 0,
+      jobFaults: 0,
       recordWrites: 0,
       callersGone: 0,
       tasksStarted: 0,
@@ -169,6 +172,7 @@
   withdraw: onWithdraw,
   jobEnded: onJobEnded,
   jobAccepted: onJobAccepted,
+  jobFault: onJobFault,
   // On the wire, a query is named `question`.
   question: onQuery,
   reply: onReply,
@@ -291,7 +295,7 @@
     rereadWorkers(context, scheduler);
     checkWorkers(context, scheduler);
     sampleDemands(scheduler, state.nowMs);
-    updateWaitsByService(state, scheduler);
+    updateWaitsByService(context, scheduler);
     applyTaskCompletions(context);
     checkJobs(context, scheduler);
     for (const service of scheduler.waiting.keys()) {
@@ -302,6 +306,21 @@
   checkPendingQueries(context);
 }
 
+/**
+ * Handles what the reduction of an event has left: messages of this instance to
+ * itself, task completions and faults of jobs, which may lead to further ones.
+ */
+function settle(context: ReduceContext): void {
+  const { state, selfMessages, taskCompletions, jobFaults } = context;
+  while (selfMessages.length + taskCompletions.length + jobFaults.length > 0) {
+    for (const message of selfMessages.splice(0)) {
+      handlePeerMessage(context, state.self.instanceId, message);
+    }
+    applyTaskCompletions(context);
+    endFaultyJobs(context);
+  }
+}
+
 /**
  * Applies one event to the state, and returns the effects that the instance has
  * to carry out.
@@ -311,6 +330,7 @@
     state,
     effects: [],
     taskCompletions: [],
+    jobFaults: [],
     selfMessages: [],
   };
   state.nowMs = Math.max(state.nowMs, event.nowMs);
@@ -319,12 +339,8 @@
     event: EngineEvent,
   ) => void;
   handler(context, event);
-  for (let next = 0; next < context.selfMessages.length; next += 1) {
-    const message = context.selfMessages[next];
-    if (message === undefined) continue;
-    handlePeerMessage(context, state.self.instanceId, message);
-  }
-  applyTaskCompletions(context);
+  settle(context);
   flushRecords(context);
+  settle(context);
   return context.effects;
 }
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -7,6 +7,7 @@
   observeTaskRun,
   runEstimateOf,
 } from "./expected_run_times.ts";
+import { isolateJob } from "./job_faults.ts";
 import { mustNotRestart } from "./job_state.ts";
 import { recordsLeader } from "./leader_lookup.ts";
 import { leaseEndsOnWorkerMs } from "./leases.ts";
@@ -188,7 +189,7 @@
   const { scheduler, guards } = context.state;
   if (scheduler === null) return;
   const run = worker.runs.get(runKey(row.taskName, row.run));
-  const job = run?.job ?? findTask(context.state, row.taskName)?.job ?? null;
+  const job = run?.job ?? findTask(context, row.taskName)?.job ?? null;
   const { sequence } = row;
   const { retainedSequences } = worker;
   if (job === null && mayHaveRecord(context.state, scheduler)) {
@@ -256,9 +257,13 @@
   // On the wire, `lapsed` means that the lease of the run expired.
   if (row.end === "lapsed") state.counters.tasksLapsed += 1;
   if (row.end === "done" && run.job !== null && run.task !== null) {
-    learnFromRun(state, worker, run);
-    removeRun(worker, run);
     const { job, task } = run;
+    removeRun(worker, run);
+    isolateJob(context, job, {
+      stage: "complete",
+      fallback: undefined,
+      run: () => learnFromRun(state, worker, run),
+    });
     const { workerId } = worker.info;
     const { result } = row;
     context.taskCompletions.push({ job, task, workerId, kind: "done", result });
@@ -277,7 +282,7 @@
   worker: OwnedWorker,
   row: FinishedRow,
 ): void {
-  const found = findTask(context.state, row.taskName);
+  const found = findTask(context, row.taskName);
   if (found === null || found.task.state !== "queued") return;
   const { workerId } = worker.info;
   const { result } = row;
@@ -286,13 +291,18 @@
 
 /** Returns a task and its job by the name of the task, or null if unknown. */
 function findTask(
-  state: EngineState,
+  context: ReduceContext,
   taskName: string,
 ): { job: Job; task: Task } | null {
   const jobId = taskName.slice(0, taskName.indexOf("."));
-  const job = state.scheduler?.jobs.get(jobId);
-  const task = job?.tasks.find((candidate) => candidate.name === taskName);
-  return job === undefined || task === undefined ? null : { job, task };
+  const job = context.state.scheduler?.jobs.get(jobId);
+  if (job === undefined) return null;
+  const task = isolateJob(context, job, {
+    stage: "complete",
+    fallback: undefined,
+    run: () => job.tasks.find((candidate) => candidate.name === taskName),
+  });
+  return task === undefined ? null : { job, task };
 }
 
 /**
@@ -394,7 +404,7 @@
   row: RunningRow,
 ): WorkerRun {
   const { state } = context;
-  const found = findTask(state, row.taskName);
+  const found = findTask(context, row.taskName);
   const canAttach = found !== null && found.task.state === "queued" &&
     found.job.outcome === null;
   const run: WorkerRun = {
@@ -492,15 +502,28 @@
 
 /** Resends the stops of runs that are being stopped, and stops hung runs. */
 export function checkRuns(context: ReduceContext, worker: OwnedWorker): void {
-  const { state } = context;
   for (const run of worker.runs.values()) {
     if (run.state === "stopping") stopRun(context, worker, run);
-    else if (run.state === "running" && isHung(state, worker, run)) {
+    else if (run.state === "running" && isHungRun(context, worker, run)) {
       stopHungRun(context, worker, run);
     }
   }
 }
 
+function isHungRun(
+  context: ReduceContext,
+  worker: OwnedWorker,
+  run: WorkerRun,
+): boolean {
+  const { job } = run;
+  if (job === null || job.outcome !== null) return false;
+  return isolateJob(context, job, {
+    stage: "complete",
+    fallback: false,
+    run: () => isHung(context.state, worker, run),
+  });
+}
+
 function stopHungRun(
   context: ReduceContext,
   worker: OwnedWorker,
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -220,7 +220,13 @@
    */
   z.object({
     kind: z.literal("unknown"),
-    reason: z.enum(["leaderLost", "deadline", "taskLost", "storeAway"]),
+    reason: z.enum([
+      "leaderLost",
+      "deadline",
+      "taskLost",
+      "storeAway",
+      "internalError",
+    ]),
   }),
 ]);
 
@@ -279,6 +285,8 @@
     jobId: z.string(),
     submissionId: z.string(),
   }),
+  /** The sender ends because of an error while it handled the job. */
+  z.object({ type: z.literal("jobFault"), jobId: z.string() }),
   /** Sends a query to a leader. */
   z.object({
     type: z.literal("question"),
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -6,6 +6,7 @@
 import { isDeepStrictEqual } from "node:util";
 import { expectedWaitMs, refusalOf } from "./admission.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
 import { createJob, inheritProgress, queueReadyTasks } from "./job_state.ts";
 import { finishJob, startJob } from "./jobs.ts";
 import { maxLeaseMs } from "./leases.ts";
@@ -41,6 +42,12 @@
   const { state } = context;
   const { scheduler } = state;
   if (scheduler === null) return;
+  if (isFaultyJob(state, message.jobId)) {
+    const { jobId, submissionId } = message;
+    const outcome = faultyJobOutcome;
+    sendPeer(context, from, { type: "jobEnded", jobId, submissionId, outcome });
+    return;
+  }
   const known = scheduler.jobs.get(message.jobId);
   if (known !== undefined && !isNewAttempt(known, from, message)) {
     addSubmission(context, scheduler, { job: known, from, message });
@@ -50,7 +57,21 @@
   job.submissionIdByEntry.set(from, message.submissionId);
   scheduler.jobs.set(job.jobId, job);
   countArrival(scheduler, job);
-  const waitMs = expectedWaitMs(state, scheduler, job);
+  isolateJob(context, job, {
+    stage: "submit",
+    fallback: undefined,
+    run: () => admitJob(context, scheduler, { job, message }),
+  });
+}
+
+/** Refuses a submitted job, or admits it and starts it if it may start. */
+function admitJob(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  { job, message }: { job: Job; message: Submit },
+): void {
+  const { state } = context;
+  const waitMs = expectedWaitMs(context, scheduler, job);
   logSubmission(context, job, { message, waitMs });
   const refusal = job.mayHaveStarted
     ? null
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -14,6 +14,7 @@
   Effect,
   EngineEvent,
   EngineState,
+  Job,
   RunningRow,
   RunOutcome,
 } from "./types.ts";
@@ -231,3 +232,68 @@
     effect.type === type
   );
 }
+
+function failingGetter(target: object, name: string): void {
+  Object.defineProperty(target, name, {
+    configurable: true,
+    get() {
+      throw new TypeError(`${name} is broken`);
+    },
+  });
+}
+
+/** A way in which the state of one job is damaged. */
+export interface JobDamage {
+  /** The stage in which the damage has an effect, and the damage. */
+  readonly name: string;
+  readonly job?: JobSpec;
+  /** The job must be waiting for a worker. */
+  readonly isWaiting?: boolean;
+  readonly damage: (job: Job) => void;
+}
+
+/** Damages of jobs, to test that the fault of one job affects no other. */
+export const jobDamages: readonly JobDamage[] = [
+  {
+    name: "admission: its deadline can't be read",
+    damage: (job) => failingGetter(job, "deadlineAtMs"),
+  },
+  {
+    name: "admission: the demand of a waiting task is missing",
+    isWaiting: true,
+    damage: ({ tasks }) => {
+      for (const task of tasks) failingGetter(task, "demand");
+    },
+  },
+  {
+    name: "placement: it waits though its record is not persisted",
+    isWaiting: true,
+    job: { ...testJob(1), isRecorded: true },
+    damage: ({ record }) => {
+      if (record !== null) record.accepted = false;
+    },
+  },
+  {
+    name: "placement: an at-most-once task may have started",
+    isWaiting: true,
+    damage: (job) => {
+      Object.assign(job, { spec: { ...job.spec, isAtMostOnce: true } });
+      for (const task of job.tasks) failingGetter(task, "mayHaveStarted");
+    },
+  },
+  {
+    name: "completion: fewer tasks are counted as unfinished than are",
+    job: testJob(2),
+    damage: (job) => job.unfinished = 1,
+  },
+  {
+    name: "completion: its steps are missing",
+    job: { ...testJob(1), steps: [...testJob(1).steps, ...testJob(1).steps] },
+    damage: (job) => failingGetter(job, "steps"),
+  },
+  {
+    name: "persisting: its record can't be written",
+    job: { ...testJob(1), isRecorded: true },
+    damage: (job) => failingGetter(job, "spec"),
+  },
+];
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -765,6 +765,8 @@
   jobsUnknown: number;
   jobsCancelled: number;
   jobsAccepted: number;
+  /** Jobs that an internal error of the leader has ended. */
+  jobFaults: number;
   recordWrites: number;
   callersGone: number;
   tasksStarted: number;
@@ -856,6 +858,8 @@
   recordsZone: string | null;
   /** Job records may exist; false once a leader has found none. */
   recordsExist: boolean;
+  /** Time at which each job ended a leader by an internal error, by job id. */
+  readonly faultyJobs: Map<string, number>;
   readonly guards: Guards;
   /** Run time estimates of tasks, by queue. */
   readonly runTimes: Map<string, RunEstimate>;
@@ -885,12 +889,32 @@
   readonly result?: string | undefined;
 }
 
+/** What was done with a job when an error occurred. */
+export type JobStage =
+  | "submit"
+  | "admit"
+  | "place"
+  | "complete"
+  | "persist"
+  | "restore"
+  | "cancel"
+  | "query"
+  | "handOver";
+
+/** An error while a job was handled, which ends the job. */
+export interface JobFault {
+  readonly job: Job;
+  readonly stage: JobStage;
+}
+
 /** The state, with the effects collected while one event is reduced. */
 export interface ReduceContext {
   readonly state: EngineState;
   readonly effects: Effect[];
   /** Task completions that have not been applied to their jobs. */
   readonly taskCompletions: TaskCompletion[];
+  /** Faults of jobs that have not been ended yet. */
+  readonly jobFaults: JobFault[];
   /** Messages of this instance to itself, handled while reducing this event. */
   readonly selfMessages: PeerMessage[];
 }
--- a/src/entry/diagnostics.ts
+++ b/src/entry/diagnostics.ts
@@ -108,6 +108,10 @@
     ran: "unknown",
     text: "The job was cancelled while tasks were in progress.",
   }),
+  internalError: diagnostic(4007, 500, {
+    ran: "unknown",
+    text: "An internal error ended the job; it may have run.",
+  }),
   versionConflict: diagnostic(5001, 409, {
     ran: "no",
     text: "Another change was accepted first; the version is now {0}.",
--- a/src/entry/job_translation.ts
+++ b/src/entry/job_translation.ts
@@ -97,6 +97,7 @@
   deadline: "deadlineExceeded",
   taskLost: "taskUnknown",
   storeAway: "outcomeUnknown",
+  internalError: "internalError",
 };
 
 /** The engine's reply about a job, translated for the caller. */
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -3,6 +3,7 @@
  * effects that it returns. Listeners for callers submit jobs through `submit`.
  */
 
+import { InvariantError } from "../engine/debug.ts";
 import { createEngine, reduce } from "../engine/reduce.ts";
 import type {
   Configuration,
@@ -28,6 +29,11 @@
 import { createRecordStore } from "./record_store.ts";
 import { startStoreReaders } from "./store_readers.ts";
 
+/**
+ * Time between an internal error and the end of the process, in which the log
+ * line and the messages to peers are written.
+ */
+const FAILURE_FLUSH_MS = 50;
 /** Interval between `tick` events. */
 const TICK_MS = 25;
 
@@ -46,6 +52,11 @@
   readonly workers: WorkerHost;
   readonly store: StoreHost;
   readonly log: JsonLog;
+  /**
+   * Called after an internal error that may have damaged the state; by default
+   * the error is thrown from a timer, which ends the process.
+   */
+  readonly onFailure?: (error: Error) => void;
 }
 
 /** A job submitted by a caller. */
@@ -92,6 +103,9 @@
   options: InstanceOptions,
 ): Promise<Instance> {
   const { self, clock, workers, store, log } = options;
+  const onFailure = options.onFailure ?? ((error: Error) => {
+    throw error;
+  });
   const records = createRecordStore(store, {
     log,
     instanceId: self.instanceId,
@@ -108,6 +122,7 @@
   const pendingQueries = new Map<string, (reply: Reply) => void>();
   let requestCount = 0;
   let mesh: PeerMesh | null = null;
+  let hasFailed = false;
 
   const measurePause = createPauseDetector(clock);
 
@@ -121,7 +136,35 @@
   }
 
   function apply(event: EngineEvent): void {
-    for (const effect of reduce(state, event)) performEffect(effect);
+    if (hasFailed) return;
+    let effects: Effect[] = [];
+    try {
+      effects = reduce(state, event);
+    } catch (error) {
+      fail(error as Error);
+    }
+    for (const effect of effects) performEffect(effect);
+  }
+
+  /**
+   * Stops this instance, whose state may be damaged: it handles no event any
+   * more. The peers are told which job was handled, if the error names one, so
+   * that the next leader doesn't start with it.
+   */
+  function fail(error: Error): void {
+    hasFailed = true;
+    const jobId = error instanceof InvariantError ? error.jobId : undefined;
+    log.write("error", {
+      part: "instance",
+      text: "instance ends by an internal error",
+      fields: { detail: error.message, jobId, stack: error.stack },
+    });
+    if (jobId !== undefined) {
+      for (const instanceId of state.peers.keys()) {
+        mesh?.send(instanceId, { type: "jobFault", jobId });
+      }
+    }
+    setTimeout(() => onFailure(error), FAILURE_FLUSH_MS);
   }
 
   const effectHandlers: {
