Admission expects the wait until running tasks leave room

Cause: the expected wait of a job was the work queued before it over the capacity of all workers. With no job waiting it was 0, though every worker was full of tasks with seconds to run: the job was admitted, waited, and was refused when its objective could no longer be met. Change: the expected wait is also at least the time until running tasks, by their progress, leave room for the tasks queued before the job and for one of its own (service_capacity.ts).

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -6,6 +6,11 @@
 
 import { isolateJob } from "./job_faults.ts";
 import { compareJobs, hasQueuedTasks } from "./queue.ts";
+import {
+  createServiceCapacity,
+  roomAfterMs,
+  type ServiceCapacity,
+} from "./service_capacity.ts";
 import type {
   EngineState,
   Job,
@@ -51,9 +56,10 @@
 }
 
 /**
- * Returns how long a job is expected to wait: the time for which the queued
- * tasks of the jobs before it occupy the workers of its service; Infinity if
- * there is no usable worker.
+ * Returns how long a job is expected to wait; Infinity if there is no usable
+ * worker. That is the time until running tasks have left room for the queued
+ * tasks of the jobs before it and for one of its own, and at least the time for
+ * which the tasks before it occupy all workers of the service.
  */
 export function expectedWaitMs(
   context: ReduceContext,
@@ -62,17 +68,13 @@
 ): number {
   const { state } = context;
   const { service } = job.queue;
-  const capacityMilli = usableCpuMilli(state, scheduler, service);
-  if (capacityMilli === 0) return Infinity;
-  let aheadMilliMs = 0;
+  const ahead: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
   for (const other of scheduler.waiting.get(service) ?? []) {
     if (other === job || compareJobs(other, job) > 0) break;
-    // A paused job starts no tasks, and a job that a previous leader may have
-    // run may have to wait until those runs expire: neither counts here.
-    if (other.paused || mayHavePreviousRuns(state, other)) continue;
-    aheadMilliMs += queuedWork(context, other);
+    addQueuedLoad(context, ahead, other);
   }
-  return aheadMilliMs / capacityMilli;
+  const capacity = createServiceCapacity(state, scheduler, service);
+  return waitOf(capacity, { ahead, job });
 }
 
 /** Expected waits of jobs, computed in one pass over each service's queue. */
@@ -118,22 +120,56 @@
   scheduler: Scheduler,
   service: string,
 ): Map<Job, number> {
-  const { state } = context;
   const waits = new Map<Job, number>();
-  const capacityMilli = usableCpuMilli(state, scheduler, service);
-  let aheadMilliMs = 0;
-  for (const job of scheduler.waiting.get(service) ?? []) {
-    waits.set(
-      job,
-      capacityMilli === 0 ? Infinity : aheadMilliMs / capacityMilli,
-    );
-    if (!job.paused && !mayHavePreviousRuns(state, job)) {
-      aheadMilliMs += queuedWork(context, job);
-    }
+  const jobs = scheduler.waiting.get(service) ?? [];
+  if (jobs.length === 0) return waits;
+  const capacity = createServiceCapacity(context.state, scheduler, service);
+  const ahead: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
+  for (const job of jobs) {
+    waits.set(job, waitOf(capacity, { ahead, job }));
+    addQueuedLoad(context, ahead, job);
   }
   return waits;
 }
 
+/** The queued tasks of some jobs. */
+interface QueuedLoad {
+  cpuMilli: number;
+  /** CPU times expected run time. */
+  workMilliMs: number;
+}
+
+/**
+ * Adds the queued tasks of a job that come before others. A paused job starts
+ * no tasks, and a job that a previous leader may have run may have to wait until
+ * those runs expire: neither counts.
+ */
+function addQueuedLoad(
+  context: ReduceContext,
+  load: QueuedLoad,
+  job: Job,
+): void {
+  if (job.paused || mayHavePreviousRuns(context.state, job)) return;
+  const cpuMilli = queuedCpuMilli(context, job);
+  load.cpuMilli += cpuMilli;
+  load.workMilliMs += cpuMilli * job.criticalPathMs;
+}
+
+/** Returns the expected wait of a job behind the given load. */
+function waitOf(
+  capacity: ServiceCapacity,
+  { ahead, job }: { ahead: QueuedLoad; job: Job },
+): number {
+  if (capacity.cpuMilli === 0) return Infinity;
+  const [task] = job.tasks;
+  const taskMilli = Math.max(1, task?.demand.cpuMilli ?? 1);
+  const neededMilli = ahead.cpuMilli + taskMilli;
+  return Math.max(
+    ahead.workMilliMs / capacity.cpuMilli,
+    roomAfterMs(capacity, { neededMilli, taskMilli }),
+  );
+}
+
 /**
  * Updates the expected waits by service that heartbeats report to peers. All
  * queued tasks count here, also those of paused jobs.
@@ -145,8 +181,11 @@
   const { state } = context;
   for (const [service, jobs] of scheduler.waiting) {
     let workMilliMs = 0;
-    for (const job of jobs) workMilliMs += queuedWork(context, job);
-    const capacityMilli = usableCpuMilli(state, scheduler, service);
+    for (const job of jobs) {
+      workMilliMs += queuedCpuMilli(context, job) * job.criticalPathMs;
+    }
+    const capacityMilli =
+      createServiceCapacity(state, scheduler, service).cpuMilli;
     const waitMs = capacityMilli === 0
       ? NO_WORKERS_WAIT_MS
       : Math.round(workMilliMs / capacityMilli);
@@ -154,44 +193,22 @@
   }
 }
 
-/**
- * Returns the work of a job's queued tasks, in thousandths of a core times
- * milliseconds. Each task counts with the length of the job's critical path.
- */
-function queuedWork(context: ReduceContext, job: Job): number {
+/** Returns the CPU that the queued tasks of a job need together. */
+function queuedCpuMilli(context: ReduceContext, job: Job): number {
   if (job.outcome !== null) return 0;
   return isolateJob(context, job, {
     stage: "admit",
     fallback: 0,
     run: () => {
-      let work = 0;
+      let cpuMilli = 0;
       for (const task of job.tasks) {
-        if (task.state !== "queued") continue;
-        work += task.demand.cpuMilli * job.criticalPathMs;
+        if (task.state === "queued") cpuMilli += task.demand.cpuMilli;
       }
-      return work;
+      return cpuMilli;
     },
   });
 }
 
-/**
- * Returns the CPU capacity of a service's workers that are neither draining nor
- * lost nor suspended, including what running tasks occupy.
- */
-function usableCpuMilli(
-  state: EngineState,
-  scheduler: Scheduler,
-  service: string,
-): number {
-  let cpuMilli = 0;
-  for (const { info, phase, suspendedUntilMs } of scheduler.workers.values()) {
-    if (info.service !== service || info.draining) continue;
-    if (phase === "lost" || suspendedUntilMs > state.nowMs) continue;
-    cpuMilli += info.cpuMilli;
-  }
-  return cpuMilli;
-}
-
 /**
  * Whether a previous leader may have started runs of a job that have not
  * expired yet.
--- /dev/null
+++ b/src/engine/service_capacity.ts
@@ -0,0 +1,82 @@
+/**
+ * The capacity of a service's workers now and in the near future, for load near
+ * their capacity: when running tasks are expected to leave room for others.
+ */
+
+import { remainingMs } from "./run_progress.ts";
+import type { EngineState, OwnedWorker, Scheduler } from "./types.ts";
+
+/** The capacity of the usable workers of a service. */
+export interface ServiceCapacity {
+  readonly state: EngineState;
+  /** Workers that are neither draining nor lost nor suspended. */
+  readonly workers: readonly OwnedWorker[];
+  /** Their capacity, including what running tasks occupy. */
+  readonly cpuMilli: number;
+  /** When and by how much running tasks leave room; null until it is needed. */
+  releases: Release[] | null;
+}
+
+interface Release {
+  readonly afterMs: number;
+  readonly cpuMilli: number;
+}
+
+/** Returns the capacity of the usable workers of a service. */
+export function createServiceCapacity(
+  state: EngineState,
+  scheduler: Scheduler,
+  service: string,
+): ServiceCapacity {
+  const workers: OwnedWorker[] = [];
+  let cpuMilli = 0;
+  for (const worker of scheduler.workers.values()) {
+    const { info, phase, suspendedUntilMs } = worker;
+    if (info.service !== service || info.draining) continue;
+    if (phase === "lost" || suspendedUntilMs > state.nowMs) continue;
+    workers.push(worker);
+    cpuMilli += info.cpuMilli;
+  }
+  return { state, workers, cpuMilli, releases: null };
+}
+
+/**
+ * Returns the time after which the workers are expected to have room for tasks
+ * of one size that need `neededMilli` together. If that is more than what all
+ * running tasks occupy, the time until the last of these ends.
+ */
+export function roomAfterMs(
+  capacity: ServiceCapacity,
+  { neededMilli, taskMilli }: { neededMilli: number; taskMilli: number },
+): number {
+  let roomMilli = 0;
+  for (const { info, usedCpuMilli } of capacity.workers) {
+    // What is left over beside whole tasks is of no use.
+    const places = Math.floor((info.cpuMilli - usedCpuMilli) / taskMilli);
+    roomMilli += Math.max(0, places) * taskMilli;
+    if (roomMilli >= neededMilli) return 0;
+  }
+  let lastMs = 0;
+  for (const { afterMs, cpuMilli } of releasesOf(capacity)) {
+    roomMilli += cpuMilli;
+    lastMs = afterMs;
+    if (roomMilli >= neededMilli) break;
+  }
+  return lastMs;
+}
+
+/** Returns the ends of all running tasks, the earliest first. */
+function releasesOf(capacity: ServiceCapacity): Release[] {
+  if (capacity.releases !== null) return capacity.releases;
+  const releases: Release[] = [];
+  for (const worker of capacity.workers) {
+    for (const run of worker.runs.values()) {
+      releases.push({
+        afterMs: remainingMs(capacity.state, worker, run),
+        cpuMilli: run.cpuMilli,
+      });
+    }
+  }
+  capacity.releases = releases.sort((a, b) => a.afterMs - b.afterMs);
+  return releases;
+}
