Chaos and demo name processes that end unasked

Change: the last lines of stderr are kept; a process that ends without kill or terminate fails demo and chaos and is named with exit code and lines. An instance that is not ready in time after a restart is listed (notReady) and fails chaos, which goes on and prints its summary.

--- a/bench/chaos.ts
+++ b/bench/chaos.ts
@@ -16,7 +16,7 @@
 import { callControl } from "./control.ts";
 import { type Fleet, type FleetEntry, startFleet } from "./fleet.ts";
 import { raceOperators } from "./operators.ts";
-import { kill, terminate } from "./processes.ts";
+import { kill, terminate, unaskedExits } from "./processes.ts";
 import {
   countCrossZoneStarts,
   countOutcome,
@@ -67,6 +67,8 @@
   configurationLate: number;
   /** Drains that did not exit cleanly. */
   failedDrains: number;
+  /** Instances that were not ready in time after a restart, by name. */
+  readonly notReady: string[];
 }
 
 function pick<T>({ workload }: Chaos, values: readonly T[]): T | undefined {
@@ -88,12 +90,21 @@
   chaos.claimedEntries.delete(entry);
 }
 
+/** Starts an instance again; records if it does not become ready in time. */
+async function restartEntry(chaos: Chaos, entry: FleetEntry): Promise<void> {
+  try {
+    await chaos.fleet.startEntry(entry);
+  } catch (error) {
+    chaos.notReady.push(`${entry.slot}: ${(error as Error).message}`);
+  }
+}
+
 const faultHandlers: Record<FaultName, (chaos: Chaos) => Promise<void>> = {
   kill: (chaos) =>
     withClaimedEntry(chaos, async (entry) => {
       await kill(entry.process);
       await sleep(chaos.workload.nextUniform() * 1_000);
-      await chaos.fleet.startEntry(entry);
+      await restartEntry(chaos, entry);
     }),
   freeze: (chaos) =>
     withClaimedEntry(chaos, async ({ process }) => {
@@ -124,7 +135,7 @@
     withClaimedEntry(chaos, async (entry) => {
       const code = await terminate(entry.process);
       if (code !== 0) chaos.failedDrains += 1;
-      await chaos.fleet.startEntry(entry);
+      await restartEntry(chaos, entry);
     }),
   workerResets: async (chaos) => {
     const port = pick(chaos, [...chaos.fleet.workerPorts.values()]) ?? 0;
@@ -246,6 +257,7 @@
       claimedEntries: new Set(),
       configurationLate: 0,
       failedDrains: 0,
+      notReady: [],
     };
     const caller = createCaller(fleet.balancerPort);
     const endMs = performance.now() + Number(args.seconds) * 1_000;
@@ -274,11 +286,20 @@
   await countStarts(fleet, tally);
   await countCrossZoneStarts(fleet, tally, { jobs, refused });
   const agreed = await allEntriesAgree(fleet);
-  const { configurationLate, faults } = chaos;
+  const { configurationLate, faults, notReady } = chaos;
   const errors = countErrors(outcomes.map(({ outcome }) => outcome));
-  const summary = { ...tally, configurationLate, agreed, faults, errors };
+  const summary = {
+    ...tally,
+    configurationLate,
+    agreed,
+    notReady,
+    unaskedExits,
+    faults,
+    errors,
+  };
   process.stdout.write(`${JSON.stringify(summary)}\n`);
-  const hasFailed = hasViolations(tally) || configurationLate > 0 || !agreed;
+  const hasFailed = hasViolations(tally) || configurationLate > 0 ||
+    !agreed || notReady.length > 0 || unaskedExits.length > 0;
   process.exitCode = hasFailed ? 1 : 0;
 }
 
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -8,7 +8,7 @@
 import { sleep } from "../standins/http_service.ts";
 import { createCaller, type JobOutcome } from "./caller.ts";
 import { type Fleet, startFleet } from "./fleet.ts";
-import { kill, terminate } from "./processes.ts";
+import { kill, terminate, unaskedExits } from "./processes.ts";
 import {
   countCrossZoneStarts,
   countOutcome,
@@ -93,8 +93,10 @@
   await countCrossZoneStarts(fleet, tally, { jobs, refused });
   await caller.close();
   await fleet.stop();
+  for (const exit of unaskedExits) log(`unasked end: ${JSON.stringify(exit)}`);
   process.stdout.write(`${JSON.stringify(tally)}\n`);
-  process.exitCode = hasViolations(tally) ? 1 : 0;
+  const hasFailed = hasViolations(tally) || unaskedExits.length > 0;
+  process.exitCode = hasFailed ? 1 : 0;
 }
 
 async function killInstance(fleet: Fleet): Promise<void> {
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -14,8 +14,24 @@
 export interface FleetProcess {
   readonly name: string;
   readonly child: ChildProcess;
+  /** `kill` or `terminate` was called, so the process is expected to end. */
+  isEnding: boolean;
 }
 
+/** The end of a process that was neither killed nor terminated here. */
+export interface UnaskedExit {
+  readonly name: string;
+  readonly code: number | null;
+  readonly signal: string | null;
+  /** The last lines that the process wrote to stderr. */
+  readonly lastLines: readonly string[];
+}
+
+/** Number of lines of stderr that are kept for reports. */
+const MAX_LAST_LINES = 12;
+/** Processes that have ended without being told to. */
+export const unaskedExits: UnaskedExit[] = [];
+
 const liveChildren = new Set<ChildProcess>();
 // Kill all children on exit, so that none outlives the tool that started it.
 process.on("exit", () => {
@@ -25,7 +41,10 @@
   process.once(signal, () => process.exit(1));
 }
 
-/** Starts a compiled script; its stderr is discarded unless verbose. */
+/**
+ * Starts a compiled script. The last lines of its stderr are kept for
+ * {@linkcode unaskedExits}, or passed on if verbose.
+ */
 export function startScript(
   name: string,
   script: string,
@@ -36,11 +55,28 @@
     : ["--cpu-prof", `--cpu-prof-dir=${profileDirectory}`];
   const nodeArgs = [...profiling, `${DIST}${script}`, ...args];
   const child = spawn(process.execPath, nodeArgs, {
-    stdio: ["ignore", "pipe", verbose ? "inherit" : "ignore"],
+    stdio: ["ignore", "pipe", verbose ? "inherit" : "pipe"],
+  });
+  const started: FleetProcess = { name, child, isEnding: false };
+  let lastLines: string[] = [];
+  child.stderr?.setEncoding("utf8").on("data", (text: string) => {
+    lastLines = [...lastLines, ...text.split("\n")].slice(-MAX_LAST_LINES);
   });
   liveChildren.add(child);
   child.once("exit", () => liveChildren.delete(child));
-  return { name, child };
+  child.once("exit", (code, signal) => {
+    if (started.isEnding) return;
+    // Lines may still arrive after the exit, so they are read for the report.
+    unaskedExits.push({
+      name,
+      code,
+      signal,
+      get lastLines() {
+        return lastLines;
+      },
+    });
+  });
+  return started;
 }
 
 /** Waits until a stand-in reports on stdout that it is ready. */
@@ -56,7 +92,9 @@
 }
 
 /** Sends SIGKILL to a process and waits for it to exit. */
-export async function kill({ child }: FleetProcess): Promise<void> {
+export async function kill(process: FleetProcess): Promise<void> {
+  const { child } = process;
+  process.isEnding = true;
   if (child.exitCode !== null || child.signalCode !== null) return;
   const exited = once(child, "exit");
   child.kill("SIGKILL");
@@ -65,8 +103,10 @@
 
 /** Sends SIGTERM to a process and resolves with its exit code. */
 export async function terminate(
-  { child }: FleetProcess,
+  process: FleetProcess,
 ): Promise<number | null> {
+  const { child } = process;
+  process.isEnding = true;
   if (child.exitCode !== null || child.signalCode !== null) {
     return child.exitCode;
   }
