--- a/bench/recorded_runs_test.ts
+++ b/bench/recorded_runs_test.ts
@@ -59,6 +59,11 @@
     draw: drawCellsRun,
     seeds: [734, 770],
   },
+  {
+    failure: "tasks started again after their completions were acknowledged",
+    draw: drawCellsRun,
+    seeds: [26],
+  },
 ];
 
 for (const { failure, draw, seeds } of drawnRegressions) {
