A run that is being stopped leaves room within the time of a stop

Cause: remainingMs predicted the end of a stopped run by its progress, so a job that arrived while runs were being stopped was refused for seconds of work that no longer waited. Change: such a run, and one of no job, counts with the bound of a stop. admission_test, 'running tasks are being stopped': red before, green now.

--- a/src/engine/admission_test.ts
+++ b/src/engine/admission_test.ts
@@ -74,6 +74,15 @@
   },
 ];
 
+test("a job is not refused if the running tasks are being stopped", () => {
+  const leader = createTestLeader();
+  fillWorkers(leader, { percentPerPoll: 2, polls: 5 });
+  leader.receive("p", { type: "withdraw", jobId: RUNNING_ID });
+  const outcomes = effectsOf(submit(leader, NEW_ID, 1), "sendPeer")
+    .filter(({ message }) => message.type === "jobEnded");
+  expect(outcomes).toEqual([]);
+});
+
 for (const { name, progress, isRefused } of cases) {
   test(`a job is ${isRefused ? "" : "not "}refused at once if the running tasks ${name}`, () => {
     const leader = createTestLeader();
--- a/src/engine/run_progress.ts
+++ b/src/engine/run_progress.ts
@@ -118,13 +118,17 @@
 
 /**
  * Returns how long a run will probably still occupy its worker: by its rate of
- * progress, or else by the expected run time of its task.
+ * progress, or else by the expected run time of its task. A run that is being
+ * stopped, or that belongs to no job, ends within the time that a stop takes.
  */
 export function remainingMs(
   state: EngineState,
   worker: OwnedWorker,
-  { job, task, progress, placedAtMs }: WorkerRun,
+  { job, task, progress, placedAtMs, state: runState }: WorkerRun,
 ): number {
+  if (job === null || task === null || runState === "stopping") {
+    return state.stopMs;
+  }
   if (
     progress !== null && progress.percent >= MIN_PREDICTING_PERCENT &&
     hasProgressed(progress)
@@ -133,7 +137,6 @@
     const leftMs = msPerPercent(progress) * (100 - progress.percent);
     return Math.max(0, leftMs - (workerClockMs - progress.risenAtMs));
   }
-  if (job === null || task === null) return 0;
   const expectedMs = worker.slowness *
     expectedTaskMs(state, job.queue.name, task.demand.estimatedMs);
   const leftMs = expectedMs - (state.nowMs - placedAtMs);
