--- a/src/engine/admission_test.ts
+++ b/src/engine/admission_test.ts
@@ -5,7 +5,7 @@
   effectsOf,
   type TestInstance,
   testJob,
-  testQueue,
+  testSubmission,
 } from "./testing.ts";
 import type { Effect } from "./types.ts";
 
@@ -15,20 +15,9 @@
 const POLL_INTERVAL_MS = 100;
 
 function submit(leader: TestInstance, jobId: string, count: number): Effect[] {
-  return leader.receive("p", {
-    type: "submit",
-    jobId,
-    submissionId: `p.${jobId}`,
-    queue: testQueue,
-    job: testJob(count),
-    availabilityZone: "poa",
-    ageMs: 0,
-    timeLeftMs: 60_000,
-    resubmitted: false,
-    leftCell: false,
-    answerAt: "ended",
-    doneTasks: [],
-  });
+  const job = testJob(count);
+  const submission = testSubmission({ jobId, job, timeLeftMs: 60_000 });
+  return leader.receive("p", submission);
 }
 
 /**
--- a/src/engine/job_faults_test.ts
+++ b/src/engine/job_faults_test.ts
@@ -1,15 +1,17 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { InvariantError } from "./debug.ts";
-import type { JobSpec, PeerMessage } from "./schemas.ts";
+import type { JobSpec } from "./schemas.ts";
 import {
   createTestInstance,
   createTestLeader,
   effectsOf,
   jobDamages,
+  testHeartbeat,
   type TestInstance,
   testJob,
   testQueue,
+  testSubmission,
 } from "./testing.ts";
 import type { Effect } from "./types.ts";
 
@@ -25,20 +27,7 @@
   leader: TestInstance,
   { jobId, job = testJob(1) }: Submission,
 ): Effect[] {
-  return leader.receive("p", {
-    type: "submit",
-    jobId,
-    submissionId: `p.${jobId}`,
-    queue: testQueue,
-    job,
-    availabilityZone: "poa",
-    ageMs: 0,
-    timeLeftMs: 6_000,
-    resubmitted: false,
-    leftCell: false,
-    answerAt: "ended",
-    doneTasks: [],
-  });
+  return leader.receive("p", testSubmission({ jobId, job }));
 }
 
 /** Outcomes that entries were told, by job id, as `kind` or `kind reason`. */
@@ -149,23 +138,7 @@
 
 test("an entry answers a job that ended its leader and doesn't resubmit it", () => {
   const entry = createTestInstance({ peers: ["old", "new"] });
-  const heartbeat = (term: number): PeerMessage => ({
-    type: "heartbeat",
-    bornMs: 1,
-    sentAtMs: 0,
-    draining: false,
-    isLeader: true,
-    provisional: false,
-    term,
-    leaderId: null,
-    maxTermSeen: 0,
-    workersAgeMs: 0,
-    recordsExist: false,
-    hasZoneCells: false,
-    holdsRecords: false,
-    waitMsByService: {},
-    configurationVersion: 1,
-  });
+  const heartbeat = (term: number) => testHeartbeat({ isLeader: true, term });
   entry.receive("old", heartbeat(512));
   entry.after(0, {
     type: "callerSubmit",
--- a/src/engine/reported_failures_test.ts
+++ b/src/engine/reported_failures_test.ts
@@ -14,7 +14,7 @@
   type TestInstance,
   testInstanceInfo,
   testJob,
-  testQueue,
+  testSubmission,
   testWorker,
 } from "./testing.ts";
 import type { Effect, PollOutcome } from "./types.ts";
@@ -26,21 +26,7 @@
   leader: TestInstance,
   fields: Partial<PeerMessageOf<"submit">> = {},
 ): Effect[] {
-  return leader.receive("p", {
-    type: "submit",
-    jobId: JOB_ID,
-    submissionId: "p.1.1",
-    queue: testQueue,
-    job: testJob(1),
-    availabilityZone: "poa",
-    ageMs: 0,
-    timeLeftMs: 6_000,
-    resubmitted: false,
-    leftCell: false,
-    answerAt: "ended",
-    doneTasks: [],
-    ...fields,
-  });
+  return leader.receive("p", testSubmission({ jobId: JOB_ID, ...fields }));
 }
 
 function startsOf(effects: readonly Effect[]): string[] {
@@ -168,7 +154,6 @@
   expect(actionsOf(later)).toEqual([]);
 });
 
-/** Sources of an outdated view that a restarted instance may hear from. */
 test("an older list of workers doesn't bring back one that left", () => {
   const instance = createTestInstance({ peers: ["p"] });
   const leaving = { ...testWorker("w1"), draining: true };
--- a/src/engine/run_progress_test.ts
+++ b/src/engine/run_progress_test.ts
@@ -5,8 +5,7 @@
   createTestLeader,
   effectsOf,
   type TestInstance,
-  testJob,
-  testQueue,
+  testSubmission,
 } from "./testing.ts";
 import type { Effect, OwnedWorker } from "./types.ts";
 
@@ -14,23 +13,6 @@
 /** The worker's answers are this far apart. */
 const POLL_INTERVAL_MS = 200;
 
-function submit(leader: TestInstance, jobId: string): Effect[] {
-  return leader.receive("p", {
-    type: "submit",
-    jobId,
-    submissionId: "p.1.1",
-    queue: testQueue,
-    job: testJob(1),
-    availabilityZone: "poa",
-    ageMs: 0,
-    timeLeftMs: 60_000,
-    resubmitted: false,
-    leftCell: false,
-    answerAt: "ended",
-    doneTasks: [],
-  });
-}
-
 function startOf(effects: readonly Effect[]) {
   const [start] = effectsOf(effects, "startTask");
   if (start === undefined) throw new Error("no task was started");
@@ -39,7 +21,9 @@
 
 /** Submits a job and returns its start, which the worker acknowledges. */
 function startJob(leader: TestInstance, jobId: string) {
-  const start = startOf(submit(leader, jobId));
+  const start = startOf(
+    leader.receive("p", testSubmission({ jobId, timeLeftMs: 60_000 })),
+  );
   leader.acknowledgeStart(start);
   return start;
 }
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -187,6 +187,26 @@
   return instance;
 }
 
+/** Returns the submission of a job by the entry `p`. */
+export function testSubmission(
+  fields: Partial<PeerMessageOf<"submit">> & { readonly jobId: string },
+): PeerMessageOf<"submit"> {
+  return {
+    type: "submit",
+    submissionId: `p.${fields.jobId}`,
+    queue: testQueue,
+    job: testJob(1),
+    availabilityZone: "poa",
+    ageMs: 0,
+    timeLeftMs: 6_000,
+    resubmitted: false,
+    leftCell: false,
+    answerAt: "ended",
+    doneTasks: [],
+    ...fields,
+  };
+}
+
 /** Returns a heartbeat, by default of a peer that knows no leader. */
 export function testHeartbeat(
   fields: Partial<PeerMessageOf<"heartbeat">> = {},
