--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -11,6 +11,7 @@
   testInstanceInfo,
   testJob,
   testQueue,
+  testSubmission,
   testWorker,
 } from "./testing.ts";
 import type { Effect } from "./types.ts";
@@ -20,21 +21,7 @@
 function submission(
   fields: Partial<PeerMessageOf<"submit">> = {},
 ): PeerMessageOf<"submit"> {
-  return {
-    type: "submit",
-    jobId: JOB_ID,
-    submissionId: "p.1.1",
-    queue: testQueue,
-    job: testJob(2),
-    availabilityZone: "poa",
-    ageMs: 0,
-    timeLeftMs: 6_000,
-    resubmitted: false,
-    leftCell: false,
-    answerAt: "ended",
-    doneTasks: [],
-    ...fields,
-  };
+  return testSubmission({ jobId: JOB_ID, job: testJob(2), ...fields });
 }
 
 function callerSubmit(instance: TestInstance): Effect[] {
--- a/src/engine/takeover_test.ts
+++ b/src/engine/takeover_test.ts
@@ -7,8 +7,7 @@
   effectsOf,
   testHeartbeat,
   type TestInstance,
-  testJob,
-  testQueue,
+  testSubmission,
   testWorker,
 } from "./testing.ts";
 import type { Effect } from "./types.ts";
@@ -17,20 +16,7 @@
   leader: TestInstance,
   fields: { jobId: string; resubmitted?: boolean; ageMs?: number },
 ): Effect[] {
-  return leader.receive("p", {
-    type: "submit",
-    submissionId: "p.1.1",
-    queue: testQueue,
-    job: testJob(1),
-    availabilityZone: "poa",
-    ageMs: 0,
-    timeLeftMs: 6_000,
-    resubmitted: false,
-    leftCell: false,
-    answerAt: "ended",
-    doneTasks: [],
-    ...fields,
-  });
+  return leader.receive("p", testSubmission(fields));
 }
 
 const startsOf = (effects: readonly Effect[]) =>
