Log and count crashes of workers and the runs lost with them

Change: a refused poll is an outcome of its own (notListening). A worker of which connections are refused is presumed crashed; one of which another incarnation answers has crashed; one that answers again had not. Each gets a line, with the runs and their ages; each run lost gets a line with the cause. Counters workersCrashed and tasksCrashed. No decision changes.

--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -144,6 +144,8 @@
       tasksDone: 0,
       tasksFailed: 0,
       tasksLapsed: 0,
+      workersCrashed: 0,
+      tasksCrashed: 0,
       tasksStopped: 0,
       startsRefused: 0,
       startsUnknown: 0,
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -27,9 +27,12 @@
   RunningRow,
   Scheduler,
   Task,
+  TaskCompletion,
   WorkerRun,
 } from "./types.ts";
 
+type CompletionKind = TaskCompletion["kind"];
+
 /** Minimum interval between calls to stop the same run. */
 const RESEND_STOP_INTERVAL_MS = 200;
 /** Number of consecutive failures from which on a worker is suspended. */
@@ -143,15 +146,40 @@
 export function dropRun(
   context: ReduceContext,
   worker: OwnedWorker,
-  { run, kind }: { run: WorkerRun; kind: "failed" | "lost" | "notStarted" },
+  { run, kind }: { run: WorkerRun; kind: Exclude<CompletionKind, "done"> },
 ): void {
   removeRun(worker, run);
+  if (kind === "crashed" || kind === "lost") {
+    logLostRun(context, worker, { run, kind });
+  }
   const { job, task } = run;
   if (job === null || task === null) return;
   const { workerId } = worker.info;
   context.taskCompletions.push({ job, task, workerId, kind });
 }
 
+function logLostRun(
+  context: ReduceContext,
+  worker: OwnedWorker,
+  { run, kind }: { run: WorkerRun; kind: "crashed" | "lost" },
+): void {
+  const { state } = context;
+  if (kind === "crashed") state.counters.tasksCrashed += 1;
+  logDecision(context, { part: "run", text: "run lost" }, {
+    task: run.taskName,
+    run: run.run,
+    workerId: worker.info.workerId,
+    cause: kind === "crashed" ? "workerCrashed" : "unknown",
+    placedMsAgo: Math.round(state.nowMs - run.placedAtMs),
+    otherRuns: worker.runs.size,
+  });
+}
+
+/** What became of the runs of a worker that are gone without a completion. */
+export function goneKind({ crash }: OwnedWorker): "crashed" | "lost" {
+  return crash === null ? "lost" : "crashed";
+}
+
 /**
  * Sends a call to stop a run, unless one was sent within the resend interval.
  */
@@ -387,7 +415,7 @@
     const isGone = run.state !== "starting" && goneAtMs < sentAtMs;
     const requestedBefore = run.placedAtMs < sentAtMs;
     if (isGone || (underNewFence && requestedBefore)) {
-      const kind = run.state === "starting" ? "notStarted" : "lost";
+      const kind = run.state === "starting" ? "notStarted" : goneKind(worker);
       dropRun(context, worker, { run, kind });
     }
   }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -84,6 +84,11 @@
   | { readonly kind: "replaced" }
   /** The worker reports that it can't run tasks. */
   | { readonly kind: "unhealthy" }
+  /**
+   * The connection was refused: no process listens at the worker's address, or
+   * a network partition refuses connections.
+   */
+  | { readonly kind: "notListening" }
   | { readonly kind: "unreachable"; readonly detail: string };
 
 /** Outcome of a call that starts a task. */
@@ -582,6 +587,13 @@
   listedAtMs: number;
 }
 
+/** Evidence that the process of a worker has ended. */
+export interface WorkerCrash {
+  readonly detectedAtMs: number;
+  /** Whether it is certain; if not, connections to the worker are refused. */
+  readonly confirmed: boolean;
+}
+
 /** A worker that this instance as the leader owns, is acquiring or has lost. */
 export interface OwnedWorker {
   info: WorkerInfo;
@@ -668,6 +680,8 @@
   suspendedUntilMs: number;
   /** Moving average of actual over expected run time. */
   slowness: number;
+  /** Evidence that the worker's process has ended; null if there is none. */
+  crash: WorkerCrash | null;
   /** Time at which a lost worker is acquired again; Infinity if it is not. */
   retryAtMs: number;
 }
@@ -778,6 +792,10 @@
   tasksFailed: number;
   /** Runs whose leases expired. */
   tasksLapsed: number;
+  /** Workers that crashed or were presumed to have crashed. */
+  workersCrashed: number;
+  /** Runs lost with these workers. */
+  tasksCrashed: number;
   tasksStopped: number;
   startsRefused: number;
   startsUnknown: number;
@@ -886,10 +904,11 @@
   readonly task: Task;
   readonly workerId: string;
   /**
-   * `lost` if the run no longer exists and its progress is unknown; `notStarted`
-   * if it is certain that the run did not start.
+   * `crashed` if the run was lost because its worker crashed; `lost` if the run
+   * no longer exists and its progress is unknown; `notStarted` if it is certain
+   * that the run did not start.
    */
-  readonly kind: "done" | "failed" | "lost" | "notStarted";
+  readonly kind: "done" | "failed" | "crashed" | "lost" | "notStarted";
   readonly result?: string | undefined;
 }
 
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -4,6 +4,7 @@
  */
 
 import { isInOwnCell } from "./cells.ts";
+import { clearCrash, noteCrash } from "./crashes.ts";
 import { emit, logDecision } from "./effects.ts";
 import { FENCES_PER_TERM, firstFence, workersToOwn } from "./leadership.ts";
 import { leaseEndsOnWorkerMs, maxLeaseMs } from "./leases.ts";
@@ -11,6 +12,7 @@
 import {
   checkRuns,
   dropRun,
+  goneKind,
   mayHaveRecord,
   processCompletion,
   reconcileRuns,
@@ -186,6 +188,7 @@
     failedJobIds: new Set(),
     suspendedUntilMs: 0,
     slowness: 1,
+    crash: null,
     retryAtMs: 0,
   };
 }
@@ -264,7 +267,14 @@
   // On the wire, `held` means that the worker accepted the poll.
   held: onPollSucceeded,
   fenced: (context, worker) => relinquishWorker(context, worker),
-  replaced: (context, worker) => markWorkerLost(context, worker, "replaced"),
+  replaced: (context, worker) => {
+    noteCrash(context, worker, { confirmed: true, reason: "replaced" });
+    markWorkerLost(context, worker, "replaced");
+  },
+  notListening: (context, worker) => {
+    noteCrash(context, worker, { confirmed: false, reason: "notListening" });
+    markWorkerLost(context, worker, "notListening");
+  },
   unhealthy: (context, worker) => markWorkerLost(context, worker, "unhealthy"),
   unreachable: (context, worker, { detail }) =>
     markWorkerLost(context, worker, detail),
@@ -311,6 +321,7 @@
     sentAtMs: worker.pollSentAtMs,
     underNewFence,
   });
+  clearCrash(context, worker);
   if (underNewFence) becomeReady(context, worker);
   schedulePoll(context, worker);
 }
@@ -331,6 +342,7 @@
       bornMs: startedAtMs,
       runsLost: worker.runs.size,
     });
+    noteCrash(context, worker, { confirmed: true, reason: "restarted" });
     worker.processedSequence = 0;
     worker.acknowledgedSequence = 0;
     worker.retainedSequences = new Set();
@@ -527,7 +539,7 @@
       continue;
     }
     state.counters.tasksLapsed += 1;
-    dropRun(context, worker, { run, kind: "lost" });
+    dropRun(context, worker, { run, kind: goneKind(worker) });
   }
 }
 
--- a/src/host/worker_client.ts
+++ b/src/host/worker_client.ts
@@ -19,6 +19,8 @@
  * take `waitMs` longer.
  */
 const RESPONSE_TIMEOUT_MS = 500;
+/** Error code of a connection to an address where no process listens. */
+const CONNECTION_REFUSED = "ECONNREFUSED";
 
 /**
  * Response to a poll, which is a `hold` call on the wire. Wire names: `held` is
@@ -109,7 +111,10 @@
           timeoutMs,
         });
       } catch (error) {
-        return { kind: "unreachable", detail: errorCode(error) };
+        const detail = errorCode(error);
+        return detail === CONNECTION_REFUSED
+          ? { kind: "notListening" }
+          : { kind: "unreachable", detail };
       }
     },
     async start(effect): Promise<StartOutcome> {
@@ -122,7 +127,7 @@
       } catch (error) {
         const detail = errorCode(error);
         // A refused connection shows that the worker did not receive the call.
-        const kind = detail === "ECONNREFUSED" ? "notSent" : "unknown";
+        const kind = detail === CONNECTION_REFUSED ? "notSent" : "unknown";
         return { kind, detail };
       }
     },
