Failing tests: a task that crashes its workers is started without end

Of ten cases six fail: a recorded task is started again after each crash, also when nobody sees the crash before the worker is back; callers in memory wait for their deadline; the task beside it is lost again and again; a suspected task runs among others; a new leader knows of no crash. The four that pass guard against the opposite fault: one crash, partitions that are silent or refuse connections, planned restarts.

--- /dev/null
+++ b/src/engine/crashes_test.ts
@@ -0,0 +1,326 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import type { JobRecord, JobSpec } from "./schemas.ts";
+import {
+  createTestInstance,
+  effectsOf,
+  type TestInstance,
+  testJob,
+  testSubmission,
+  testWorker,
+} from "./testing.ts";
+import type { Effect, PollOutcome } from "./types.ts";
+
+const JOB_ID = "00000000000000aa";
+const OTHER_ID = "00000000000000bb";
+const recorded: JobSpec = { ...testJob(1), isRecorded: true };
+
+type Start = Extract<Effect, { type: "startTask" }>;
+
+/** A leader of a few workers, and the effects of all events so far. */
+interface Fleet {
+  readonly leader: TestInstance;
+  readonly effects: Effect[];
+  readonly bornMs: Map<string, number>;
+}
+
+function createFleet(
+  { workers = 6, records = [] }: {
+    workers?: number;
+    records?: readonly JobRecord[];
+  } = {},
+): Fleet {
+  const leader = createTestInstance();
+  const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
+  leader.after(0, { type: "workersRead", workers: ids.map(testWorker) });
+  leader.tick(1_000);
+  leader.tick();
+  const effects = ids.flatMap((workerId) => leader.completePoll(workerId));
+  effects.push(...leader.tick(100));
+  leader.state.recordsExist = true;
+  effects.push(...leader.tick());
+  effects.push(...leader.after(5, {
+    type: "recordsOpened",
+    term: leader.state.leaderTerm,
+    outcome: {
+      kind: "opened",
+      records: records.map((record) => ({ record, version: 7 })),
+    },
+  }));
+  const fleet = { leader, effects, bornMs: new Map<string, number>() };
+  pass(fleet, 25);
+  return fleet;
+}
+
+/** Submits a job; what is written to the store is acknowledged at once. */
+function submit(fleet: Fleet, jobId: string, job: JobSpec): void {
+  const { leader, effects } = fleet;
+  effects.push(...leader.receive("p", testSubmission({ jobId, job })));
+  acknowledgeWrites(fleet);
+}
+
+function acknowledgeWrites({ leader, effects }: Fleet): void {
+  const writes = leader.state.scheduler?.records.inFlightWrites ?? new Map();
+  for (const { writeId } of [...writes.values()]) {
+    const outcome = { kind: "written" as const, version: writeId + 10 };
+    effects.push(
+      ...leader.after(1, { type: "recordsWritten", writeId, outcome }),
+    );
+  }
+}
+
+/** Lets time pass; workers that are reachable answer their polls. */
+function pass(
+  fleet: Fleet,
+  ms: number,
+  isAnswering: (workerId: string) => boolean = () => true,
+): void {
+  const { leader, effects, bornMs } = fleet;
+  for (let passedMs = 0; passedMs < ms; passedMs += 25) {
+    effects.push(...leader.tick());
+    acknowledgeWrites(fleet);
+    for (const worker of leader.state.scheduler?.workers.values() ?? []) {
+      const { workerId } = worker.info;
+      if (!isAnswering(workerId)) continue;
+      if (worker.phase === "ready" && worker.nextPollAtMs !== Infinity) {
+        continue;
+      }
+      if (worker.pollCallId === 0) continue;
+      effects.push(...leader.completePoll(workerId, {
+        running: [...worker.runs.values()].map(({ taskName, run }) => ({
+          taskName,
+          run,
+          percent: 50,
+        })),
+        bornMs: bornMs.get(workerId) ?? 1,
+      }));
+    }
+  }
+}
+
+function startsOf({ effects }: Fleet, jobId: string): Start[] {
+  return effectsOf(effects, "startTask").filter(({ taskName }) =>
+    taskName.startsWith(jobId)
+  );
+}
+
+function outcomesOf({ effects, leader }: Fleet, jobId: string): string[] {
+  const reported = effectsOf(effects, "sendPeer").flatMap(({ message }) =>
+    message.type === "jobEnded" && message.jobId === jobId
+      ? [message.outcome.kind]
+      : []
+  );
+  const outcome = leader.state.scheduler?.jobs.get(jobId)?.outcome;
+  return reported.length > 0 ? reported : outcome ? [outcome.kind] : [];
+}
+
+function failPoll(
+  { leader, effects }: Fleet,
+  workerId: string,
+  outcome: PollOutcome,
+): void {
+  const callId = leader.state.scheduler?.workers.get(workerId)?.pollCallId ?? 0;
+  effects.push(
+    ...leader.after(1, { type: "pollCompleted", workerId, callId, outcome }),
+  );
+}
+
+const reset: PollOutcome = { kind: "unreachable", detail: "ECONNRESET" };
+const timeout: PollOutcome = { kind: "unreachable", detail: "timeout" };
+const notListening: PollOutcome = { kind: "notListening" };
+
+/** Lets workers fail their polls in a way until all leases have expired. */
+function outage(
+  fleet: Fleet,
+  workerIds: readonly string[],
+  outcomes: readonly PollOutcome[],
+): void {
+  for (let round = 0; round < 60; round += 1) {
+    const outcome = outcomes[Math.min(round, outcomes.length - 1)];
+    for (const workerId of workerIds) {
+      if (outcome !== undefined) failPoll(fleet, workerId, outcome);
+    }
+    pass(fleet, 25, (workerId) => !workerIds.includes(workerId));
+  }
+}
+
+/** What happens to the workers after the latest start of a task. */
+type Fate =
+  | "crash"
+  | "crashUnseen"
+  | "partition"
+  | "refusingPartition"
+  | "restartAsPlanned"
+  | "done";
+
+function crash(fleet: Fleet, workerId: string, outcomes: PollOutcome[]): void {
+  outage(fleet, [workerId], outcomes);
+  fleet.bornMs.set(workerId, (fleet.bornMs.get(workerId) ?? 1) + 5_000);
+  pass(fleet, 1_500);
+}
+
+const fates: Record<Fate, (fleet: Fleet, start: Start) => void> = {
+  crash: (fleet, { workerId }) => crash(fleet, workerId, [reset, notListening]),
+  // The host of the worker is gone with it, so nothing refuses connections.
+  crashUnseen: (fleet, { workerId }) => crash(fleet, workerId, [timeout]),
+  partition(fleet, { workerId }) {
+    outage(fleet, [workerId], [timeout]);
+    pass(fleet, 1_500);
+  },
+  refusingPartition(fleet, { workerId }) {
+    const others = [...fleet.leader.state.workers.keys()].filter((id) =>
+      id !== workerId
+    );
+    outage(fleet, [workerId, ...others.slice(0, 4)], [notListening]);
+    pass(fleet, 1_500);
+  },
+  restartAsPlanned(fleet, { workerId }) {
+    const workers = [...fleet.leader.state.workers.values()].map((worker) => ({
+      ...worker,
+      draining: worker.workerId === workerId,
+    }));
+    fleet.leader.after(1, { type: "workersRead", workers });
+    outage(fleet, [workerId], [notListening]);
+    const back = workers.map((worker) => ({ ...worker, draining: false }));
+    fleet.bornMs.set(workerId, 9_000);
+    fleet.leader.after(1, { type: "workersRead", workers: back });
+    pass(fleet, 1_500);
+  },
+  done(fleet, { workerId, taskName }) {
+    fleet.effects.push(...fleet.leader.completePoll(workerId, {
+      finished: [[taskName, "done"]],
+      bornMs: fleet.bornMs.get(workerId) ?? 1,
+    }));
+    pass(fleet, 100);
+  },
+};
+
+/** Applies each fate in turn; returns the number of starts of the job's task. */
+function play(fleet: Fleet, jobId: string, series: readonly Fate[]): number {
+  let handled = 0;
+  for (const fate of series) {
+    const start = startsOf(fleet, jobId)[handled];
+    if (start === undefined) break;
+    handled += 1;
+    fleet.effects.push(...fleet.leader.acknowledgeStart(start));
+    pass(fleet, 25);
+    fates[fate](fleet, start);
+  }
+  pass(fleet, 6_000);
+  return startsOf(fleet, jobId).length;
+}
+
+const many = <T>(item: T): T[] => Array.from({ length: 9 }, () => item);
+
+/** A recorded task, the fates of its runs, and what becomes of its job. */
+const series: {
+  readonly name: string;
+  readonly fates: readonly Fate[];
+  readonly maxStarts: number;
+  readonly outcomes: readonly string[];
+}[] = [
+  {
+    name: "crashes each worker",
+    fates: many("crash"),
+    maxStarts: 2,
+    outcomes: ["failed"],
+  },
+  {
+    name: "crashes each worker, which nobody sees before it is back",
+    fates: many("crashUnseen"),
+    maxStarts: 4,
+    outcomes: ["failed"],
+  },
+  {
+    name: "is on a worker that crashes once",
+    fates: ["crash", "done"],
+    maxStarts: 2,
+    outcomes: ["done"],
+  },
+  {
+    name: "is on workers that are partitioned again and again",
+    fates: [...many<Fate>("partition").slice(0, 4), "done"],
+    maxStarts: 5,
+    outcomes: ["done"],
+  },
+  {
+    name: "is on workers whose partitions refuse connections",
+    fates: ["refusingPartition", "refusingPartition", "done"],
+    maxStarts: 3,
+    outcomes: ["done"],
+  },
+  {
+    name: "is on workers that restart as planned",
+    fates: ["restartAsPlanned", "restartAsPlanned", "done"],
+    maxStarts: 3,
+    outcomes: ["done"],
+  },
+];
+
+for (const { name, fates, maxStarts, outcomes } of series) {
+  test(`a recorded task that ${name}`, () => {
+    const fleet = createFleet();
+    submit(fleet, JOB_ID, recorded);
+    const starts = play(fleet, JOB_ID, fates);
+    expect(outcomesOf(fleet, JOB_ID).slice(-1)).toEqual([...outcomes]);
+    expect([starts, starts <= maxStarts]).toEqual([starts, true]);
+  });
+}
+
+test("a task that crashed two workers fails its job without waiting", () => {
+  const fleet = createFleet();
+  submit(fleet, JOB_ID, testJob(1));
+  const starts = play(fleet, JOB_ID, ["crash", "crash"]);
+  expect(outcomesOf(fleet, JOB_ID)).toEqual(["failed"]);
+  expect(starts).toEqual(2);
+});
+
+test("a task beside one that crashes its worker is not given up", () => {
+  const fleet = createFleet({ workers: 2 });
+  // Each worker has room for two tasks; the recorded one crashes its worker.
+  submit(fleet, OTHER_ID, { ...testJob(1), isRecorded: true });
+  pass(fleet, 500);
+  submit(fleet, JOB_ID, recorded);
+  play(fleet, JOB_ID, many("crash"));
+  expect(outcomesOf(fleet, JOB_ID)).toEqual(["failed"]);
+  expect(outcomesOf(fleet, OTHER_ID)).toEqual([]);
+  const [last] = startsOf(fleet, OTHER_ID).slice(-1);
+  if (last === undefined) throw new Error("the other task was not started");
+  fates.done(fleet, last);
+  expect(outcomesOf(fleet, OTHER_ID)).toEqual(["done"]);
+});
+
+test("a task under suspicion runs alone", () => {
+  const fleet = createFleet({ workers: 3 });
+  submit(fleet, JOB_ID, recorded);
+  const [first] = startsOf(fleet, JOB_ID);
+  if (first === undefined) throw new Error("no task was started");
+  fleet.effects.push(...fleet.leader.acknowledgeStart(first));
+  fates.crash(fleet, first);
+  const again = startsOf(fleet, JOB_ID)[1];
+  if (again === undefined) throw new Error("the task was not started again");
+  for (const digit of [1, 2, 3, 4]) {
+    submit(fleet, `00000000000000c${digit}`, testJob(1));
+  }
+  const beside = effectsOf(fleet.effects, "startTask").filter((start) =>
+    start.taskName !== again.taskName && start.workerId === again.workerId &&
+    fleet.effects.indexOf(start) > fleet.effects.indexOf(again)
+  );
+  expect(beside).toEqual([]);
+});
+
+test("a new leader goes on from the crashes in the job's record", () => {
+  const before = createFleet();
+  submit(before, JOB_ID, recorded);
+  const [first] = startsOf(before, JOB_ID);
+  if (first === undefined) throw new Error("no task was started");
+  before.effects.push(...before.leader.acknowledgeStart(first));
+  fates.crash(before, first);
+  const row = effectsOf(before.effects, "writeRecords").at(-1)?.rows.at(-1);
+  if (row?.record == null) throw new Error("no record was written");
+  const after = createFleet({ records: [row.record] });
+  pass(after, 4_000);
+  const starts = play(after, JOB_ID, many("crash"));
+  expect(outcomesOf(after, JOB_ID)).toEqual(["failed"]);
+  expect(starts).toEqual(1);
+});
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -15,6 +15,7 @@
   EngineEvent,
   EngineState,
   Job,
+  OwnedWorker,
   RunningRow,
   RunOutcome,
 } from "./types.ts";
@@ -104,6 +105,8 @@
       finished?: [string, RunOutcome][];
       /** How long ago the worker answered. */
       delayMs?: number;
+      /** Start time of the worker's incarnation, 1 if it never restarted. */
+      bornMs?: number;
     },
   ) => Effect[];
   /** The worker acknowledges a start. */
@@ -148,7 +151,7 @@
       after(0, { type: "peerMessage", from, message }),
     completePoll(
       workerId,
-      { running = [], finished = [], delayMs = 0 } = {},
+      { running = [], finished = [], delayMs = 0, bornMs = 1 } = {},
     ) {
       const worker = state.scheduler?.workers.get(workerId);
       return after(1, {
@@ -158,12 +161,12 @@
         outcome: {
           kind: "held",
           clockMs: nowMs - delayMs,
-          bornMs: 1,
+          bornMs,
           running,
           finished: finished.map(([taskName, end], index) => ({
             sequence: (worker?.processedSequence ?? 0) + index + 1,
             taskName,
-            run: 1,
+            run: latestRun(worker, taskName),
             end,
           })),
         },
@@ -187,6 +190,13 @@
   return instance;
 }
 
+/** Number of the latest run of a task that is known on a worker, 1 if none is. */
+function latestRun(worker: OwnedWorker | undefined, taskName: string): number {
+  const runs = [...worker?.runs.values() ?? []];
+  const own = runs.filter((run) => run.taskName === taskName);
+  return Math.max(1, ...own.map(({ run }) => run));
+}
+
 /** Returns the submission of a job by the entry `p`. */
 export function testSubmission(
   fields: Partial<PeerMessageOf<"submit">> & { readonly jobId: string },
