Count the crashes of workers under a task; run suspects alone; give up

What callers saw: a task that crashes its workers was started again without end, on any worker with room, and took the runs beside it along.

Cause: a run that was lost with its worker had one kind of completion, whether the lease lapsed, the worker was cut off or it crashed, and that kind counted as nothing.

Change: crashes.ts tells a proven crash (another incarnation answers, or a worker is listed at the same address) from a presumed one (connections are refused) and from silence. A crash counts for each task on the worker; the runs that started last are suspects. A suspect, and a task of two crashes, runs only on a worker of its own, a few at a time (trials.ts). A task is given up after two crashes, one of them alone, or after three. A recorded job waits for proof, up to 10 s, before it runs a third time; its counts are in its record. Losses of many workers at once count for no task.

--- a/src/engine/crashes_test.ts
+++ b/src/engine/crashes_test.ts
@@ -316,7 +316,8 @@
   if (first === undefined) throw new Error("no task was started");
   before.effects.push(...before.leader.acknowledgeStart(first));
   fates.crash(before, first);
-  const row = effectsOf(before.effects, "writeRecords").at(-1)?.rows.at(-1);
+  const row = effectsOf(before.effects, "writeRecords")
+    .flatMap(({ rows }) => rows).at(-1);
   if (row?.record == null) throw new Error("no record was written");
   const after = createFleet({ records: [row.record] });
   pass(after, 4_000);
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -79,6 +79,10 @@
         stoppedAfterMs: 0,
         workerId: null,
         failedOn: new Set(),
+        crashes: 0,
+        crashedAlone: false,
+        unresolvedLosses: 0,
+        runsAlone: false,
         result: null,
       });
     }
@@ -113,6 +117,9 @@
     task.run = Math.max(task.run, before.run);
     task.mayHaveStarted = task.mayHaveStarted || before.mayHaveStarted;
     task.failures = before.failures;
+    task.crashes = before.crashes;
+    task.crashedAlone = before.crashedAlone;
+    task.runsAlone = before.runsAlone;
     task.result = before.result;
     if (before.state !== "done" || task.state === "done") continue;
     task.state = "done";
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -1,5 +1,6 @@
 /** Jobs at the leader: start, completions of tasks, outcome and its reports. */
 
+import { countCrash } from "./crashes.ts";
 import { assert } from "./debug.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import {
@@ -56,15 +57,23 @@
   context: ReduceContext,
   completion: TaskCompletion,
 ): void {
-  if (completion.kind === "done") onTaskDone(context, completion);
-  else onTaskNotDone(context, completion);
+  const { job, task, kind } = completion;
+  if (task.state === "done" || job.outcome !== null) return;
+  if (kind === "done") {
+    onTaskDone(context, completion);
+    return;
+  }
+  if (kind !== "crashFound") requeueTask(context, completion);
+  const isCrash = kind === "crashed" || kind === "crashFound";
+  if (isCrash && countCrash(context, completion)) {
+    giveUpTask(context, completion);
+  } else if (kind !== "crashFound") retryTask(context, completion);
 }
 
 function onTaskDone(
   context: ReduceContext,
   { job, task, result }: TaskCompletion,
 ): void {
-  if (task.state === "done" || job.outcome !== null) return;
   task.state = "done";
   task.workerId = null;
   task.result = result ?? null;
@@ -88,25 +97,50 @@
   return hasResults ? { kind: "done", results } : { kind: "done" };
 }
 
+/** Updates a task whose run failed, was lost or never started. */
+function requeueTask(
+  { state }: ReduceContext,
+  { task, workerId, kind }: TaskCompletion,
+): void {
+  task.state = "queued";
+  task.workerId = null;
+  if (kind === "notStarted") task.mayHaveStarted = false;
+  if (kind !== "failed") return;
+  task.failures += 1;
+  task.failedOn.add(workerId);
+  state.counters.tasksFailed += 1;
+}
+
+/** Fails the job of a task under which too many workers have crashed. */
+function giveUpTask(
+  context: ReduceContext,
+  { job, task, workerId }: TaskCompletion,
+): void {
+  context.state.counters.tasksGivenUp += 1;
+  logDecision(context, {
+    level: "warn",
+    part: "jobs",
+    text: "task given up: workers crashed under it",
+  }, {
+    jobId: job.jobId,
+    queue: job.queue.name,
+    task: task.name,
+    workerId,
+    crashes: task.crashes,
+    crashedAlone: task.crashedAlone,
+  });
+  finishJob(context, job, { kind: "failed" });
+}
+
 /**
- * Requeues a task whose run failed, was lost or never started. Finishes the job
- * if its queue's `attempts` runs of the task have failed, or if the task may not
- * run again.
+ * Enters a requeued task into the queue. Finishes its job if the queue's
+ * `attempts` runs of the task have failed, or if the task may not run again.
  */
-function onTaskNotDone(
+function retryTask(
   context: ReduceContext,
   { job, task, workerId, kind }: TaskCompletion,
 ): void {
   const { state } = context;
-  if (task.state === "done" || job.outcome !== null) return;
-  task.state = "queued";
-  task.workerId = null;
-  if (kind === "notStarted") task.mayHaveStarted = false;
-  if (kind === "failed") {
-    task.failures += 1;
-    task.failedOn.add(workerId);
-    state.counters.tasksFailed += 1;
-  }
   if (task.failures >= job.queue.attempts) {
     finishJob(context, job, { kind: "failed" });
     return;
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -312,6 +312,7 @@
     waiting: new Map(),
     workers: new Map(),
     endedJobs: [],
+    lostRuns: [],
     records: createRecordStoreState(term),
     rereadAtMs: -Infinity,
     rereadWanted: false,
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -6,9 +6,16 @@
  */
 
 import { cellWorkers } from "./cells.ts";
+import { awaitsEvidence } from "./crashes.ts";
 import { isolateJob } from "./job_faults.ts";
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
+import {
+  hasTrial,
+  isReserved,
+  mayStartTrial,
+  reserveForTrial,
+} from "./trials.ts";
 import type {
   EngineState,
   Job,
@@ -93,16 +100,42 @@
     if (task.mayHaveStarted && !context.state.guards.mayRunAgain(job, "lost")) {
       continue;
     }
+    if (task.runsAlone) {
+      startTrial(context, workers, { job, task });
+      continue;
+    }
     const worker = chooseWorker(context.state, workers, task);
     if (worker === null) return;
     startRun(context, worker, { job, task });
   }
 }
 
+/**
+ * Starts a task that is suspected of crashing workers on an empty worker. If
+ * there is none, one is reserved.
+ */
+function startTrial(
+  context: ReduceContext,
+  workers: OwnedWorker[],
+  { job, task }: { job: Job; task: Task },
+): void {
+  const { state } = context;
+  const { scheduler } = state;
+  if (scheduler === null || awaitsEvidence(task)) return;
+  if (!mayStartTrial(scheduler, job)) return;
+  const suited = workers.filter((worker) =>
+    acceptsTasks(state, worker) && meetsRequirements(worker, task)
+  );
+  const empty = suited.filter(({ runs }) => runs.size === 0);
+  const worker = chooseWorker(state, empty, task);
+  if (worker === null) reserveForTrial(state, suited);
+  else startRun(context, worker, { job, task });
+}
+
 /** Whether a task may start on a worker now, if it fits. */
 function acceptsTasks(state: EngineState, worker: OwnedWorker): boolean {
   if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
-  if (worker.unsizedRunCount > 0) return false;
+  if (worker.unsizedRunCount > 0 || hasTrial(worker)) return false;
   // Runs that a previous owner stopped may occupy capacity until this time,
   // although the worker no longer lists them.
   if (state.nowMs < worker.usableFromMs) return false;
@@ -125,6 +158,7 @@
       continue;
     }
     if (!meetsRequirements(worker, task)) continue;
+    if (isReserved(state, worker) && !task.runsAlone) continue;
     const cost = placementCost(worker, task);
     if (cost < bestCost) [best, bestCost] = [worker, cost];
   }
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -86,11 +86,17 @@
 /** Returns the record to store for a job in its present state. */
 export function recordOf(job: Job, record: RecordState): JobRecord {
   const failures: Record<string, number> = {};
+  const crashes: Record<string, number> = {};
+  const unresolvedLosses: Record<string, number> = {};
   const results: Record<string, string> = {};
   const done: number[] = [];
   for (const task of job.tasks) {
     if (task.state === "done") done.push(task.index);
     if (task.failures > 0) failures[task.index] = task.failures;
+    if (task.crashes > 0) crashes[task.index] = task.crashes;
+    if (task.unresolvedLosses > 0) {
+      unresolvedLosses[task.index] = task.unresolvedLosses;
+    }
     if (task.result !== null) results[task.index] = task.result;
   }
   return {
@@ -102,10 +108,16 @@
     endedAtMs: record.endedAtMs,
     done,
     failures,
+    ...(isEmpty(crashes) ? {} : { crashes }),
+    ...(isEmpty(unresolvedLosses) ? {} : { unresolvedLosses }),
     results,
   };
 }
 
+function isEmpty(counts: Record<string, number>): boolean {
+  return Object.keys(counts).length === 0;
+}
+
 /** Whether the record of a job fits in a row of the store. */
 export function fitsRow(job: Job, record: RecordState): boolean {
   return JSON.stringify(recordOf(job, record)).length <= MAX_RECORD_LENGTH;
@@ -119,6 +131,9 @@
   for (const task of job.tasks) {
     task.failures = Math.max(task.failures, stored.failures[task.index] ?? 0);
     task.result ??= stored.results[task.index] ?? null;
+    task.crashes = Math.max(task.crashes, stored.crashes?.[task.index] ?? 0);
+    task.unresolvedLosses = stored.unresolvedLosses?.[task.index] ?? 0;
+    task.runsAlone = task.crashes + task.unresolvedLosses > 0;
     if (!done.has(task.index) || task.state === "done") continue;
     task.state = "done";
     job.unfinished -= 1;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -146,6 +146,7 @@
       tasksLapsed: 0,
       workersCrashed: 0,
       tasksCrashed: 0,
+      tasksGivenUp: 0,
       tasksStopped: 0,
       startsRefused: 0,
       startsUnknown: 0,
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -1,5 +1,6 @@
 /** Runs on workers: capacity in use, starts, stops and completions. */
 
+import { goneKind, rememberLostRun } from "./crashes.ts";
 import { assert } from "./debug.ts";
 import { emit, logDecision } from "./effects.ts";
 import {
@@ -115,6 +116,8 @@
     ackedAtMs: 0,
     stopSentAtMs: 0,
     progress: null,
+    isTrial: task.runsAlone,
+    isSuspect: false,
   });
   assert(worker.usedCpuMilli <= cpuMilli, "cpu_within_capacity", workerId);
   assert(worker.usedMemoryMb <= memoryMb, "memory_within_capacity", workerId);
@@ -123,6 +126,7 @@
     task: task.name,
     run: task.run,
     workerId,
+    ...(task.runsAlone ? { isTrial: true } : {}),
     usedCpuMilli: worker.usedCpuMilli,
     waitedMs: Math.round(state.nowMs - job.receivedAtMs),
   });
@@ -146,7 +150,10 @@
 export function dropRun(
   context: ReduceContext,
   worker: OwnedWorker,
-  { run, kind }: { run: WorkerRun; kind: Exclude<CompletionKind, "done"> },
+  { run, kind }: {
+    run: WorkerRun;
+    kind: Exclude<CompletionKind, "done" | "crashFound">;
+  },
 ): void {
   removeRun(worker, run);
   if (kind === "crashed" || kind === "lost") {
@@ -154,8 +161,9 @@
   }
   const { job, task } = run;
   if (job === null || task === null) return;
+  if (kind === "lost") rememberLostRun(context, worker, run);
   const { workerId } = worker.info;
-  context.taskCompletions.push({ job, task, workerId, kind });
+  context.taskCompletions.push({ job, task, workerId, kind, lost: run });
 }
 
 function logLostRun(
@@ -175,11 +183,6 @@
   });
 }
 
-/** What became of the runs of a worker that are gone without a completion. */
-export function goneKind({ crash }: OwnedWorker): "crashed" | "lost" {
-  return crash === null ? "lost" : "crashed";
-}
-
 /**
  * Sends a call to stop a run, unless one was sent within the resend interval.
  */
@@ -415,7 +418,9 @@
     const isGone = run.state !== "starting" && goneAtMs < sentAtMs;
     const requestedBefore = run.placedAtMs < sentAtMs;
     if (isGone || (underNewFence && requestedBefore)) {
-      const kind = run.state === "starting" ? "notStarted" : goneKind(worker);
+      const kind = run.state === "starting"
+        ? "notStarted"
+        : goneKind(context, worker, run);
       dropRun(context, worker, { run, kind });
     }
   }
@@ -449,6 +454,8 @@
     ackedAtMs: state.nowMs,
     stopSentAtMs: 0,
     progress: null,
+    isTrial: false,
+    isSuspect: false,
   };
   addRun(worker, run);
   if (canAttach) {
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -244,6 +244,13 @@
   done: z.array(z.number().int()),
   /** Number of failed runs, by task index. */
   failures: z.record(z.string(), z.number().int()),
+  /** Number of workers that crashed under a run, by task index. */
+  crashes: z.record(z.string(), z.number().int()).optional(),
+  /**
+   * Number of lost runs of which it was not known whether their workers had
+   * crashed, by task index.
+   */
+  unresolvedLosses: z.record(z.string(), z.number().int()).optional(),
   /** Returned values, by task index. */
   results: z.record(z.string(), z.string()),
 });
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -449,8 +449,16 @@
   stoppedAfterMs: number;
   /** Id of the worker that runs the task; null unless the task is placed. */
   workerId: string | null;
-  /** Ids of the workers on which a run of the task failed or hung. */
+  /** Ids of the workers on which a run of the task failed, hung or crashed. */
   readonly failedOn: Set<string>;
+  /** Number of workers that crashed while they had a run of the task. */
+  crashes: number;
+  /** Number of lost runs of which it is not known yet whether a crash did it. */
+  unresolvedLosses: number;
+  /** One of these workers ran nothing else. */
+  crashedAlone: boolean;
+  /** The task may be what crashes workers, so it runs only without others. */
+  runsAlone: boolean;
   result: string | null;
 }
 
@@ -572,6 +580,20 @@
   stopSentAtMs: number;
   /** Null until the worker has acknowledged or listed the run. */
   progress: RunProgress | null;
+  /** The run has the worker for itself, to show whether its task crashes it. */
+  readonly isTrial: boolean;
+  /** The run was among the latest to start when its worker crashed. */
+  isSuspect: boolean;
+}
+
+/** A run that was lost with an unreachable worker, for an unknown reason. */
+export interface LostRun {
+  readonly workerId: string;
+  readonly address: string;
+  readonly job: Job;
+  readonly task: Task;
+  readonly isTrial: boolean;
+  readonly lostAtMs: number;
 }
 
 /** Progress of a run; all times are read from the clock of its worker. */
@@ -592,6 +614,8 @@
   readonly detectedAtMs: number;
   /** Whether it is certain; if not, connections to the worker are refused. */
   readonly confirmed: boolean;
+  /** A trial was on the worker. */
+  readonly endedTrial: boolean;
 }
 
 /** A worker that this instance as the leader owns, is acquiring or has lost. */
@@ -682,6 +706,8 @@
   slowness: number;
   /** Evidence that the worker's process has ended; null if there is none. */
   crash: WorkerCrash | null;
+  /** Time until which no task but a trial starts; in the past if there is none. */
+  reservedUntilMs: number;
   /** Time at which a lost worker is acquired again; Infinity if it is not. */
   retryAtMs: number;
 }
@@ -702,6 +728,8 @@
   readonly workers: Map<string, OwnedWorker>;
   /** Ended jobs without a written record, oldest first. */
   readonly endedJobs: Job[];
+  /** Lost runs of recorded jobs, the earliest loss first. */
+  lostRuns: LostRun[];
   records: RecordStoreState;
   /**
    * Time of the latest extra poll of all workers for jobs that a previous leader
@@ -796,6 +824,8 @@
   workersCrashed: number;
   /** Runs lost with these workers. */
   tasksCrashed: number;
+  /** Tasks given up because workers crashed under them. */
+  tasksGivenUp: number;
   tasksStopped: number;
   startsRefused: number;
   startsUnknown: number;
@@ -906,10 +936,19 @@
   /**
    * `crashed` if the run was lost because its worker crashed; `lost` if the run
    * no longer exists and its progress is unknown; `notStarted` if it is certain
-   * that the run did not start.
-   */
-  readonly kind: "done" | "failed" | "crashed" | "lost" | "notStarted";
+   * that the run did not start. `crashFound` if a run that was reported as
+   * `lost` before turns out to have been on a worker that crashed.
+   */
+  readonly kind:
+    | "done"
+    | "failed"
+    | "crashed"
+    | "crashFound"
+    | "lost"
+    | "notStarted";
   readonly result?: string | undefined;
+  /** The lost run, if it was on a worker that crashed or may have crashed. */
+  readonly lost?: Pick<WorkerRun, "isTrial" | "isSuspect"> | undefined;
 }
 
 /** What was done with a job when an error occurred. */
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -4,7 +4,13 @@
  */
 
 import { isInOwnCell } from "./cells.ts";
-import { clearCrash, noteCrash } from "./crashes.ts";
+import {
+  clearCrash,
+  expireLostRuns,
+  goneKind,
+  noteCrash,
+  resolveLostRuns,
+} from "./crashes.ts";
 import { emit, logDecision } from "./effects.ts";
 import { FENCES_PER_TERM, firstFence, workersToOwn } from "./leadership.ts";
 import { leaseEndsOnWorkerMs, maxLeaseMs } from "./leases.ts";
@@ -12,7 +18,6 @@
 import {
   checkRuns,
   dropRun,
-  goneKind,
   mayHaveRecord,
   processCompletion,
   reconcileRuns,
@@ -114,6 +119,8 @@
     if (scheduler.workers.has(workerId)) continue;
     const worker = createWorker(state, scheduler, info);
     scheduler.workers.set(workerId, worker);
+    // A worker at the address of a lost one shows that that one has ended.
+    resolveLostRuns(context, { workerId, address: info.address });
     acquireWorker(context, worker);
   }
 }
@@ -189,6 +196,7 @@
     suspendedUntilMs: 0,
     slowness: 1,
     crash: null,
+    reservedUntilMs: 0,
     retryAtMs: 0,
   };
 }
@@ -506,6 +514,7 @@
   scheduler: Scheduler,
 ): void {
   const { state } = context;
+  expireLostRuns(context);
   for (const worker of scheduler.workers.values()) {
     dropExpiredRuns(context, worker);
     if (worker.phase === "lost") {
@@ -539,7 +548,7 @@
       continue;
     }
     state.counters.tasksLapsed += 1;
-    dropRun(context, worker, { run, kind: goneKind(worker) });
+    dropRun(context, worker, { run, kind: goneKind(context, worker, run) });
   }
 }
 
