A worker whose accelerators, labels or zone change is listed anew

Cause: sameWorker, which decides whether a list of workers differs from the one before, left out accelerators, labels and the zone. A worker that had lost accelerators kept its old capacity until another worker changed, and a task was started beyond it (LIMIT). Cores and memory were compared.

Test: shrinking_capacity_test.ts, nine cases of capacity that shrinks and grows (below what runs, while a run is being stopped, found at a takeover, an older list of a peer); 'a worker whose accelerators shrink gets no task beyond them' failed before, the others passed before and after.

--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -164,5 +164,9 @@
 function sameWorker(a: WorkerInfo, b: WorkerInfo): boolean {
   return a.address === b.address && a.draining === b.draining &&
     a.service === b.service && a.bornMs === b.bornMs &&
-    a.cpuMilli === b.cpuMilli && a.memoryMb === b.memoryMb;
+    a.availabilityZone === b.availabilityZone &&
+    a.cpuMilli === b.cpuMilli && a.memoryMb === b.memoryMb &&
+    a.accelerators === b.accelerators &&
+    a.labels.length === b.labels.length &&
+    a.labels.every((label, index) => label === b.labels[index]);
 }
