Keep queues that crash workers apart; hold them back; see workers return

Cause: first starts of a queue whose jobs crash workers are mixed with other queues' tasks, and nothing bounds the workers that they take down together. A crashed worker that is back was listed up to 0.7 s later.

Its tasks and those of other queues prefer separate workers; a preference only, as hard pools would cost more capacity than the crashes. A leader reads the list of workers every 200 ms while a crashed worker may be back.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -6,6 +6,7 @@
 
 import { isolateJob } from "./job_faults.ts";
 import { compareJobs, hasQueuedTasks } from "./queue.ts";
+import { isHeldBack } from "./suspected_queues.ts";
 import {
   createServiceCapacity,
   roomAfterMs,
@@ -21,6 +22,11 @@
 
 /** Expected wait reported to peers for a service without usable workers. */
 const NO_WORKERS_WAIT_MS = 600_000;
+/**
+ * Retry delay of a job whose queue crashes workers: about the time in which a
+ * crashed worker is back.
+ */
+const HELD_BACK_RETRY_AFTER_MS = 3_000;
 /** Lower bound of the retry delay that callers of refused jobs are given. */
 const MIN_RETRY_AFTER_MS = 250;
 
@@ -34,6 +40,10 @@
   waitMs: number,
 ): JobOutcome | null {
   if (!hasQueuedTasks(job)) return null;
+  if (job.record === null && isHeldBack(state, job)) {
+    const retryAfterMs = HELD_BACK_RETRY_AFTER_MS;
+    return { kind: "refused", reason: "overloaded", retryAfterMs };
+  }
   if (state.nowMs + waitMs + job.criticalPathMs <= latestCompletionAtMs(job)) {
     return null;
   }
--- a/src/engine/crashes.ts
+++ b/src/engine/crashes.ts
@@ -12,6 +12,7 @@
 
 import { logDecision } from "./effects.ts";
 import { markDirty } from "./records.ts";
+import { blamedQueue, blameQueue } from "./suspected_queues.ts";
 import type {
   Job,
   OwnedWorker,
@@ -19,6 +20,7 @@
   Scheduler,
   Task,
   TaskCompletion,
+  WorkerCrash,
   WorkerRun,
 } from "./types.ts";
 
@@ -63,15 +65,9 @@
   const { crash, info } = worker;
   if (info.draining || (crash !== null && crash.confirmed >= confirmed)) return;
   const runs = [...worker.runs.values()];
-  if (crash === null) {
-    state.counters.workersCrashed += 1;
-    markSuspects(runs);
-  }
-  worker.crash = {
-    detectedAtMs: crash?.detectedAtMs ?? state.nowMs,
-    confirmed,
-    endedTrial: crash?.endedTrial ?? runs.some(({ isTrial }) => isTrial),
-  };
+  worker.crash = crash === null
+    ? createCrash(context, worker, confirmed)
+    : { ...crash, confirmed };
   if (confirmed) resolveLostRuns(context, { workerId: info.workerId });
   logDecision(context, {
     level: "warn",
@@ -80,6 +76,7 @@
   }, {
     workerId: info.workerId,
     reason,
+    queue: worker.crash.queueName,
     runs: runs.map(({ taskName, placedAtMs, isSuspect }) => ({
       task: taskName,
       ageMs: Math.round(state.nowMs - placedAtMs),
@@ -88,6 +85,22 @@
   });
 }
 
+function createCrash(
+  { state }: ReduceContext,
+  { runs: runByKey }: OwnedWorker,
+  confirmed: boolean,
+): WorkerCrash {
+  state.counters.workersCrashed += 1;
+  const runs = [...runByKey.values()];
+  markSuspects(runs);
+  const queueName = blamedQueue(runs);
+  if (queueName !== null && state.scheduler !== null) {
+    blameQueue(state, state.scheduler, queueName);
+  }
+  const endedTrial = runs.some(({ isTrial }) => isTrial);
+  return { detectedAtMs: state.nowMs, confirmed, endedTrial, queueName };
+}
+
 function markSuspects(runs: readonly WorkerRun[]): void {
   const latestMs = Math.max(...runs.map(({ placedAtMs }) => placedAtMs));
   for (const run of runs) {
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -313,6 +313,7 @@
     workers: new Map(),
     endedJobs: [],
     lostRuns: [],
+    queueCrashesAtMs: new Map(),
     records: createRecordStoreState(term),
     rereadAtMs: -Infinity,
     rereadWanted: false,
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -10,6 +10,7 @@
 import { isolateJob } from "./job_faults.ts";
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
+import { isHeldBack, isMixed, isSuspectedQueue } from "./suspected_queues.ts";
 import {
   hasTrial,
   isReserved,
@@ -31,6 +32,12 @@
  */
 const SLOWNESS_STEP = 0.15;
 
+/**
+ * Added to the cost of a worker with runs that the task should be kept apart
+ * from: more than any slowness, less than a distant rack.
+ */
+const MIXED_COST = 1e8;
+
 /** Starts the queued tasks of one service that fit on its workers. */
 export function placeQueuedTasks(
   context: ReduceContext,
@@ -95,6 +102,8 @@
   workers: OwnedWorker[],
   job: Job,
 ): void {
+  const isSuspected = isSuspectedQueue(context.state, job.queue.name);
+  if (isSuspected && isHeldBack(context.state, job)) return;
   for (const task of job.tasks) {
     if (task.state !== "queued") continue;
     if (task.mayHaveStarted && !context.state.guards.mayRunAgain(job, "lost")) {
@@ -104,7 +113,7 @@
       startTrial(context, workers, { job, task });
       continue;
     }
-    const worker = chooseWorker(context.state, workers, task);
+    const worker = chooseWorker(context.state, workers, { task, isSuspected });
     if (worker === null) return;
     startRun(context, worker, { job, task });
   }
@@ -127,7 +136,7 @@
     acceptsTasks(state, worker) && meetsRequirements(worker, task)
   );
   const empty = suited.filter(({ runs }) => runs.size === 0);
-  const worker = chooseWorker(state, empty, task);
+  const worker = chooseWorker(state, empty, { task, isSuspected: true });
   if (worker === null) reserveForTrial(state, suited);
   else startRun(context, worker, { job, task });
 }
@@ -149,7 +158,7 @@
 function chooseWorker(
   state: EngineState,
   workers: OwnedWorker[],
-  task: Task,
+  { task, isSuspected }: { task: Task; isSuspected: boolean },
 ): OwnedWorker | null {
   let best: OwnedWorker | null = null;
   let bestCost = Infinity;
@@ -159,7 +168,8 @@
     }
     if (!meetsRequirements(worker, task)) continue;
     if (isReserved(state, worker) && !task.runsAlone) continue;
-    const cost = placementCost(worker, task);
+    const cost = placementCost(worker, task) +
+      Number(isMixed(state, worker, isSuspected)) * MIXED_COST;
     if (cost < bestCost) [best, bestCost] = [worker, cost];
   }
   return best;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -616,6 +616,8 @@
   readonly confirmed: boolean;
   /** A trial was on the worker. */
   readonly endedTrial: boolean;
+  /** The only queue of the suspected runs; null if there are several or none. */
+  readonly queueName: string | null;
 }
 
 /** A worker that this instance as the leader owns, is acquiring or has lost. */
@@ -730,6 +732,8 @@
   readonly endedJobs: Job[];
   /** Lost runs of recorded jobs, the earliest loss first. */
   lostRuns: LostRun[];
+  /** Times of the recent crashes that each queue is blamed for. */
+  readonly queueCrashesAtMs: Map<string, number[]>;
   records: RecordStoreState;
   /**
    * Time of the latest extra poll of all workers for jobs that a previous leader
--- a/src/instance/store_readers.ts
+++ b/src/instance/store_readers.ts
@@ -13,6 +13,8 @@
 
 /** Interval between reads of the list of workers. */
 const WORKERS_READ_INTERVAL_MS = 700;
+/** The same while a worker of this leader has crashed and may be back. */
+const CRASHED_READ_INTERVAL_MS = 200;
 /**
  * Age of the leader's list of workers above which the leader is presumed cut
  * off from the store.
@@ -47,6 +49,15 @@
   return leader !== undefined && leader.workersAgeMs > STALE_LIST_AGE_MS;
 }
 
+/** Returns the time after which the list of workers is to be read again. */
+function workersReadIntervalMs({ workers, scheduler }: EngineState): number {
+  if (workers.size === 0) return RETRY_DELAY_MS;
+  for (const { crash } of scheduler?.workers.values() ?? []) {
+    if (crash !== null) return CRASHED_READ_INTERVAL_MS;
+  }
+  return WORKERS_READ_INTERVAL_MS;
+}
+
 /** Starts all readers; the returned function stops them. */
 export function startStoreReaders(options: StoreReaderOptions): () => void {
   const { state, store, log, clock, dispatch } = options;
@@ -101,8 +112,7 @@
           dispatch({ type: "workersUnreadable", nowMs });
         } else dispatch({ type: "workersRead", nowMs, workers });
       }
-      const isListEmpty = state.workers.size === 0;
-      await sleep(isListEmpty ? RETRY_DELAY_MS : WORKERS_READ_INTERVAL_MS);
+      await sleep(workersReadIntervalMs(state));
     }
   }
 
