A new leader doesn't wait for evidence of lost runs; randomised crashes

What callers saw: after a leader's end, a recorded job with a task that had lost two runs stood still for 10 s.

Cause: the record has the number of lost runs whose fate was not known, but not their workers, so nothing can show whether those crashed; the new leader waited for it until the time limit.

Change: a new leader counts such losses as crashes, tries the task once more, alone, and gives it up at the next crash.

The stand-in's capacity can change, too.

--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -7,6 +7,7 @@
 
 import {
   drawCellsRun,
+  drawDeadlyRun,
   drawRecordedRun,
   drawRun,
   type EngineRun,
@@ -19,6 +20,7 @@
   memory: drawRun,
   recorded: drawRecordedRun,
   cells: drawCellsRun,
+  deadly: drawDeadlyRun,
 };
 let runs = 0;
 let failures = 0;
--- a/src/engine/crashes.ts
+++ b/src/engine/crashes.ts
@@ -14,7 +14,6 @@
 import { markDirty } from "./records.ts";
 import { blamedQueue, blameQueue } from "./suspected_queues.ts";
 import type {
-  Job,
   OwnedWorker,
   ReduceContext,
   Scheduler,
@@ -25,9 +24,9 @@
 } from "./types.ts";
 
 /** Number of crashes, one of them in a trial, at which a task is given up. */
-const GIVE_UP_CRASHES = 2;
+export const GIVE_UP_CRASHES = 2;
 /** Number of crashes at which a task is given up in any case. */
-const MAX_CRASHES = 3;
+export const MAX_CRASHES = 3;
 /**
  * Runs that started at most this long before the latest one on a crashed worker
  * are suspects: tasks crash their workers when they start.
@@ -176,29 +175,6 @@
   markDirty(scheduler, job);
 }
 
-/**
- * Restores the lost runs of a job from its record. Their workers are not known,
- * so only time resolves them.
- */
-export function restoreLostRuns(
-  { state }: ReduceContext,
-  scheduler: Scheduler,
-  job: Job,
-): void {
-  for (const task of job.tasks) {
-    for (let count = 0; count < task.unresolvedLosses; count += 1) {
-      scheduler.lostRuns.push({
-        workerId: "",
-        address: "",
-        job,
-        task,
-        isTrial: false,
-        lostAtMs: state.nowMs,
-      });
-    }
-  }
-}
-
 /**
  * Counts the lost runs of a worker, or of a previous worker at an address, as
  * runs on a worker that crashed.
@@ -270,6 +246,5 @@
   if (job.record !== null && state.scheduler !== null) {
     markDirty(state.scheduler, job);
   }
-  if (task.state === "placed") return false;
-  return task.crashes >= (task.crashedAlone ? GIVE_UP_CRASHES : MAX_CRASHES);
+  return task.state !== "placed" && state.guards.mustGiveUp(task);
 }
--- a/src/engine/crashes_test.ts
+++ b/src/engine/crashes_test.ts
@@ -309,6 +309,27 @@
   expect(beside).toEqual([]);
 });
 
+// The workers of the lost runs are not in the record, so waiting for what became
+// of them would be in vain.
+test("a new leader tries a task with unresolved losses once more", () => {
+  const before = createFleet();
+  submit(before, JOB_ID, recorded);
+  for (const number of [0, 1]) {
+    const start = startsOf(before, JOB_ID)[number];
+    if (start === undefined) throw new Error("no task was started");
+    before.effects.push(...before.leader.acknowledgeStart(start));
+    outage(before, [start.workerId], [reset, notListening]);
+  }
+  const row = effectsOf(before.effects, "writeRecords")
+    .flatMap(({ rows }) => rows).at(-1);
+  if (row?.record == null) throw new Error("no record was written");
+  const after = createFleet({ records: [row.record] });
+  pass(after, 4_000);
+  expect(startsOf(after, JOB_ID).length).toEqual(1);
+  expect(play(after, JOB_ID, many("crash"))).toEqual(1);
+  expect(outcomesOf(after, JOB_ID)).toEqual(["failed"]);
+});
+
 test("a new leader goes on from the crashes in the job's record", () => {
   const before = createFleet();
   submit(before, JOB_ID, recorded);
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -3,6 +3,7 @@
  * runs disable one at a time to verify that its absence is detected.
  */
 
+import { GIVE_UP_CRASHES, MAX_CRASHES } from "./crashes.ts";
 import type { Guards } from "./types.ts";
 
 /** The conditions that apply in production. */
@@ -29,6 +30,9 @@
   hasExpired: (nowMs, expiresAtMs) => nowMs >= expiresAtMs,
   /** Runs of a previous leader may continue until their leases have expired. */
   mayRunElsewhere: (nowMs, expiresAtMs) => nowMs < expiresAtMs,
+  /** A task under which workers crash does not start without end. */
+  mustGiveUp: ({ crashes, crashedAlone }) =>
+    crashes >= (crashedAlone ? GIVE_UP_CRASHES : MAX_CRASHES),
   /** Only a job of which no task may have started is reported as refused. */
   mayRefuse: ({ mayHaveStarted }) => !mayHaveStarted,
   /** A configuration is replaced only by one with a higher version. */
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -4,7 +4,6 @@
  * are resumed.
  */
 
-import { restoreLostRuns } from "./crashes.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
 import { createJob, queueReadyTasks } from "./job_state.ts";
@@ -151,7 +150,6 @@
     scheduler.records.retainedJobs.push(job);
     return job;
   }
-  restoreLostRuns(context, scheduler, job);
   logDecision(context, { part: "records", text: "recorded job resumed" }, {
     jobId: job.jobId,
     queue: job.queue.name,
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -131,9 +131,12 @@
   for (const task of job.tasks) {
     task.failures = Math.max(task.failures, stored.failures[task.index] ?? 0);
     task.result ??= stored.results[task.index] ?? null;
-    task.crashes = Math.max(task.crashes, stored.crashes?.[task.index] ?? 0);
-    task.unresolvedLosses = stored.unresolvedLosses?.[task.index] ?? 0;
-    task.runsAlone = task.crashes + task.unresolvedLosses > 0;
+    // Which workers these losses concern is not known any more, so nothing will
+    // show whether they crashed. One more crash gives the task up.
+    const crashes = (stored.crashes?.[task.index] ?? 0) +
+      (stored.unresolvedLosses?.[task.index] ?? 0);
+    task.crashes = Math.max(task.crashes, crashes);
+    task.runsAlone = task.crashes > 0;
     if (!done.has(task.index) || task.state === "done") continue;
     task.state = "done";
     job.unfinished -= 1;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -848,6 +848,7 @@
   readonly mayServe: (worker: OwnedWorker) => boolean;
   readonly hasExpired: (nowMs: number, expiresAtMs: number) => boolean;
   readonly mayRunElsewhere: (nowMs: number, expiresAtMs: number) => boolean;
+  readonly mustGiveUp: (task: Task) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
 }
--- a/standins/worker_model.ts
+++ b/standins/worker_model.ts
@@ -31,6 +31,8 @@
   readonly cpuMilli: number;
   readonly runMs: number;
   readonly fails: boolean;
+  /** Whether the task crashes each worker that starts it. */
+  readonly isDeadly?: boolean;
   readonly result?: string;
 }
 
@@ -57,7 +59,8 @@
 export interface FakeWorker {
   readonly workerId: string;
   readonly availabilityZone: string;
-  readonly cpuMilli: number;
+  /** Its capacity, which may shrink and grow. */
+  cpuMilli: number;
   readonly running: Map<string, SimulatedRun>;
   /** Retained completions: those not acknowledged yet. */
   readonly finished: readonly FinishedRow[];
@@ -88,6 +91,8 @@
     nowMs: number,
     untilMs: number,
   ) => PollOutcome | null;
+  /** Ends the process with all runs; `restart` starts it again. */
+  readonly crash: () => void;
   /** Starts a new incarnation, which has lost all runs and completions. */
   readonly restart: (nowMs: number) => void;
 }
@@ -229,11 +234,15 @@
         finished: [...finished],
       };
     },
-    restart(nowMs) {
+    crash() {
+      worker.alive = false;
       for (const run of [...running.values()]) {
         running.delete(run.taskName);
         options.onCompletion(worker, run, "broken");
       }
+    },
+    restart(nowMs) {
+      worker.crash();
       finished.length = 0;
       highestRunByTask.clear();
       fence = 0;
