A run is logged as lost only if it is gone without a completion

Change: dropGoneRun, for runs that are gone without a completion, writes the line, counts and remembers; dropRun only drops.

--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -156,31 +156,31 @@
   },
 ): void {
   removeRun(worker, run);
-  if (kind === "crashed" || kind === "lost") {
-    logLostRun(context, worker, { run, kind });
-  }
   const { job, task } = run;
   if (job === null || task === null) return;
-  if (kind === "lost") rememberLostRun(context, worker, run);
   const { workerId } = worker.info;
   context.taskCompletions.push({ job, task, workerId, kind, lost: run });
 }
 
-function logLostRun(
+/** Drops a run that is gone without a completion. */
+export function dropGoneRun(
   context: ReduceContext,
   worker: OwnedWorker,
-  { run, kind }: { run: WorkerRun; kind: "crashed" | "lost" },
+  run: WorkerRun,
 ): void {
   const { state } = context;
+  const kind = goneKind(context, worker, run);
   if (kind === "crashed") state.counters.tasksCrashed += 1;
+  else rememberLostRun(context, worker, run);
   logDecision(context, { part: "run", text: "run lost" }, {
     task: run.taskName,
     run: run.run,
     workerId: worker.info.workerId,
     cause: kind === "crashed" ? "workerCrashed" : "unknown",
     placedMsAgo: Math.round(state.nowMs - run.placedAtMs),
-    otherRuns: worker.runs.size,
+    otherRuns: worker.runs.size - 1,
   });
+  dropRun(context, worker, { run, kind });
 }
 
 /**
@@ -418,10 +418,9 @@
     const isGone = run.state !== "starting" && goneAtMs < sentAtMs;
     const requestedBefore = run.placedAtMs < sentAtMs;
     if (isGone || (underNewFence && requestedBefore)) {
-      const kind = run.state === "starting"
-        ? "notStarted"
-        : goneKind(context, worker, run);
-      dropRun(context, worker, { run, kind });
+      if (run.state === "starting") {
+        dropRun(context, worker, { run, kind: "notStarted" });
+      } else dropGoneRun(context, worker, run);
     }
   }
 }
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -7,7 +7,6 @@
 import {
   clearCrash,
   expireLostRuns,
-  goneKind,
   noteCrash,
   resolveLostRuns,
 } from "./crashes.ts";
@@ -17,7 +16,7 @@
 import { hasMissingPeers, seesMajority } from "./membership.ts";
 import {
   checkRuns,
-  dropRun,
+  dropGoneRun,
   mayHaveRecord,
   processCompletion,
   reconcileRuns,
@@ -548,7 +547,7 @@
       continue;
     }
     state.counters.tasksLapsed += 1;
-    dropRun(context, worker, { run, kind: goneKind(context, worker, run) });
+    dropGoneRun(context, worker, run);
   }
 }
 
