Tell callers of a task's second crash before its lease has expired

Change: a trial whose worker has refused connections for 300 ms, without a loss of many workers, of a task that had crashed a worker before, is reported at once; the run occupies its capacity until the lease expires. A recorded job still waits for proof.

Test: 'callers are told of the second crash before its lease has expired' failed before.

--- a/src/engine/crashes.ts
+++ b/src/engine/crashes.ts
@@ -140,6 +140,26 @@
   return isMassLoss(state.scheduler, worker) ? "lost" : "crashed";
 }
 
+/**
+ * Whether a trial shows by now that its task must be given up, though its lease
+ * has not expired: its worker refuses connections, no other was lost with it,
+ * and the task has crashed a worker before. Only for jobs in memory, of which
+ * callers wait; a recorded job waits for proof.
+ */
+export function hasFailedTrial(
+  { state }: ReduceContext,
+  worker: OwnedWorker,
+  { job, task, isTrial }: WorkerRun,
+): boolean {
+  const { crash } = worker;
+  if (!isTrial || crash === null || job === null || task === null) return false;
+  if (job.record !== null || job.outcome !== null) return false;
+  if (state.nowMs - crash.detectedAtMs < MASS_LOSS_WINDOW_MS) return false;
+  const crashes = task.crashes + 1;
+  return state.guards.mustGiveUp({ crashes, crashedAlone: true }) &&
+    !isMassLoss(state.scheduler, worker);
+}
+
 /** Whether many workers of a service were lost at the same time as this one. */
 function isMassLoss(scheduler: Scheduler | null, worker: OwnedWorker): boolean {
   const atMs = worker.crash?.detectedAtMs ?? 0;
--- a/src/engine/crashes_test.ts
+++ b/src/engine/crashes_test.ts
@@ -275,6 +275,25 @@
   expect(starts).toEqual(2);
 });
 
+test("callers are told of the second crash before its lease has expired", () => {
+  const fleet = createFleet();
+  submit(fleet, JOB_ID, testJob(1));
+  const [first] = startsOf(fleet, JOB_ID);
+  if (first === undefined) throw new Error("no task was started");
+  fleet.effects.push(...fleet.leader.acknowledgeStart(first));
+  outage(fleet, [first.workerId], [reset, notListening]);
+  const again = startsOf(fleet, JOB_ID)[1];
+  if (again === undefined) throw new Error("the task was not started again");
+  const startedAtMs = fleet.leader.state.nowMs;
+  failPoll(fleet, again.workerId, reset);
+  for (let round = 0; round < 20; round += 1) {
+    failPoll(fleet, again.workerId, notListening);
+    pass(fleet, 25, (workerId) => workerId !== again.workerId);
+  }
+  expect(fleet.leader.state.nowMs - startedAtMs < 1_000).toEqual(true);
+  expect(outcomesOf(fleet, JOB_ID)).toEqual(["failed"]);
+});
+
 test("a task beside one that crashes its worker is not given up", () => {
   const fleet = createFleet({ workers: 2 });
   // Each worker has room for two tasks; the recorded one crashes its worker.
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -848,7 +848,9 @@
   readonly mayServe: (worker: OwnedWorker) => boolean;
   readonly hasExpired: (nowMs: number, expiresAtMs: number) => boolean;
   readonly mayRunElsewhere: (nowMs: number, expiresAtMs: number) => boolean;
-  readonly mustGiveUp: (task: Task) => boolean;
+  readonly mustGiveUp: (
+    task: Pick<Task, "crashes" | "crashedAlone">,
+  ) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
 }
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -7,6 +7,7 @@
 import {
   clearCrash,
   expireLostRuns,
+  hasFailedTrial,
   noteCrash,
   resolveLostRuns,
 } from "./crashes.ts";
@@ -538,6 +539,7 @@
 function dropExpiredRuns(context: ReduceContext, worker: OwnedWorker): void {
   const { state } = context;
   if (worker.phase !== "lost" || worker.runs.size === 0) return;
+  endFailedTrials(context, worker);
   if (!state.guards.hasExpired(state.nowMs, worker.leaseExpiresAtMs)) return;
   for (const run of [...worker.runs.values()]) {
     // A start grants a lease, too, which `leaseExpiresAtMs` does not include.
@@ -551,6 +553,21 @@
   }
 }
 
+/**
+ * Reports the runs that show, before their leases have expired, that their tasks
+ * are to be given up. They occupy capacity until the leases have expired.
+ */
+function endFailedTrials(context: ReduceContext, worker: OwnedWorker): void {
+  const { workerId } = worker.info;
+  for (const run of worker.runs.values()) {
+    const { job, task } = run;
+    if (job === null || task === null) continue;
+    if (!hasFailedTrial(context, worker, run)) continue;
+    const kind = "crashed";
+    context.taskCompletions.push({ job, task, workerId, kind, lost: run });
+  }
+}
+
 /**
  * Whether another leader may be renewing the runs of a job, because an entry
  * resubmitted the job there. This is ruled out for an entry that was heard from
