A worker that is listed again has not crashed if it is the same incarnation

What callers saw: a recorded job could fail though none of its workers had crashed. Found by reading the change.

Cause: a worker that left the list while it was partitioned is forgotten once its runs have expired. Listed again, it counted as new, and a new worker as proof that the previous one at its address had ended, though it was the same. Three such partitions failed the job.

Change: a lost run remembers the incarnation of its worker. Only another id at the address is proof when it is listed; the same id shows by its first answer whether it is another incarnation.

--- a/src/engine/crashes.ts
+++ b/src/engine/crashes.ts
@@ -13,7 +13,9 @@
 import { logDecision } from "./effects.ts";
 import { markDirty } from "./records.ts";
 import { blamedQueue, blameQueue } from "./suspected_queues.ts";
+import type { WorkerInfo } from "./schemas.ts";
 import type {
+  LostRun,
   OwnedWorker,
   ReduceContext,
   Scheduler,
@@ -67,7 +69,9 @@
   worker.crash = crash === null
     ? createCrash(context, worker, confirmed)
     : { ...crash, confirmed };
-  if (confirmed) resolveLostRuns(context, { workerId: info.workerId });
+  if (confirmed) {
+    countLostRuns(context, (lost) => lost.workerId === info.workerId);
+  }
   logDecision(context, {
     level: "warn",
     part: "workers",
@@ -107,14 +111,23 @@
   }
 }
 
-/** Handles an answer of a worker's known incarnation, which has not crashed. */
-export function clearCrash(context: ReduceContext, worker: OwnedWorker): void {
-  const { crash } = worker;
+/**
+ * Handles an answer of a worker, which shows by its incarnation what became of
+ * the runs that were lost there. Its crash, if it had one, is over.
+ */
+export function onWorkerAnswer(
+  context: ReduceContext,
+  worker: OwnedWorker,
+): void {
+  const { crash, startedAtMs } = worker;
   const { workerId } = worker.info;
   worker.crash = null;
-  if (crash?.confirmed === true) return;
+  countLostRuns(
+    context,
+    (lost) => lost.workerId === workerId && lost.startedAtMs !== startedAtMs,
+  );
   dismissLostRuns(context, (lost) => lost.workerId === workerId);
-  if (crash === null) return;
+  if (crash === null || crash.confirmed) return;
   logDecision(context, {
     part: "workers",
     text: "worker answers again; it had not crashed",
@@ -188,24 +201,42 @@
   if (scheduler === null || worker.phase !== "lost") return;
   if (job === null || task === null || job.record === null) return;
   const { workerId, address } = worker.info;
-  const lostAtMs = state.nowMs;
-  scheduler.lostRuns.push({ workerId, address, job, task, isTrial, lostAtMs });
+  const { startedAtMs } = worker;
+  scheduler.lostRuns.push({
+    workerId,
+    address,
+    startedAtMs,
+    job,
+    task,
+    isTrial,
+    lostAtMs: state.nowMs,
+  });
   task.unresolvedLosses += 1;
   task.runsAlone ||= isSuspect;
   markDirty(scheduler, job);
 }
 
 /**
- * Counts the lost runs of a worker, or of a previous worker at an address, as
- * runs on a worker that crashed.
+ * Handles a worker that is listed for the first time. A previous worker at its
+ * address has ended.
  */
-export function resolveLostRuns(
+export function onWorkerListed(
+  context: ReduceContext,
+  { workerId, address }: WorkerInfo,
+): void {
+  countLostRuns(
+    context,
+    (lost) => lost.workerId !== workerId && lost.address === address,
+  );
+}
+
+/** Counts the lost runs that match as runs on workers that crashed. */
+function countLostRuns(
   context: ReduceContext,
-  { workerId, address }: { workerId: string; address?: string },
+  matches: (lost: LostRun) => boolean,
 ): void {
   dismissLostRuns(context, (lost) => {
-    const isSame = lost.workerId === workerId;
-    if (!isSame && lost.address !== address) return false;
+    if (!matches(lost)) return false;
     const { job, task, isTrial } = lost;
     context.taskCompletions.push({
       job,
@@ -221,7 +252,7 @@
 /** Forgets the lost runs that match. */
 function dismissLostRuns(
   { state }: ReduceContext,
-  matches: (lost: Scheduler["lostRuns"][number]) => boolean,
+  matches: (lost: LostRun) => boolean,
 ): void {
   const { scheduler } = state;
   if (scheduler === null || scheduler.lostRuns.length === 0) return;
--- a/src/engine/crashes_test.ts
+++ b/src/engine/crashes_test.ts
@@ -150,6 +150,8 @@
   | "crashUnseen"
   | "partition"
   | "refusingPartition"
+  | "unlistedPartition"
+  | "unlistedCrash"
   | "restartAsPlanned"
   | "done";
 
@@ -159,6 +161,21 @@
   pass(fleet, 1_500);
 }
 
+/** A silent worker leaves the list of workers and is listed again later. */
+function unlist(fleet: Fleet, workerId: string): void {
+  outage(fleet, [workerId], [timeout]);
+  const workers = [...fleet.leader.state.workers.values()];
+  const others = workers.filter((worker) => worker.workerId !== workerId);
+  fleet.effects.push(
+    ...fleet.leader.after(1, { type: "workersRead", workers: others }),
+  );
+  pass(fleet, 500);
+  fleet.effects.push(
+    ...fleet.leader.after(1, { type: "workersRead", workers }),
+  );
+  pass(fleet, 1_500);
+}
+
 const fates: Record<Fate, (fleet: Fleet, start: Start) => void> = {
   crash: (fleet, { workerId }) => crash(fleet, workerId, [reset, notListening]),
   // The host of the worker is gone with it, so nothing refuses connections.
@@ -174,6 +191,12 @@
     outage(fleet, [workerId, ...others.slice(0, 4)], [notListening]);
     pass(fleet, 1_500);
   },
+  unlistedPartition: (fleet, { workerId }) => unlist(fleet, workerId),
+  unlistedCrash(fleet, { workerId }) {
+    const bornMs = fleet.bornMs.get(workerId) ?? 1;
+    fleet.bornMs.set(workerId, bornMs + 5_000);
+    unlist(fleet, workerId);
+  },
   restartAsPlanned(fleet, { workerId }) {
     const workers = [...fleet.leader.state.workers.values()].map((worker) => ({
       ...worker,
@@ -249,6 +272,18 @@
     maxStarts: 3,
     outcomes: ["done"],
   },
+  {
+    name: "is on partitioned workers that are unlisted meanwhile",
+    fates: [...many<Fate>("unlistedPartition").slice(0, 4), "done"],
+    maxStarts: 5,
+    outcomes: ["done"],
+  },
+  {
+    name: "crashes workers that are unlisted meanwhile",
+    fates: many("unlistedCrash"),
+    maxStarts: 4,
+    outcomes: ["failed"],
+  },
   {
     name: "is on workers that restart as planned",
     fates: ["restartAsPlanned", "restartAsPlanned", "done"],
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -590,6 +590,8 @@
 export interface LostRun {
   readonly workerId: string;
   readonly address: string;
+  /** Start time of the worker's incarnation; null if it was not known. */
+  readonly startedAtMs: number | null;
   readonly job: Job;
   readonly task: Task;
   readonly isTrial: boolean;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -5,11 +5,11 @@
 
 import { isInOwnCell } from "./cells.ts";
 import {
-  clearCrash,
   expireLostRuns,
   hasFailedTrial,
   noteCrash,
-  resolveLostRuns,
+  onWorkerAnswer,
+  onWorkerListed,
 } from "./crashes.ts";
 import { emit, logDecision } from "./effects.ts";
 import { FENCES_PER_TERM, firstFence, workersToOwn } from "./leadership.ts";
@@ -119,8 +119,7 @@
     if (scheduler.workers.has(workerId)) continue;
     const worker = createWorker(state, scheduler, info);
     scheduler.workers.set(workerId, worker);
-    // A worker at the address of a lost one shows that that one has ended.
-    resolveLostRuns(context, { workerId, address: info.address });
+    onWorkerListed(context, info);
     acquireWorker(context, worker);
   }
 }
@@ -329,7 +328,7 @@
     sentAtMs: worker.pollSentAtMs,
     underNewFence,
   });
-  clearCrash(context, worker);
+  onWorkerAnswer(context, worker);
   if (underNewFence) becomeReady(context, worker);
   schedulePoll(context, worker);
 }
