Workers lost together blame no recorded task; tests of suspected queues

What callers saw: after a partition that refuses connections, the youngest run of each lost worker, if its job was recorded, waited for a trial on a worker of its own, few at a time.

Cause: goneKind looks at how many workers were lost together, for jobs in memory; rememberLostRun, for recorded ones, did not.

Test: 'workers lost at the same time blame no task: recorded' failed before.

--- a/src/engine/crashes.ts
+++ b/src/engine/crashes.ts
@@ -12,8 +12,8 @@
 
 import { logDecision } from "./effects.ts";
 import { markDirty } from "./records.ts";
-import { blamedQueue, blameQueue } from "./suspected_queues.ts";
 import type { WorkerInfo } from "./schemas.ts";
+import { blamedQueue, blameQueue } from "./suspected_queues.ts";
 import type {
   LostRun,
   OwnedWorker,
@@ -212,7 +212,7 @@
     lostAtMs: state.nowMs,
   });
   task.unresolvedLosses += 1;
-  task.runsAlone ||= isSuspect;
+  task.runsAlone ||= isSuspect && !isMassLoss(scheduler, worker);
   markDirty(scheduler, job);
 }
 
--- a/src/engine/crashes_test.ts
+++ b/src/engine/crashes_test.ts
@@ -6,6 +6,7 @@
   effectsOf,
   type TestInstance,
   testJob,
+  testQueue,
   testSubmission,
   testWorker,
 } from "./testing.ts";
@@ -400,3 +401,96 @@
   expect(outcomesOf(after, JOB_ID)).toEqual(["failed"]);
   expect(starts).toEqual(1);
 });
+
+/** Lets the workers of the first tasks of new jobs crash, one after another. */
+function crashInTurn(fleet: Fleet, count: number): string[] {
+  const down: string[] = [];
+  for (let number = 1; number <= count; number += 1) {
+    const jobId = `00000000000000d${number}`;
+    submit(fleet, jobId, testJob(1));
+    const [start] = startsOf(fleet, jobId);
+    if (start === undefined) throw new Error("no task was started");
+    fleet.effects.push(...fleet.leader.acknowledgeStart(start));
+    down.push(start.workerId);
+    outage(fleet, down, [reset, notListening]);
+  }
+  return down;
+}
+
+function submitTo(fleet: Fleet, jobId: string, queueName: string): void {
+  const queue = { ...testQueue, name: queueName };
+  const message = testSubmission({ jobId, queue, timeLeftMs: 900 });
+  fleet.effects.push(...fleet.leader.receive("p", message));
+}
+
+/** Crashes of one queue, and what becomes of the next job of some queue. */
+const suspicions: {
+  readonly name: string;
+  readonly crashes: number;
+  readonly queueName: string;
+  readonly outcomes: readonly string[];
+}[] = [
+  {
+    name: "a job of a queue with two crashes is started",
+    crashes: 2,
+    queueName: testQueue.name,
+    outcomes: [],
+  },
+  {
+    name:
+      "a queue that has over a third of the workers down is refused at once",
+    crashes: 3,
+    queueName: testQueue.name,
+    outcomes: ["refused"],
+  },
+  {
+    name: "another queue is served while that one is held back",
+    crashes: 3,
+    queueName: "another",
+    outcomes: [],
+  },
+];
+
+for (const { name, crashes, queueName, outcomes } of suspicions) {
+  test(name, () => {
+    const fleet = createFleet({ workers: 8 });
+    crashInTurn(fleet, crashes);
+    submitTo(fleet, JOB_ID, queueName);
+    expect(outcomesOf(fleet, JOB_ID)).toEqual([...outcomes]);
+    expect(startsOf(fleet, JOB_ID).length).toEqual(1 - outcomes.length);
+  });
+}
+
+test("a queue that was held back is served once its workers are back", () => {
+  const fleet = createFleet({ workers: 8 });
+  const down = crashInTurn(fleet, 3);
+  for (const workerId of down) fleet.bornMs.set(workerId, 9_000);
+  pass(fleet, 1_000);
+  submitTo(fleet, JOB_ID, testQueue.name);
+  expect(startsOf(fleet, JOB_ID).length).toEqual(1);
+});
+
+test("tasks of a queue that crashes workers are kept apart from others", () => {
+  const fleet = createFleet({ workers: 12 });
+  crashInTurn(fleet, 3);
+  submitTo(fleet, JOB_ID, testQueue.name);
+  submitTo(fleet, OTHER_ID, "another");
+  const workerOf = (jobId: string) => startsOf(fleet, jobId)[0]?.workerId;
+  expect(workerOf(JOB_ID)).not.toEqual(undefined);
+  expect(workerOf(OTHER_ID)).not.toEqual(workerOf(JOB_ID));
+});
+
+const guarantees = [
+  { name: "in memory", job: testJob(1) },
+  { name: "recorded", job: recorded },
+];
+
+for (const { name, job } of guarantees) {
+  test(`workers lost at the same time blame no task: ${name}`, () => {
+    const fleet = createFleet({ workers: 6 });
+    submit(fleet, JOB_ID, job);
+    play(fleet, JOB_ID, ["refusingPartition"]);
+    const task = fleet.leader.state.scheduler?.jobs.get(JOB_ID)?.tasks[0];
+    expect([task?.crashes, task?.runsAlone]).toEqual([0, false]);
+  });
+}
--- a/src/engine/suspected_queues.ts
+++ b/src/engine/suspected_queues.ts
@@ -44,6 +44,17 @@
   queueCrashesAtMs.set(queueName, [...recent, nowMs]);
 }
 
+/** Forgets the queues whose latest crash no longer counts. */
+export function forgetOldCrashes(
+  { nowMs }: EngineState,
+  { queueCrashesAtMs }: Scheduler,
+): void {
+  for (const [name, crashesAtMs] of queueCrashesAtMs) {
+    const latestMs = crashesAtMs.at(-1) ?? 0;
+    if (nowMs - latestMs >= MEMORY_MS) queueCrashesAtMs.delete(name);
+  }
+}
+
 /** Whether the tasks of a queue seem to crash workers. */
 export function isSuspectedQueue(
   { nowMs, scheduler }: EngineState,
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -25,6 +25,7 @@
 } from "./runs.ts";
 import { stalledMs } from "./run_progress.ts";
 import type { WorkerInfo } from "./schemas.ts";
+import { forgetOldCrashes } from "./suspected_queues.ts";
 import type {
   EngineEventOf,
   EngineState,
@@ -514,6 +515,7 @@
 ): void {
   const { state } = context;
   expireLostRuns(context);
+  forgetOldCrashes(state, scheduler);
   for (const worker of scheduler.workers.values()) {
     dropExpiredRuns(context, worker);
     if (worker.phase === "lost") {
