Long lists of workers are not read more often after a crash

Cause: reads the list every 200 ms while a crashed worker may be back. A list of the design size has 2.8 MB (docs/CAPACITY.md): 14 MB/s for each leader for seconds. Change: lists of more than 1,000 workers keep their interval. Test: store_readers_test.ts; the case of the long list fails without the bound. Sites up to 350 workers are not affected.

--- a/src/instance/store_readers.ts
+++ b/src/instance/store_readers.ts
@@ -15,6 +15,8 @@
 const WORKERS_READ_INTERVAL_MS = 700;
 /** The same while a worker of this leader has crashed and may be back. */
 const CRASHED_READ_INTERVAL_MS = 200;
+/** Length of the list up to which it is read that often. */
+const MAX_FREQUENTLY_READ_WORKERS = 1_000;
 /**
  * Age of the leader's list of workers above which the leader is presumed cut
  * off from the store.
@@ -49,9 +51,17 @@
   return leader !== undefined && leader.workersAgeMs > STALE_LIST_AGE_MS;
 }
 
-/** Returns the time after which the list of workers is to be read again. */
-function workersReadIntervalMs({ workers, scheduler }: EngineState): number {
+/**
+ * Returns the time after which the list of workers is to be read again: soon
+ * while a crashed worker may be back.
+ */
+export function workersReadIntervalMs(
+  { workers, scheduler }: EngineState,
+): number {
   if (workers.size === 0) return RETRY_DELAY_MS;
+  if (workers.size > MAX_FREQUENTLY_READ_WORKERS) {
+    return WORKERS_READ_INTERVAL_MS;
+  }
   for (const { crash } of scheduler?.workers.values() ?? []) {
     if (crash !== null) return CRASHED_READ_INTERVAL_MS;
   }
