Count the trials of a worker in a field; placement looks at no runs

Cause: acceptsTasks, called for each worker and task, went through the runs of the worker to find a trial.

Change: OwnedWorker.trialCount, kept where runs are added and removed.

--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -11,12 +11,7 @@
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
 import { isHeldBack, isMixed, isSuspectedQueue } from "./suspected_queues.ts";
-import {
-  hasTrial,
-  isReserved,
-  mayStartTrial,
-  reserveForTrial,
-} from "./trials.ts";
+import { isReserved, mayStartTrial, reserveForTrial } from "./trials.ts";
 import type {
   EngineState,
   Job,
@@ -144,7 +139,7 @@
 /** Whether a task may start on a worker now, if it fits. */
 function acceptsTasks(state: EngineState, worker: OwnedWorker): boolean {
   if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
-  if (worker.unsizedRunCount > 0 || hasTrial(worker)) return false;
+  if (worker.unsizedRunCount > 0 || worker.trialCount > 0) return false;
   // Runs that a previous owner stopped may occupy capacity until this time,
   // although the worker no longer lists them.
   if (state.nowMs < worker.usableFromMs) return false;
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -72,6 +72,7 @@
   worker.usedMemoryMb += run.memoryMb;
   worker.usedAccelerators += run.accelerators;
   if (run.sizeUnknown) worker.unsizedRunCount += 1;
+  if (run.isTrial) worker.trialCount += 1;
 }
 
 /** Removes a run from a worker and frees its capacity. */
@@ -81,6 +82,7 @@
   worker.usedMemoryMb -= run.memoryMb;
   worker.usedAccelerators -= run.accelerators;
   if (run.sizeUnknown) worker.unsizedRunCount -= 1;
+  if (run.isTrial) worker.trialCount -= 1;
 }
 
 /** Starts a task on a worker that has enough free capacity for it. */
--- a/src/engine/trials.ts
+++ b/src/engine/trials.ts
@@ -16,14 +16,6 @@
 /** Time for which a worker is kept free of other tasks for a trial. */
 const RESERVATION_MS = 1_000;
 
-/** Whether a worker runs a trial. */
-export function hasTrial({ runs }: OwnedWorker): boolean {
-  for (const { isTrial } of runs.values()) {
-    if (isTrial) return true;
-  }
-  return false;
-}
-
 /** Whether a task of a job may start in a trial now, if a worker is free. */
 export function mayStartTrial(
   { workers }: Scheduler,
@@ -36,7 +28,9 @@
   for (const worker of workers.values()) {
     if (worker.info.service !== service) continue;
     all += 1;
-    if (worker.crash?.endedTrial === true || hasTrial(worker)) inTrials += 1;
+    if (worker.crash?.endedTrial === true || worker.trialCount > 0) {
+      inTrials += 1;
+    }
     if (worker.phase !== "ready") continue;
     cpuMilli += worker.info.cpuMilli;
     usedCpuMilli += worker.usedCpuMilli;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -708,6 +708,8 @@
   suspendedUntilMs: number;
   /** Moving average of actual over expected run time. */
   slowness: number;
+  /** Number of trials among its runs. While there is one, no task starts. */
+  trialCount: number;
   /** Evidence that the worker's process has ended; null if there is none. */
   crash: WorkerCrash | null;
   /** Time until which no task but a trial starts; in the past if there is none. */
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -195,6 +195,7 @@
     failedJobIds: new Set(),
     suspendedUntilMs: 0,
     slowness: 1,
+    trialCount: 0,
     crash: null,
     reservedUntilMs: 0,
     retryAtMs: 0,
