Only a worker that is large enough is kept free for a trial

Cause: startTrial kept the least occupied worker free, also one on which the task can't fit (workers of several sizes, or one that has shrunk); the trial never started there, and the worker stood idle for a second at a time. Found by reading the change.

Test: 'no worker that is too small for a task is kept free for its trial' failed before (w0 and w1 were reserved, w0 with 10 of the 14 cores).

--- a/src/engine/crashes_test.ts
+++ b/src/engine/crashes_test.ts
@@ -494,3 +494,23 @@
     expect([task?.crashes, task?.runsAlone]).toEqual([0, false]);
   });
 }
+
+test("no worker that is too small for a task is kept free for its trial", () => {
+  const fleet = createFleet({ workers: 2 });
+  submit(fleet, JOB_ID, recorded);
+  const [first] = startsOf(fleet, JOB_ID);
+  if (first === undefined) throw new Error("no task was started");
+  fleet.effects.push(...fleet.leader.acknowledgeStart(first));
+  const otherId = first.workerId === "w0" ? "w1" : "w0";
+  const workers = [
+    testWorker(otherId),
+    { ...testWorker(first.workerId), cpuMilli: 10_000 },
+  ];
+  submit(fleet, OTHER_ID, { ...testJob(2), isRecorded: true });
+  fleet.leader.after(1, { type: "workersRead", workers });
+  fates.crash(fleet, first);
+  const reserved = [...fleet.leader.state.scheduler?.workers.values() ?? []]
+    .filter(({ reservedUntilMs }) => reservedUntilMs > 0)
+    .map(({ info }) => info.workerId);
+  expect(reserved).toEqual([otherId]);
+});
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -128,7 +128,8 @@
   if (scheduler === null || awaitsEvidence(task)) return;
   if (!mayStartTrial(scheduler, job)) return;
   const suited = workers.filter((worker) =>
-    acceptsTasks(state, worker) && meetsRequirements(worker, task)
+    acceptsTasks(state, worker) && meetsRequirements(worker, task) &&
+    isLargeEnough(worker, task)
   );
   const empty = suited.filter(({ runs }) => runs.size === 0);
   const worker = chooseWorker(state, empty, { task, isSuspected: true });
@@ -136,6 +137,13 @@
   else startRun(context, worker, { job, task });
 }
 
+/** Whether a task fits on a worker once that is empty. */
+function isLargeEnough({ info }: OwnedWorker, { demand }: Task): boolean {
+  return demand.cpuMilli <= info.cpuMilli &&
+    demand.memoryMb <= info.memoryMb &&
+    demand.accelerators <= info.accelerators;
+}
+
 /** Whether a task may start on a worker now, if it fits. */
 function acceptsTasks(state: EngineState, worker: OwnedWorker): boolean {
   if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
