--- a/review/lib/network.mjs
+++ b/review/lib/network.mjs
@@ -112,7 +112,11 @@
     setSilent(machine, isSilent) {
       if (isSilent) silent.add(machine);
       else silent.delete(machine);
-      record(`network: messages of machine ${machine} are ${isSilent ? "lost" : "carried"}`);
+      record(
+        `network: messages of machine ${machine} are ${
+          isSilent ? "lost" : "carried"
+        }`,
+      );
     },
     /** Translates addresses in the rows that register the instances. */
     translate: {
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -223,7 +223,11 @@
     setSilent(instance, isSilent) {
       if (isSilent) unanswered.add(instance);
       else unanswered.delete(instance);
-      record(`store: calls of instance ${instance} are ${isSilent ? "lost" : "served"}`);
+      record(
+        `store: calls of instance ${instance} are ${
+          isSilent ? "lost" : "served"
+        }`,
+      );
     },
     turnAway(instance) {
       turnedAway.add(instance);
