Takeover of many records in events of bounded work

Cause: a new leader restored all jobs and started them within one event. Each job was searched for and inserted in the queue, and then the whole queue was gone through: 1.4 s at 4,410 jobs. Peers look for another leader after 0.5 s without a message, and the next event took the gap for a suspension of the process and gave up the leadership with all that had been read. The next leader did the same.

Evidence: the logs of the case repeat "job records taken over", "process was paused" (forMs 1422), "instance stepped down". Logs could not tell a suspension from own work; new are "event took long to handle", "process was busy" and the metric longestEventMs. Ruled out: the store, which answers the same reads when no leader is killed.

Change: records are decoded page by page; jobs are restored, then resumed, 250 tasks an event (guard fitsEvent), and placed once after the last one. The queue inserts by binary search. A placement without usable workers ends at once, which also covers the resubmission of many jobs to a new leader. A leader that was busy with its own work, as its processor time shows, remains the leader: its successor would have as much to do. One that was suspended steps down as before.

The test "a blocked event loop is a pause" now says how much processor time was used: 20 ms of 900 is a pause as before; a second case with 600 ms is not.

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -529,6 +529,13 @@
         });
       });
     },
+    continueOpening: (instance, incarnation, { term }) =>
+      runAfter(0, () =>
+        dispatch(instance, incarnation, {
+          type: "openingContinued",
+          nowMs: queue.nowMs(),
+          term,
+        })),
     writeRecords: (instance, incarnation, effect) => {
       const { writeId } = effect;
       void instance.records?.write(effect).then((outcome) => {
@@ -807,7 +814,9 @@
       readConfiguration: resolveNull,
       awaitConfiguration: resolveNull,
       readWorkers: () => Promise.resolve([]),
-      readRows: (tablePart) => call(() => store.readRows(tablePart)),
+      async *readPages(tablePart) {
+        yield await call(() => store.readRows(tablePart));
+      },
       transact: (transaction) => call(() => store.transact(transaction)),
       close: () => Promise.resolve(),
     };
--- a/src/admin/configuration_changes.ts
+++ b/src/admin/configuration_changes.ts
@@ -9,7 +9,7 @@
   configurationDocumentSchema,
 } from "../entry/schemas.ts";
 import { CONFIGURATION_ROW } from "../host/store_client.ts";
-import type { StoreHost, StoreRow } from "../instance/hosts.ts";
+import { readRows, type StoreHost, type StoreRow } from "../instance/hosts.ts";
 
 /** The schema of a configuration change proposed by an operator. */
 export const proposalSchema = configurationDocumentSchema.omit({
@@ -92,7 +92,7 @@
 async function readDocuments(
   store: StoreHost,
 ): Promise<Map<string, StoredDocument>> {
-  const rows = await store.readRows({ table: TABLE, part: PART });
+  const rows = await readRows(store, { table: TABLE, part: PART });
   return new Map(rows.map((row) => [row.key, decodeRow(row)]));
 }
 
--- a/src/admin/configuration_changes_test.ts
+++ b/src/admin/configuration_changes_test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { createFakeStoreHost } from "../host/fake_store.ts";
+import { readRows } from "../instance/hosts.ts";
 import {
   acceptProposal,
   checkProposal,
@@ -59,7 +60,7 @@
   store.loseAnswers = 1;
   const result = summarize(await acceptProposal(store, proposal(0, "a")));
   expect(result).toEqual("accepted 1");
-  const rows = await store.readRows({ table: "configuration", part: "" });
+  const rows = await readRows(store, { table: "configuration", part: "" });
   expect(rows.map(({ version }) => version)).toEqual([1, 1]);
 });
 
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -6,6 +6,12 @@
 import { GIVE_UP_CRASHES, MAX_CRASHES } from "./crashes.ts";
 import type { Guards } from "./types.ts";
 
+/**
+ * Number of tasks of restored jobs from which on the takeover of the records
+ * continues with the next event.
+ */
+export const MAX_TASKS_PER_EVENT = 250;
+
 /** The conditions that apply in production. */
 export const defaultGuards: Guards = {
   /** A recorded job starts only after its record has been persisted. */
@@ -37,4 +43,9 @@
   mayRefuse: ({ mayHaveStarted }) => !mayHaveStarted,
   /** A configuration is replaced only by one with a higher version. */
   isNewer: (version, currentVersion) => version > currentVersion,
+  /**
+   * One event restores or resumes a bounded number of jobs: peers choose another
+   * leader while an event takes long, and that one would take as long.
+   */
+  fitsEvent: (taskCount) => taskCount < MAX_TASKS_PER_EVENT,
 };
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -52,6 +52,7 @@
     leftCell: options.leftCell ?? false,
     paused: false,
     isLate: false,
+    isWaiting: false,
     outcome: null,
     endedAtMs: 0,
     record: options.record,
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -12,7 +12,7 @@
 import { isolateJob } from "./job_faults.ts";
 import { mustNotRestart } from "./job_state.ts";
 import { finishJob } from "./jobs.ts";
-import { mayHaveUnknownRuns } from "./placement.ts";
+import { mayHaveUnknownRuns, oldestListsReadAtMs } from "./placement.ts";
 import {
   ENTRY_DROP_TIMEOUT_MS,
   ENTRY_PAUSE_TIMEOUT_MS,
@@ -135,9 +135,9 @@
   const hasUnrunnableTask = job.tasks.some((task) =>
     task.state === "queued" && mustNotRestart(job, task)
   );
-  if (!hasUnrunnableTask || mayHaveUnknownRuns(state, scheduler, job)) {
-    return null;
-  }
+  if (!hasUnrunnableTask) return null;
+  const listsReadAtMs = () => oldestListsReadAtMs(state, scheduler);
+  if (mayHaveUnknownRuns(state, { job, listsReadAtMs })) return null;
   return { kind: "unknown", reason: "taskLost" };
 }
 
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -30,15 +30,20 @@
 export function startJob(context: ReduceContext, job: Job): void {
   const { scheduler, guards } = context.state;
   if (scheduler === null || !guards.mayStartJob(job.record)) return;
-  if (job.unfinished === 0) {
-    finishJob(context, job, doneOutcome(job));
-    return;
-  }
-  attachRuns(context, scheduler, job);
-  enqueue(context.state, job);
+  attachRuns(context, scheduler, [job]);
+  queueJob(context, job);
   placeQueuedTasks(context, job.queue.service);
 }
 
+/**
+ * Queues the tasks of a job without placing them, or finishes the job if its
+ * tasks are all done.
+ */
+export function queueJob(context: ReduceContext, job: Job): void {
+  if (job.unfinished === 0) finishJob(context, job, doneOutcome(job));
+  else enqueue(context.state, job);
+}
+
 /** Applies the collected task completions to their jobs. */
 export function applyTaskCompletions(context: ReduceContext): void {
   for (let next = 0; next < context.taskCompletions.length; next += 1) {
@@ -225,6 +230,7 @@
     const at = jobs.indexOf(job);
     if (at >= 0) jobs.splice(at, 1);
   }
+  job.isWaiting = false;
   for (const jobs of records.dirty.values()) jobs.delete(job);
 }
 
--- /dev/null
+++ b/src/engine/large_takeover_test.ts
@@ -0,0 +1,117 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { MAX_TASKS_PER_EVENT } from "./guards.ts";
+import {
+  createTestLeader,
+  effectsOf,
+  type TestEvent,
+  type TestInstance,
+  testJob,
+  testQueue,
+} from "./testing.ts";
+import type { Effect, StoredRecord } from "./types.ts";
+
+const RECORD_COUNT = 3_000;
+
+function storedRecords(count: number): StoredRecord[] {
+  return Array.from({ length: count }, (_, index) => ({
+    record: {
+      jobId: index.toString(16).padStart(16, "0"),
+      queue: testQueue,
+      job: { ...testJob(1), isRecorded: true },
+      acceptedAtMs: 0,
+      outcome: null,
+      endedAtMs: 0,
+      done: [],
+      failures: {},
+      results: {},
+    },
+    version: 7,
+  }));
+}
+
+/** Takes over records; returns the effects of each event that this needs. */
+function takeOver(leader: TestInstance, count: number): Effect[][] {
+  const term = leader.state.leaderTerm;
+  const records = storedRecords(count);
+  let event: TestEvent | null = {
+    type: "recordsOpened",
+    term,
+    outcome: { kind: "opened", records },
+  };
+  const events: Effect[][] = [];
+  while (event !== null) {
+    const effects: Effect[] = leader.after(1, event);
+    events.push(effects);
+    const goesOn = effects.some(({ type }) => type === "continueOpening");
+    event = goesOn ? { type: "openingContinued", term } : null;
+  }
+  return events;
+}
+
+function resumedIn(effects: readonly Effect[]): number {
+  return effectsOf(effects, "log")
+    .filter(({ text }) => text === "recorded job resumed").length;
+}
+
+// A leader that restored some thousand jobs in one event was silent for longer
+// than its peers wait for a leader, and so was each of its successors.
+test("no event of a takeover restores or resumes all jobs of many records", () => {
+  const leader = createTestLeader();
+  const events = takeOver(leader, RECORD_COUNT);
+  const resumed = events.map(resumedIn);
+  expect(Math.max(...resumed) <= MAX_TASKS_PER_EVENT).toEqual(true);
+  expect(resumed.reduce((sum, count) => sum + count, 0)).toEqual(RECORD_COUNT);
+  // The events before those only restore jobs.
+  const minimum = 2 * RECORD_COUNT / MAX_TASKS_PER_EVENT - 1;
+  expect(events.length >= minimum).toEqual(true);
+  expect(leader.state.scheduler?.waiting.get("s")?.length)
+    .toEqual(RECORD_COUNT);
+});
+
+// Each restored job was searched for and inserted in the queue, and then the
+// whole queue was gone through.
+test("a takeover goes through the queue a number of times that doesn't grow", () => {
+  const leader = createTestLeader();
+  let jobsLookedAt = 0;
+  const { mayRunElsewhere } = leader.state.guards;
+  Object.assign(leader.state.guards, {
+    mayRunElsewhere: (nowMs: number, expiresAtMs: number) => {
+      jobsLookedAt += 1;
+      return mayRunElsewhere(nowMs, expiresAtMs);
+    },
+  });
+  takeOver(leader, RECORD_COUNT);
+  expect(jobsLookedAt <= 2 * RECORD_COUNT).toEqual(true);
+});
+
+// Its successor would have as much to do.
+test("a leader that was kept busy by its own work remains the leader", () => {
+  const leader = createTestLeader();
+  leader.after(1_400, { type: "processBusy", busyMs: 1_400 });
+  leader.tick();
+  expect(leader.state.leaderId).toEqual("self");
+  expect(leader.state.scheduler === null).toEqual(false);
+});
+
+// The record of a job that is not restored yet may be among the remaining ones.
+test("while jobs are restored, none of them is reported as unknown", () => {
+  const leader = createTestLeader();
+  leader.after(1, {
+    type: "recordsOpened",
+    term: leader.state.leaderTerm,
+    outcome: { kind: "opened", records: storedRecords(RECORD_COUNT) },
+  });
+  const replies = ["0".repeat(16), (RECORD_COUNT - 1).toString(16)].map(
+    (jobId) => {
+      const effects = leader.receive("p", {
+        type: "question",
+        questionId: jobId,
+        question: { kind: "job", jobId: jobId.padStart(16, "0") },
+      });
+      const [reply] = effectsOf(effects, "sendPeer");
+      return reply?.message.type === "reply" ? reply.message.reply.kind : null;
+    },
+  );
+  expect(replies).toEqual(["unavailable", "unavailable"]);
+});
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -367,11 +367,38 @@
       isLeader: state.scheduler !== null,
     },
   );
+  excuseSilence(state);
+  stepDown(context, "process was paused");
+}
+
+/**
+ * Handles a delay by this process's own work, which does not count as time
+ * without messages from the peers either. A leader remains one: work that is
+ * due would take its successor as long. If the peers have another leader by
+ * now, its higher term and its fencing tokens take effect.
+ */
+export function onProcessBusy(
+  context: ReduceContext,
+  event: EngineEventOf<"processBusy">,
+): void {
+  const { state } = context;
+  logDecision(context, {
+    level: "warn",
+    part: "instance",
+    text: "process was busy; events were delayed",
+  }, {
+    forMs: Math.round(event.busyMs),
+    isLeader: state.scheduler !== null,
+  });
+  excuseSilence(state);
+}
+
+/** Leaves the time since the latest tick out of the silence of the peers. */
+function excuseSilence(state: EngineState): void {
   const sinceLastTickMs = state.nowMs - state.lastTickAtMs;
   for (const peer of state.peers.values()) {
     if (peer.lastHeardAtMs > 0) peer.lastHeardAtMs += sinceLastTickMs;
   }
-  stepDown(context, "process was paused");
 }
 
 /**
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -45,11 +45,16 @@
   const workers = [...scheduler.workers.values()].filter((worker) =>
     worker.info.service === service && acceptsTasks(state, worker)
   );
+  // A pass without usable workers starts nothing, however many jobs wait.
+  if (workers.length === 0) return;
+  let oldestListsMs: number | null = null;
+  const listsReadAtMs = (): number =>
+    oldestListsMs ??= oldestListsReadAtMs(state, scheduler);
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
     if (
       job.outcome !== null || job.paused ||
-      mayHaveUnknownRuns(state, scheduler, job)
+      mayHaveUnknownRuns(state, { job, listsReadAtMs })
     ) {
       at += 1;
       continue;
@@ -62,11 +67,32 @@
         return hasQueuedTasks(job);
       },
     });
-    if (hasQueued) at += 1;
-    else waiting.splice(at, 1);
+    if (hasQueued) {
+      at += 1;
+      continue;
+    }
+    waiting.splice(at, 1);
+    job.isWaiting = false;
   }
 }
 
+/**
+ * Returns the time at which the oldest of the present lists of the cell's
+ * workers was requested; -Infinity if a worker is not ready.
+ */
+export function oldestListsReadAtMs(
+  state: EngineState,
+  scheduler: Scheduler,
+): number {
+  let oldestMs = Infinity;
+  for (const { workerId } of cellWorkers(state)) {
+    const worker = scheduler.workers.get(workerId);
+    if (worker?.phase !== "ready") return -Infinity;
+    oldestMs = Math.min(oldestMs, worker.listsReadAtMs);
+  }
+  return oldestMs;
+}
+
 /**
  * Whether a job may have runs of a previous leader that are unknown here and
  * have not expired: on a worker of another cell, on one that left the list, or
@@ -75,20 +101,19 @@
  */
 export function mayHaveUnknownRuns(
   state: EngineState,
-  scheduler: Scheduler,
-  job: Job,
+  { job, listsReadAtMs }: {
+    job: Job;
+    /** Returns what {@linkcode oldestListsReadAtMs} does. */
+    listsReadAtMs: () => number;
+  },
 ): boolean {
   const { nowMs, guards } = state;
   if (!guards.mayRunElsewhere(nowMs, job.previousRunsExpireAtMs)) return false;
   if (job.leftCell || state.vanishedAtMs.size > 0) return true;
-  for (const { workerId } of cellWorkers(state)) {
-    const worker = scheduler.workers.get(workerId);
-    if (worker?.phase !== "ready") return true;
-    // Another leader may have acquired the worker after its lists were read,
-    // and may have started tasks of the job there.
-    if (worker.listsReadAtMs < job.resumedAtMs) return true;
-  }
-  return false;
+  // Another leader may have acquired a worker after its lists were read, and may
+  // have started tasks of the job there.
+  const readAtMs = listsReadAtMs();
+  return readAtMs === -Infinity || readAtMs < job.resumedAtMs;
 }
 
 /** Starts the queued tasks of a job, up to the first that fits nowhere. */
--- a/src/engine/queue.ts
+++ b/src/engine/queue.ts
@@ -40,14 +40,27 @@
     waiting = [];
     scheduler.waiting.set(service, waiting);
   }
-  if (waiting.includes(job)) return;
-  let at = waiting.length;
-  while (at > 0 && compareJobs(waiting[at - 1] as Job, job) > 0) at -= 1;
-  waiting.splice(at, 0, job);
+  if (job.isWaiting) return;
+  job.isWaiting = true;
+  waiting.splice(insertionIndex(waiting, job), 0, job);
+}
+
+/** Returns the index behind all jobs that are served before the given one. */
+function insertionIndex(waiting: readonly Job[], job: Job): number {
+  let low = 0;
+  let high = waiting.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (compareJobs(waiting[middle] as Job, job) > 0) high = middle;
+    else low = middle + 1;
+  }
+  return low;
 }
 
 /** Removes a job from its service's queue; returns whether it was there. */
 export function dequeue(scheduler: Scheduler, job: Job): boolean {
+  if (!job.isWaiting) return false;
+  job.isWaiting = false;
   const waiting = scheduler.waiting.get(job.queue.service) ?? [];
   const at = waiting.indexOf(job);
   if (at < 0) return false;
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -1,32 +1,35 @@
 /**
  * Takeover of the records of all jobs by a leader: the records are read under
- * its term and merged with jobs submitted in the meantime, and unfinished jobs
- * are resumed.
+ * its term, jobs are restored from them and merged with jobs submitted in the
+ * meantime, and unfinished jobs are resumed. Each event restores and resumes a
+ * bounded number of jobs.
  */
 
-import { logDecision, sendPeer } from "./effects.ts";
+import { emit, logDecision, sendPeer } from "./effects.ts";
 import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
 import { createJob, queueReadyTasks } from "./job_state.ts";
 import {
   applyTaskCompletions,
   finishJob,
+  queueJob,
   reportOutcome,
-  startJob,
 } from "./jobs.ts";
 import { nextTerm } from "./leadership.ts";
 import { maxLeaseMs } from "./leases.ts";
+import { placeQueuedTasks } from "./placement.ts";
 import {
   createRecordState,
   mergeRecord,
   OWNERSHIP_CONFIRM_TIMEOUT_MS,
   partOf,
 } from "./records.ts";
-import { processOrphanCompletions } from "./runs.ts";
+import { attachRuns, processOrphanCompletions } from "./runs.ts";
 import type {
   EngineEventOf,
   EngineState,
   Job,
   OpenOutcome,
+  RecordRestoration,
   ReduceContext,
   Scheduler,
   StoredRecord,
@@ -45,36 +48,10 @@
 
 const openHandlers: OpenHandlers = {
   opened: (context, scheduler, { records: storedRecords }) => {
-    const { state } = context;
     const { records } = scheduler;
-    records.phase = "open";
     records.unavailableSinceMs = 0;
-    records.openedAtMs = state.nowMs;
-    records.confirmedAtMs = state.nowMs;
-    state.recordsZone = state.self.availabilityZone;
-    state.recordsExist = storedRecords.length > 0 || records.dirty.size > 0;
-    logDecision(context, { part: "records", text: "job records taken over" }, {
-      term: scheduler.records.term,
-      records: storedRecords.length,
-    });
-    const jobs = storedRecords.map((stored) =>
-      restoreJob(context, scheduler, stored)
-    );
-    // Completions read before the records are applied before any job resumes,
-    // so that their tasks are not started again.
-    for (const worker of scheduler.workers.values()) {
-      processOrphanCompletions(context, worker);
-    }
-    applyTaskCompletions(context);
-    scheduler.rereadWanted = true;
-    for (const job of jobs) {
-      if (job === null || job.outcome !== null) continue;
-      isolateJob(context, job, {
-        stage: "restore",
-        fallback: undefined,
-        run: () => resumeJob(context, job),
-      });
-    }
+    records.restoration = { records: storedRecords, jobs: [] };
+    continueOpening(context, scheduler);
   },
   outranked: (context, { records }, { term }) => {
     const { state } = context;
@@ -116,47 +93,151 @@
   handler(context, scheduler, outcome);
 }
 
-/** Starts a restored job, unless it ended a previous leader. */
-function resumeJob(context: ReduceContext, job: Job): void {
-  if (isFaultyJob(context.state, job.jobId)) {
-    finishJob(context, job, faultyJobOutcome);
-  } else startJob(context, job);
+/** Handles the time to continue the takeover of the records. */
+export function onOpeningContinued(
+  context: ReduceContext,
+  { term }: EngineEventOf<"openingContinued">,
+): void {
+  const { scheduler } = context.state;
+  if (scheduler === null || scheduler.records.term !== term) return;
+  continueOpening(context, scheduler);
 }
 
 /**
- * Restores a job from its record. Returns null if the record is that of a
- * refused attempt and a new attempt of the job is pending here.
+ * Restores the next jobs or, once all are restored and the records are open,
+ * resumes the next ones. Continues with a further event if any are left.
  */
-function restoreJob(
+function continueOpening(context: ReduceContext, scheduler: Scheduler): void {
+  const { records } = scheduler;
+  const { restoration } = records;
+  if (restoration !== null) {
+    restoreNextJobs(context.state, restoration);
+    if (restoration.jobs.length === restoration.records.length) {
+      finishOpening(context, scheduler, restoration);
+    }
+  }
+  if (records.phase === "open") resumeNextJobs(context, scheduler);
+  if (records.restoration === null && records.resuming.length === 0) return;
+  emit(context, { type: "continueOpening", term: records.term });
+}
+
+function restoreNextJobs(
+  state: EngineState,
+  { records, jobs }: RecordRestoration,
+): void {
+  let taskCount = 0;
+  while (jobs.length < records.length && state.guards.fitsEvent(taskCount)) {
+    const job = createJobFromRecord(
+      state,
+      records[jobs.length] as StoredRecord,
+    );
+    jobs.push(job);
+    taskCount += job.tasks.length;
+  }
+}
+
+/** Makes the restored jobs those of this leader, which now owns the records. */
+function finishOpening(
   context: ReduceContext,
   scheduler: Scheduler,
-  stored: StoredRecord,
-): Job | null {
+  restoration: RecordRestoration,
+): void {
   const { state } = context;
-  const known = scheduler.jobs.get(stored.record.jobId);
-  const isPending = known?.outcome === null && known.record !== null;
-  // The pending attempt is a new one and overwrites the row of the refused one.
-  if (isPending && stored.record.outcome?.kind === "refused") {
-    known.record.version = stored.version;
-    known.record.mayExist = true;
-    return null;
+  const { records } = scheduler;
+  records.restoration = null;
+  records.phase = "open";
+  records.openedAtMs = state.nowMs;
+  state.recordsZone = state.self.availabilityZone;
+  state.recordsExist = restoration.records.length > 0 || records.dirty.size > 0;
+  logDecision(context, { part: "records", text: "job records taken over" }, {
+    term: scheduler.records.term,
+    records: restoration.records.length,
+  });
+  for (const [index, job] of restoration.jobs.entries()) {
+    const stored = restoration.records[index] as StoredRecord;
+    adoptJob(context, scheduler, { job, stored });
   }
-  const job = createJobFromRecord(state, stored);
-  scheduler.jobs.set(job.jobId, job);
-  scheduler.records.dirty.get(partOf(job.jobId))?.delete(known as Job);
-  if (isPending) transferSubmissions(context, job, known);
-  if (job.outcome !== null) {
-    job.endedAtMs = state.nowMs;
-    scheduler.records.retainedJobs.push(job);
-    return job;
+  // Completions read before the records are applied before any job resumes, so
+  // that their tasks are not started again.
+  for (const worker of scheduler.workers.values()) {
+    processOrphanCompletions(context, worker);
+  }
+  applyTaskCompletions(context);
+  scheduler.rereadWanted = true;
+}
+
+/**
+ * Attaches and queues the next restored jobs. Places tasks only after the last
+ * of them, since each placement goes through all queued jobs.
+ */
+function resumeNextJobs(context: ReduceContext, scheduler: Scheduler): void {
+  const { state } = context;
+  const { resuming } = scheduler.records;
+  if (resuming.length === 0) return;
+  const jobs: Job[] = [];
+  let taskCount = 0;
+  while (resuming.length > 0 && state.guards.fitsEvent(taskCount)) {
+    const job = resuming.pop() as Job;
+    taskCount += job.tasks.length;
+    if (job.outcome === null) jobs.push(job);
+  }
+  attachRuns(context, scheduler, jobs);
+  for (const job of jobs) {
+    isolateJob(context, job, {
+      stage: "restore",
+      fallback: undefined,
+      run: () => resumeJob(context, job),
+    });
+  }
+  if (resuming.length > 0) return;
+  for (const service of scheduler.waiting.keys()) {
+    placeQueuedTasks(context, service);
   }
+}
+
+/** Queues a restored job, unless it ended a previous leader. */
+function resumeJob(context: ReduceContext, job: Job): void {
+  const { state } = context;
   logDecision(context, { part: "records", text: "recorded job resumed" }, {
     jobId: job.jobId,
     queue: job.queue.name,
     unfinished: job.unfinished,
     acceptedMsAgo: Math.round(state.nowMs - job.receivedAtMs),
   });
-  return job;
+  if (isFaultyJob(state, job.jobId)) finishJob(context, job, faultyJobOutcome);
+  else queueJob(context, job);
+}
+
+/**
+ * Makes a restored job one of this leader, in place of a submission of the job
+ * that is pending here. If the record is that of a refused attempt, the pending
+ * submission is a new attempt and remains.
+ */
+function adoptJob(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  { job, stored }: { job: Job; stored: StoredRecord },
+): void {
+  const { jobs, records } = scheduler;
+  const known = jobs.get(job.jobId);
+  const isPending = known?.outcome === null && known.record !== null;
+  // The pending attempt is a new one and overwrites the row of the refused one.
+  if (isPending && stored.record.outcome?.kind === "refused") {
+    known.record.version = stored.version;
+    known.record.mayExist = true;
+    return;
+  }
+  jobs.set(job.jobId, job);
+  if (known !== undefined) {
+    records.dirty.get(partOf(job.jobId))?.delete(known);
+  }
+  if (isPending) transferSubmissions(context, job, known);
+  if (job.outcome === null) {
+    records.resuming.push(job);
+    return;
+  }
+  job.endedAtMs = context.state.nowMs;
+  records.retainedJobs.push(job);
 }
 
 /**
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -63,6 +63,9 @@
     if (state.nowMs < records.retryAtMs || !seesMajority(state)) return;
     if (recordsLeader(state)?.instanceId !== state.self.instanceId) return;
     records.phase = "opening";
+    // The store confirms the ownership after this time, and before the records
+    // are read.
+    records.confirmedAtMs = state.nowMs;
     emit(context, { type: "openRecords", term: records.term });
     return;
   }
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -54,6 +54,8 @@
     retryAtMs: 0,
     unavailableSinceMs: 0,
     openedAtMs: 0,
+    restoration: null,
+    resuming: [],
     delayedCompletions: [],
     confirmedAtMs: 0,
     dirty: new Map(),
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -21,6 +21,7 @@
 import {
   checkLeadership,
   handOverLeadership,
+  onProcessBusy,
   onProcessPaused,
   onReleased,
 } from "./leadership.ts";
@@ -43,7 +44,7 @@
   onReply,
 } from "./queries.ts";
 import { sampleDemands } from "./queue_demand.ts";
-import { onRecordsOpened } from "./record_opening.ts";
+import { onOpeningContinued, onRecordsOpened } from "./record_opening.ts";
 import { checkRecords, onRecordsWritten } from "./record_ownership.ts";
 import { flushRecords } from "./records.ts";
 import type { InstanceInfo, PeerMessage } from "./schemas.ts";
@@ -215,6 +216,7 @@
   callerGone: onCallerGone,
   callerQuery: onCallerQuery,
   recordsOpened: onRecordsOpened,
+  openingContinued: onOpeningContinued,
   recordsWritten: onRecordsWritten,
   configurationRead: (context, event) =>
     applyConfiguration(context, event.configuration),
@@ -249,6 +251,7 @@
   },
   stopCompleted: onStopCompleted,
   processPaused: onProcessPaused,
+  processBusy: onProcessBusy,
   drainRequested: (context) => {
     context.state.draining = true;
     logDecision(context, { part: "instance", text: "instance is draining" }, {
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -65,6 +65,11 @@
   return `${taskName}#${run}`;
 }
 
+/** Returns the id of the job of a task, whose name begins with it. */
+function jobIdOf(taskName: string): string {
+  return taskName.slice(0, taskName.indexOf("."));
+}
+
 /** Adds a run to a worker and reserves its capacity. */
 function addRun(worker: OwnedWorker, run: WorkerRun): void {
   worker.runs.set(runKey(run.taskName, run.run), run);
@@ -327,8 +332,7 @@
   context: ReduceContext,
   taskName: string,
 ): { job: Job; task: Task } | null {
-  const jobId = taskName.slice(0, taskName.indexOf("."));
-  const job = context.state.scheduler?.jobs.get(jobId);
+  const job = context.state.scheduler?.jobs.get(jobIdOf(taskName));
   if (job === undefined) return null;
   const task = isolateJob(context, job, {
     stage: "complete",
@@ -481,39 +485,54 @@
 }
 
 /**
- * Attaches tracked runs of a job's queued tasks to the job, if they belong to
+ * Attaches tracked runs of the jobs' queued tasks to the jobs, if they belong to
  * no job or to an ended one. This includes runs that are being stopped.
  */
 export function attachRuns(
   context: ReduceContext,
   scheduler: Scheduler,
-  job: Job,
+  jobs: readonly Job[],
 ): void {
-  const tasks = new Map(job.tasks.map((task) => [task.name, task]));
+  const jobsById = new Map(jobs.map((job) => [job.jobId, job]));
   for (const worker of scheduler.workers.values()) {
     for (const run of worker.runs.values()) {
-      const task = tasks.get(run.taskName);
       const isFree = run.job === null || run.job.outcome !== null;
-      if (task === undefined || !isFree || task.state !== "queued") continue;
-      resizeRun(worker, run, task);
-      run.job = job;
-      run.task = task;
-      task.state = "placed";
-      task.run = run.run;
-      task.mayHaveStarted = true;
-      task.workerId = worker.info.workerId;
-      job.mayHaveStarted = true;
-      logDecision(context, { part: "run", text: "run attached to its job" }, {
-        jobId: job.jobId,
-        task: run.taskName,
-        run: run.run,
-        workerId: worker.info.workerId,
-        state: run.state,
+      const job = isFree ? jobsById.get(jobIdOf(run.taskName)) : undefined;
+      if (job === undefined) continue;
+      isolateJob(context, job, {
+        stage: "restore",
+        fallback: undefined,
+        run: () => attachRun(context, worker, { run, job }),
       });
     }
   }
 }
 
+/** Attaches a tracked run to its job if the task of the run is queued. */
+function attachRun(
+  context: ReduceContext,
+  worker: OwnedWorker,
+  { run, job }: { run: WorkerRun; job: Job },
+): void {
+  const task = job.tasks.find(({ name }) => name === run.taskName);
+  if (task?.state !== "queued") return;
+  resizeRun(worker, run, task);
+  run.job = job;
+  run.task = task;
+  task.state = "placed";
+  task.run = run.run;
+  task.mayHaveStarted = true;
+  task.workerId = worker.info.workerId;
+  job.mayHaveStarted = true;
+  logDecision(context, { part: "run", text: "run attached to its job" }, {
+    jobId: job.jobId,
+    task: run.taskName,
+    run: run.run,
+    workerId: worker.info.workerId,
+    state: run.state,
+  });
+}
+
 /** Replaces the size of a run, such as an unknown one, by its task's demand. */
 function resizeRun(worker: OwnedWorker, run: WorkerRun, task: Task): void {
   worker.usedCpuMilli += task.demand.cpuMilli - run.cpuMilli;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -186,6 +186,8 @@
       readonly term: number;
       readonly outcome: OpenOutcome;
     }
+    /** The time to continue the takeover of the records, see `continueOpening`. */
+    | { readonly type: "openingContinued"; readonly term: number }
     | {
       readonly type: "recordsWritten";
       readonly writeId: number;
@@ -238,6 +240,11 @@
     }
     /** The process was paused; the events that follow may be late by `pausedMs`. */
     | { readonly type: "processPaused"; readonly pausedMs: number }
+    /**
+     * The process's own work blocked the event loop; the events that follow may
+     * be late by `busyMs`.
+     */
+    | { readonly type: "processBusy"; readonly busyMs: number }
     | { readonly type: "drainRequested" }
   );
 
@@ -267,6 +274,11 @@
    * Takes over the records of all jobs under a leader's term and reads them.
    */
   | { readonly type: "openRecords"; readonly term: number }
+  /**
+   * Requests an `openingContinued` event after other events that have arrived:
+   * the takeover of many records is divided, so that no event takes long.
+   */
+  | { readonly type: "continueOpening"; readonly term: number }
   | {
     readonly type: "writeRecords";
     readonly writeId: number;
@@ -544,6 +556,8 @@
   paused: boolean;
   /** The objective passed while tasks were still queued. */
   isLate: boolean;
+  /** The job is in its service's queue. */
+  isWaiting: boolean;
   outcome: JobOutcome | null;
   endedAtMs: number;
   /** State of the job's record; null if the job is kept in memory only. */
@@ -785,6 +799,10 @@
   unavailableSinceMs: number;
   /** Time at which this leader took over the records. */
   openedAtMs: number;
+  /** The records that were read but not all restored yet; null if there are none. */
+  restoration: RecordRestoration | null;
+  /** Restored jobs without an outcome that are to be resumed. */
+  readonly resuming: Job[];
   /**
    * Recorded completions that workers still retain, because the previous owner
    * may not know yet that it lost the records.
@@ -802,6 +820,13 @@
   readonly retainedJobs: Job[];
 }
 
+/** Progress of the restoration of jobs from the records that were read. */
+export interface RecordRestoration {
+  readonly records: readonly StoredRecord[];
+  /** The jobs of the first records, in their order. */
+  readonly jobs: Job[];
+}
+
 /** A write of records that is in flight. */
 export interface RecordBatch {
   readonly writeId: number;
@@ -857,6 +882,7 @@
   ) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
+  readonly fitsEvent: (taskCount: number) => boolean;
 }
 
 /** The whole state of one instance. */
--- a/src/host/fake_store.ts
+++ b/src/host/fake_store.ts
@@ -87,7 +87,9 @@
     readConfiguration: () => callUnlessDown(() => null),
     awaitConfiguration: () => callUnlessDown(() => null),
     readWorkers: () => callUnlessDown(() => []),
-    readRows: (tablePart) => callUnlessDown(() => store.readRows(tablePart)),
+    async *readPages(tablePart) {
+      yield await callUnlessDown(() => store.readRows(tablePart));
+    },
     transact: (transaction) =>
       callUnlessDown(() => {
         const result = store.transact(transaction);
--- a/src/host/store_client.ts
+++ b/src/host/store_client.ts
@@ -99,7 +99,10 @@
       const parsed = rows.map(({ value }) => workerInfoSchema.safeParse(value));
       return parsed.flatMap((result) => result.success ? [result.data] : []);
     },
-    readRows,
+    // This interface has no pages.
+    async *readPages(tablePart) {
+      yield await readRows(tablePart);
+    },
     // The field names of the transaction are wire names.
     transact: (transaction) =>
       post("/rows/transact", transaction, transactionResultSchema),
--- a/src/instance/hosts.ts
+++ b/src/instance/hosts.ts
@@ -23,6 +23,16 @@
   readonly close: () => Promise<void>;
 }
 
+/** Reads all rows of one part of a small table. */
+export async function readRows(
+  store: StoreHost,
+  tablePart: { readonly table: string; readonly part: string },
+): Promise<StoreRow[]> {
+  const rows: StoreRow[] = [];
+  for await (const page of store.readPages(tablePart)) rows.push(...page);
+  return rows;
+}
+
 /** A row of a table in the store. */
 export interface StoreRow {
   readonly table: string;
@@ -74,10 +84,13 @@
   /** Waits for a newer configuration; resolves to null if none was found. */
   readonly awaitConfiguration: () => Promise<Configuration | null>;
   readonly readWorkers: () => Promise<WorkerInfo[]>;
-  /** Reads all rows of one part of a table. */
-  readonly readRows: (
+  /**
+   * Reads all rows of one part of a table. Each page is a response of its own,
+   * so that handling a large table doesn't block the event loop.
+   */
+  readonly readPages: (
     tablePart: { readonly table: string; readonly part: string },
-  ) => Promise<StoreRow[]>;
+  ) => AsyncIterable<readonly StoreRow[]>;
   readonly transact: (
     transaction: StoreTransaction,
   ) => Promise<TransactionResult>;
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -36,6 +36,11 @@
 const FAILURE_FLUSH_MS = 50;
 /** Interval between `tick` events. */
 const TICK_MS = 25;
+/**
+ * Duration from which on the handling of an event is logged: two ticks, a tenth
+ * of the time without messages after which peers presume a leader lost.
+ */
+const SLOW_EVENT_MS = 50;
 
 /** The settings of an instance and the interfaces that it uses. */
 export interface InstanceOptions {
@@ -124,15 +129,19 @@
   let mesh: PeerMesh | null = null;
   let hasFailed = false;
 
-  const measurePause = createPauseDetector(clock);
+  const measureDelay = createPauseDetector(clock);
 
-  /** Applies an event, after a `processPaused` event if a pause was detected. */
+  /**
+   * Applies an event, after a `processPaused` or `processBusy` event if a delay
+   * was detected.
+   */
   function dispatch(event: EngineEvent): void {
-    const pausedMs = measurePause();
-    if (pausedMs > 0) {
-      apply({ type: "processPaused", nowMs: clock.nowMs(), pausedMs });
-    }
+    const { pausedMs, busyMs } = measureDelay();
+    const nowMs = clock.nowMs();
+    if (pausedMs > 0) apply({ type: "processPaused", nowMs, pausedMs });
+    if (busyMs > 0) apply({ type: "processBusy", nowMs, busyMs });
     apply(event);
+    observeDuration(event, clock.nowMs() - nowMs);
   }
 
   function apply(event: EngineEvent): void {
@@ -146,6 +155,22 @@
     for (const effect of effects) performEffect(effect);
   }
 
+  /** Counts how long an event was handled, and logs what took long. */
+  function observeDuration({ type }: EngineEvent, tookMs: number): void {
+    metrics.observeEvent(tookMs);
+    if (tookMs < SLOW_EVENT_MS) return;
+    log.write("warn", {
+      part: "instance",
+      text: "event took long to handle",
+      fields: {
+        event: type,
+        tookMs: Math.round(tookMs),
+        jobs: state.scheduler?.jobs.size ?? 0,
+        workers: state.scheduler?.workers.size ?? 0,
+      },
+    });
+  }
+
   /**
    * Stops this instance, whose state may be damaged: it handles no event any
    * more. The peers are told which job was handled, if the error names one, so
@@ -188,6 +213,11 @@
         dispatch({ type: "recordsOpened", nowMs, term, outcome });
       });
     },
+    continueOpening: ({ term }) => {
+      setImmediate(() =>
+        dispatch({ type: "openingContinued", nowMs: clock.nowMs(), term })
+      );
+    },
     writeRecords: (effect) => {
       const { writeId } = effect;
       void records.write(effect).then((outcome) => {
--- a/src/instance/instance_table.ts
+++ b/src/instance/instance_table.ts
@@ -1,7 +1,7 @@
 /** The store table in which instances register their addresses. */
 
 import { type InstanceInfo, instanceInfoSchema } from "../engine/schemas.ts";
-import type { StoreHost } from "./hosts.ts";
+import { readRows, type StoreHost } from "./hosts.ts";
 
 const TABLE = "instances";
 const PART = "";
@@ -24,7 +24,7 @@
 export async function readInstances(
   store: StoreHost,
 ): Promise<InstanceInfo[]> {
-  const rows = await store.readRows({ table: TABLE, part: PART });
+  const rows = await readRows(store, { table: TABLE, part: PART });
   const parsed = rows.map(({ value }) => instanceInfoSchema.safeParse(value));
   return parsed.flatMap((result) => result.success ? [result.data] : []);
 }
--- a/src/instance/instance_test.ts
+++ b/src/instance/instance_test.ts
@@ -75,8 +75,26 @@
     monotonicMs: 900,
     wallMs: 900,
     uptimeMs: 900,
+    cpuMs: 20,
     pausedMs: 900,
   },
+  {
+    name: "an event loop that the process's own work blocks is no pause",
+    monotonicMs: 900,
+    wallMs: 900,
+    uptimeMs: 900,
+    cpuMs: 600,
+    pausedMs: 0,
+    busyMs: 900,
+  },
+  {
+    name: "a host that is suspended after work is a pause",
+    monotonicMs: 25,
+    wallMs: 3_025,
+    uptimeMs: 3_025,
+    cpuMs: 25,
+    pausedMs: 3_000,
+  },
   {
     name: "a suspended host is a pause",
     monotonicMs: 25,
@@ -100,16 +118,21 @@
   },
 ];
 
-for (const { name, monotonicMs, wallMs, uptimeMs, pausedMs } of pauseCases) {
+for (const { name, pausedMs, busyMs = 0, ...elapsed } of pauseCases) {
   test(`pause detector: ${name}`, () => {
-    const now = { monotonicMs: 0, wallMs: 1e12, uptimeMs: 0 };
+    const now = { monotonicMs: 0, wallMs: 1e12, uptimeMs: 0, cpuMs: 0 };
     const clock = { nowMs: () => now.monotonicMs, wallMs: () => now.wallMs };
-    const uptimeS = () => now.uptimeMs / 1_000;
-    const measurePause = createPauseDetector(clock, { uptimeS });
-    now.monotonicMs += monotonicMs;
-    now.wallMs += wallMs;
-    now.uptimeMs += uptimeMs;
-    expect(Math.round(measurePause())).toEqual(pausedMs);
+    const measureDelay = createPauseDetector(clock, {
+      uptimeS: () => now.uptimeMs / 1_000,
+      cpuMs: () => now.cpuMs,
+    });
+    now.monotonicMs += elapsed.monotonicMs;
+    now.wallMs += elapsed.wallMs;
+    now.uptimeMs += elapsed.uptimeMs;
+    now.cpuMs += elapsed.cpuMs ?? 0;
+    const delay = measureDelay();
+    expect(Math.round(delay.pausedMs)).toEqual(pausedMs);
+    expect(Math.round(delay.busyMs)).toEqual(busyMs);
   });
 }
 
@@ -167,7 +190,9 @@
       readConfiguration: never,
       awaitConfiguration: never,
       readWorkers: never,
-      readRows: never,
+      readPages: async function* () {
+        yield await never();
+      },
       transact: never,
       close: idle,
     },
@@ -195,6 +220,7 @@
     .toEqual(true);
   expect(lines.includes('bronzemill_answer_ms{outcome="done",p="50"} 180'))
     .toEqual(true);
+  expect(lines.includes("bronzemill_longestEventMs 0")).toEqual(true);
 });
 
 test("a trace shows a job, its workers and leader changes around it", () => {
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -12,6 +12,8 @@
 export interface Metrics {
   /** Records the outcome and the latency of an answer to a caller. */
   readonly observeAnswer: (outcome: CallerReply, tookMs: number) => void;
+  /** Records how long the engine handled an event. */
+  readonly observeEvent: (tookMs: number) => void;
   /** Returns one line for each value: a name, labels, and the value. */
   readonly text: () => string;
 }
@@ -28,6 +30,7 @@
  */
 export function createMetrics(state: EngineState): Metrics {
   const latencies = new Map<CallerReply["kind"], hdr.Histogram>();
+  let longestEventMs = 0;
 
   function histogramOf(kind: CallerReply["kind"]): hdr.Histogram {
     let histogram = latencies.get(kind);
@@ -49,8 +52,15 @@
         Math.min(MAX_LATENCY_MS, Math.round(tookMs)),
       );
     },
+    observeEvent(tookMs) {
+      longestEventMs = Math.max(longestEventMs, tookMs);
+    },
     text() {
-      const lines = [...counterLines(state), ...gaugeLines(state)];
+      const lines = [
+        ...counterLines(state),
+        ...gaugeLines(state),
+        `bronzemill_longestEventMs ${Math.round(longestEventMs)}`,
+      ];
       for (const [kind, histogram] of latencies) {
         for (const percentile of PERCENTILES) {
           const value = histogram.getValueAtPercentile(percentile);
--- a/src/instance/record_store.ts
+++ b/src/instance/record_store.ts
@@ -13,11 +13,12 @@
   StoredRecord,
   WriteOutcome,
 } from "../engine/types.ts";
-import type {
-  EffectOf,
-  StoreHost,
-  StoreRow,
-  TransactionResult,
+import {
+  type EffectOf,
+  readRows,
+  type StoreHost,
+  type StoreRow,
+  type TransactionResult,
 } from "./hosts.ts";
 import type { JsonLog } from "./json_log.ts";
 
@@ -58,7 +59,7 @@
   /** Writes the holder row of a part, unless it names an equal or higher term. */
   async function claimPart(part: number, term: number): Promise<ClaimResult> {
     for (let attempt = 0; attempt < MAX_CLAIM_ATTEMPTS; attempt += 1) {
-      const rows = await store.readRows({
+      const rows = await readRows(store, {
         table: HOLDERS_TABLE,
         part: partName(part),
       });
@@ -115,12 +116,18 @@
       versions.push(result.version);
     }
     holderVersions = versions;
-    const rows = await Promise.all(
-      parts.map((part) =>
-        store.readRows({ table: RECORDS_TABLE, part: partName(part) })
-      ),
-    );
-    return { kind: "opened", records: rows.flat().flatMap(decodeRecord) };
+    const records = await Promise.all(parts.map(readRecords));
+    return { kind: "opened", records: records.flat() };
+  }
+
+  /** Reads the records of a part, and decodes them page by page. */
+  async function readRecords(part: number): Promise<StoredRecord[]> {
+    const records: StoredRecord[] = [];
+    const tablePart = { table: RECORDS_TABLE, part: partName(part) };
+    for await (const page of store.readPages(tablePart)) {
+      for (const row of page) records.push(...decodeRecord(row));
+    }
+    return records;
   }
 
   /** Writes or removes records of one part in a single transaction. */
