A job that ended before the records were read is not written

Cause: the second submission made a new job at an instance that had not read the records. It was marked to be written, ended as unknown after 0.3 s, and was discarded from memory after 6 s, but stayed among the jobs to be written. Only jobs in memory are compared with the records when these are opened. The first write met the accepted job's row and took over its version, the second replaced it, and the running job took over that outcome.

Ruled out: the comparison on opening, which is right while the job is in memory (first case of the table).

Change: guard mayWriteRecord: only the job that the leader has under an id is written, and none that ended before this leader tried to write it. Asked when a job ends and before each write. The same path wrote refused submissions later.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -4,6 +4,7 @@
  */
 
 import { GIVE_UP_CRASHES, MAX_CRASHES } from "./crashes.ts";
+import { faultyJobOutcome } from "./job_faults.ts";
 import type { Guards } from "./types.ts";
 
 /**
@@ -48,4 +49,13 @@
    * leader while an event takes long, and that one would take as long.
    */
   fitsEvent: (taskCount) => taskCount < MAX_TASKS_PER_EVENT,
+  /**
+   * Only the job that the leader has under its id is written, and no outcome of
+   * a job that this leader never tried to write: before the records are read,
+   * another job's row may stand there.
+   */
+  mayWriteRecord: (job, currentJob) =>
+    job === currentJob &&
+    (job.outcome === null || job.outcome === faultyJobOutcome ||
+      job.record?.mayExist === true),
 };
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -11,7 +11,7 @@
 import { hasStarted, queueReadyTasks } from "./job_state.ts";
 import { placeQueuedTasks } from "./placement.ts";
 import { dequeue, enqueue } from "./queue.ts";
-import { markDirty } from "./records.ts";
+import { discardUnwritable, markDirty } from "./records.ts";
 import { attachRuns, stopRun } from "./runs.ts";
 import type { PeerMessageOf, Reply } from "./schemas.ts";
 import type {
@@ -187,6 +187,7 @@
   if (outcome.kind !== "done") stopJobRuns(context, scheduler, job);
   const { record } = job;
   if (record === null || !record.mayExist) {
+    discardUnwritable(state, job);
     scheduler.endedJobs.push(job);
     reportOutcome(context, job, outcome);
     return;
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -10,6 +10,7 @@
 import { isolateJob } from "./job_faults.ts";
 import type { JobRecord } from "./schemas.ts";
 import type {
+  EngineState,
   Job,
   RecordBatch,
   RecordState,
@@ -158,6 +159,17 @@
   else jobs.add(job);
 }
 
+/** Whether a job's row may be written; see `guards.ts`. */
+function mayWrite({ guards, scheduler }: EngineState, job: Job): boolean {
+  return guards.mayWriteRecord(job, scheduler?.jobs.get(job.jobId));
+}
+
+/** Leaves out a job that has ended from the following writes, if it must be. */
+export function discardUnwritable(state: EngineState, job: Job): void {
+  if (mayWrite(state, job)) return;
+  state.scheduler?.records.dirty.get(partOf(job.jobId))?.delete(job);
+}
+
 /** Makes a worker retain a completion until the job's record includes it. */
 export function retainCompletion(
   scheduler: Scheduler,
@@ -210,7 +222,7 @@
       rows.length >= MAX_BATCH_RECORDS || batchLength > BATCH_LENGTH_THRESHOLD
     ) break;
     jobs.delete(job);
-    if (record === null) continue;
+    if (record === null || !mayWrite(context.state, job)) continue;
     const content = isolateJob(context, job, {
       stage: "persist",
       fallback: undefined,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -883,6 +883,10 @@
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
   readonly fitsEvent: (taskCount: number) => boolean;
+  readonly mayWriteRecord: (
+    job: Pick<Job, "record" | "outcome">,
+    currentJob: unknown,
+  ) => boolean;
 }
 
 /** The whole state of one instance. */
