Ends on workers that changed their owner reach the owner of the records

Cause: beyond 100 workers each zone has a leader. The new ones acquired workers with runs of jobs that they didn't know and acknowledged their ends, since they are not responsible for the records. The owner of the records never learned of the ends, waited for the leases on the workers that it had given up, and started the tasks again.

Change: a completion of an unknown job is retained while records exist. The leader of another cell reports it to the owner of the records, which confirms it once the job's record includes it (guard mayDiscardUnknown); the owner itself waits for a confirmation of its ownership by a later call to the store. A run of a recorded job on a worker with a new owner is started again only after that owner has reported that it is gone. Weighed and left: the old owner keeps the workers until their runs have ended; that does not cover the loss of the old owner.

A confirmation counts from when its call was sent.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -49,6 +49,19 @@
    * leader while an event takes long, and that one would take as long.
    */
   fitsEvent: (taskCount) => taskCount < MAX_TASKS_PER_EVENT,
+  /**
+   * A worker discards a completion of an unknown job only if no record of the
+   * job can exist: there are no records, or the store has confirmed since then
+   * that this leader, which has read all records, owns them.
+   */
+  mayDiscardUnknown: (recordsExist, readAtMs, { phase, confirmedAtMs }) =>
+    !recordsExist || (phase === "open" && confirmedAtMs > readAtMs),
+  /**
+   * A run of a recorded job on a worker that has a new owner is lost only once
+   * that owner has reported it, since the run may have been done.
+   */
+  mayRequeue: ({ job, isReportedGone }, { hasNewOwner }) =>
+    job === null || job.record === null || !hasNewOwner || isReportedGone,
   /**
    * Only the job that the leader has under its id is written, and no outcome of
    * a job that this leader never tried to write: before the records are read,
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -315,6 +315,7 @@
     lostRuns: [],
     queueCrashesAtMs: new Map(),
     records: createRecordStoreState(term),
+    reportedCompletions: new Map(),
     rereadAtMs: -Infinity,
     rereadWanted: false,
     waitMsByService: new Map(),
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -97,8 +97,10 @@
   const { state } = context;
   const { records } = scheduler;
   const unconfirmedMs = state.nowMs - records.confirmedAtMs;
-  if (unconfirmedMs < OWNERSHIP_CONFIRM_INTERVAL_MS) return;
-  if (!hasActiveRecordedJobs(scheduler)) return;
+  if (!hasOrphanCompletions(scheduler)) {
+    if (unconfirmedMs < OWNERSHIP_CONFIRM_INTERVAL_MS) return;
+    if (!hasActiveRecordedJobs(scheduler)) return;
+  }
   if (unconfirmedMs >= OWNERSHIP_CONFIRM_TIMEOUT_MS && hasMissingPeers(state)) {
     relinquishRecords(
       context,
@@ -115,6 +117,14 @@
   writeRows(context, records, { part: CONFIRM_PART, rows: [], jobs: [] });
 }
 
+/** Whether completions wait for a confirmation to be discarded. */
+function hasOrphanCompletions({ workers }: Scheduler): boolean {
+  for (const { orphanCompletions } of workers.values()) {
+    if (orphanCompletions.length > 0) return true;
+  }
+  return false;
+}
+
 function hasActiveRecordedJobs(scheduler: Scheduler): boolean {
   for (const job of scheduler.jobs.values()) {
     if (job.record !== null && job.mayHaveStarted && job.outcome === null) {
@@ -173,7 +183,7 @@
 
 const writeHandlers: WriteHandlers = {
   written: (context, { scheduler, batch }, { version }) => {
-    markConfirmed(context.state, scheduler.records);
+    markConfirmed(scheduler.records, batch);
     for (const [index, job] of batch.jobs.entries()) {
       const outcome = batch.outcomes[index] ?? null;
       isolateJob(context, job, {
@@ -184,7 +194,7 @@
     }
   },
   changed: (context, { scheduler, batch }, { records: rows }) => {
-    markConfirmed(context.state, scheduler.records);
+    markConfirmed(scheduler.records, batch);
     for (const job of batch.jobs) {
       if (job.record === null) continue;
       const row = rows.find(({ record }) => record.jobId === job.jobId);
@@ -214,9 +224,12 @@
   },
 };
 
-function markConfirmed(state: EngineState, records: RecordStoreState): void {
+function markConfirmed(
+  records: RecordStoreState,
+  { sentAtMs }: RecordBatch,
+): void {
   records.unavailableSinceMs = 0;
-  records.confirmedAtMs = state.nowMs;
+  records.confirmedAtMs = Math.max(records.confirmedAtMs, sentAtMs);
 }
 
 function onJobWritten(
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -263,6 +263,7 @@
   state.counters.recordWrites += 1;
   const batch: RecordBatch = {
     writeId: state.lastWriteId,
+    sentAtMs: state.nowMs,
     jobs,
     outcomes: jobs.map((job) => job.outcome),
   };
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -46,6 +46,13 @@
 import { sampleDemands } from "./queue_demand.ts";
 import { onOpeningContinued, onRecordsOpened } from "./record_opening.ts";
 import { checkRecords, onRecordsWritten } from "./record_ownership.ts";
+import {
+  checkReports,
+  onCompletionsFound,
+  onCompletionsRecorded,
+  onRunsGone,
+  onRunsWanted,
+} from "./record_reports.ts";
 import { flushRecords } from "./records.ts";
 import type { InstanceInfo, PeerMessage } from "./schemas.ts";
 import { onStartCompleted, onStopCompleted } from "./starts.ts";
@@ -188,6 +195,10 @@
     onPeerWorkers(context, message);
     syncOwnedWorkers(context);
   },
+  completionsFound: onCompletionsFound,
+  completionsRecorded: onCompletionsRecorded,
+  runsWanted: onRunsWanted,
+  runsGone: onRunsGone,
 };
 
 function handlePeerMessage(
@@ -300,6 +311,7 @@
     checkRecords(context, scheduler);
     rereadWorkers(context, scheduler);
     checkWorkers(context, scheduler);
+    checkReports(context, scheduler);
     sampleDemands(scheduler, state.nowMs);
     updateWaitsByService(context, scheduler);
     applyTaskCompletions(context);
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -25,6 +25,7 @@
   Job,
   OwnedWorker,
   ReduceContext,
+  ReportedCompletions,
   RunningRow,
   Scheduler,
   Task,
@@ -125,6 +126,7 @@
     progress: null,
     isTrial: task.runsAlone,
     isSuspect: false,
+    isReportedGone: false,
   });
   assert(worker.usedCpuMilli <= cpuMilli, "cpu_within_capacity", workerId);
   assert(worker.usedMemoryMb <= memoryMb, "memory_within_capacity", workerId);
@@ -217,7 +219,7 @@
 /**
  * Processes one completion from a worker's list. The worker retains a
  * completion of a recorded job until the record includes it. It also retains
- * one of an unknown job whose record may not have been read.
+ * one of an unknown job that may have a record.
  */
 export function processCompletion(
   context: ReduceContext,
@@ -230,9 +232,15 @@
   const job = run?.job ?? findTask(context, row.taskName)?.job ?? null;
   const { sequence } = row;
   const { retainedSequences } = worker;
-  if (job === null && mayHaveRecord(context.state, scheduler)) {
+  const { recordsExist } = context.state;
+  const { nowMs } = context.state;
+  if (
+    job === null &&
+    !guards.mayDiscardUnknown(recordsExist, nowMs, scheduler.records)
+  ) {
     retainedSequences.add(sequence);
     worker.orphanCompletions.push(row);
+    worker.orphansReadAtMs = nowMs;
   }
   applyCompletion(context, worker, row);
   if (job?.record == null || !guards.mustRetainCompletion(job)) return;
@@ -255,20 +263,69 @@
 }
 
 /**
- * Processes again the completions that arrived before the records were read.
+ * Processes a completion that the owner of its worker has reported. It counts as
+ * retained until the record of its job includes it.
+ */
+export function processReportedCompletion(
+  context: ReduceContext,
+  { workerId, retainedSequences }: ReportedCompletions,
+  row: FinishedRow,
+): void {
+  const { scheduler, guards } = context.state;
+  const found = findTask(context, row.taskName);
+  if (scheduler === null || found === null) return;
+  const { job } = found;
+  // The run may still be tracked on the worker that this leader gave up.
+  const worker = scheduler.workers.get(workerId);
+  if (worker !== undefined) applyCompletion(context, worker, row);
+  else if (row.end === "done") attachCompletion(context, workerId, row);
+  if (job.record === null || !guards.mustRetainCompletion(job)) return;
+  retainCompletion(scheduler, job.record, {
+    job,
+    completion: { retainedSequences, sequence: row.sequence },
+  });
+}
+
+/**
+ * Processes again the completions of jobs that were unknown and may be known
+ * now. The others are retained until they may be discarded.
  */
 export function processOrphanCompletions(
   context: ReduceContext,
   worker: OwnedWorker,
 ): void {
+  const { scheduler } = context.state;
   const rows = worker.orphanCompletions;
   worker.orphanCompletions = [];
   for (const row of rows) {
+    if (scheduler?.jobs.has(jobIdOf(row.taskName)) !== true) {
+      worker.orphanCompletions.push(row);
+      continue;
+    }
     worker.retainedSequences.delete(row.sequence);
     processCompletion(context, worker, row);
   }
 }
 
+/** Lets a worker discard completions of unknown jobs, if it may. */
+export function discardOrphanCompletions(
+  { state }: ReduceContext,
+  worker: OwnedWorker,
+): void {
+  const { scheduler, guards, recordsExist } = state;
+  if (scheduler === null || worker.orphanCompletions.length === 0) return;
+  const mayDiscard = guards.mayDiscardUnknown(
+    recordsExist,
+    worker.orphansReadAtMs,
+    scheduler.records,
+  );
+  if (!mayDiscard) return;
+  for (const { sequence } of worker.orphanCompletions) {
+    worker.retainedSequences.delete(sequence);
+  }
+  worker.orphanCompletions = [];
+}
+
 /**
  * Removes a completed run, updates the estimates or the failure count of its
  * worker, and adds a completion for the task.
@@ -288,7 +345,8 @@
     tookMs: run === undefined ? null : Math.round(state.nowMs - run.placedAtMs),
   });
   if (run === undefined) {
-    if (row.end === "done") attachCompletion(context, worker, row);
+    const { workerId } = worker.info;
+    if (row.end === "done") attachCompletion(context, workerId, row);
     return;
   }
   const failed = row.end === "failed";
@@ -317,12 +375,11 @@
  */
 function attachCompletion(
   context: ReduceContext,
-  worker: OwnedWorker,
+  workerId: string,
   row: FinishedRow,
 ): void {
   const found = findTask(context, row.taskName);
   if (found === null || found.task.state !== "queued") return;
-  const { workerId } = worker.info;
   const { result } = row;
   context.taskCompletions.push({ ...found, workerId, kind: "done", result });
 }
@@ -461,6 +518,7 @@
     progress: null,
     isTrial: false,
     isSuspect: false,
+    isReportedGone: false,
   };
   addRun(worker, run);
   if (canAttach) {
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -273,6 +273,33 @@
   z.object({ kind: z.literal("unavailable") }),
 ]);
 
+/**
+ * The outcome of one run of a task, as reported by its worker. `lapsed` means
+ * that the lease of the run expired, `broken` that the run was lost for another
+ * reason. All outcomes except `done` and `failed` count as a lost run.
+ */
+const runOutcomeSchema = z.enum([
+  "done",
+  "failed",
+  "stopped",
+  "lapsed",
+  "broken",
+]);
+
+/** One row of a worker's list of finished runs, its completions. */
+const finishedRowSchema = z.object({
+  /** Increases by one with each completion in one worker incarnation. */
+  sequence: z.number().int(),
+  taskName: z.string(),
+  run: z.number().int(),
+  end: runOutcomeSchema,
+  /** The value that the task returned, if any. */
+  result: z.string().optional(),
+});
+
+/** The name of a task and the number of one of its runs. */
+const runNameSchema = z.object({ taskName: z.string(), run: z.number().int() });
+
 /** A message between instances. */
 export const peerMessageSchema = z.discriminatedUnion("type", [
   heartbeatSchema,
@@ -328,6 +355,36 @@
     ageMs: z.number(),
     workers: z.array(workerInfoSchema),
   }),
+  /**
+   * Completions of jobs that the sender doesn't know, on a worker that it owns.
+   * It retains them until the recipient confirms them.
+   */
+  z.object({
+    type: z.literal("completionsFound"),
+    workerId: z.string(),
+    /** Start time of the worker's incarnation; null if it is not known. */
+    startedAtMs: z.number().nullable(),
+    completions: z.array(finishedRowSchema),
+  }),
+  /** Confirms completions, which need not be retained for the sender any more. */
+  z.object({
+    type: z.literal("completionsRecorded"),
+    workerId: z.string(),
+    startedAtMs: z.number().nullable(),
+    sequences: z.array(z.number().int()),
+  }),
+  /** Asks which of these runs are gone from a worker of the recipient. */
+  z.object({
+    type: z.literal("runsWanted"),
+    workerId: z.string(),
+    runs: z.array(runNameSchema),
+  }),
+  /** These runs are gone, and the worker lists no completion of them. */
+  z.object({
+    type: z.literal("runsGone"),
+    workerId: z.string(),
+    runs: z.array(runNameSchema),
+  }),
 ]);
 
 /** See {@linkcode instanceInfoSchema}. */
@@ -356,6 +413,10 @@
 export type JobQuery = z.infer<typeof jobQuerySchema>;
 /** See {@linkcode replySchema}. */
 export type Reply = z.infer<typeof replySchema>;
+/** See {@linkcode runOutcomeSchema}. */
+export type RunOutcome = z.infer<typeof runOutcomeSchema>;
+/** See {@linkcode finishedRowSchema}. */
+export type FinishedRow = z.infer<typeof finishedRowSchema>;
 /** See {@linkcode peerMessageSchema}. */
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 /** The variant of {@linkcode PeerMessage} with the given type. */
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -14,6 +14,7 @@
 import type { RunEstimate } from "./run_estimate.ts";
 import type {
   Configuration,
+  FinishedRow,
   InstanceInfo,
   JobOutcome,
   JobQuery,
@@ -27,7 +28,12 @@
   WorkerInfo,
 } from "./schemas.ts";
 
-export type { JobOutcome, RefusalReason } from "./schemas.ts";
+export type {
+  FinishedRow,
+  JobOutcome,
+  RefusalReason,
+  RunOutcome,
+} from "./schemas.ts";
 
 /** The answer to a caller that submitted a job. */
 export type CallerReply =
@@ -35,13 +41,6 @@
   /** The job's record is persisted, so the job will run. */
   | { readonly kind: "accepted" };
 
-/**
- * The outcome of one run of a task, as reported by its worker. `lapsed` means
- * that the lease of the run expired, `broken` that the run was lost for another
- * reason. All outcomes except `done` and `failed` count as a lost run.
- */
-export type RunOutcome = "done" | "failed" | "stopped" | "lapsed" | "broken";
-
 /** One row of a worker's list of running runs. */
 export interface RunningRow {
   readonly taskName: string;
@@ -51,17 +50,6 @@
   readonly percent: number;
 }
 
-/** One row of a worker's list of finished runs, its completions. */
-export interface FinishedRow {
-  /** Increases by one with each completion in one worker incarnation. */
-  readonly sequence: number;
-  readonly taskName: string;
-  readonly run: number;
-  readonly end: RunOutcome;
-  /** The value that the task returned, if any. */
-  readonly result?: string;
-}
-
 /**
  * Outcome of a poll, the call that reads a worker's lists of runs and may renew
  * its lease. On the wire the call is named `hold`.
@@ -598,6 +586,8 @@
   readonly isTrial: boolean;
   /** The run was among the latest to start when its worker crashed. */
   isSuspect: boolean;
+  /** The new owner of the worker has reported that the run is gone. */
+  isReportedGone: boolean;
 }
 
 /** A run that was lost with an unreachable worker, for an unknown reason. */
@@ -668,8 +658,20 @@
    * still rely on them.
    */
   retainedSequences: Set<number>;
-  /** Completions of unknown jobs, whose records may not have been read. */
+  /**
+   * Completions of unknown jobs that may have records: records which this leader
+   * has not read, or which another leader owns.
+   */
   orphanCompletions: FinishedRow[];
+  /** Time at which the latest of these completions was read. */
+  orphansReadAtMs: number;
+  /**
+   * Another leader owns the worker, or will: it was acquired by another instance
+   * or assigned to another partition side or cell.
+   */
+  hasNewOwner: boolean;
+  /** Time of the next report or inquiry that concerns the worker, if any. */
+  nextReportAtMs: number;
   /** Highest sequence number acknowledged to the worker. */
   acknowledgedSequence: number;
   /**
@@ -753,6 +755,8 @@
   /** Times of the recent crashes that each queue is blamed for. */
   readonly queueCrashesAtMs: Map<string, number[]>;
   records: RecordStoreState;
+  /** Completions that other leaders reported, by worker and incarnation. */
+  readonly reportedCompletions: Map<string, ReportedCompletions>;
   /**
    * Time of the latest extra poll of all workers for jobs that a previous leader
    * may have started.
@@ -767,6 +771,20 @@
   demandsSampledAtMs: number;
 }
 
+/** Completions on a worker of another leader, which retains them. */
+export interface ReportedCompletions {
+  readonly workerId: string;
+  /** Start time of the worker's incarnation; null if it is not known. */
+  readonly startedAtMs: number | null;
+  /** The leader that reported them last. */
+  reporterId: string;
+  reportedAtMs: number;
+  readonly processedSequences: Set<number>;
+  readonly unconfirmedSequences: Set<number>;
+  /** Sequence numbers of completions that the records don't include yet. */
+  readonly retainedSequences: Set<number>;
+}
+
 /** Demand statistics of one queue. */
 export interface QueueDemand {
   /** Jobs that arrived since the last sample. */
@@ -809,7 +827,8 @@
    */
   readonly delayedCompletions: RetainedCompletion[];
   /**
-   * Time of the store's latest confirmation that this leader owns the records.
+   * Time at which the latest call was sent of those with which the store confirmed
+   * that this leader owns the records.
    */
   confirmedAtMs: number;
   /** Jobs whose records must be written, by part of the records table. */
@@ -830,6 +849,7 @@
 /** A write of records that is in flight. */
 export interface RecordBatch {
   readonly writeId: number;
+  readonly sentAtMs: number;
   readonly jobs: readonly Job[];
   /** The outcomes written, in the order of `jobs`; null for a job without one. */
   readonly outcomes: readonly (JobOutcome | null)[];
@@ -883,6 +903,15 @@
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
   readonly fitsEvent: (taskCount: number) => boolean;
+  readonly mayDiscardUnknown: (
+    recordsExist: boolean,
+    readAtMs: number,
+    records: Pick<RecordStoreState, "phase" | "confirmedAtMs">,
+  ) => boolean;
+  readonly mayRequeue: (
+    run: Pick<WorkerRun, "job" | "isReportedGone">,
+    worker: Pick<OwnedWorker, "hasNewOwner">,
+  ) => boolean;
   readonly mayWriteRecord: (
     job: Pick<Job, "record" | "outcome">,
     currentJob: unknown,
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -140,9 +140,9 @@
 }
 
 /**
- * Releases a worker, and removes it from the scheduler if it has no runs. A
- * worker with runs that left the list of workers is still polled, so that its
- * runs can complete. One that is listed, but is now assigned to another
+ * Releases a worker, and removes it from the scheduler if it has no runs and no
+ * completions to report. A worker with runs that left the list of workers is
+ * still polled, so that its runs can complete. One that is listed, but is now assigned to another
  * partition side or cell, is no longer polled, so that its lease expires.
  */
 function releaseWorker(
@@ -152,13 +152,20 @@
 ): void {
   const { state } = context;
   const { workerId } = worker.info;
-  if (worker.runs.size === 0) {
+  const isSettled = worker.runs.size === 0 &&
+    worker.orphanCompletions.length === 0;
+  if (isSettled) {
     scheduler.workers.delete(workerId);
     return;
   }
   worker.released = true;
-  if (!state.workers.has(workerId) || worker.phase === "lost") return;
+  if (!state.workers.has(workerId)) {
+    worker.hasNewOwner = false;
+    return;
+  }
+  if (worker.phase === "lost" && worker.retryAtMs === Infinity) return;
   worker.phase = "lost";
+  worker.hasNewOwner = true;
   worker.retryAtMs = Infinity;
   worker.pollCallId = NO_CALL;
 }
@@ -178,6 +185,9 @@
     processedSequence: 0,
     retainedSequences: new Set(),
     orphanCompletions: [],
+    orphansReadAtMs: -Infinity,
+    hasNewOwner: false,
+    nextReportAtMs: 0,
     acknowledgedSequence: 0,
     pollCallId: 0,
     pollSentAtMs: 0,
@@ -370,6 +380,7 @@
 function becomeReady(context: ReduceContext, worker: OwnedWorker): void {
   const { state } = context;
   worker.phase = "ready";
+  worker.hasNewOwner = false;
   // A run that the previous owner stopped is not listed any more, but may
   // occupy the worker for as long as a stop takes.
   if (worker.usableFromMs === 0) {
@@ -446,6 +457,7 @@
   const { state } = context;
   const rivalLikely = !seesMajority(state) || hasMissingPeers(state);
   worker.phase = "lost";
+  worker.hasNewOwner = true;
   worker.usableFromMs = 0;
   // A pending poll was accepted under a token that is no longer valid.
   worker.pollCallId = NO_CALL;
@@ -550,6 +562,7 @@
     if (run.job !== null && mayBeRenewedElsewhere(state, worker, run.job)) {
       continue;
     }
+    if (!state.guards.mayRequeue(run, worker)) continue;
     state.counters.tasksLapsed += 1;
     dropGoneRun(context, worker, run);
   }
