An instance that hears no quorum doesn't own the records unconfirmed

Cause: peers that refuse connections count as ended, so an instance that is cut off in this way counted itself as a majority of one. It went on as the owner of the records without the store, and took the workers back every 0.2 s.

Evidence: the table of the test: with silent peers the owner gives the records up after 1.5 s, with refusing ones it did not.

Change: seesQuorum counts peers that refuse connections. Without a quorum, or with a silent peer, another leader is possible (guard mayHaveRival): the owner relinquishes unconfirmed records, no instance opens them, a worker that another instance owns is taken back after 5 s. An owner without active recorded jobs confirms its ownership, too, while another leader is possible; it answered 410 for jobs of its successor. Jobs in memory are served as before, so that the last of all instances serves on. Ruled out: counting refusals everywhere, which would leave a single survivor a third of the workers for 12 s.

--- /dev/null
+++ b/src/engine/cut_off_owner_test.ts
@@ -0,0 +1,160 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import type { Reply } from "./schemas.ts";
+import {
+  createTestInstance,
+  effectsOf,
+  testHeartbeat,
+  type TestInstance,
+  testJob,
+  testSubmission,
+  testWorker,
+} from "./testing.ts";
+import type { Effect } from "./types.ts";
+
+const JOB_ID = "00000000000000aa";
+
+/** Every peer sends a heartbeat, as a follower of this instance. */
+function hearPeers(instance: TestInstance, peers: readonly string[]): void {
+  for (const peer of peers) {
+    instance.receive(
+      peer,
+      testHeartbeat({ leaderId: "self", sentAtMs: instance.state.nowMs }),
+    );
+  }
+}
+
+function confirmWrites(
+  owner: TestInstance,
+  effects: readonly Effect[],
+): Effect[] {
+  return effectsOf(effects, "writeRecords").flatMap(({ writeId }) =>
+    owner.after(1, {
+      type: "recordsWritten",
+      writeId,
+      outcome: { kind: "written", version: 9 },
+    })
+  );
+}
+
+/** The owner of the records, which runs a task of a recorded job. */
+function createOwner(peers: readonly string[]): TestInstance {
+  const owner = createTestInstance({ peers });
+  const workers = [testWorker("w1"), testWorker("w2")];
+  owner.after(0, { type: "workersRead", workers });
+  for (let passedMs = 0; passedMs < 2_000; passedMs += 200) {
+    hearPeers(owner, peers);
+    owner.tick(200);
+  }
+  for (const { workerId } of workers) owner.completePoll(workerId);
+  owner.after(5, {
+    type: "recordsOpened",
+    term: owner.state.leaderTerm,
+    outcome: { kind: "opened", records: [] },
+  });
+  hearPeers(owner, peers);
+  owner.tick(100);
+  const job = { ...testJob(1), isRecorded: true };
+  const submission = testSubmission({ jobId: JOB_ID, job });
+  const started = confirmWrites(owner, owner.receive("p", submission));
+  expect(effectsOf(started, "startTask").length).toEqual(1);
+  return owner;
+}
+
+/** Advances by 2 s, in which some peers are heard from and writes get no answer. */
+function passWithoutStore(
+  owner: TestInstance,
+  heard: readonly string[],
+): Effect[] {
+  const effects: Effect[] = [];
+  for (let passedMs = 0; passedMs < 2_000; passedMs += 100) {
+    hearPeers(owner, heard);
+    const ticked = owner.tick(100);
+    effects.push(...ticked);
+    for (const { writeId } of effectsOf(ticked, "writeRecords")) {
+      const outcome = { kind: "unknown" as const, detail: "ECONNREFUSED" };
+      effects.push(
+        ...owner.after(1, { type: "recordsWritten", writeId, outcome }),
+      );
+    }
+  }
+  return effects;
+}
+
+function closeConnections(
+  owner: TestInstance,
+  { peers, refused }: { peers: readonly string[]; refused: boolean },
+): void {
+  for (const instanceId of peers) {
+    owner.after(0, { type: "peerDown", instanceId, refused });
+  }
+}
+
+const cuts = [
+  { name: "both peers refuse connections", lost: ["a", "b"], refused: true },
+  { name: "both peers are silent", lost: ["a", "b"], refused: false },
+  { name: "one of two peers is silent", lost: ["a"], refused: false },
+  {
+    name: "one of two peers refuses connections",
+    lost: ["a"],
+    refused: true,
+    remains: true,
+  },
+  { name: "the store is away only", lost: [], refused: false, remains: true },
+];
+
+// An instance whose peers refused connections counted itself as a majority of
+// one. Cut off from the store and from its peers, it went on as the owner of the
+// records beside the owner that the others had elected.
+for (const { name, lost, refused, remains = false } of cuts) {
+  test(`without the store, an owner ${remains ? "keeps" : "relinquishes"} the records while ${name}`, () => {
+    const owner = createOwner(["a", "b"]);
+    closeConnections(owner, { peers: lost, refused });
+    const heard = ["a", "b"].filter((peer) => !lost.includes(peer));
+    const effects = passWithoutStore(owner, heard);
+    const stops = effectsOf(effects, "stopTask").length;
+    expect(stops > 0).toEqual(!remains);
+    expect(owner.state.scheduler?.records.phase)
+      .toEqual(remains ? "open" : "closed");
+  });
+}
+
+// It took the workers back every 200 ms, in turn with the new owner.
+test("an instance whose peers all refuse connections does not take a worker back at once", () => {
+  const owner = createOwner(["a", "b"]);
+  closeConnections(owner, { peers: ["a", "b"], refused: true });
+  const worker = owner.state.scheduler?.workers.get("w1");
+  const callId = worker?.pollCallId ?? 0;
+  const outcome = { kind: "fenced" as const };
+  owner.after(1, {
+    type: "pollCompleted",
+    workerId: "w1",
+    callId,
+    outcome,
+  });
+  const polled = [1, 2, 3, 4].flatMap(() => effectsOf(owner.tick(250), "hold"));
+  expect(polled.filter(({ workerId }) => workerId === "w1")).toEqual([]);
+});
+
+const denials: { name: string; lost: string[]; reply: Reply["kind"] }[] = [
+  { name: "hears its peers", lost: [], reply: "noJob" },
+  { name: "hears no quorum", lost: ["a", "b"], reply: "unavailable" },
+];
+
+// Its peers may have elected an owner that has accepted the job.
+for (const { name, lost, reply } of denials) {
+  test(`an owner that ${name} answers for an unknown job: ${reply}`, () => {
+    const owner = createOwner(["a", "b"]);
+    closeConnections(owner, { peers: lost, refused: true });
+    owner.state.scheduler!.records.confirmedAtMs -= 2_000;
+    const effects = owner.receive("p", {
+      type: "question",
+      questionId: "q",
+      question: { kind: "cancel", jobId: "00000000000000bb" },
+    });
+    const replies = effectsOf(effects, "sendPeer").flatMap(({ message }) =>
+      message.type === "reply" ? [message.reply.kind] : []
+    );
+    expect(replies).toEqual([reply]);
+  });
+}
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -62,6 +62,12 @@
    */
   mayRequeue: ({ job, isReportedGone }, { hasNewOwner }) =>
     job === null || job.record === null || !hasNewOwner || isReportedGone,
+  /**
+   * A leader that hears no quorum may have been replaced, whether its peers are
+   * silent or refuse connections.
+   */
+  mayHaveRival: ({ seesQuorum, hasMissingPeers }) =>
+    !seesQuorum || hasMissingPeers,
   /**
    * Only the job that the leader has under its id is written, and no outcome of
    * a job that this leader never tried to write: before the records are read,
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -83,11 +83,39 @@
   return visible * 2 > expected;
 }
 
+/**
+ * Whether more than half of the cell's instances are live, counting those that
+ * refuse connections: some network partitions refuse connections, and the
+ * instances beyond one may have elected another leader. Peers that were never
+ * heard from or that were removed after `PEER_RETENTION_MS` are not counted.
+ */
+export function seesQuorum(state: EngineState): boolean {
+  let visible = 1;
+  let known = 1;
+  for (const peer of cellPeers(state)) {
+    if (peer.lastHeardAtMs === 0) continue;
+    known += 1;
+    if (isLive(state, peer)) visible += 1;
+  }
+  return visible * 2 > known;
+}
+
+/**
+ * Whether another instance may have become the leader unnoticed: this one hears
+ * no quorum, or a peer is missing.
+ */
+export function mayHaveRival(state: EngineState): boolean {
+  return state.guards.mayHaveRival({
+    seesQuorum: seesQuorum(state),
+    hasMissingPeers: hasMissingPeers(state),
+  });
+}
+
 /**
  * Whether a peer of the cell has not been heard from for
  * `MISSING_PEER_THRESHOLD_MS`, without having refused a connection since.
  */
-export function hasMissingPeers(state: EngineState): boolean {
+function hasMissingPeers(state: EngineState): boolean {
   for (const peer of cellPeers(state)) {
     if (peer.refusedAtMs > peer.lastHeardAtMs) continue;
     if (state.nowMs - peer.lastHeardAtMs > MISSING_PEER_THRESHOLD_MS) {
--- a/src/engine/queries.ts
+++ b/src/engine/queries.ts
@@ -8,6 +8,8 @@
 import { hasStarted } from "./job_state.ts";
 import { cancelJob } from "./jobs.ts";
 import { recordsLeader } from "./leader_lookup.ts";
+import { mayHaveRival } from "./membership.ts";
+import { OWNERSHIP_CONFIRM_TIMEOUT_MS } from "./records.ts";
 import type { JobQuery, PeerMessageOf, Reply } from "./schemas.ts";
 import type {
   EngineEventOf,
@@ -120,7 +122,7 @@
 const replyHandlers: ReplyHandlers = {
   job: (context, scheduler, { query }) => {
     const job = scheduler.jobs.get(query.jobId);
-    if (job === undefined) return unknownJobReply(scheduler);
+    if (job === undefined) return unknownJobReply(context, scheduler);
     return isolateJob<Reply>(context, job, {
       stage: "query",
       fallback: { kind: "unavailable" },
@@ -129,7 +131,7 @@
   },
   cancel: (context, scheduler, { query, from, questionId }) => {
     const job = scheduler.jobs.get(query.jobId);
-    if (job === undefined) return unknownJobReply(scheduler);
+    if (job === undefined) return unknownJobReply(context, scheduler);
     return isolateJob<Reply | null>(context, job, {
       stage: "cancel",
       fallback: { kind: "ended", outcome: faultyJobOutcome },
@@ -144,10 +146,17 @@
 
 /**
  * The reply for an unknown job: unavailable unless the records have been read,
- * since one of them may be the job's.
+ * since one of them may be the job's, and while another leader may own them by
+ * now, which may have accepted the job.
  */
-function unknownJobReply({ records }: Scheduler): Reply {
-  return records.phase === "open" ? { kind: "noJob" } : { kind: "unavailable" };
+function unknownJobReply(
+  { state }: ReduceContext,
+  { records }: Scheduler,
+): Reply {
+  const unconfirmedMs = state.nowMs - records.confirmedAtMs;
+  const isOwner = records.phase === "open" &&
+    (unconfirmedMs < OWNERSHIP_CONFIRM_TIMEOUT_MS || !mayHaveRival(state));
+  return isOwner ? { kind: "noJob" } : { kind: "unavailable" };
 }
 
 /**
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -12,7 +12,7 @@
 import { reportOutcome, startJob, stopJobRuns } from "./jobs.ts";
 import { recordsLeader } from "./leader_lookup.ts";
 import { nextTerm } from "./leadership.ts";
-import { hasMissingPeers, seesMajority } from "./membership.ts";
+import { mayHaveRival, seesQuorum } from "./membership.ts";
 import { dequeue } from "./queue.ts";
 import {
   createRecordStoreState,
@@ -49,7 +49,7 @@
 const CONFIRM_PART = 0;
 
 /**
- * Opens the records if this leader is responsible for them and sees a majority
+ * Opens the records if this leader is responsible for them and hears a quorum
  * of instances. Once they are open, releases delayed completions and confirms
  * ownership when due.
  */
@@ -60,7 +60,7 @@
   const { state } = context;
   const { records } = scheduler;
   if (records.phase === "closed") {
-    if (state.nowMs < records.retryAtMs || !seesMajority(state)) return;
+    if (state.nowMs < records.retryAtMs || !seesQuorum(state)) return;
     if (recordsLeader(state)?.instanceId !== state.self.instanceId) return;
     records.phase = "opening";
     // The store confirms the ownership after this time, and before the records
@@ -89,19 +89,27 @@
 }
 
 /**
- * While recorded jobs are active, confirms ownership with an empty write when
- * due, or relinquishes the records if the time to confirm it has expired and a
- * peer is missing, which may own them by now.
+ * While recorded jobs are active, another leader may own the records, or a
+ * completion waits for it, confirms ownership with an empty write when due.
+ * Relinquishes the records if the time to confirm it has expired and another
+ * leader may own them by now.
  */
 function confirmOwnership(context: ReduceContext, scheduler: Scheduler): void {
   const { state } = context;
   const { records } = scheduler;
+  const isContested = mayHaveRival(state);
+  const hasOrphans = hasOrphanCompletions(scheduler);
+  const isWanted = (isContested && state.recordsExist) ||
+    hasActiveRecordedJobs(scheduler);
+  if (!isWanted) records.confirmWantedSinceMs = null;
+  else records.confirmWantedSinceMs ??= state.nowMs;
   const unconfirmedMs = state.nowMs - records.confirmedAtMs;
-  if (!hasOrphanCompletions(scheduler)) {
-    if (unconfirmedMs < OWNERSHIP_CONFIRM_INTERVAL_MS) return;
-    if (!hasActiveRecordedJobs(scheduler)) return;
-  }
-  if (unconfirmedMs >= OWNERSHIP_CONFIRM_TIMEOUT_MS && hasMissingPeers(state)) {
+  const isDue = isWanted && unconfirmedMs >= OWNERSHIP_CONFIRM_INTERVAL_MS;
+  if (!isDue && !hasOrphans) return;
+  const wantedMs = state.nowMs - (records.confirmWantedSinceMs ?? state.nowMs);
+  const isOverdue =
+    Math.min(unconfirmedMs, wantedMs) >= OWNERSHIP_CONFIRM_TIMEOUT_MS;
+  if (isOverdue && isContested) {
     relinquishRecords(
       context,
       scheduler,
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -59,6 +59,7 @@
     resuming: [],
     delayedCompletions: [],
     confirmedAtMs: 0,
+    confirmWantedSinceMs: null,
     dirty: new Map(),
     inFlightWrites: new Map(),
     retainedJobs: [],
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -831,6 +831,11 @@
    * that this leader owns the records.
    */
   confirmedAtMs: number;
+  /**
+   * Time since which ownership has to be confirmed; null while no recorded job
+   * is active and no other leader is possible.
+   */
+  confirmWantedSinceMs: number | null;
   /** Jobs whose records must be written, by part of the records table. */
   readonly dirty: Map<number, Set<Job>>;
   /** The write in flight of each part. */
@@ -902,6 +907,12 @@
   ) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
+  readonly mayHaveRival: (
+    view: {
+      readonly seesQuorum: boolean;
+      readonly hasMissingPeers: boolean;
+    },
+  ) => boolean;
   readonly fitsEvent: (taskCount: number) => boolean;
   readonly mayDiscardUnknown: (
     recordsExist: boolean,
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -14,7 +14,7 @@
 import { emit, logDecision } from "./effects.ts";
 import { FENCES_PER_TERM, firstFence, workersToOwn } from "./leadership.ts";
 import { leaseEndsOnWorkerMs, maxLeaseMs } from "./leases.ts";
-import { hasMissingPeers, seesMajority } from "./membership.ts";
+import { mayHaveRival } from "./membership.ts";
 import {
   checkRuns,
   dropGoneRun,
@@ -69,14 +69,14 @@
 const POLL_RETRY_DELAY_MS = 300;
 /**
  * Delay before acquiring a worker again that another instance owns, while a
- * peer is missing or no majority of instances is heard from: the owner is
- * probably a competing leader.
+ * peer is missing or no quorum is heard from: the owner is probably a competing
+ * leader.
  */
 const REACQUIRE_DELAY_MS = 5_000;
 /**
  * Delay before acquiring a worker again that another instance owns, when no
- * peer is missing and a majority of instances is heard from: nothing suggests a
- * competing leader, so the retry can be quick.
+ * peer is missing and a quorum is heard from: nothing suggests a competing
+ * leader, so the retry can be quick.
  */
 const UNCONTESTED_REACQUIRE_DELAY_MS = 200;
 /**
@@ -455,7 +455,7 @@
   worker: OwnedWorker,
 ): void {
   const { state } = context;
-  const rivalLikely = !seesMajority(state) || hasMissingPeers(state);
+  const rivalLikely = mayHaveRival(state);
   worker.phase = "lost";
   worker.hasNewOwner = true;
   worker.usableFromMs = 0;
