An owner that may have a rival doesn't refuse jobs for good

Cause: a refusal asked only whether the records had been read, not whether another leader could own them by now.

Change: knowsAllRecords: the records are read, and either no other leader is possible or the store has confirmed the ownership within 0.5 s. Asked for refusals and for answers to queries for unknown jobs.

--- a/src/engine/cut_off_owner_test.ts
+++ b/src/engine/cut_off_owner_test.ts
@@ -143,10 +143,10 @@
 
 // Its peers may have elected an owner that has accepted the job.
 for (const { name, lost, reply } of denials) {
-  test(`an owner that ${name} answers for an unknown job: ${reply}`, () => {
+  test(`an unconfirmed owner that ${name} answers for an unknown job: ${reply}`, () => {
     const owner = createOwner(["a", "b"]);
     closeConnections(owner, { peers: lost, refused: true });
-    owner.state.scheduler!.records.confirmedAtMs -= 2_000;
+    owner.state.scheduler!.records.confirmedAtMs -= 600;
     const effects = owner.receive("p", {
       type: "question",
       questionId: "q",
@@ -158,3 +158,31 @@
     expect(replies).toEqual([reply]);
   });
 }
+
+const outages = [
+  { name: "hears its peers", lost: [], refusals: ["refused"] },
+  { name: "hears no quorum", lost: ["a", "b"], refusals: [] },
+];
+
+// It answered "never runs" for a job that the owner of the others had accepted
+// and started.
+for (const { name, lost, refusals } of outages) {
+  test(`without the store, an owner that ${name} refuses ${refusals.length} of 1 submissions`, () => {
+    const owner = createOwner(["a", "b"]);
+    closeConnections(owner, { peers: lost, refused: true });
+    const heard = ["a", "b"].filter((peer) => !lost.includes(peer));
+    owner.state.scheduler!.records.unavailableSinceMs = owner.state.nowMs;
+    hearPeers(owner, heard);
+    owner.tick(350);
+    const job = { ...testJob(1), isRecorded: true };
+    const jobId = "00000000000000bb";
+    const effects = [
+      ...owner.receive("p", testSubmission({ jobId, job })),
+      ...owner.tick(),
+    ];
+    const outcomes = effectsOf(effects, "sendPeer").flatMap(({ message }) =>
+      message.type === "jobEnded" ? [message.outcome.kind] : []
+    );
+    expect(outcomes).toEqual(refusals);
+  });
+}
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -18,7 +18,7 @@
   ENTRY_PAUSE_TIMEOUT_MS,
 } from "./previous_runs.ts";
 import { hasQueuedTasks, markLate } from "./queue.ts";
-import { markDirty } from "./records.ts";
+import { knowsAllRecords, markDirty } from "./records.ts";
 import { storeUnavailableOutcome } from "./submissions.ts";
 import type {
   EngineState,
@@ -95,7 +95,7 @@
     ? null
     : storeUnavailableOutcome(state, scheduler);
   if (storeOutcome !== null) return storeOutcome;
-  if (record !== null && scheduler.records.phase !== "open") return null;
+  if (record !== null && !knowsAllRecords(state, scheduler)) return null;
   const waitMs = waits.get(job);
   const refusal = refusalOf(state, job, waitMs);
   if (refusal === null) return null;
--- a/src/engine/queries.ts
+++ b/src/engine/queries.ts
@@ -8,8 +8,7 @@
 import { hasStarted } from "./job_state.ts";
 import { cancelJob } from "./jobs.ts";
 import { recordsLeader } from "./leader_lookup.ts";
-import { mayHaveRival } from "./membership.ts";
-import { OWNERSHIP_CONFIRM_TIMEOUT_MS } from "./records.ts";
+import { knowsAllRecords } from "./records.ts";
 import type { JobQuery, PeerMessageOf, Reply } from "./schemas.ts";
 import type {
   EngineEventOf,
@@ -144,19 +143,12 @@
   }),
 };
 
-/**
- * The reply for an unknown job: unavailable unless the records have been read,
- * since one of them may be the job's, and while another leader may own them by
- * now, which may have accepted the job.
- */
+/** The reply for an unknown job: unavailable while it may have a record. */
 function unknownJobReply(
   { state }: ReduceContext,
-  { records }: Scheduler,
+  scheduler: Scheduler,
 ): Reply {
-  const unconfirmedMs = state.nowMs - records.confirmedAtMs;
-  const isOwner = records.phase === "open" &&
-    (unconfirmedMs < OWNERSHIP_CONFIRM_TIMEOUT_MS || !mayHaveRival(state));
-  return isOwner ? { kind: "noJob" } : { kind: "unavailable" };
+  return { kind: knowsAllRecords(state, scheduler) ? "noJob" : "unavailable" };
 }
 
 /**
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -18,6 +18,7 @@
   createRecordStoreState,
   markDirty,
   mergeRecord,
+  OWNERSHIP_CONFIRM_INTERVAL_MS,
   OWNERSHIP_CONFIRM_TIMEOUT_MS,
   releaseCompletions,
   requeueCompletions,
@@ -40,11 +41,6 @@
 
 /** Delay before a leader that relinquished the records tries to reopen them. */
 const REOPEN_DELAY_MS = 2_000;
-/**
- * Time without a confirmation after which a leader with active recorded jobs
- * sends an empty write to confirm its ownership of the records.
- */
-const OWNERSHIP_CONFIRM_INTERVAL_MS = 500;
 /** The part that empty writes to confirm ownership are sent to. */
 const CONFIRM_PART = 0;
 
@@ -104,7 +100,9 @@
   if (!isWanted) records.confirmWantedSinceMs = null;
   else records.confirmWantedSinceMs ??= state.nowMs;
   const unconfirmedMs = state.nowMs - records.confirmedAtMs;
-  const isDue = isWanted && unconfirmedMs >= OWNERSHIP_CONFIRM_INTERVAL_MS;
+  // Answers rely on a confirmation within the interval while it is contested.
+  const intervalMs = OWNERSHIP_CONFIRM_INTERVAL_MS / (isContested ? 2 : 1);
+  const isDue = isWanted && unconfirmedMs >= intervalMs;
   if (!isDue && !hasOrphans) return;
   const wantedMs = state.nowMs - (records.confirmWantedSinceMs ?? state.nowMs);
   const isOverdue =
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -8,6 +8,7 @@
 import { emit } from "./effects.ts";
 import { hashText } from "./hash.ts";
 import { isolateJob } from "./job_faults.ts";
+import { mayHaveRival } from "./membership.ts";
 import type { JobRecord } from "./schemas.ts";
 import type {
   EngineState,
@@ -44,6 +45,8 @@
  * the records. An owner that can't rule this out relinquishes them.
  */
 export const OWNERSHIP_CONFIRM_TIMEOUT_MS = 1_500;
+/** Interval at which an owner confirms its ownership with an empty write. */
+export const OWNERSHIP_CONFIRM_INTERVAL_MS = 500;
 /** Delay before writing again after a write whose outcome is unknown. */
 export const WRITE_RETRY_DELAY_MS = 120;
 
@@ -82,6 +85,21 @@
   };
 }
 
+/**
+ * Whether this leader can tell that a job which it doesn't know has no record. It
+ * can't before it has read the records, nor while another leader may own them by
+ * now and the store has not confirmed otherwise.
+ */
+export function knowsAllRecords(
+  state: EngineState,
+  { records }: Scheduler,
+): boolean {
+  if (records.phase !== "open") return false;
+  if (!mayHaveRival(state)) return true;
+  return records.unavailableSinceMs === 0 &&
+    state.nowMs - records.confirmedAtMs < OWNERSHIP_CONFIRM_INTERVAL_MS;
+}
+
 /** Returns the part of the records table that contains a job's record. */
 export function partOf(jobId: string): number {
   return hashText(jobId) % RECORD_PARTS;
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -12,7 +12,12 @@
 import { maxLeaseMs } from "./leases.ts";
 import { previousRunsExpireAtMs } from "./previous_runs.ts";
 import { countArrival, isSurplus } from "./queue_demand.ts";
-import { createRecordState, fitsRow, markDirty } from "./records.ts";
+import {
+  createRecordState,
+  fitsRow,
+  knowsAllRecords,
+  markDirty,
+} from "./records.ts";
 import type { JobOutcome, PeerMessageOf } from "./schemas.ts";
 import type {
   EngineState,
@@ -25,7 +30,7 @@
 
 /**
  * Duration of a store outage from which jobs that need a record are refused or,
- * while records are not open, end as unknown.
+ * while they may have one already, end as unknown.
  */
 export const STORE_UNAVAILABLE_THRESHOLD_MS = 300;
 /** Time after which callers should retry a job refused in a store outage. */
@@ -149,8 +154,8 @@
   { job, waitMs }: { job: Job; waitMs: number },
 ): JobOutcome | null {
   if (job.record === null) return refusalOf(state, job, waitMs);
-  // The job may have a record that has not been read, so it may have started.
-  if (scheduler.records.phase !== "open") return null;
+  // The job may have a record that is not known here, so it may have started.
+  if (!knowsAllRecords(state, scheduler)) return null;
   if (!fitsRow(job, job.record)) {
     return { kind: "refused", reason: "tooLarge", retryAfterMs: 0 };
   }
@@ -164,17 +169,19 @@
  * that the store is unavailable.
  */
 export function storeUnavailableOutcome(
-  { nowMs }: EngineState,
-  { records }: Scheduler,
+  state: EngineState,
+  scheduler: Scheduler,
 ): JobOutcome | null {
-  const { unavailableSinceMs } = records;
+  const { unavailableSinceMs } = scheduler.records;
   if (
     unavailableSinceMs === 0 ||
-    nowMs - unavailableSinceMs < STORE_UNAVAILABLE_THRESHOLD_MS
+    state.nowMs - unavailableSinceMs < STORE_UNAVAILABLE_THRESHOLD_MS
   ) {
     return null;
   }
-  if (records.phase !== "open") return { kind: "unknown", reason: "storeAway" };
+  if (!knowsAllRecords(state, scheduler)) {
+    return { kind: "unknown", reason: "storeAway" };
+  }
   return {
     kind: "refused",
     reason: "storeAway",
