--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -7,8 +7,10 @@
 import {
   drawDeadlyRun,
   drawRecordedRun,
+  drawTakeoverRun,
   type EngineRun,
   simulateRun,
+  TAKEOVER_ROWS,
 } from "./engine_runs.ts";
 
 const always = (): boolean => true;
@@ -26,15 +28,29 @@
   neverGiveUp: { mustGiveUp: never },
   refuseStarted: { mayRefuse: always },
   revertConfiguration: { isNewer: always },
+  restoreAtOnce: { fitsEvent: always },
+  writeUnread: { mayWriteRecord: always },
+  discardUnknown: { mayDiscardUnknown: always },
+  requeueUnreported: { mayRequeue: always },
+  trustRefusals: { mayHaveRival: ({ hasMissingPeers }) => hasMissingPeers },
 };
 
-/** Runs in which mutants matter that the recorded runs don't show. */
+/**
+ * Runs in which mutants matter that the recorded runs don't show; those of a
+ * takeover have the row of faults in which the mutant matters.
+ */
 const drawMutantRun: Record<string, (seed: number) => EngineRun> = {
   neverGiveUp: drawDeadlyRun,
+  writeUnread: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed),
+  trustRefusals: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 1),
+  discardUnknown: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 2),
+  requeueUnreported: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 3),
+  restoreAtOnce: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 4),
 };
 
-/** Adds faults under which each condition matters. */
+/** Adds faults under which each condition matters, unless the run has its own. */
 function addFaults(run: EngineRun): EngineRun {
+  if (run.restoreMs !== undefined) return run;
   return {
     ...run,
     faults: [
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -10,6 +10,7 @@
   drawDeadlyRun,
   drawRecordedRun,
   drawRun,
+  drawTakeoverRun,
   type EngineRun,
   simulateRun,
 } from "./engine_runs.ts";
@@ -21,6 +22,7 @@
   recorded: drawRecordedRun,
   cells: drawCellsRun,
   deadly: drawDeadlyRun,
+  takeover: drawTakeoverRun,
 };
 let runs = 0;
 let failures = 0;
--- a/standins/worker_model.ts
+++ b/standins/worker_model.ts
@@ -64,6 +64,13 @@
   readonly running: Map<string, SimulatedRun>;
   /** Retained completions: those not acknowledged yet. */
   readonly finished: readonly FinishedRow[];
+  /**
+   * Whether the lease was interrupted between the end of a retained completion's
+   * run and now.
+   */
+  readonly hasLapsedSince: (sequence: number, nowMs: number) => boolean;
+  /** Returns when the run of a retained completion ended. */
+  readonly endedAtMs: (sequence: number) => number;
   /** Returns the highest fencing token received. */
   readonly fence: () => number;
   /** When the current incarnation started; `bornMs` on the wire. */
@@ -102,12 +109,21 @@
   const running = new Map<string, SimulatedRun>();
   const finished: FinishedRow[] = [];
   const highestRunByTask = new Map<string, number>();
+  /** Time at which the run of each retained completion ended, by sequence. */
+  const endBySequence = new Map<number, number>();
   let fence = 0;
   let leaseEndsMs = 0;
+  /** End of the latest lease that was followed by a time without one. */
+  let lapsedAtMs = -Infinity;
   let nextSequence = 1;
 
-  function completeRun(run: SimulatedRun, outcome: RunOutcome): void {
+  function completeRun(
+    run: SimulatedRun,
+    outcome: RunOutcome,
+    atMs: number,
+  ): void {
     running.delete(run.taskName);
+    endBySequence.set(nextSequence, atMs);
     const { taskName, result } = run;
     finished.push({
       sequence: nextSequence,
@@ -141,6 +157,7 @@
       endsOnClockMs + worker.startedAtMs,
       nowMs + options.leaseMs,
     );
+    if (leaseEndsMs < nowMs) lapsedAtMs = leaseEndsMs;
     leaseEndsMs = Math.max(leaseEndsMs, endsMs);
   }
 
@@ -150,6 +167,11 @@
     cpuMilli: options.cpuMilli,
     running,
     finished,
+    hasLapsedSince(sequence, nowMs) {
+      const endMs = endBySequence.get(sequence) ?? nowMs;
+      return lapsedAtMs >= endMs || leaseEndsMs < nowMs;
+    },
+    endedAtMs: (sequence) => endBySequence.get(sequence) ?? Infinity,
     fence: () => fence,
     startedAtMs: 0,
     draining: false,
@@ -165,9 +187,9 @@
       for (const run of [...running.values()]) {
         const expiresFirst = worker.hangs || leaseEndsMs <= run.endsAtMs;
         if (leaseEndsMs <= nowMs && expiresFirst) {
-          completeRun(run, "lapsed");
+          completeRun(run, "lapsed", leaseEndsMs);
         } else if (run.endsAtMs <= nowMs && !worker.hangs) {
-          completeRun(run, run.fails ? "failed" : "done");
+          completeRun(run, run.fails ? "failed" : "done", run.endsAtMs);
         }
       }
     },
@@ -209,7 +231,7 @@
       trackHighestRun(call.taskName, call.run);
       const current = running.get(call.taskName);
       if (current !== undefined && current.run <= call.run) {
-        completeRun(current, "stopped");
+        completeRun(current, "stopped", nowMs);
       }
       return { kind: "stopped" };
     },
@@ -219,7 +241,7 @@
       if (call.leaseEndsMs !== null) extendLease(call.leaseEndsMs, nowMs);
       worker.advance(nowMs);
       while ((finished[0]?.sequence ?? Infinity) <= call.lastSeenEnd) {
-        finished.shift();
+        endBySequence.delete(finished.shift()?.sequence ?? 0);
       }
       if (finished.length === 0 && nowMs < untilMs) return null;
       if (!worker.hangs) updateProgress(nowMs);
@@ -245,8 +267,10 @@
       worker.crash();
       finished.length = 0;
       highestRunByTask.clear();
+      endBySequence.clear();
       fence = 0;
       leaseEndsMs = 0;
+      lapsedAtMs = -Infinity;
       nextSequence = 1;
       worker.startedAtMs = nowMs;
       worker.alive = true;
