An owner of the records is not misled by an instance that lost them

Cause: with a leader in each zone, the zone of the owner is learned from heartbeats. The owner (b-1) got a heartbeat of c-1, which had just lost the records to it and did not know yet, and took zone c for the owner's from then on.

Evidence: states at 11, 15 and 27.9 s: b-1 has the records open and the zone c.

Change: an instance that owns the records ignores other claims; if it has lost them, the store says so.

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -613,13 +613,16 @@
         });
       });
     },
-    continueOpening: (instance, incarnation, { term }) =>
-      runAfter(0, () =>
+    // After the events that arrived meanwhile, as `setImmediate` does.
+    continueOpening: (instance, incarnation, { term }) => {
+      const idleAtMs = Math.max(queue.nowMs(), instance.pausedUntilMs);
+      queue.at(idleAtMs + 1, () =>
         dispatch(instance, incarnation, {
           type: "openingContinued",
           nowMs: queue.nowMs(),
           term,
-        })),
+        }));
+    },
     writeRecords: (instance, incarnation, effect) => {
       const { writeId } = effect;
       void instance.records?.write(effect).then((outcome) => {
--- a/bench/recorded_runs_test.ts
+++ b/bench/recorded_runs_test.ts
@@ -3,6 +3,7 @@
 import {
   drawCellsRun,
   drawRecordedRun,
+  drawTakeoverRun,
   type EngineRun,
   simulateRun,
 } from "./engine_runs.ts";
@@ -64,6 +65,11 @@
     draw: drawCellsRun,
     seeds: [26],
   },
+  {
+    failure: "the owner of the records took an instance that lost them for it",
+    draw: drawTakeoverRun,
+    seeds: [3013],
+  },
 ];
 
 for (const { failure, draw, seeds } of drawnRegressions) {
--- a/src/engine/cut_off_owner_test.ts
+++ b/src/engine/cut_off_owner_test.ts
@@ -190,3 +190,18 @@
     expect(outcomes).toEqual(refusals);
   });
 }
+
+// Its own queries and submissions went to the instance that had lost the records,
+// without end.
+test("an owner is not misled by an instance that doesn't know yet that it lost the records", () => {
+  const owner = createOwner(["a", "b"]);
+  const zone = owner.state.recordsZone;
+  const { info } = owner.state.peers.get("a")!;
+  Object.assign(info, { availabilityZone: "caxias" });
+  owner.receive(
+    "a",
+    testHeartbeat({ sentAtMs: owner.state.nowMs, holdsRecords: true }),
+  );
+  expect(owner.state.recordsZone).toEqual(zone);
+  expect(owner.state.recordsExist).toEqual(true);
+});
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -290,7 +290,9 @@
   }
   peer.holdsRecords = message.holdsRecords;
   peer.waitMsByService = message.waitMsByService;
-  if (message.holdsRecords) {
+  // A peer that has lost the records to this instance may not know it yet.
+  const ownsRecords = state.scheduler?.records.phase === "open";
+  if (message.holdsRecords && !ownsRecords) {
     state.recordsExist = message.recordsExist;
     state.recordsZone = peer.info.availabilityZone;
   }
