A leader pauses jobs whose entries refuse its connections

Cause: the entry saw the refusal at once and had another leader start the job.

Change: a job in memory is paused as soon as all its entries have refused a connection since they were last heard from.

--- a/bench/recorded_runs_test.ts
+++ b/bench/recorded_runs_test.ts
@@ -70,6 +70,11 @@
     draw: drawTakeoverRun,
     seeds: [3013],
   },
+  {
+    failure: "a leader whose entries refused connections started their tasks",
+    draw: drawTakeoverRun,
+    seeds: [3101],
+  },
 ];
 
 for (const { failure, draw, seeds } of drawnRegressions) {
--- a/src/engine/cut_off_owner_test.ts
+++ b/src/engine/cut_off_owner_test.ts
@@ -205,3 +205,36 @@
   expect(owner.state.recordsZone).toEqual(zone);
   expect(owner.state.recordsExist).toEqual(true);
 });
+
+const entries = [
+  { name: "refuses connections", refused: true, starts: 0 },
+  { name: "closed its connection", refused: false, starts: 1 },
+];
+
+// The entry saw the leader refuse its connection, too, and had another leader
+// start the job at once.
+for (const { name, refused, starts } of entries) {
+  test(`a waiting job whose entry ${name} starts ${starts} tasks`, () => {
+    const owner = createOwner(["a", "b"]);
+    // Leaves no room for a further task.
+    const filling = { jobId: "00000000000000cc", job: testJob(3) };
+    owner.receive("b", testSubmission(filling));
+    const jobId = "00000000000000dd";
+    owner.receive("a", testSubmission({ jobId, job: testJob(2) }));
+    owner.tick();
+    closeConnections(owner, { peers: ["a"], refused });
+    owner.tick();
+    const ends = ["w1", "w2"].flatMap((workerId) =>
+      owner.completePoll(workerId, {
+        finished: [[`${JOB_ID}.0.0.0`, "done"], [
+          "00000000000000cc.0.0.0",
+          "done",
+        ]],
+      })
+    );
+    const started = effectsOf(ends, "startTask").filter(({ taskName }) =>
+      taskName.startsWith(jobId)
+    );
+    expect(started.length > 0).toEqual(starts > 0);
+  });
+}
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -144,12 +144,14 @@
 /**
  * Pauses a job without a record while none of its entries is heard from, and
  * drops it after a longer time: entries across a network partition have
- * resubmitted it to another leader. Returns whether the job was dropped.
+ * resubmitted it to another leader, at once if the partition refuses
+ * connections. Returns whether the job was dropped.
  */
 function checkEntries(context: ReduceContext, job: Job): boolean {
   if (job.record !== null) return false;
   const silentMs = sinceEntriesHeardMs(context.state, job);
-  job.paused = silentMs > ENTRY_PAUSE_TIMEOUT_MS;
+  job.paused = silentMs > ENTRY_PAUSE_TIMEOUT_MS ||
+    haveEntriesRefused(context.state, job);
   if (silentMs <= ENTRY_DROP_TIMEOUT_MS) return false;
   logDecision(context, {
     part: "jobs",
@@ -177,6 +179,18 @@
   return silentMs;
 }
 
+/** Whether each entry has refused a connection since it was last heard from. */
+function haveEntriesRefused(
+  state: EngineState,
+  { submissionIdByEntry }: Job,
+): boolean {
+  return [...submissionIdByEntry.keys()].every((entryId) => {
+    const peer = state.peers.get(entryId);
+    return peer !== undefined && !peer.connected &&
+      peer.refusedAtMs > peer.lastHeardAtMs;
+  });
+}
+
 /** Discards ended jobs without a written record after their retention time. */
 function discardEndedJobs(state: EngineState, scheduler: Scheduler): void {
   const { endedJobs, jobs } = scheduler;
