No lease on a worker whose ends the owner of the records may not know

Cause: a leader beyond a partition took a worker over and kept its lease alive. The owner of the records could not reach the worker, waited for the leases that it had granted, and started the task again; its end was acknowledged after the partition.

Change: a worker that lists completions of unknown jobs gets no lease, by a poll or by a start, until the leases of its previous owner have expired or the completions are confirmed (guard mayGrantLease). With it, waiting for a report is no condition of safety any more: a run on a worker whose new owner is not heard from is started again when its leases have expired, instead of waiting for the partition to end.

--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -31,7 +31,7 @@
   restoreAtOnce: { fitsEvent: always },
   writeUnread: { mayWriteRecord: always },
   discardUnknown: { mayDiscardUnknown: always },
-  requeueUnreported: { mayRequeue: always },
+  leaseUnreported: { mayGrantLease: always },
   trustRefusals: { mayHaveRival: ({ hasMissingPeers }) => hasMissingPeers },
 };
 
@@ -44,7 +44,7 @@
   writeUnread: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed),
   trustRefusals: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 1),
   discardUnknown: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 2),
-  requeueUnreported: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 3),
+  leaseUnreported: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 3),
   restoreAtOnce: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 4),
 };
 
--- a/bench/recorded_runs_test.ts
+++ b/bench/recorded_runs_test.ts
@@ -75,6 +75,12 @@
     draw: drawTakeoverRun,
     seeds: [3101],
   },
+  {
+    failure:
+      "a new owner of a worker renewed the lease of an end it didn't know",
+    draw: drawTakeoverRun,
+    seeds: [3153],
+  },
 ];
 
 for (const { failure, draw, seeds } of drawnRegressions) {
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -57,11 +57,10 @@
   mayDiscardUnknown: (recordsExist, readAtMs, { phase, confirmedAtMs }) =>
     !recordsExist || (phase === "open" && confirmedAtMs > readAtMs),
   /**
-   * A run of a recorded job on a worker that has a new owner is lost only once
-   * that owner has reported it, since the run may have been done.
+   * A worker that lists completions of unknown jobs gets no lease before those
+   * of its previous owner have expired: that one starts the tasks again then.
    */
-  mayRequeue: ({ job, isReportedGone }, { hasNewOwner }) =>
-    job === null || job.record === null || !hasNewOwner || isReportedGone,
+  mayGrantLease: (nowMs, previousExpireAtMs) => nowMs >= previousExpireAtMs,
   /**
    * A leader that hears no quorum may have been replaced, whether its peers are
    * silent or refuse connections.
--- a/src/engine/leases.ts
+++ b/src/engine/leases.ts
@@ -15,6 +15,19 @@
   return leaseMs * (1 + MAX_CLOCK_DRIFT) + MAX_LEASE_START_DELAY_MS;
 }
 
+/**
+ * Whether a worker may get a lease. It may not while it lists completions that
+ * the owner of the records may not know and leases of that owner can last.
+ */
+export function mayGrantLease(
+  state: EngineState,
+  { orphanCompletions, orphansReadAtMs }: OwnedWorker,
+): boolean {
+  if (orphanCompletions.length === 0) return true;
+  const previousExpireAtMs = orphansReadAtMs + maxLeaseMs(state);
+  return state.guards.mayGrantLease(state.nowMs, previousExpireAtMs);
+}
+
 /** Time at which a lease granted now ends, on the worker's clock. */
 export function leaseEndsOnWorkerMs(
   state: EngineState,
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -8,6 +8,7 @@
 import { cellWorkers } from "./cells.ts";
 import { awaitsEvidence } from "./crashes.ts";
 import { isolateJob } from "./job_faults.ts";
+import { mayGrantLease } from "./leases.ts";
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
 import { isHeldBack, isMixed, isSuspectedQueue } from "./suspected_queues.ts";
@@ -173,6 +174,7 @@
 function acceptsTasks(state: EngineState, worker: OwnedWorker): boolean {
   if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
   if (worker.unsizedRunCount > 0 || worker.trialCount > 0) return false;
+  if (!mayGrantLease(state, worker)) return false;
   // Runs that a previous owner stopped may occupy capacity until this time,
   // although the worker no longer lists them.
   if (state.nowMs < worker.usableFromMs) return false;
--- a/src/engine/record_reports.ts
+++ b/src/engine/record_reports.ts
@@ -20,6 +20,7 @@
   ReduceContext,
   ReportedCompletions,
   Scheduler,
+  WorkerRun,
 } from "./types.ts";
 
 /** Interval at which a report or an inquiry is repeated until it is answered. */
@@ -146,6 +147,21 @@
   worker.nextReportAtMs = state.nowMs;
 }
 
+/**
+ * Whether the new owner of a worker will report what became of a run of a
+ * recorded job, which may have been done. An owner that is not heard from is not
+ * waited for: until it is, the expiry of the lease decides.
+ */
+export function awaitsReport(
+  state: EngineState,
+  { hasNewOwner, info }: OwnedWorker,
+  { job, isReportedGone }: WorkerRun,
+): boolean {
+  if (job === null || job.record === null) return false;
+  if (!hasNewOwner || isReportedGone) return false;
+  return leaderOfZone(state, info.availabilityZone) !== null;
+}
+
 /** Asks the leader of a worker's zone which runs of recorded jobs are gone. */
 function askForRuns(context: ReduceContext, worker: OwnedWorker): void {
   const runs = [...worker.runs.values()].filter(({ job, isReportedGone }) =>
--- a/src/engine/record_reports_test.ts
+++ b/src/engine/record_reports_test.ts
@@ -209,6 +209,15 @@
   expect(startsOf(pass(owner, 200))).toEqual([TASK_NAME]);
 });
 
+test("a moved run whose worker's owner is not heard from is started again after its lease", () => {
+  const owner = createOwnerWithMovedRun();
+  const starts: string[] = [];
+  for (let passedMs = 0; passedMs < 4_000; passedMs += 25) {
+    starts.push(...startsOf(owner.tick()));
+  }
+  expect(starts).toEqual([TASK_NAME]);
+});
+
 test("a run on a worker that left the list is started again after its lease", () => {
   const owner = createOwnerWithMovedRun();
   const workers = manyWorkers(MOVED).slice(1);
@@ -268,3 +277,32 @@
   owner.tick();
   expect([...worker?.retainedSequences ?? []]).toEqual([]);
 });
+
+// The owner of the records can't reach the worker, and starts the task again when
+// the leases that it granted have expired.
+test("a worker that lists an unknown end gets no lease until its lease has expired", () => {
+  const leader = createZoneLeader();
+  leader.completePoll("moved", { finished: [[TASK_NAME, "done"]] });
+  for (const { workerId, availabilityZone } of manyWorkers(MOVED)) {
+    if (availabilityZone === "poa") leader.completePoll(workerId);
+  }
+  const jobs = Array.from({ length: 40 }, (_, index) => `b${index}`);
+  const startedOnMoved = (effects: readonly Effect[]) =>
+    effectsOf(effects, "startTask").filter(({ workerId }) =>
+      workerId === "moved"
+    ).length;
+  const effects = [
+    ...pass(leader, 200),
+    ...jobs.flatMap((jobId) =>
+      leader.receive("p", testSubmission({ jobId, job: testJob(4) }))
+    ),
+    ...pass(leader, 500),
+  ];
+  expect(effectsOf(effects, "startTask").length > 0).toEqual(true);
+  expect(startedOnMoved(effects)).toEqual(0);
+  const leases = effectsOf(effects, "hold").filter(({ workerId }) =>
+    workerId === "moved"
+  ).map(({ leaseEndsMs }) => leaseEndsMs);
+  expect(leases.every((leaseEndsMs) => leaseEndsMs === null)).toEqual(true);
+  expect(startedOnMoved(pass(leader, 1_000)) > 0).toEqual(true);
+});
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -919,9 +919,9 @@
     readAtMs: number,
     records: Pick<RecordStoreState, "phase" | "confirmedAtMs">,
   ) => boolean;
-  readonly mayRequeue: (
-    run: Pick<WorkerRun, "job" | "isReportedGone">,
-    worker: Pick<OwnedWorker, "hasNewOwner">,
+  readonly mayGrantLease: (
+    nowMs: number,
+    previousExpireAtMs: number,
   ) => boolean;
   readonly mayWriteRecord: (
     job: Pick<Job, "record" | "outcome">,
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -13,8 +13,9 @@
 } from "./crashes.ts";
 import { emit, logDecision } from "./effects.ts";
 import { FENCES_PER_TERM, firstFence, workersToOwn } from "./leadership.ts";
-import { leaseEndsOnWorkerMs, maxLeaseMs } from "./leases.ts";
+import { leaseEndsOnWorkerMs, maxLeaseMs, mayGrantLease } from "./leases.ts";
 import { mayHaveRival } from "./membership.ts";
+import { awaitsReport } from "./record_reports.ts";
 import {
   checkRuns,
   dropGoneRun,
@@ -420,12 +421,13 @@
 
 /**
  * Polls a worker that has runs; the worker may delay its answer until a run
- * completes. The lease is not renewed while runs of unknown size are present:
- * they belong to no job known here, and the leader that has their jobs relies
- * on the expiry of the lease.
+ * completes. The lease is not renewed while runs of unknown size or unknown
+ * completions are present: they belong to no job known here, and the leader that
+ * has their jobs relies on the expiry of the lease.
  */
 function pollBusyWorker(context: ReduceContext, worker: OwnedWorker): void {
-  const renews = worker.unsizedRunCount === 0;
+  const renews = worker.unsizedRunCount === 0 &&
+    mayGrantLease(context.state, worker);
   const busyWaitMs = !renews
     ? UNSIZED_POLL_WAIT_MS
     : hasStalledRun(worker)
@@ -513,7 +515,8 @@
   for (const worker of scheduler.workers.values()) {
     if (worker.phase !== "ready" || worker.released) continue;
     if (worker.pollSentAtMs >= state.nowMs) continue;
-    const renews = worker.runs.size > 0 && worker.unsizedRunCount === 0;
+    const renews = worker.runs.size > 0 && worker.unsizedRunCount === 0 &&
+      mayGrantLease(state, worker);
     sendPoll(context, worker, { waitMs: 0, renews });
   }
 }
@@ -562,7 +565,7 @@
     if (run.job !== null && mayBeRenewedElsewhere(state, worker, run.job)) {
       continue;
     }
-    if (!state.guards.mayRequeue(run, worker)) continue;
+    if (awaitsReport(state, worker, run)) continue;
     state.counters.tasksLapsed += 1;
     dropGoneRun(context, worker, run);
   }
