--- a/src/engine/record_reports.ts
+++ b/src/engine/record_reports.ts
@@ -2,8 +2,9 @@
  * Reports between leaders about recorded jobs whose tasks ran on workers that
  * another leader owns now, such as after a change of cells. The worker's new
  * owner retains completions of unknown jobs until the owner of the records has
- * recorded them. The owner of the records starts a task again only after the
- * worker's new owner has reported that its run is gone.
+ * recorded them. The owner of the records starts a task again once the worker's
+ * new owner has reported that its run is gone or, if that owner is not heard
+ * from, once the leases have expired.
  */
 
 import { sendPeer } from "./effects.ts";
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -143,8 +143,9 @@
 /**
  * Releases a worker, and removes it from the scheduler if it has no runs and no
  * completions to report. A worker with runs that left the list of workers is
- * still polled, so that its runs can complete. One that is listed, but is now assigned to another
- * partition side or cell, is no longer polled, so that its lease expires.
+ * still polled, so that its runs can complete. One that is listed, but is now
+ * assigned to another partition side or cell, is no longer polled, so that its
+ * lease expires.
  */
 function releaseWorker(
   context: ReduceContext,
