Runs of all restored jobs are attached in the event that opens the records

What callers could see: a task of a stored job started beside its own run, after a takeover of more than 250 tasks.

Cause: since jobs are resumed in several events, and their runs were attached as they were resumed. A completion between two of the events queues its job, whose other tasks could start while their runs had been found on workers, but not attached.

Change: the runs are attached for all jobs in the event that opens the records. Its cost grows with the runs on the workers and one map entry a job.

Tests: "runs found on workers are attached before any further event", red before.

--- a/src/engine/large_takeover_test.ts
+++ b/src/engine/large_takeover_test.ts
@@ -115,3 +115,32 @@
   );
   expect(replies).toEqual(["unavailable", "unavailable"]);
 });
+
+// A completion that arrives before its job is resumed queues the job. A task whose
+// run had been found, but not attached, would start a second time.
+test("runs found on workers are attached before any further event", () => {
+  const leader = createTestLeader();
+  const records = storedRecords(RECORD_COUNT);
+  // The jobs are resumed from the last record to the first.
+  const [first] = records;
+  const taskName = `${first?.record.jobId}.0.0.0`;
+  leader.state.recordsExist = true;
+  leader.completePoll("w1", {
+    running: [{ taskName, run: 1, percent: 10 }],
+  });
+  const run = () =>
+    [...leader.state.scheduler?.workers.get("w1")?.runs.values() ?? []][0];
+  const term = leader.state.leaderTerm;
+  leader.after(1, {
+    type: "recordsOpened",
+    term,
+    outcome: { kind: "opened", records },
+  });
+  expect(run()?.job ?? null).toEqual(null);
+  const { scheduler } = leader.state;
+  while (scheduler?.records.phase !== "open") {
+    leader.after(1, { type: "openingContinued", term });
+  }
+  expect((scheduler?.records.resuming.length ?? 0) > 0).toEqual(true);
+  expect(run()?.job?.jobId).toEqual(first?.record.jobId);
+});
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -163,12 +163,15 @@
     processOrphanCompletions(context, worker);
   }
   applyTaskCompletions(context);
+  // For all jobs at once: a completion may queue a job before it is resumed, and
+  // its other tasks must not start while their runs are not attached.
+  attachRuns(context, scheduler, records.resuming);
   scheduler.rereadWanted = true;
 }
 
 /**
- * Attaches and queues the next restored jobs. Places tasks only after the last
- * of them, since each placement goes through all queued jobs.
+ * Queues the next restored jobs. Places tasks only after the last of them, since
+ * each placement goes through all queued jobs.
  */
 function resumeNextJobs(context: ReduceContext, scheduler: Scheduler): void {
   const { state } = context;
@@ -181,7 +184,6 @@
     taskCount += job.tasks.length;
     if (job.outcome === null) jobs.push(job);
   }
-  attachRuns(context, scheduler, jobs);
   for (const job of jobs) {
     isolateJob(context, job, {
       stage: "restore",
