--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -9,6 +9,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { InvariantError } from "../src/engine/debug.ts";
 import { defaultGuards } from "../src/engine/guards.ts";
+import { jobIdOf } from "../src/engine/job_state.ts";
 import { createEngine, reduce } from "../src/engine/reduce.ts";
 import type {
   Configuration,
@@ -397,7 +398,7 @@
    */
   function checkStart(worker: FakeWorker, run: SimulatedRun): void {
     const { taskName } = run;
-    const jobId = taskName.slice(0, taskName.indexOf("."));
+    const jobId = jobIdOf(taskName);
     startCountByJob.set(jobId, (startCountByJob.get(jobId) ?? 0) + 1);
     const nowMs = Math.round(queue.nowMs());
     if (worker.usedCpuMilli() > countedCpuMilli(worker)) {
@@ -460,7 +461,7 @@
 
   /** Checks a start against the guarantee and the cancellation of its job. */
   function checkGuarantee(taskName: string): void {
-    const jobId = taskName.slice(0, taskName.indexOf("."));
+    const jobId = jobIdOf(taskName);
     const record = jobs.get(jobId);
     const guarantee = record?.kind.guarantee;
     const nowMs = Math.round(queue.nowMs());
@@ -500,7 +501,7 @@
   /** Checks that a task with a guarantee did not start after it was done. */
   function checkLaterStart(taskName: string, doneAtMs: number): void {
     const startMs = startMsByTask.get(taskName) ?? -Infinity;
-    const jobId = taskName.slice(0, taskName.indexOf("."));
+    const jobId = jobIdOf(taskName);
     const hasGuarantee = jobs.get(jobId)?.kind.guarantee !== undefined;
     if (!hasGuarantee || startMs <= doneAtMs) return;
     violations.push(
--- a/src/engine/cut_off_owner_test.ts
+++ b/src/engine/cut_off_owner_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import type { JobOutcome, Reply } from "./schemas.ts";
 import {
+  confirmWrites,
   createTestInstance,
   effectsOf,
   testHeartbeat,
@@ -24,19 +25,6 @@
   }
 }
 
-function confirmWrites(
-  owner: TestInstance,
-  effects: readonly Effect[],
-): Effect[] {
-  return effectsOf(effects, "writeRecords").flatMap(({ writeId }) =>
-    owner.after(1, {
-      type: "recordsWritten",
-      writeId,
-      outcome: { kind: "written", version: 9 },
-    })
-  );
-}
-
 /** The owner of the records, which runs a task of a recorded job. */
 function createOwner(peers: readonly string[]): TestInstance {
   const owner = createTestInstance({ peers });
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -28,6 +28,19 @@
   readonly isSurplus: boolean;
 }
 
+/**
+ * Returns the id of the job of a task. Names of tasks have the form
+ * `jobId.0.stepIndex.index`.
+ *
+ * @example
+ * ```ts
+ * jobIdOf("00000000000000aa.0.1.17"); // "00000000000000aa"
+ * ```
+ */
+export function jobIdOf(taskName: string): string {
+  return taskName.slice(0, taskName.indexOf("."));
+}
+
 /** Creates a job whose tasks all wait, except those that are already done. */
 export function createJob(state: EngineState, options: JobOptions): Job {
   const { queue, spec, receivedAtMs } = options;
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -12,6 +12,7 @@
 import { isolateJob } from "./job_faults.ts";
 import { mustNotRestart } from "./job_state.ts";
 import { finishJob } from "./jobs.ts";
+import { refusesConnections } from "./membership.ts";
 import { mayHaveUnknownRuns, oldestListsReadAtMs } from "./placement.ts";
 import {
   ENTRY_DROP_TIMEOUT_MS,
@@ -186,8 +187,7 @@
 ): boolean {
   return [...submissionIdByEntry.keys()].every((entryId) => {
     const peer = state.peers.get(entryId);
-    return peer !== undefined && !peer.connected &&
-      peer.refusedAtMs > peer.lastHeardAtMs;
+    return peer !== undefined && refusesConnections(peer);
   });
 }
 
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -34,12 +34,20 @@
  */
 const PEER_RETENTION_MS = 12_000;
 
+/**
+ * Whether a peer without a connection has refused one since it was last heard
+ * from.
+ */
+export function refusesConnections(peer: Peer): boolean {
+  return !peer.connected && peer.refusedAtMs > peer.lastHeardAtMs;
+}
+
 /**
  * Whether a peer was heard from within `PEER_TIMEOUT_MS`, and its host has not
  * refused a connection since.
  */
 export function isLive(state: EngineState, peer: Peer): boolean {
-  if (!peer.connected && peer.refusedAtMs > peer.lastHeardAtMs) return false;
+  if (refusesConnections(peer)) return false;
   return state.nowMs - peer.lastHeardAtMs < PEER_TIMEOUT_MS;
 }
 
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -8,6 +8,7 @@
 import { cellWorkers } from "./cells.ts";
 import { awaitsEvidence } from "./crashes.ts";
 import { isolateJob } from "./job_faults.ts";
+import { jobIdOf } from "./job_state.ts";
 import { mayGrantLease } from "./leases.ts";
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
@@ -216,8 +217,7 @@
     return false;
   }
   if (maxPerWorker === undefined) return true;
-  // Names of tasks have the form `jobId.0.stepIndex.index`.
-  const jobId = name.slice(0, name.indexOf("."));
+  const jobId = jobIdOf(name);
   let present = 0;
   for (const run of worker.runs.values()) {
     if (run.taskName.startsWith(`${jobId}.0.${stepIndex}.`)) present += 1;
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -177,14 +177,11 @@
   const { state } = context;
   const { resuming } = scheduler.records;
   if (resuming.length === 0) return;
-  const jobs: Job[] = [];
   let taskCount = 0;
   while (resuming.length > 0 && state.guards.fitsEvent(taskCount)) {
     const job = resuming.pop() as Job;
     taskCount += job.tasks.length;
-    if (job.outcome === null) jobs.push(job);
-  }
-  for (const job of jobs) {
+    if (job.outcome !== null) continue;
     isolateJob(context, job, {
       stage: "restore",
       fallback: undefined,
--- a/src/engine/record_reports_test.ts
+++ b/src/engine/record_reports_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import type { PeerMessage, PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import {
+  confirmWrites,
   createTestInstance,
   effectsOf,
   testHeartbeat,
@@ -154,20 +155,6 @@
   return owner;
 }
 
-/** Completes the writes of records among the effects; returns what follows. */
-function confirmWrites(
-  owner: TestInstance,
-  effects: readonly Effect[],
-): Effect[] {
-  return effectsOf(effects, "writeRecords").flatMap(({ writeId }) =>
-    owner.after(1, {
-      type: "recordsWritten",
-      writeId,
-      outcome: { kind: "written", version: 9 },
-    })
-  );
-}
-
 const reportedEnds: { end: RunOutcome; starts: string[] }[] = [
   { end: "done", starts: [] },
   { end: "stopped", starts: [TASK_NAME] },
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -9,7 +9,7 @@
   runEstimateOf,
 } from "./expected_run_times.ts";
 import { isolateJob } from "./job_faults.ts";
-import { mustNotRestart } from "./job_state.ts";
+import { jobIdOf, mustNotRestart } from "./job_state.ts";
 import { recordsLeader } from "./leader_lookup.ts";
 import { leaseEndsOnWorkerMs } from "./leases.ts";
 import { retainCompletion } from "./records.ts";
@@ -66,11 +66,6 @@
   return `${taskName}#${run}`;
 }
 
-/** Returns the id of the job of a task, whose name begins with it. */
-function jobIdOf(taskName: string): string {
-  return taskName.slice(0, taskName.indexOf("."));
-}
-
 /** Adds a run to a worker and reserves its capacity. */
 function addRun(worker: OwnedWorker, run: WorkerRun): void {
   worker.runs.set(runKey(run.taskName, run.run), run);
@@ -232,8 +227,7 @@
   const job = run?.job ?? findTask(context, row.taskName)?.job ?? null;
   const { sequence } = row;
   const { retainedSequences } = worker;
-  const { recordsExist } = context.state;
-  const { nowMs } = context.state;
+  const { recordsExist, nowMs } = context.state;
   if (
     job === null &&
     !guards.mayDiscardUnknown(recordsExist, nowMs, scheduler.records)
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -253,6 +253,23 @@
   return instance;
 }
 
+/**
+ * Completes the writes of records among the effects of a leader's events;
+ * returns the effects that follow.
+ */
+export function confirmWrites(
+  leader: TestInstance,
+  effects: readonly Effect[],
+): Effect[] {
+  return effectsOf(effects, "writeRecords").flatMap(({ writeId }) =>
+    leader.after(1, {
+      type: "recordsWritten",
+      writeId,
+      outcome: { kind: "written", version: 9 },
+    })
+  );
+}
+
 /** Returns the effects of one type. */
 export function effectsOf<T extends Effect["type"]>(
   effects: readonly Effect[],
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -137,7 +137,7 @@
    */
   function dispatch(event: EngineEvent): void {
     const { pausedMs, busyMs } = measureDelay();
-    const nowMs = clock.nowMs();
+    const { nowMs } = event;
     if (pausedMs > 0) apply({ type: "processPaused", nowMs, pausedMs });
     if (busyMs > 0) apply({ type: "processBusy", nowMs, busyMs });
     apply(event);
