--- a/src/engine/cut_off_owner_test.ts
+++ b/src/engine/cut_off_owner_test.ts
@@ -5,6 +5,7 @@
   confirmWrites,
   createTestInstance,
   effectsOf,
+  openRecords,
   testHeartbeat,
   type TestInstance,
   testJob,
@@ -35,11 +36,7 @@
     owner.tick(200);
   }
   for (const { workerId } of workers) owner.completePoll(workerId);
-  owner.after(5, {
-    type: "recordsOpened",
-    term: owner.state.leaderTerm,
-    outcome: { kind: "opened", records: [] },
-  });
+  openRecords(owner);
   hearPeers(owner, peers);
   owner.tick(100);
   const job = { ...testJob(1), isRecorded: true };
--- a/src/engine/large_takeover_test.ts
+++ b/src/engine/large_takeover_test.ts
@@ -4,47 +4,30 @@
 import {
   createTestLeader,
   effectsOf,
-  type TestEvent,
+  openRecords,
   type TestInstance,
-  testJob,
-  testQueue,
+  testStoredRecord,
 } from "./testing.ts";
 import type { Effect, StoredRecord } from "./types.ts";
 
 const RECORD_COUNT = 3_000;
 
 function storedRecords(count: number): StoredRecord[] {
-  return Array.from({ length: count }, (_, index) => ({
-    record: {
-      jobId: index.toString(16).padStart(16, "0"),
-      queue: testQueue,
-      job: { ...testJob(1), isRecorded: true },
-      acceptedAtMs: 0,
-      outcome: null,
-      endedAtMs: 0,
-      done: [],
-      failures: {},
-      results: {},
-    },
-    version: 7,
-  }));
+  return Array.from(
+    { length: count },
+    (_, index) =>
+      testStoredRecord({ jobId: index.toString(16).padStart(16, "0") }),
+  );
 }
 
 /** Takes over records; returns the effects of each event that this needs. */
 function takeOver(leader: TestInstance, count: number): Effect[][] {
   const term = leader.state.leaderTerm;
-  const records = storedRecords(count);
-  let event: TestEvent | null = {
-    type: "recordsOpened",
-    term,
-    outcome: { kind: "opened", records },
-  };
-  const events: Effect[][] = [];
-  while (event !== null) {
-    const effects: Effect[] = leader.after(1, event);
+  let effects = openRecords(leader, storedRecords(count));
+  const events = [effects];
+  while (effects.some(({ type }) => type === "continueOpening")) {
+    effects = leader.after(1, { type: "openingContinued", term });
     events.push(effects);
-    const goesOn = effects.some(({ type }) => type === "continueOpening");
-    event = goesOn ? { type: "openingContinued", term } : null;
   }
   return events;
 }
@@ -97,11 +80,7 @@
 // The record of a job that is not restored yet may be among the remaining ones.
 test("while jobs are restored, none of them is reported as unknown", () => {
   const leader = createTestLeader();
-  leader.after(1, {
-    type: "recordsOpened",
-    term: leader.state.leaderTerm,
-    outcome: { kind: "opened", records: storedRecords(RECORD_COUNT) },
-  });
+  openRecords(leader, storedRecords(RECORD_COUNT));
   const replies = ["0".repeat(16), (RECORD_COUNT - 1).toString(16)].map(
     (jobId) => {
       const effects = leader.receive("p", {
@@ -131,11 +110,7 @@
   const run = () =>
     [...leader.state.scheduler?.workers.get("w1")?.runs.values() ?? []][0];
   const term = leader.state.leaderTerm;
-  leader.after(1, {
-    type: "recordsOpened",
-    term,
-    outcome: { kind: "opened", records },
-  });
+  openRecords(leader, records);
   expect(run()?.job ?? null).toEqual(null);
   const { scheduler } = leader.state;
   while (scheduler?.records.phase !== "open") {
--- a/src/engine/record_reports_test.ts
+++ b/src/engine/record_reports_test.ts
@@ -5,6 +5,7 @@
   confirmWrites,
   createTestInstance,
   effectsOf,
+  openRecords,
   testHeartbeat,
   type TestInstance,
   testInstanceInfo,
@@ -135,11 +136,7 @@
   owner.tick();
   owner.completePoll("moved");
   owner.tick(100);
-  owner.after(5, {
-    type: "recordsOpened",
-    term: owner.state.leaderTerm,
-    outcome: { kind: "opened", records: [] },
-  });
+  openRecords(owner);
   owner.tick(2_000);
   const job = { ...testJob(1), isRecorded: true };
   const submission = testSubmission({ jobId: JOB_ID, job });
--- a/src/engine/records_test.ts
+++ b/src/engine/records_test.ts
@@ -4,9 +4,11 @@
 import {
   createTestLeader,
   effectsOf,
+  openRecords,
   type TestInstance,
   testJob,
   testQueue,
+  testStoredRecord,
 } from "./testing.ts";
 import type { Effect, StoredRecord } from "./types.ts";
 
@@ -36,30 +38,7 @@
 }
 
 function storedRecord(fields: Partial<JobRecord> = {}): StoredRecord {
-  const record: JobRecord = {
-    jobId: JOB_ID,
-    queue: testQueue,
-    job: recorded,
-    acceptedAtMs: 0,
-    outcome: null,
-    endedAtMs: 0,
-    done: [],
-    failures: {},
-    results: {},
-    ...fields,
-  };
-  return { record, version: 7 };
-}
-
-function open(
-  leader: TestInstance,
-  records: readonly StoredRecord[] = [],
-): Effect[] {
-  return leader.after(5, {
-    type: "recordsOpened",
-    term: leader.state.leaderTerm,
-    outcome: { kind: "opened", records },
-  });
+  return testStoredRecord({ jobId: JOB_ID, job: recorded, ...fields });
 }
 
 function lastWrite(effects: readonly Effect[]) {
@@ -88,7 +67,7 @@
 
 test("a recorded job is accepted and started once it is persisted", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   const effects = submit(leader);
   expect(startsOf(effects)).toEqual([]);
   expect(messagesOf(effects)).toEqual([]);
@@ -100,12 +79,12 @@
 test("a job submitted before the records were read is persisted later", () => {
   const leader = createTestLeader();
   expect(lastWrite(submit(leader))).toEqual(undefined);
-  expect(lastWrite(open(leader))?.rows.length).toEqual(1);
+  expect(lastWrite(openRecords(leader))?.rows.length).toEqual(1);
 });
 
 test("a completion is acknowledged only once the record includes it", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   // After 2 s, a previous owner has detected that it lost the records, so that
   // completions need not be delayed.
   leader.tick(2_000);
@@ -129,7 +108,7 @@
 // tasks: a start before the job is persisted violates an invariant.
 test("a completion found before a job is persisted starts no other task", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   const [step] = recorded.steps;
   if (step === undefined) throw new Error("the test job has no steps");
   const job: JobSpec = { ...recorded, steps: [step, step] };
@@ -141,7 +120,7 @@
 
 test("a job whose first write is unanswered is not refused or started", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   const write = lastWrite(submit(leader));
   const outcome = { kind: "unknown" as const, detail: "timeout" };
   const writeId = write?.writeId ?? 0;
@@ -154,7 +133,7 @@
 
 test("a write that met an unexpected version is retried with the row's version", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   const writeId = lastWrite(submit(leader))?.writeId ?? 0;
   const next = leader.after(8, {
     type: "recordsWritten",
@@ -186,7 +165,7 @@
 for (const { name, fields, starts } of resumed) {
   test(`records: ${name}`, () => {
     const leader = createTestLeader();
-    const before = open(leader, [storedRecord(fields)]);
+    const before = openRecords(leader, [storedRecord(fields)]);
     // Workers are polled again, since another leader may have started tasks.
     leader.tick();
     const after = ["w1", "w2"].flatMap((workerId) =>
@@ -200,7 +179,7 @@
   const leader = createTestLeader();
   leader.state.recordsExist = true;
   leader.completePoll("w1", { finished: [[`${JOB_ID}.0.0.0`, "done"]] });
-  const effects = open(leader, [storedRecord()]);
+  const effects = openRecords(leader, [storedRecord()]);
   expect(startsOf(effects)).toEqual([]);
   expect(lastWrite(effects)?.rows[0]?.record?.outcome)
     .toEqual({ kind: "done" });
@@ -208,7 +187,7 @@
 
 test("an at-most-once job ends as unknown if a task may have started", () => {
   const leader = createTestLeader();
-  const effects = open(leader, [storedRecord({ job: atMostOnce })]);
+  const effects = openRecords(leader, [storedRecord({ job: atMostOnce })]);
   expect(startsOf(effects)).toEqual([]);
   // The first write is empty and only confirms ownership of the records.
   const write = lastWrite(written(leader, leader.tick(3_000)));
@@ -218,7 +197,7 @@
 
 test("a job with the id of a different at-most-once job is refused", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   written(leader, submit(leader, { job: atMostOnce }));
   const other = { ...atMostOnce, spec: "another" };
   const effects = submit(leader, { job: other, submissionId: "p.2.1" });
@@ -234,7 +213,7 @@
 
 test("a recorded job is refused when the store stays unavailable", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   const writeId = lastWrite(submit(leader))?.writeId ?? 0;
   const outcome = { kind: "unknown" as const, detail: "timeout" };
   leader.after(900, { type: "recordsWritten", writeId, outcome });
@@ -260,7 +239,7 @@
 
 test("a leader that lost the records stops runs of recorded jobs", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   const started = written(leader, submit(leader));
   expect(startsOf(started).length).toEqual(1);
   const writeId = lastWrite(leader.tick(600))?.writeId ?? 0;
@@ -271,7 +250,7 @@
 
 test("a cancellation is acknowledged once the record includes it", () => {
   const leader = createTestLeader();
-  open(leader);
+  openRecords(leader);
   written(leader, submit(leader));
   const effects = leader.receive("p", {
     type: "question",
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -4,6 +4,7 @@
 import type {
   Configuration,
   InstanceInfo,
+  JobRecord,
   JobSpec,
   PeerMessage,
   PeerMessageOf,
@@ -18,6 +19,7 @@
   OwnedWorker,
   RunningRow,
   RunOutcome,
+  StoredRecord,
 } from "./types.ts";
 
 type EffectWithStart = Extract<Effect, { type: "startTask" }>;
@@ -253,6 +255,36 @@
   return instance;
 }
 
+/** Returns the record of a job without progress; version 7 of its row. */
+export function testStoredRecord(
+  fields: Partial<JobRecord> & { readonly jobId: string },
+): StoredRecord {
+  const record: JobRecord = {
+    queue: testQueue,
+    job: { ...testJob(1), isRecorded: true },
+    acceptedAtMs: 0,
+    outcome: null,
+    endedAtMs: 0,
+    done: [],
+    failures: {},
+    results: {},
+    ...fields,
+  };
+  return { record, version: 7 };
+}
+
+/** The leader reads all records under its term. */
+export function openRecords(
+  leader: TestInstance,
+  records: readonly StoredRecord[] = [],
+): Effect[] {
+  return leader.after(5, {
+    type: "recordsOpened",
+    term: leader.state.leaderTerm,
+    outcome: { kind: "opened", records },
+  });
+}
+
 /**
  * Completes the writes of records among the effects of a leader's events;
  * returns the effects that follow.
--- a/src/engine/unread_records_test.ts
+++ b/src/engine/unread_records_test.ts
@@ -4,9 +4,11 @@
 import {
   createTestLeader,
   effectsOf,
+  openRecords,
   type TestInstance,
   testJob,
   testQueue,
+  testStoredRecord,
   testSubmission,
 } from "./testing.ts";
 import type { Effect, StoredRecord } from "./types.ts";
@@ -15,20 +17,7 @@
 const recorded = { ...testJob(2), isRecorded: true };
 
 function storedRecord(outcome: JobOutcome | null = null): StoredRecord {
-  return {
-    record: {
-      jobId: JOB_ID,
-      queue: testQueue,
-      job: recorded,
-      acceptedAtMs: 0,
-      outcome,
-      endedAtMs: 0,
-      done: [],
-      failures: {},
-      results: {},
-    },
-    version: 7,
-  };
+  return testStoredRecord({ jobId: JOB_ID, job: recorded, outcome });
 }
 
 /** The outcome of opening the records while the store turns the leader away. */
@@ -40,16 +29,13 @@
   });
 }
 
+/** The leader reads all records at its next attempt. */
 function open(
   leader: TestInstance,
   records: readonly StoredRecord[],
 ): Effect[] {
   leader.tick(300);
-  return leader.after(5, {
-    type: "recordsOpened",
-    term: leader.state.leaderTerm,
-    outcome: { kind: "opened", records },
-  });
+  return openRecords(leader, records);
 }
 
 function submit(leader: TestInstance): Effect[] {
