Simulated world: one report of a connection, one limit of a busy process; comments

reportConnection serves both callers, MIN_DELAY_MS is the detector's, cellsFleet serves both draws with zone cells. Comments that leaned on the title or on each other are complete sentences.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -22,6 +22,8 @@
 const RUN_END_MS = 28_000;
 /** Number of workers of each zone in the reference fleet. */
 const REFERENCE_WORKERS_PER_ZONE = 11;
+/** Number of workers of each zone with which each zone has a leader. */
+const CELLS_WORKERS_PER_ZONE = 36;
 /** Time within which a query must be answered. */
 const QUERY_TIMEOUT_MS = 20;
 /**
@@ -388,11 +390,14 @@
   const { load, ...run } = seed % 2 === 0
     ? drawRecordedRun(seed)
     : drawRun(seed);
-  const workersPerZone = 36;
+  return { ...run, ...cellsFleet(load) };
+}
+
+/** The load and the fleet of a run whose zones have a leader each. */
+function cellsFleet(load: number): Pick<EngineRun, "load" | "workersPerZone"> {
   return {
-    ...run,
-    workersPerZone,
-    load: load * workersPerZone / REFERENCE_WORKERS_PER_ZONE,
+    workersPerZone: CELLS_WORKERS_PER_ZONE,
+    load: load * CELLS_WORKERS_PER_ZONE / REFERENCE_WORKERS_PER_ZONE,
   };
 }
 
@@ -442,14 +447,11 @@
     forMs,
   }));
   const isScaledOut = row.some(({ name }) => name === "scaleOut");
-  const workersPerZone = isScaledOut ? 36 : REFERENCE_WORKERS_PER_ZONE;
   return {
     ...run,
     // Half of the runs have only the faults of the row.
     faults: seed % 2 === 0 ? added : [...faults.slice(0, 2), ...added],
-    load: load * workersPerZone / REFERENCE_WORKERS_PER_ZONE,
-    workersPerZone,
-    addedWorkers: isScaledOut ? 10 : 0,
+    ...(isScaledOut ? { ...cellsFleet(load), addedWorkers: 10 } : { load }),
     resubmitShare: 0.2,
     restoreMs: 8,
     keepsOrder: true,
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -28,6 +28,7 @@
 } from "../src/engine/types.ts";
 import { createFakeStore } from "../src/host/fake_store.ts";
 import type { EffectOf, StoreHost } from "../src/instance/hosts.ts";
+import { MIN_DELAY_MS } from "../src/instance/pause_detector.ts";
 import {
   createRecordStore,
   type RecordStore,
@@ -48,8 +49,6 @@
 const CALL_TIMEOUT_MS = 200;
 /** Interval at which an instance tries to connect to a peer that refuses it. */
 const RECONNECT_INTERVAL_MS = 250;
-/** Shortest work of one event after which the process counts as busy. */
-const MIN_BUSY_MS = 400;
 /** Upper bound on the time after which a store call takes effect. */
 const STORE_LATENCY_MS = 8;
 const STORE_TIMEOUT_MS = 900;
@@ -553,7 +552,7 @@
     busyMs: number,
   ): void {
     instance.pausedUntilMs = queue.nowMs() + busyMs;
-    if (busyMs < MIN_BUSY_MS) return;
+    if (busyMs < MIN_DELAY_MS) return;
     runAfter(busyMs, () => {
       const type = "processBusy";
       dispatch(instance, incarnation, { type, nowMs: queue.nowMs(), busyMs });
@@ -962,35 +961,27 @@
     incarnation: number,
     other: SimulatedInstance,
   ): void {
-    const instanceId = other.instanceId;
-    runAfter(drawLatencyMs(instance.instanceId, instanceId), () => {
-      const nowMs = queue.nowMs();
-      if (other.state === null) {
-        const type = "peerDown";
-        dispatch(instance, incarnation, {
-          type,
-          nowMs,
-          instanceId,
-          refused: true,
-        });
-      } else {
-        dispatch(instance, incarnation, { type: "peerUp", nowMs, instanceId });
-      }
-    });
+    runAfter(
+      drawLatencyMs(instance.instanceId, other.instanceId),
+      () => reportConnection(instance, incarnation, { other, isCut: false }),
+    );
   }
 
-  /** Reports an attempt to connect to a peer, which succeeds or is refused. */
+  /**
+   * Reports an attempt to connect to another instance, which is refused if that
+   * one doesn't run or if the instances are cut off from each other.
+   */
   function reportConnection(
     instance: SimulatedInstance,
-    { instanceId, state }: SimulatedInstance,
-    succeeds: boolean,
+    incarnation: number,
+    { other, isCut }: { other: SimulatedInstance; isCut: boolean },
   ): void {
+    const { instanceId } = other;
     const nowMs = queue.nowMs();
-    const isUp = succeeds && state !== null;
     dispatch(
       instance,
-      instance.incarnation,
-      isUp
+      incarnation,
+      other.state !== null && !isCut
         ? { type: "peerUp", nowMs, instanceId }
         : { type: "peerDown", nowMs, instanceId, refused: true },
     );
@@ -1235,18 +1226,22 @@
     refuseConnections(instanceId, forMs) {
       const isolated = instancesById.get(instanceId) as SimulatedInstance;
       const untilMs = queue.nowMs() + forMs;
-      const isCut = (a: string, b: string): boolean =>
+      const isBetween = (a: string, b: string): boolean =>
         a === instanceId && (b === "store" || instancesById.has(b));
-      isPartitioned = isCut;
+      isPartitioned = isBetween;
       const reconnect = (): void => {
-        const isOver = queue.nowMs() >= untilMs || isPartitioned !== isCut;
+        const isOver = queue.nowMs() >= untilMs || isPartitioned !== isBetween;
+        const isCut = !isOver;
         for (const other of instances) {
           if (other === isolated) continue;
-          reportConnection(isolated, other, isOver);
-          reportConnection(other, isolated, isOver);
+          reportConnection(isolated, isolated.incarnation, { other, isCut });
+          reportConnection(other, other.incarnation, {
+            other: isolated,
+            isCut,
+          });
         }
         if (!isOver) runAfter(RECONNECT_INTERVAL_MS, reconnect);
-        else if (isPartitioned === isCut) isPartitioned = null;
+        else if (isPartitioned === isBetween) isPartitioned = null;
       };
       reconnect();
     },
--- a/src/engine/cut_off_owner_test.ts
+++ b/src/engine/cut_off_owner_test.ts
@@ -104,7 +104,8 @@
   });
 }
 
-// It took the workers back every 200 ms, in turn with the new owner.
+// A leader that was cut off took workers back every 200 ms, in turn with the new
+// leader.
 test("an instance whose peers all refuse connections does not take a worker back at once", () => {
   const owner = createOwner(["a", "b"]);
   closeConnections(owner, { peers: ["a", "b"], refused: true });
@@ -126,7 +127,8 @@
   { name: "hears no quorum", lost: ["a", "b"], reply: "unavailable" },
 ];
 
-// Its peers may have elected an owner that has accepted the job.
+// The peers of an owner that hears no quorum may have elected another one, which
+// has accepted the job.
 for (const { name, lost, reply } of denials) {
   test(`an unconfirmed owner that ${name} answers for an unknown job: ${reply}`, () => {
     const owner = createOwner(["a", "b"]);
@@ -153,8 +155,8 @@
   { name: "hears no quorum", lost: ["a", "b"], refusals: [] },
 ];
 
-// It answered "never runs" for a job that the owner of the others had accepted
-// and started.
+// An owner that was cut off refused a job as not run, which the owner elected by
+// its peers had accepted and started.
 for (const { name, lost, refusals } of outages) {
   test(`without the store, an owner that ${name} refuses ${refusals.length} of 1 submissions`, () => {
     const owner = createOwner(["a", "b"]);
@@ -176,8 +178,8 @@
   });
 }
 
-// Its own queries and submissions went to the instance that had lost the records,
-// without end.
+// An owner sent its own queries and submissions to the instance that had lost the
+// records, without end.
 test("an owner is not misled by an instance that doesn't know yet that it lost the records", () => {
   const owner = createOwner(["a", "b"]);
   const zone = owner.state.recordsZone;
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -45,8 +45,9 @@
   /** A configuration is replaced only by one with a higher version. */
   isNewer: (version, currentVersion) => version > currentVersion,
   /**
-   * One event restores or resumes a bounded number of jobs: peers choose another
-   * leader while an event takes long, and that one would take as long.
+   * One event restores or resumes a bounded number of jobs. While an event is
+   * handled no heartbeat is sent, and peers that miss heartbeats choose another
+   * leader, which has the same jobs to restore.
    */
   fitsEvent: (taskCount) => taskCount < MAX_TASKS_PER_EVENT,
   /**
--- a/src/engine/large_takeover_test.ts
+++ b/src/engine/large_takeover_test.ts
@@ -68,7 +68,7 @@
   expect(jobsLookedAt <= 2 * RECORD_COUNT).toEqual(true);
 });
 
-// Its successor would have as much to do.
+// A busy leader that stepped down left the same work to each of its successors.
 test("a leader that was kept busy by its own work remains the leader", () => {
   const leader = createTestLeader();
   leader.after(1_400, { type: "processBusy", busyMs: 1_400 });
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -374,8 +374,8 @@
 
 /**
  * Handles a delay by this process's own work, which does not count as time
- * without messages from the peers either. A leader remains one: work that is
- * due would take its successor as long. If the peers have another leader by
+ * without messages from the peers either. A leader remains one, since a
+ * successor would have the same work to do. If the peers have another leader by
  * now, its higher term and its fencing tokens take effect.
  */
 export function onProcessBusy(
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -47,7 +47,7 @@
   const workers = [...scheduler.workers.values()].filter((worker) =>
     worker.info.service === service && acceptsTasks(state, worker)
   );
-  // A pass without usable workers starts nothing, however many jobs wait.
+  // Without a usable worker no job can start, so the queue is not gone through.
   if (workers.length === 0) return;
   let oldestListsMs: number | null = null;
   const listsReadAtMs = (): number =>
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -163,8 +163,8 @@
     processOrphanCompletions(context, worker);
   }
   applyTaskCompletions(context);
-  // For all jobs at once: a completion may queue a job before it is resumed, and
-  // its other tasks must not start while their runs are not attached.
+  // A completion may queue a job before the job is resumed. Its other tasks must
+  // not start then if runs of them were found on workers.
   attachRuns(context, scheduler, records.resuming);
   scheduler.rereadWanted = true;
 }
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -155,7 +155,7 @@
     for (const effect of effects) performEffect(effect);
   }
 
-  /** Counts how long an event was handled, and logs what took long. */
+  /** Records for how long an event was handled, and logs a slow one. */
   function observeDuration({ type }: EngineEvent, tookMs: number): void {
     metrics.observeEvent(tookMs);
     if (tookMs < SLOW_EVENT_MS) return;
--- a/src/instance/pause_detector.ts
+++ b/src/instance/pause_detector.ts
@@ -10,7 +10,7 @@
 import type { ClockHost } from "../host/clock_host.ts";
 
 /** Shortest time between two calls of a detector that counts as a delay. */
-const MIN_DELAY_MS = 400;
+export const MIN_DELAY_MS = 400;
 /** Minimum interval between reads of the processor time used. */
 const CPU_READ_INTERVAL_MS = 25;
 /**
@@ -19,7 +19,7 @@
  */
 const MIN_BUSY_SHARE = 0.5;
 
-/** Delays of the process since the previous call of a detector, or 0. */
+/** How long the process was delayed since the previous call; 0 if it was not. */
 export interface Delay {
   /** Time for which the process was suspended. */
   readonly pausedMs: number;
