Ends and runs of a task count whatever state the task is in

Cause: a new leader applied an end `done` of a run that it doesn't track only to a task that is `queued`. The ends of two steps of one job arrive together, and the earlier one is applied after the later one has been looked at: the later task still waits, its end is dropped, yet it is recorded as read and acknowledged, and the task starts again. The same condition stood in three more places: a listed run that is not tracked, a tracked run without a job when its job becomes known, and the end of a tracked run that belongs to no job. An end was also applied to the pending submission of a job whose record had not been read, and lost when the restored job replaced that submission.

Ruled out: the order of the events at the takeover alone (in reverse order the end is dropped as well), and the record (it is not reached).

Change: one rule, the guards mayComplete and mayAttachRun. An end `done` completes any task that is not done; a run found is attached to a task that waits or is queued. A later run of a task that turns out to be done is stopped. A task whose run is lost waits again if an earlier step is not known to be done. Ends and runs of a job that may not start yet are those of a job not read, and are kept as such.

--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -3,10 +3,12 @@
  * must detect every mutant by a violated guarantee.
  */
 
-import type { Guards } from "../src/engine/types.ts";
+import type { Guards, TaskState } from "../src/engine/types.ts";
 import {
+  chainKinds,
   drawDeadlyRun,
   drawRecordedRun,
+  drawStepsRun,
   drawTakeoverRun,
   type EngineRun,
   simulateRun,
@@ -16,10 +18,17 @@
 const always = (): boolean => true;
 const never = (): boolean => false;
 
+/** Whether the earlier steps of a task in this state are done. */
+function isReadyState(state: TaskState): boolean {
+  return state === "queued" || state === "placed";
+}
+
 /** The mutants by name, each as the guard that it replaces. */
 export const engineMutants: Record<string, Partial<Guards>> = {
   startUnrecorded: { mayStartJob: always },
   acknowledgeEarly: { mustRetainCompletion: never },
+  completeReady: { mayComplete: ({ state }) => isReadyState(state) },
+  attachQueued: { mayAttachRun: ({ state }) => state === "queued" },
   runAgain: { mayRunAgain: always },
   overcommit: { hasRoom: always },
   serveDraining: { mayServe: always },
@@ -41,6 +50,8 @@
  */
 const drawMutantRun: Record<string, (seed: number) => EngineRun> = {
   neverGiveUp: drawDeadlyRun,
+  completeReady: drawStepsRun,
+  attachQueued: drawStepsRun,
   writeUnread: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed),
   trustRefusals: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 1),
   discardUnknown: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 2),
@@ -50,7 +61,7 @@
 
 /** Adds faults under which each condition matters, unless the run has its own. */
 function addFaults(run: EngineRun): EngineRun {
-  if (run.restoreMs !== undefined) return run;
+  if (run.restoreMs !== undefined || run.kinds === chainKinds) return run;
   return {
     ...run,
     faults: [
--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -285,6 +285,32 @@
   deadlyShare: 0.03,
 }));
 
+/** Jobs of several steps, one after the other, beside those of one step. */
+export const chainKinds: readonly JobKind[] = [
+  {
+    queue: queueOf("chain", { priority: 0 }),
+    perSecond: 8,
+    taskMs: 40,
+    cpuMilli: 2_000,
+    width: 1,
+    stepCount: 8,
+    guarantee: "recorded",
+    worth: 0,
+    lateWorth: 0,
+  },
+  {
+    queue: queueOf("pair", { priority: 1 }),
+    perSecond: 8,
+    taskMs: 400,
+    cpuMilli: 2_000,
+    width: 2,
+    stepCount: 2,
+    worth: 0,
+    lateWorth: 0,
+  },
+  ...recordedKinds,
+];
+
 /** The faults that {@linkcode drawRun} draws. */
 const drawnFaults: readonly FaultName[] = [
   "kill",
@@ -458,6 +484,39 @@
   };
 }
 
+/** Faults of {@linkcode drawStepsRun}, of which each run has one more. */
+const stepsFaults: readonly FaultName[] = [
+  "leaderKill",
+  "killAll",
+  "drain",
+  "leaderRefused",
+];
+
+/** Number of seeds after which these faults come again. */
+export const STEPS_FAULTS = stepsFaults.length;
+
+/**
+ * Draws a run with jobs of several steps in which leaders are lost, so that runs
+ * of later steps, and their ends, are found before the earlier ones are known to
+ * be done.
+ */
+export function drawStepsRun(seed: number): EngineRun {
+  const { faults, ...run } = drawRecordedRun(seed);
+  const name = stepsFaults[seed % stepsFaults.length] ?? "leaderKill";
+  const atMs = LOAD_START_MS + 1_500 + 235 * (seed % 30);
+  const added = [
+    { name, atMs, forMs: 2_000 },
+    { name: "leaderKill" as const, atMs: atMs + 5_000, forMs: 0 },
+  ];
+  return {
+    ...run,
+    load: 0.7,
+    kinds: chainKinds,
+    faults: seed % 2 === 0 ? added : [...faults.slice(0, 2), ...added],
+    keepsOrder: true,
+  };
+}
+
 /** Returns the options of the world of a run, which has the reference fleet. */
 export function worldOptions(
   {
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -94,8 +94,10 @@
   readonly taskMs: number;
   /** Mean CPU demand of a task. */
   readonly cpuMilli: number;
-  /** Mean number of tasks of a job. */
+  /** Mean number of tasks of a step. */
   readonly width: number;
+  /** Number of steps, each after the one before; 1 if undefined. */
+  readonly stepCount?: number;
   /**
    * The guarantee that its jobs request. If undefined, its jobs have no
    * persisted record, and their tasks may run again.
@@ -406,6 +408,7 @@
       );
     }
     checkGuarantee(taskName);
+    checkOrder(taskName);
     if (simulatedTasks.get(taskName)?.isDeadly === true) {
       checkCrashes(worker, taskName);
     }
@@ -428,6 +431,22 @@
     }
   }
 
+  /** Checks that the tasks of the step before were done when a task starts. */
+  function checkOrder(taskName: string): void {
+    const [jobId, occurrence, stepIndex] = taskName.split(".");
+    const before = Number(stepIndex) - 1;
+    const { width } = jobs.get(jobIdOf(taskName)) ?? { width: 0 };
+    for (let index = 0; before >= 0 && index < width; index += 1) {
+      const earlier = `${jobId}.${occurrence}.${before}.${index}`;
+      if (doneTasks.has(earlier)) continue;
+      violations.push(
+        `order: ${taskName} started before ${earlier} was done, at ${
+          Math.round(queue.nowMs())
+        }`,
+      );
+    }
+  }
+
   /** Returns the capacity that starts on a worker must respect. */
   function countedCpuMilli({ workerId, cpuMilli }: FakeWorker): number {
     const before = shrunkWorkers.get(workerId);
@@ -1062,37 +1081,45 @@
       mean: jobMs,
       spread: DECLARED_SPREAD,
     });
+    const step = {
+      count: width,
+      cpuMilli,
+      memoryMb: 64,
+      accelerators: 0,
+      estimatedMs: Math.max(1, Math.round(declaredMs)),
+    };
+    const stepCount = kind.stepCount ?? 1;
     const job: JobSpec = {
       ...guaranteeOptionsOf(kind),
       spec: "",
-      steps: [{
-        count: width,
-        cpuMilli,
-        memoryMb: 64,
-        accelerators: 0,
-        estimatedMs: Math.max(1, Math.round(declaredMs)),
-        after: [],
-      }],
+      steps: Array.from({ length: stepCount }, (_, stepIndex) => ({
+        ...step,
+        after: stepIndex === 0 ? [] : [stepIndex - 1],
+      })),
     };
     const isDeadly = kind.deadlyShare !== undefined &&
       random() < kind.deadlyShare;
     const longTask = drawLongTask(kind, width);
     let idealMs = 0;
-    for (let index = 0; index < width; index += 1) {
-      const drawnMs = drawLognormal(random, {
-        mean: jobMs,
-        spread: TASK_SPREAD,
-      });
-      const runMs = index === longTask
-        ? drawnMs * (kind.tail?.factor ?? 1)
-        : drawnMs;
-      idealMs = Math.max(idealMs, runMs);
-      simulatedTasks.set(`${jobId}.0.0.${index}`, {
-        cpuMilli,
-        runMs,
-        fails: false,
-        isDeadly: isDeadly && index === 0,
-      });
+    for (let stepIndex = 0; stepIndex < stepCount; stepIndex += 1) {
+      let longestMs = 0;
+      for (let index = 0; index < width; index += 1) {
+        const drawnMs = drawLognormal(random, {
+          mean: jobMs,
+          spread: TASK_SPREAD,
+        });
+        const runMs = index === longTask
+          ? drawnMs * (kind.tail?.factor ?? 1)
+          : drawnMs;
+        longestMs = Math.max(longestMs, runMs);
+        simulatedTasks.set(`${jobId}.0.${stepIndex}.${index}`, {
+          cpuMilli,
+          runMs,
+          fails: false,
+          isDeadly: isDeadly && stepIndex === 0 && index === 0,
+        });
+      }
+      idealMs += longestMs;
     }
     const record: CallerRecord = {
       jobId,
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -10,6 +10,7 @@
   drawDeadlyRun,
   drawRecordedRun,
   drawRun,
+  drawStepsRun,
   drawTakeoverRun,
   type EngineRun,
   simulateRun,
@@ -23,6 +24,7 @@
   cells: drawCellsRun,
   deadly: drawDeadlyRun,
   takeover: drawTakeoverRun,
+  steps: drawStepsRun,
 };
 let runs = 0;
 let failures = 0;
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -23,6 +23,17 @@
    */
   mustRetainCompletion: ({ record }) =>
     record !== null && record.storedOutcome === null,
+  /**
+   * A run that was done completes its task, also one that waits for an earlier
+   * step or that has another run: after a takeover, the ends of a job's steps
+   * arrive in any order.
+   */
+  mayComplete: ({ state }) => state !== "done",
+  /**
+   * A run that a previous leader started is that of its task, also if the task
+   * waits for an earlier step, unless the task has another run or is done.
+   */
+  mayAttachRun: ({ state }) => state === "waiting" || state === "queued",
   /** A task of an at-most-once job runs again only if its run never started. */
   mayRunAgain: ({ spec }, kind) =>
     spec.isAtMostOnce !== true || kind === "notStarted",
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -12,7 +12,7 @@
 import { placeQueuedTasks } from "./placement.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import { discardUnwritable, markDirty } from "./records.ts";
-import { attachRuns, stopRun } from "./runs.ts";
+import { attachRuns, stopRun, stopTaskRuns } from "./runs.ts";
 import type { PeerMessageOf, Reply } from "./schemas.ts";
 import type {
   Job,
@@ -79,6 +79,8 @@
   context: ReduceContext,
   { job, task, result }: TaskCompletion,
 ): void {
+  // An earlier run than the latest one was done.
+  if (task.workerId !== null) stopTaskRuns(context, task.workerId, task);
   task.state = "done";
   task.workerId = null;
   task.result = result ?? null;
@@ -102,12 +104,16 @@
   return hasResults ? { kind: "done", results } : { kind: "done" };
 }
 
-/** Updates a task whose run failed, was lost or never started. */
+/**
+ * Updates a task whose run failed, was lost or never started. It waits again if
+ * an earlier step is not known to be done: a previous leader started the run.
+ */
 function requeueTask(
   { state }: ReduceContext,
-  { task, workerId, kind }: TaskCompletion,
+  { job, task, workerId, kind }: TaskCompletion,
 ): void {
-  task.state = "queued";
+  task.state = "waiting";
+  queueReadyTasks(job);
   task.workerId = null;
   if (kind === "notStarted") task.mayHaveStarted = false;
   if (kind !== "failed") return;
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -211,6 +211,19 @@
   });
 }
 
+/** Stops the runs of a task that are tracked on a worker. */
+export function stopTaskRuns(
+  context: ReduceContext,
+  workerId: string,
+  task: Task,
+): void {
+  const worker = context.state.scheduler?.workers.get(workerId);
+  if (worker === undefined) return;
+  for (const run of worker.runs.values()) {
+    if (run.task === task) stopRun(context, worker, run);
+  }
+}
+
 /**
  * Processes one completion from a worker's list. The worker retains a
  * completion of a recorded job until the record includes it. It also retains
@@ -224,7 +237,7 @@
   const { scheduler, guards } = context.state;
   if (scheduler === null) return;
   const run = worker.runs.get(runKey(row.taskName, row.run));
-  const job = run?.job ?? findTask(context, row.taskName)?.job ?? null;
+  const job = findTask(context, row.taskName)?.job ?? run?.job ?? null;
   const { sequence } = row;
   const { retainedSequences } = worker;
   const { recordsExist, nowMs } = context.state;
@@ -272,7 +285,7 @@
   // The run may still be tracked on the worker that this leader gave up.
   const worker = scheduler.workers.get(workerId);
   if (worker !== undefined) applyCompletion(context, worker, row);
-  else if (row.end === "done") attachCompletion(context, workerId, row);
+  else if (row.end === "done") completeTask(context, workerId, row);
   if (job.record === null || !guards.mustRetainCompletion(job)) return;
   retainCompletion(scheduler, job.record, {
     job,
@@ -288,11 +301,10 @@
   context: ReduceContext,
   worker: OwnedWorker,
 ): void {
-  const { scheduler } = context.state;
   const rows = worker.orphanCompletions;
   worker.orphanCompletions = [];
   for (const row of rows) {
-    if (scheduler?.jobs.has(jobIdOf(row.taskName)) !== true) {
+    if (findTask(context, row.taskName) === null) {
       worker.orphanCompletions.push(row);
       continue;
     }
@@ -338,57 +350,67 @@
     known: run !== undefined,
     tookMs: run === undefined ? null : Math.round(state.nowMs - run.placedAtMs),
   });
-  if (run === undefined) {
-    const { workerId } = worker.info;
-    if (row.end === "done") attachCompletion(context, workerId, row);
+  const { workerId } = worker.info;
+  if (row.end === "done") {
+    if (run !== undefined) removeDoneRun(context, worker, run);
+    completeTask(context, workerId, row);
     return;
   }
+  if (run === undefined) return;
   const failed = row.end === "failed";
   // On the wire, `lapsed` means that the lease of the run expired.
   if (row.end === "lapsed") state.counters.tasksLapsed += 1;
-  if (row.end === "done" && run.job !== null && run.task !== null) {
-    const { job, task } = run;
-    removeRun(worker, run);
-    isolateJob(context, job, {
-      stage: "complete",
-      fallback: undefined,
-      run: () => learnFromRun(state, worker, run),
-    });
-    const { workerId } = worker.info;
-    const { result } = row;
-    context.taskCompletions.push({ job, task, workerId, kind: "done", result });
-    return;
-  }
   if (failed) countFailures(state, worker, { run, count: 1 });
   dropRun(context, worker, { run, kind: failed ? "failed" : "lost" });
 }
 
+/** Removes a run that was successful, and updates estimates by its run time. */
+function removeDoneRun(
+  context: ReduceContext,
+  worker: OwnedWorker,
+  run: WorkerRun,
+): void {
+  removeRun(worker, run);
+  if (run.job === null) return;
+  isolateJob(context, run.job, {
+    stage: "complete",
+    fallback: undefined,
+    run: () => learnFromRun(context.state, worker, run),
+  });
+}
+
 /**
- * Adds a completion for a successful run that is not tracked here, such as one
- * that a previous leader started, if its task is still queued.
+ * Adds a completion for the task of a successful run, which need not be tracked
+ * here or be the latest run: a previous leader may have started it. That the run
+ * was done decides, whatever state its task is in.
  */
-function attachCompletion(
+function completeTask(
   context: ReduceContext,
   workerId: string,
   row: FinishedRow,
 ): void {
   const found = findTask(context, row.taskName);
-  if (found === null || found.task.state !== "queued") return;
+  if (found === null || !context.state.guards.mayComplete(found.task)) return;
   const { result } = row;
   context.taskCompletions.push({ ...found, workerId, kind: "done", result });
 }
 
-/** Returns a task and its job by the name of the task, or null if unknown. */
+/**
+ * Returns a task and its job by the name of the task. Returns null if the job is
+ * unknown or may not start: runs of such a job belong to one that the records
+ * contain, which have not been read yet.
+ */
 function findTask(
   context: ReduceContext,
   taskName: string,
 ): { job: Job; task: Task } | null {
-  const job = context.state.scheduler?.jobs.get(jobIdOf(taskName));
-  if (job === undefined) return null;
+  const { scheduler, guards } = context.state;
+  const job = scheduler?.jobs.get(jobIdOf(taskName));
+  if (job === undefined || !guards.mayStartJob(job.record)) return null;
   const task = isolateJob(context, job, {
     stage: "complete",
     fallback: undefined,
-    run: () => job.tasks.find((candidate) => candidate.name === taskName),
+    run: () => job.tasks.find(({ name }) => name === taskName),
   });
   return task === undefined ? null : { job, task };
 }
@@ -485,7 +507,7 @@
 /**
  * Adds a listed run that is not tracked here, such as one that a previous
  * leader started. It is attached to its job if the job has not ended and the
- * task is still queued; else its size is unknown.
+ * task has no other run; else its size is unknown.
  */
 function addUntrackedRun(
   context: ReduceContext,
@@ -494,8 +516,8 @@
 ): WorkerRun {
   const { state } = context;
   const found = findTask(context, row.taskName);
-  const canAttach = found !== null && found.task.state === "queued" &&
-    found.job.outcome === null;
+  const canAttach = found !== null && found.job.outcome === null &&
+    state.guards.mayAttachRun(found.task);
   const run: WorkerRun = {
     taskName: row.taskName,
     run: row.run,
@@ -537,8 +559,8 @@
 }
 
 /**
- * Attaches tracked runs of the jobs' queued tasks to the jobs, if they belong to
- * no job or to an ended one. This includes runs that are being stopped.
+ * Attaches tracked runs of the jobs' tasks to the jobs, if they belong to no job
+ * or to an ended one. This includes runs that are being stopped.
  */
 export function attachRuns(
   context: ReduceContext,
@@ -560,14 +582,14 @@
   }
 }
 
-/** Attaches a tracked run to its job if the task of the run is queued. */
+/** Attaches a tracked run to its job if its task has no other run. */
 function attachRun(
   context: ReduceContext,
   worker: OwnedWorker,
   { run, job }: { run: WorkerRun; job: Job },
 ): void {
   const task = job.tasks.find(({ name }) => name === run.taskName);
-  if (task?.state !== "queued") return;
+  if (task === undefined || !context.state.guards.mayAttachRun(task)) return;
   resizeRun(worker, run, task);
   run.job = job;
   run.task = task;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -897,6 +897,8 @@
 export interface Guards {
   readonly mayStartJob: (record: RecordState | null) => boolean;
   readonly mustRetainCompletion: (job: Job) => boolean;
+  readonly mayComplete: (task: Pick<Task, "state">) => boolean;
+  readonly mayAttachRun: (task: Pick<Task, "state">) => boolean;
   readonly mayRunAgain: (job: Job, kind: TaskCompletion["kind"]) => boolean;
   readonly hasRoom: (worker: OwnedWorker, task: Task) => boolean;
   readonly mayServe: (worker: OwnedWorker) => boolean;
