A follower follows its leader anew in each term

Callers saw: no answer until their deadline for jobs of other entries, after a leader had stepped down and was the next leader as well, such as after a pause of 400 to 500 ms.

Cause: followHighestLeader returned as soon as the leader is the one that is followed, whatever its term. A leader that is elected again before its followers miss it sends its heartbeats as before, with another term. The followers kept the old term, took their jobs for submitted, and never submitted them again, but its jobs were lost with the earlier term.

Ruled out: jobs of the leader's own callers (they are submitted again as it becomes the leader), entries of other cells (they use the term of the heartbeat).

Change: a leader in another term is followed anew, which submits all jobs again as ones that may have been started.

Test: leader_terms_test.ts, "a job is submitted again to a leader in a new term", two cases, both red before.

--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -127,7 +127,8 @@
 /**
  * Follows the active leader that outranks all others among the cell's peers, if
  * it outranks the present leader too or there is none. If the present leader is
- * this instance, it steps down first.
+ * this instance, it steps down first. A leader is followed anew in each of its
+ * terms: it may have stepped down in between, unnoticed here.
  */
 function followHighestLeader(context: ReduceContext): void {
   const { state } = context;
@@ -136,7 +137,11 @@
     if (!isActiveLeader(state, peer)) continue;
     if (best === null || outranks(peer, best)) best = peer;
   }
-  if (best === null || best.info.instanceId === state.leaderId) return;
+  if (best === null) return;
+  if (best.info.instanceId === state.leaderId) {
+    if (best.term !== state.leaderTerm) followLeader(context, best);
+    return;
+  }
   const current = {
     term: state.leaderTerm,
     provisional: state.leaderProvisional,
