A submission for an earlier term is one of a job that may be known

Cause: an entry that reconnects to its leader submits its jobs again, as to the leader that has them (`resubmitted` is false). If that leader was paused, has stepped down and is the leader in a new term, it doesn't know the job, takes it for a new one, and starts it at once on the workers whose lists it has read. The runs on workers that it has not read are found a moment later and belong to no task any more. Such a job could also be refused as not run.

Ruled out: a second leader (the order needs none), an election that others see (the followers don't notice it).

Change: a submission names the term in which its sender takes the recipient for the leader. The field is optional, for entries of earlier builds.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -116,6 +116,7 @@
     availabilityZone: state.self.availabilityZone,
     ageMs: Math.round(state.nowMs - callerJob.receivedAtMs),
     timeLeftMs: Math.round(callerJob.deadlineAtMs - state.nowMs),
+    term: leader.term,
     resubmitted: callerJob.mayHaveStarted,
     leftCell: callerJob.leftCell,
     answerAt: callerJob.answerAt,
--- a/src/engine/leader_terms_test.ts
+++ b/src/engine/leader_terms_test.ts
@@ -2,11 +2,13 @@
 import { expect } from "earl";
 import {
   createTestInstance,
+  createTestLeader,
   effectsOf,
   testHeartbeat,
   type TestInstance,
   testJob,
   testQueue,
+  testSubmission,
   testWorker,
 } from "./testing.ts";
 import type { Effect } from "./types.ts";
@@ -64,3 +66,53 @@
     expect(submissionsOf(hearLeader(follower, SECOND_TERM))).toEqual([]);
   });
 }
+
+/** A leader whose process was paused, and which is the leader again. */
+function createReelectedLeader(): TestInstance {
+  const leader = createTestLeader();
+  leader.tick(2_000);
+  leader.after(420, { type: "processPaused", pausedMs: 420 });
+  while (leader.state.scheduler === null) leader.tick();
+  return leader;
+}
+
+function startsOf(effects: readonly Effect[]): string[] {
+  return effectsOf(effects, "startTask").map(({ taskName }) => taskName);
+}
+
+/** Submissions by an entry that may not have heard of the leader's term. */
+const submissions: { name: string; termsAgo: number; starts: string[] }[] = [
+  { name: "the present term", termsAgo: 0, starts: [`${JOB_ID}.0.0.0`] },
+  { name: "an earlier term", termsAgo: 1, starts: [] },
+];
+
+// The users' own run: two tasks of a job ran twice, both started by one leader.
+// An entry that reconnects submits its jobs again, as to the leader that has
+// them. That one had begun a new term, took them for new ones, and started them
+// beside their runs on workers that it had not read yet.
+for (const { name, termsAgo, starts } of submissions) {
+  test(`a job submitted for ${name} starts ${starts.length} times before all workers are read`, () => {
+    const leader = createReelectedLeader();
+    leader.completePoll("w2");
+    leader.tick(100);
+    const term = leader.state.leaderTerm - termsAgo;
+    const message = testSubmission({ jobId: JOB_ID, term });
+    expect(startsOf(leader.receive("p", message))).toEqual(starts);
+    leader.completePoll("w1", {
+      running: [{ taskName: `${JOB_ID}.0.0.0`, run: 1, percent: 50 }],
+    });
+    const later = [...leader.completePoll("w2"), ...leader.tick(100)];
+    expect(startsOf(later)).toEqual([]);
+  });
+}
+
+test("a job submitted for an earlier term is not refused", () => {
+  const leader = createReelectedLeader();
+  const term = leader.state.leaderTerm - 1;
+  const message = testSubmission({ jobId: JOB_ID, term, timeLeftMs: 20 });
+  const effects = leader.receive("p", message);
+  const refusals = effectsOf(effects, "sendPeer").filter(({ message }) =>
+    message.type === "jobEnded" && message.outcome.kind === "refused"
+  );
+  expect(refusals).toEqual([]);
+});
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -169,6 +169,12 @@
   ageMs: z.number(),
   /** Time for which the callers continue to wait. */
   timeLeftMs: z.number(),
+  /**
+   * The term in which the sender takes the recipient for the leader; undefined
+   * if the sender doesn't tell. The leader of a later term has lost what it was
+   * sent in this one.
+   */
+  term: z.number().optional(),
   /** The job was submitted to another leader or term before. */
   resubmitted: z.boolean(),
   /**
