The outcome of a start is not taken for that of an earlier term

Workers saw (by the unit test): a run at work is taken for one that did not start, and its task is started again on another worker.

Cause: the runs of a job in memory are numbered anew when an instance is the leader again. The outcome of a start that it requested in the earlier term, a refusal or a refused connection that arrives late, was matched by task and number alone, and ended the run with that number.

Ruled out: the outcomes of polls, whose ids are unique in the process.

Change: a run has the fencing token that its start carried, and the outcome of a start concerns it only if it has the same one. The outcome of a stop concerns only a run that is being stopped.

Test: "the outcome of a start in an earlier term ends no run", three cases, red before.

--- a/src/engine/leader_terms_test.ts
+++ b/src/engine/leader_terms_test.ts
@@ -116,3 +116,43 @@
   );
   expect(refusals).toEqual([]);
 });
+
+const lateOutcomes = [
+  { name: "fenced", outcome: { kind: "refused", reason: "fenced" } },
+  { name: "unhealthy", outcome: { kind: "unhealthy" } },
+  { name: "not sent", outcome: { kind: "notSent", detail: "ECONNREFUSED" } },
+] as const;
+
+// The runs of a job are numbered anew in each term.
+for (const { name, outcome } of lateOutcomes) {
+  test(`the outcome of a start in an earlier term ends no run: ${name}`, () => {
+    const leader = createTestLeader();
+    leader.tick(2_000);
+    const message = testSubmission({ jobId: JOB_ID });
+    const [before] = effectsOf(leader.receive("p", message), "startTask");
+    leader.after(420, { type: "processPaused", pausedMs: 420 });
+    while (leader.state.scheduler === null) leader.tick();
+    for (const workerId of ["w1", "w2"]) leader.completePoll(workerId);
+    leader.tick(100);
+    const again = testSubmission({ jobId: JOB_ID, resubmitted: true });
+    const effects = [
+      ...leader.receive("p", again),
+      ...leader.completePoll("w1"),
+      ...leader.completePoll("w2"),
+    ];
+    const [start] = effectsOf(effects, "startTask");
+    expect(start?.workerId).toEqual(before?.workerId);
+    expect(start?.run).toEqual(before?.run);
+    leader.acknowledgeStart(start!);
+    const { workerId, taskName, run, fence } = before!;
+    const late = leader.after(1, {
+      type: "startCompleted",
+      workerId,
+      taskName,
+      run,
+      fence,
+      outcome,
+    });
+    expect(startsOf([...late, ...leader.tick(400)])).toEqual([]);
+  });
+}
--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -100,7 +100,9 @@
 
 /**
  * Handles the outcome of a start. Returns the worker, whose capacity may have
- * changed; null if the worker or the run is no longer known.
+ * changed; null if the worker or the run is no longer known. The outcome may be
+ * that of a run with the same number, which this instance started in an earlier
+ * term as the leader.
  */
 export function onStartCompleted(
   context: ReduceContext,
@@ -108,7 +110,7 @@
 ): OwnedWorker | null {
   const worker = context.state.scheduler?.workers.get(event.workerId);
   const run = worker?.runs.get(runKey(event.taskName, event.run));
-  if (worker === undefined || run === undefined) return null;
+  if (worker === undefined || run?.startFence !== event.fence) return null;
   const handler = startHandlers[event.outcome.kind] as (
     context: ReduceContext,
     start: StartRequest,
@@ -119,8 +121,9 @@
 }
 
 /**
- * Handles the outcome of a stop. A failed one needs no action, since stops are
- * repeated until the run is known to have ended.
+ * Handles the outcome of a stop, which may be that of a run in an earlier term,
+ * as above. A failed one needs no action, since stops are repeated until the run
+ * is known to have ended.
  */
 export function onStopCompleted(
   context: ReduceContext,
@@ -128,7 +131,6 @@
 ): void {
   const worker = context.state.scheduler?.workers.get(event.workerId);
   const run = worker?.runs.get(runKey(event.taskName, event.run));
-  if (worker === undefined || run === undefined) return;
-  if (event.outcome.kind !== "stopped") return;
+  if (run?.state !== "stopping" || event.outcome.kind !== "stopped") return;
   run.ackedAtMs = context.state.nowMs;
 }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -570,6 +570,11 @@
    */
   sizeUnknown: boolean;
   state: "starting" | "running" | "stopping";
+  /**
+   * The fencing token that the start carried; null if the run was found on the
+   * worker.
+   */
+  readonly startFence: number | null;
   /** Time at which the start was sent, or at which an untracked run was found. */
   readonly placedAtMs: number;
   /**
