An entry that restarts has its jobs in memory withdrawn at once

Cause: a leader drops a job when none of its entries is heard from for 750 ms. An entry whose process is back sooner is heard from all the time, but has lost its jobs: the leader ran them on until the deadline. The caller comes again after 1.3 s, maybe at another zone, whose leader starts the job beside those runs.

Ruled out: the withdrawal of a caller's connection (none is sent, the process has ended), a lost stop (none was sent).

Change: the first message of a new incarnation of a peer withdraws its jobs without a record. A message of the previous incarnation that arrives after that is ignored; it would have passed for one more restart.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -73,6 +73,30 @@
    * of its previous owner have expired: that one starts the tasks again then.
    */
   mayGrantLease: (nowMs, previousExpireAtMs) => nowMs >= previousExpireAtMs,
+  /**
+   * A leader in another term has lost the jobs that it was sent in the term in
+   * which it is followed.
+   */
+  mustFollowAnew: (term, followedTerm) => term !== followedTerm,
+  /**
+   * A submission for another term than that of the leader may be one of a job
+   * that an earlier leader, or this one in an earlier term, has started.
+   */
+  mayBeNew: ({ resubmitted, term }, ownTerm) =>
+    !resubmitted && (term === undefined || term === ownTerm),
+  /**
+   * The runs of a job in memory are numbered anew in each term, but no fencing
+   * token comes again.
+   */
+  isOutcomeOf: ({ startFence }, fence) => startFence === fence,
+  /**
+   * An entry that has restarted has lost its jobs. Start times are compared for
+   * equality only, since the wall clock may have been set back, and messages of
+   * the previous incarnation may arrive after the first one of the present.
+   */
+  isNewIncarnation: ({ startedAtMs: knownAtMs, endedStartAtMs }, startedAtMs) =>
+    knownAtMs !== null && startedAtMs !== knownAtMs &&
+    startedAtMs !== endedStartAtMs,
   /**
    * A leader that hears no quorum may have been replaced, whether its peers are
    * silent or refuse connections.
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -295,6 +295,28 @@
   finishJob(context, job, { kind: "unknown", reason: "deadline" });
 }
 
+/**
+ * Ends the jobs without a record of an entry that has restarted, unless another
+ * entry waits for them. Their callers come again, maybe to another leader.
+ */
+export function withdrawAll(context: ReduceContext, from: string): void {
+  const { scheduler } = context.state;
+  if (scheduler === null) return;
+  let count = 0;
+  for (
+    const { jobId, outcome, submissionIdByEntry } of scheduler.jobs.values()
+  ) {
+    if (outcome !== null || !submissionIdByEntry.has(from)) continue;
+    onWithdraw(context, from, { type: "withdraw", jobId });
+    count += 1;
+  }
+  if (count === 0) return;
+  logDecision(context, {
+    part: "jobs",
+    text: "entry has restarted; its jobs are withdrawn",
+  }, { entryId: from, jobs: count });
+}
+
 /**
  * Cancels a job. Returns the reply, or null if the reply is sent once the
  * outcome has been written to the job's record.
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -139,7 +139,9 @@
   }
   if (best === null) return;
   if (best.info.instanceId === state.leaderId) {
-    if (best.term !== state.leaderTerm) followLeader(context, best);
+    if (state.guards.mustFollowAnew(best.term, state.leaderTerm)) {
+      followLeader(context, best);
+    }
     return;
   }
   const current = {
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -163,6 +163,7 @@
     lastHeardAtMs: 0,
     heardBeforeLossAtMs: 0,
     startedAtMs: null,
+    endedStartAtMs: null,
     lastSentAtMs: -Infinity,
     connected: false,
     refusedAtMs: 0,
@@ -190,7 +191,7 @@
   const { instance, known } = message;
   updateKnownInstances(context, [instance, ...known]);
   const peer = state.peers.get(from);
-  if (peer === undefined) return;
+  if (peer === undefined || hasEnded(peer, instance.bornMs)) return;
   resetIfRestarted(peer, instance.bornMs);
   peer.info = instance;
   updateLastHeard(state, from);
@@ -257,14 +258,31 @@
   );
 }
 
+/** Whether a message is the first one of a new incarnation of a known peer. */
+export function hasRestarted(
+  { peers, guards }: EngineState,
+  from: string,
+  startedAtMs: number,
+): boolean {
+  const peer = peers.get(from);
+  return peer !== undefined && guards.isNewIncarnation(peer, startedAtMs);
+}
+
+/**
+ * Whether a message is one of a peer's previous incarnation. It may arrive after
+ * the first one of the present incarnation, on another connection.
+ */
+function hasEnded({ endedStartAtMs }: Peer, startedAtMs: number): boolean {
+  return endedStartAtMs === startedAtMs;
+}
+
 /**
  * Discards the leadership of a peer's previous incarnation, and the time of its
  * latest heartbeat, since the peer's monotonic clock restarts with the process.
- * Start times are compared for equality only: the wall clock may have been set
- * back.
  */
 function resetIfRestarted(peer: Peer, startedAtMs: number): void {
   if (peer.startedAtMs === startedAtMs) return;
+  peer.endedStartAtMs = peer.startedAtMs;
   peer.startedAtMs = startedAtMs;
   peer.lastSentAtMs = -Infinity;
   peer.isLeader = false;
@@ -279,7 +297,7 @@
 ): void {
   const { state } = context;
   const peer = state.peers.get(from);
-  if (peer === undefined) return;
+  if (peer === undefined || hasEnded(peer, message.bornMs)) return;
   resetIfRestarted(peer, message.bornMs);
   // A later heartbeat on a newer connection may have overtaken this one.
   if (message.sentAtMs < peer.lastSentAtMs) return;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -17,7 +17,12 @@
 import { logDecision, sendPeer } from "./effects.ts";
 import { defaultGuards } from "./guards.ts";
 import { checkJobs } from "./job_watch.ts";
-import { applyTaskCompletions, endFaultyJobs, onWithdraw } from "./jobs.ts";
+import {
+  applyTaskCompletions,
+  endFaultyJobs,
+  onWithdraw,
+  withdrawAll,
+} from "./jobs.ts";
 import {
   checkLeadership,
   handOverLeadership,
@@ -27,6 +32,7 @@
 } from "./leadership.ts";
 import {
   checkPeers,
+  hasRestarted,
   heartbeatAll,
   onHeartbeat,
   onHello,
@@ -175,10 +181,14 @@
 
 const peerHandlers: PeerHandlers = {
   heartbeat: (context, from, message) => {
+    endPreviousIncarnation(context, from, message.bornMs);
     onHeartbeat(context, from, message);
     checkLeadership(context);
   },
-  hello: onHello,
+  hello: (context, from, message) => {
+    endPreviousIncarnation(context, from, message.instance.bornMs);
+    onHello(context, from, message);
+  },
   submit: onSubmit,
   withdraw: onWithdraw,
   jobEnded: onJobEnded,
@@ -201,6 +211,17 @@
   runsGone: onRunsGone,
 };
 
+/** Withdraws the jobs of a peer if the message is the first since its restart. */
+function endPreviousIncarnation(
+  context: ReduceContext,
+  from: string,
+  startedAtMs: number,
+): void {
+  if (hasRestarted(context.state, from, startedAtMs)) {
+    withdrawAll(context, from);
+  }
+}
+
 function handlePeerMessage(
   context: ReduceContext,
   from: string,
--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -110,7 +110,8 @@
 ): OwnedWorker | null {
   const worker = context.state.scheduler?.workers.get(event.workerId);
   const run = worker?.runs.get(runKey(event.taskName, event.run));
-  if (worker === undefined || run?.startFence !== event.fence) return null;
+  if (worker === undefined || run === undefined) return null;
+  if (!context.state.guards.isOutcomeOf(run, event.fence)) return null;
   const handler = startHandlers[event.outcome.kind] as (
     context: ReduceContext,
     start: StartRequest,
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -47,7 +47,8 @@
   const { state } = context;
   const { scheduler } = state;
   if (scheduler === null) return;
-  const message = { ...received, resubmitted: mayBeKnown(received, scheduler) };
+  const resubmitted = !state.guards.mayBeNew(received, scheduler.term);
+  const message = { ...received, resubmitted };
   if (isFaultyJob(state, message.jobId)) {
     const { jobId, submissionId } = message;
     const outcome = faultyJobOutcome;
@@ -70,18 +71,6 @@
   });
 }
 
-/**
- * Whether another leader, or this instance in an earlier term, may have got the
- * job before. An entry that has not heard of the present term does not know that
- * the job was lost with the earlier one.
- */
-function mayBeKnown(
-  { resubmitted, term }: Submit,
-  scheduler: Scheduler,
-): boolean {
-  return resubmitted || (term !== undefined && term !== scheduler.term);
-}
-
 /** Refuses a submitted job, or admits it and starts it if it may start. */
 function admitJob(
   context: ReduceContext,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -346,6 +346,8 @@
    * before its first hello or heartbeat.
    */
   startedAtMs: number | null;
+  /** The same of its previous incarnation; null if none was heard from. */
+  endedStartAtMs: number | null;
   /** The peer's monotonic clock in its latest heartbeat. */
   lastSentAtMs: number;
   connected: boolean;
@@ -914,6 +916,19 @@
   ) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
+  readonly mustFollowAnew: (term: number, followedTerm: number) => boolean;
+  readonly mayBeNew: (
+    submission: Pick<PeerMessageOf<"submit">, "resubmitted" | "term">,
+    ownTerm: number,
+  ) => boolean;
+  readonly isOutcomeOf: (
+    run: Pick<WorkerRun, "startFence">,
+    fence: number,
+  ) => boolean;
+  readonly isNewIncarnation: (
+    peer: Pick<Peer, "startedAtMs" | "endedStartAtMs">,
+    startedAtMs: number,
+  ) => boolean;
   readonly mayHaveRival: (
     view: {
       readonly seesQuorum: boolean;
