Randomised runs of a large fleet

Change: drawGrownRun, 4 zones of 4 instances and 28 workers, rows of overlapping faults (grown_faults.ts). Callers whose connections end come again after 1.3 s, and each job in memory must get an answer. A refusal of a further request for a job in memory says nothing of the requests before it (RULES.md, REFUSED: "all client attempts to hand its job in were rejected"); for jobs with a guarantee the check is as strict as before, and no run before this one had such requests.

--- /dev/null
+++ b/bench/grown_runs_test.ts
@@ -0,0 +1,35 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { findDetection, grownMutants } from "./engine_mutants.ts";
+import { drawGrownRun, simulateRun } from "./engine_runs.ts";
+
+/** Number of seeds within which randomized runs must detect every mutant. */
+const SEEDS = 4;
+
+/** Runs that violated a guarantee in the past, with the failure. */
+const regressions = [
+  {
+    failure: "a leader refused jobs that it had started in its previous term",
+    seed: 1,
+  },
+  {
+    failure: "a run of a later step was not attached to its job",
+    seed: 4,
+  },
+  {
+    failure: "a leader ran jobs on whose entry had restarted",
+    seed: 41,
+  },
+];
+
+for (const { failure, seed } of regressions) {
+  test(`drawGrownRun ${seed}: ${failure}`, async () => {
+    expect((await simulateRun(drawGrownRun(seed))).violations).toEqual([]);
+  });
+}
+
+for (const name of Object.keys(grownMutants)) {
+  test(`runs of a large fleet detect mutant ${name}`, async () => {
+    expect(await findDetection(name, { seeds: SEEDS })).not.toEqual(null);
+  });
+}
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -8,6 +8,7 @@
 import {
   drawCellsRun,
   drawDeadlyRun,
+  drawGrownRun,
   drawRecordedRun,
   drawRun,
   drawStepsRun,
@@ -25,6 +26,7 @@
   deadly: drawDeadlyRun,
   takeover: drawTakeoverRun,
   steps: drawStepsRun,
+  grown: drawGrownRun,
 };
 let runs = 0;
 let failures = 0;
