A job that arrives before the first sign of an entry's restart goes on

A second fault restarts an instance that runs already, and the callers of the replaced process did not come again.

Change: submission ids name the incarnation of the entry; those of the present one are not withdrawn. The world lets these callers come again.

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -1358,7 +1358,11 @@
     for (const other of instances) {
       if (other.state !== null) connectPeer(other, other.incarnation, instance);
     }
-    runAfter(downMs, () => startInstance(instance));
+    runAfter(downMs, () => {
+      // A second fault may have restarted the instance in the meantime.
+      if (instance.state !== null) resendJobsOf(instance);
+      startInstance(instance);
+    });
   }
 
   for (const instance of instances) {
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -54,7 +54,8 @@
   const { instanceId, bornMs } = state.self;
   const callerJob: CallerJob = {
     jobId: event.jobId,
-    submissionPrefix: `${instanceId}.${bornMs}.${state.lastSubmissionNumber}`,
+    submissionPrefix: incarnationPrefix(instanceId, bornMs) +
+      state.lastSubmissionNumber,
     queue: event.queue,
     job: event.job,
     receivedAtMs: event.nowMs,
@@ -76,6 +77,19 @@
   if (leader !== null) submit(context, callerJob, leader);
 }
 
+/** Begins the ids of all submissions by one incarnation of an instance. */
+function incarnationPrefix(instanceId: string, startedAtMs: number): string {
+  return `${instanceId}.${startedAtMs}.`;
+}
+
+/** Whether a submission was made by the given incarnation of an instance. */
+export function isSubmittedBy(
+  submissionId: string,
+  { instanceId, startedAtMs }: { instanceId: string; startedAtMs: number },
+): boolean {
+  return submissionId.startsWith(incarnationPrefix(instanceId, startedAtMs));
+}
+
 /** Identifies a job's latest submission, to tell it from earlier ones. */
 function submissionIdOf(
   { submissionPrefix, submissionCount }: CallerJob,
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -1,5 +1,6 @@
 /** Jobs at the leader: start, completions of tasks, outcome and its reports. */
 
+import { isSubmittedBy } from "./callers.ts";
 import { countCrash } from "./crashes.ts";
 import { assert } from "./debug.ts";
 import { logDecision, sendPeer } from "./effects.ts";
@@ -296,25 +297,32 @@
 }
 
 /**
- * Ends the jobs without a record of an entry that has restarted, unless another
- * entry waits for them. Their callers come again, maybe to another leader.
+ * Ends the jobs without a record that an entry had before it restarted, unless
+ * another entry waits for them. Their callers come again, maybe to another
+ * leader.
  */
-export function withdrawAll(context: ReduceContext, from: string): void {
+export function withdrawAll(
+  context: ReduceContext,
+  { instanceId, startedAtMs }: { instanceId: string; startedAtMs: number },
+): void {
   const { scheduler } = context.state;
   if (scheduler === null) return;
   let count = 0;
   for (
     const { jobId, outcome, submissionIdByEntry } of scheduler.jobs.values()
   ) {
-    if (outcome !== null || !submissionIdByEntry.has(from)) continue;
-    onWithdraw(context, from, { type: "withdraw", jobId });
+    const submissionId = submissionIdByEntry.get(instanceId);
+    if (outcome !== null || submissionId === undefined) continue;
+    // A submission may be the first message that arrives after the restart.
+    if (isSubmittedBy(submissionId, { instanceId, startedAtMs })) continue;
+    onWithdraw(context, instanceId, { type: "withdraw", jobId });
     count += 1;
   }
   if (count === 0) return;
   logDecision(context, {
     part: "jobs",
     text: "entry has restarted; its jobs are withdrawn",
-  }, { entryId: from, jobs: count });
+  }, { entryId: instanceId, jobs: count });
 }
 
 /**
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -218,7 +218,7 @@
   startedAtMs: number,
 ): void {
   if (hasRestarted(context.state, from, startedAtMs)) {
-    withdrawAll(context, from);
+    withdrawAll(context, { instanceId: from, startedAtMs });
   }
 }
 
--- a/src/engine/restarted_entry_test.ts
+++ b/src/engine/restarted_entry_test.ts
@@ -95,6 +95,15 @@
   expect(stopsOf(hear(leader, "p", SECOND_START_MS))).toEqual([]);
 });
 
+test("a job that arrives before the first sign of a restart goes on", () => {
+  const leader = createLeaderWithRun();
+  const submissionId = `p.${SECOND_START_MS}.1.1`;
+  const jobId = "00000000000000bb";
+  leader.receive("p", testSubmission({ jobId, submissionId }));
+  hear(leader, "p", SECOND_START_MS);
+  expect(leader.state.scheduler?.jobs.get(jobId)?.outcome).toEqual(null);
+});
+
 // The messages are on different connections.
 test("a late message of an ended incarnation ends no job of the present one", () => {
   const leader = createLeaderWithRun();
