--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -498,13 +498,31 @@
     const isGone = run.state !== "starting" && goneAtMs < sentAtMs;
     const requestedBefore = run.placedAtMs < sentAtMs;
     if (isGone || (underNewFence && requestedBefore)) {
-      if (run.state === "starting") {
-        dropRun(context, worker, { run, kind: "notStarted" });
-      } else dropGoneRun(context, worker, run);
+      if (run.state === "starting") dropUnstartedRun(context, worker, run);
+      else dropGoneRun(context, worker, run);
     }
   }
 }
 
+/** Drops a run whose start was not acknowledged and can't take effect any more. */
+function dropUnstartedRun(
+  context: ReduceContext,
+  worker: OwnedWorker,
+  run: WorkerRun,
+): void {
+  const { nowMs } = context.state;
+  logDecision(context, { part: "run", text: "run never started" }, {
+    task: run.taskName,
+    run: run.run,
+    workerId: worker.info.workerId,
+    placedMsAgo: Math.round(nowMs - run.placedAtMs),
+    startFence: run.startFence,
+    fence: worker.fence,
+    listsReadMsAgo: Math.round(nowMs - worker.listsReadAtMs),
+  });
+  dropRun(context, worker, { run, kind: "notStarted" });
+}
+
 /**
  * Adds a listed run that is not tracked here, such as one that a previous
  * leader started. It is attached to its job if the job has not ended and the
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -79,7 +79,7 @@
 ): void {
   const { state } = context;
   const waitMs = expectedWaitMs(context, scheduler, job);
-  logSubmission(context, job, { message, waitMs });
+  logSubmission(context, scheduler, { job, message, waitMs });
   const refusal = job.mayHaveStarted
     ? null
     : immediateRefusal(state, scheduler, { job, waitMs });
@@ -193,8 +193,8 @@
 
 function logSubmission(
   context: ReduceContext,
-  job: Job,
-  { message, waitMs }: { message: Submit; waitMs: number },
+  scheduler: Scheduler,
+  { job, message, waitMs }: { job: Job; message: Submit; waitMs: number },
 ): void {
   const { nowMs } = context.state;
   const { deadlineAtMs, previousRunsExpireAtMs } = job;
@@ -212,6 +212,9 @@
       : null,
     begun: job.mayHaveStarted,
     resubmitted: message.resubmitted,
+    // The term of this leader, and the one for which the entry meant the job.
+    term: scheduler.term,
+    submittedTerm: message.term ?? null,
     recorded: job.record !== null,
     surplus: job.isSurplus,
     formerRunsForMs: Math.max(0, Math.round(previousRunsExpireAtMs - nowMs)),
