--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -80,7 +80,7 @@
   context: ReduceContext,
   { job, task, result }: TaskCompletion,
 ): void {
-  // An earlier run than the latest one was done.
+  // If an earlier run was done, the latest one has no use any more.
   if (task.workerId !== null) stopTaskRuns(context, task.workerId, task);
   task.state = "done";
   task.workerId = null;
@@ -308,11 +308,11 @@
   const { scheduler } = context.state;
   if (scheduler === null) return;
   let count = 0;
-  for (
-    const { jobId, outcome, submissionIdByEntry } of scheduler.jobs.values()
-  ) {
-    const submissionId = submissionIdByEntry.get(instanceId);
-    if (outcome !== null || submissionId === undefined) continue;
+  for (const job of scheduler.jobs.values()) {
+    const { jobId } = job;
+    const submissionId = job.submissionIdByEntry.get(instanceId);
+    if (job.outcome !== null || job.record !== null) continue;
+    if (submissionId === undefined) continue;
     // A submission may be the first message that arrives after the restart.
     if (isSubmittedBy(submissionId, { instanceId, startedAtMs })) continue;
     onWithdraw(context, instanceId, { type: "withdraw", jobId });
--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -122,9 +122,9 @@
 }
 
 /**
- * Handles the outcome of a stop, which may be that of a run in an earlier term,
- * as above. A failed one needs no action, since stops are repeated until the run
- * is known to have ended.
+ * Handles the outcome of a stop, which may be that of a run with the same number
+ * in an earlier term. A failed one needs no action, since stops are repeated
+ * until the run is known to have ended.
  */
 export function onStopCompleted(
   context: ReduceContext,
