The end of a tracked run counts whatever its job's record says

Cause: an end was looked up by the job's id, and a job that may not start yet counts as one that was not read. The run here damages a started job so that its record counts as not persisted: the end of a run that this leader tracks was recorded as read, but not applied, and the job never ended. Without the damage a started job is always persisted.

Change: the end of a run that is attached to an open job completes its task; only other ends are looked up.

Test: "an end counts for a tracked run though its job counts as not persisted", red before; the run above is green again.

--- a/src/engine/known_ends_test.ts
+++ b/src/engine/known_ends_test.ts
@@ -293,3 +293,20 @@
   expect(stateOf(leader, FIRST)).toEqual("done");
   expect(startedRuns(effects, FIRST)).toEqual([]);
 });
+
+// An end was recorded as read, but not applied, while the record of its job was
+// damaged.
+test("an end counts for a tracked run though its job counts as not persisted", () => {
+  const leader = createRestoringLeader();
+  const effects = [
+    ...leader.completePoll("w1"),
+    ...leader.completePoll("w2"),
+    ...pass(leader, 3_000),
+  ];
+  const [start] = effectsOf(effects, "startTask");
+  leader.acknowledgeStart(start!);
+  const record = leader.state.scheduler?.jobs.get(JOB_ID)?.record;
+  Object.assign(record!, { accepted: false });
+  leader.completePoll(start!.workerId, { finished: [[FIRST, "done"]] });
+  expect(stateOf(leader, FIRST)).toEqual("done");
+});
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -34,6 +34,7 @@
 } from "./types.ts";
 
 type CompletionKind = TaskCompletion["kind"];
+type FoundTask = Pick<TaskCompletion, "job" | "task">;
 
 /** Minimum interval between calls to stop the same run. */
 const RESEND_STOP_INTERVAL_MS = 200;
@@ -286,7 +287,7 @@
   // The run may still be tracked on the worker that this leader gave up.
   const worker = scheduler.workers.get(workerId);
   if (worker !== undefined) applyCompletion(context, worker, row);
-  else if (row.end === "done") completeTask(context, workerId, row);
+  else if (row.end === "done") completeTask(context, found, { workerId, row });
   if (job.record === null || !guards.mustRetainCompletion(job)) return;
   retainCompletion(scheduler, job.record, {
     job,
@@ -354,7 +355,8 @@
   const { workerId } = worker.info;
   if (row.end === "done") {
     if (run !== undefined) removeDoneRun(context, worker, run);
-    completeTask(context, workerId, row);
+    const found = openTaskOf(run) ?? findTask(context, row.taskName);
+    completeTask(context, found, { workerId, row });
     return;
   }
   if (run === undefined) return;
@@ -380,6 +382,13 @@
   });
 }
 
+/** Returns the task of a tracked run, if the run is attached to an open job. */
+function openTaskOf(run: WorkerRun | undefined): FoundTask | null {
+  if (run === undefined) return null;
+  const { job, task } = run;
+  return job?.outcome === null && task !== null ? { job, task } : null;
+}
+
 /**
  * Adds a completion for the task of a successful run, which need not be tracked
  * here or be the latest run: a previous leader may have started it. That the run
@@ -387,10 +396,9 @@
  */
 function completeTask(
   context: ReduceContext,
-  workerId: string,
-  row: FinishedRow,
+  found: FoundTask | null,
+  { workerId, row }: { workerId: string; row: FinishedRow },
 ): void {
-  const found = findTask(context, row.taskName);
   if (found === null || !context.state.guards.mayComplete(found.task)) return;
   const { result } = row;
   context.taskCompletions.push({ ...found, workerId, kind: "done", result });
@@ -404,7 +412,7 @@
 function findTask(
   context: ReduceContext,
   taskName: string,
-): { job: Job; task: Task } | null {
+): FoundTask | null {
   const { scheduler, guards } = context.state;
   const job = scheduler?.jobs.get(jobIdOf(taskName));
   if (job === undefined || !guards.mayStartJob(job.record)) return null;
