--- a/bench/grown_faults.ts
+++ b/bench/grown_faults.ts
@@ -98,17 +98,10 @@
 /** Lets a share of the calls to some workers have a fate. */
 function failCalls(world: World, forMs: number, fate: CallFate): void {
   const workerIds = idsOf(some(world, world.workers, WORKER_SHARE));
-  during(world, forMs, {
-    begin: () => {
-      const end = world.addCallFault(({ workerId }) =>
-        workerIds.has(workerId) && world.random() < CALL_SHARE
-          ? fate
-          : "answered"
-      );
-      world.queue.at(world.queue.nowMs() + forMs, end);
-    },
-    end: () => {},
-  });
+  const end = world.addCallFault(({ workerId }) =>
+    workerIds.has(workerId) && world.random() < CALL_SHARE ? fate : "answered"
+  );
+  world.queue.at(world.queue.nowMs() + forMs, end);
 }
 
 /** Cuts some workers off from the instances for which the predicate holds. */
