--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -425,6 +425,18 @@
   };
 }
 
+/** Returns the faults of a row, the first of them at the given time. */
+function faultsOfRow(
+  row: readonly FaultAfter<FaultName>[],
+  firstAtMs: number,
+): EngineRun["faults"] {
+  return row.map(({ name, afterMs, forMs }) => ({
+    name,
+    atMs: firstAtMs + afterMs,
+    forMs,
+  }));
+}
+
 /** The faults of which {@linkcode drawTakeoverRun} adds one row to each run. */
 const takeoverFaults: readonly (readonly FaultAfter<FaultName>[])[] = [
   [
@@ -458,11 +470,7 @@
   const { faults, load, ...run } = drawRecordedRun(seed);
   const firstAtMs = LOAD_START_MS + 2_000 + 175 * (seed % 40);
   const row = takeoverFaults[seed % TAKEOVER_ROWS] ?? [];
-  const added = row.map(({ name, afterMs, forMs }) => ({
-    name,
-    atMs: firstAtMs + afterMs,
-    forMs,
-  }));
+  const added = faultsOfRow(row, firstAtMs);
   const isScaledOut = row.some(({ name }) => name === "scaleOut");
   return {
     ...run,
@@ -527,16 +535,12 @@
   const { faults, load, ...run } = drawRecordedRun(seed);
   const row = grownRows[seed % grownRows.length] ?? [];
   const firstAtMs = LOAD_START_MS + 2_000 + 190 * (seed % 30);
-  const added = row.map(({ name, afterMs, forMs }) => ({
-    name,
-    atMs: firstAtMs + afterMs,
-    forMs,
-  }));
-  const sizes = grownFleet.workersPerZone * grownFleet.zones.length;
+  const added = faultsOfRow(row, firstAtMs);
+  const workerCount = grownFleet.workersPerZone * grownFleet.zones.length;
   return {
     ...run,
     ...grownFleet,
-    load: load * sizes / (3 * REFERENCE_WORKERS_PER_ZONE),
+    load: load * workerCount / (3 * REFERENCE_WORKERS_PER_ZONE),
     kinds: [...referenceKinds, ...chainKinds.slice(0, 2)],
     faults: seed % 2 === 0 ? added : [...faults.slice(0, 1), ...added],
     leaveShare: 0.05,
