The log says why a worker was acquired, and since when another owned it

Of the hypotheses for the second starts, the logs told the first two apart only by the order of lines: a leader that takes a worker back by a delayed retry, or by another way. 'worker acquired' now has the cause and the time since another owner was found, 'worker is owned by another instance' the time until the retry.

Decisions are unchanged.

--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -52,7 +52,7 @@
     if (run.state !== "starting") return;
     context.state.counters.startsUnknown += 1;
     // The lists read under the raised token show whether the run started.
-    raiseFence(context, worker);
+    raiseFence(context, worker, "startUnknown");
   },
 };
 
@@ -94,7 +94,7 @@
   }
   // The worker's runs may differ from those tracked here; read its lists.
   if (reason === "replaced" || reason === "room") {
-    raiseFence(context, worker);
+    raiseFence(context, worker, "startRefused");
   }
 }
 
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -622,6 +622,21 @@
   listedAtMs: number;
 }
 
+/**
+ * Why a worker's lists are read under a new token: it is new in the list of
+ * workers, restarted, moved to another address, assigned to this leader again,
+ * or lost before; or a start on it was not answered, or was refused although it
+ * should have been accepted.
+ */
+export type AcquisitionCause =
+  | "listed"
+  | "restarted"
+  | "moved"
+  | "reassigned"
+  | "retry"
+  | "startUnknown"
+  | "startRefused";
+
 /** Evidence that the process of a worker has ended. */
 export interface WorkerCrash {
   readonly detectedAtMs: number;
@@ -643,6 +658,8 @@
    * another partition side or cell.
    */
   phase: "taking" | "ready" | "lost";
+  /** Why the worker was last acquired, or is being acquired. */
+  acquisitionCause: AcquisitionCause;
   /**
    * The worker left the list of workers, or was assigned to another partition
    * side or cell. It is kept here until it has no runs.
@@ -677,6 +694,8 @@
    * or assigned to another partition side or cell.
    */
   hasNewOwner: boolean;
+  /** Time at which this leader found that; 0 if it has not since it acquired it. */
+  newOwnerFoundAtMs: number;
   /** Time of the next report or inquiry that concerns the worker, if any. */
   nextReportAtMs: number;
   /** Highest sequence number acknowledged to the worker. */
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -28,6 +28,7 @@
 import type { WorkerInfo } from "./schemas.ts";
 import { forgetOldCrashes } from "./suspected_queues.ts";
 import type {
+  AcquisitionCause,
   EngineEventOf,
   EngineState,
   Job,
@@ -122,7 +123,7 @@
     const worker = createWorker(state, scheduler, info);
     scheduler.workers.set(workerId, worker);
     onWorkerListed(context, info);
-    acquireWorker(context, worker);
+    acquireWorker(context, worker, "listed");
   }
 }
 
@@ -137,7 +138,9 @@
   worker.info = info;
   const wasReleased = worker.released;
   worker.released = false;
-  if (restarted || moved || wasReleased) raiseFence(context, worker);
+  if (wasReleased) raiseFence(context, worker, "reassigned");
+  else if (restarted) raiseFence(context, worker, "restarted");
+  else if (moved) raiseFence(context, worker, "moved");
 }
 
 /**
@@ -163,11 +166,12 @@
   worker.released = true;
   if (!state.workers.has(workerId)) {
     worker.hasNewOwner = false;
+    worker.newOwnerFoundAtMs = 0;
     return;
   }
   if (worker.phase === "lost" && worker.retryAtMs === Infinity) return;
   worker.phase = "lost";
-  worker.hasNewOwner = true;
+  markOwnedElsewhere(state, worker);
   worker.retryAtMs = Infinity;
   worker.pollCallId = NO_CALL;
 }
@@ -180,6 +184,7 @@
   return {
     info,
     phase: "taking",
+    acquisitionCause: "listed",
     released: false,
     fence: firstFence(scheduler.term),
     startedAtMs: null,
@@ -189,6 +194,7 @@
     orphanCompletions: [],
     orphansReadAtMs: -Infinity,
     hasNewOwner: false,
+    newOwnerFoundAtMs: 0,
     nextReportAtMs: 0,
     acknowledgedSequence: 0,
     pollCallId: 0,
@@ -215,8 +221,13 @@
 }
 
 /** Reads a worker's lists under its token, without renewing the lease. */
-function acquireWorker(context: ReduceContext, worker: OwnedWorker): void {
+function acquireWorker(
+  context: ReduceContext,
+  worker: OwnedWorker,
+  cause: AcquisitionCause,
+): void {
   worker.phase = "taking";
+  worker.acquisitionCause = cause;
   sendPoll(context, worker, { waitMs: 0, renews: false });
 }
 
@@ -227,9 +238,10 @@
 export function raiseFence(
   context: ReduceContext,
   worker: OwnedWorker,
+  cause: AcquisitionCause,
 ): void {
   worker.fence += 1;
-  acquireWorker(context, worker);
+  acquireWorker(context, worker, cause);
 }
 
 /**
@@ -381,8 +393,10 @@
 
 function becomeReady(context: ReduceContext, worker: OwnedWorker): void {
   const { state } = context;
+  const { newOwnerFoundAtMs } = worker;
   worker.phase = "ready";
   worker.hasNewOwner = false;
+  worker.newOwnerFoundAtMs = 0;
   // A run that the previous owner stopped is not listed any more, but may
   // occupy the worker for as long as a stop takes.
   if (worker.usableFromMs === 0) {
@@ -392,6 +406,11 @@
     workerId: worker.info.workerId,
     fence: worker.fence,
     runs: worker.runs.size,
+    cause: worker.acquisitionCause,
+    // Set if another instance or cell owned the worker meanwhile.
+    newOwnerFoundMsAgo: newOwnerFoundAtMs === 0
+      ? null
+      : Math.round(state.nowMs - newOwnerFoundAtMs),
   });
 }
 
@@ -449,6 +468,11 @@
   return false;
 }
 
+function markOwnedElsewhere(state: EngineState, worker: OwnedWorker): void {
+  worker.hasNewOwner = true;
+  worker.newOwnerFoundAtMs = state.nowMs;
+}
+
 /**
  * Relinquishes a worker that another instance owns under a higher token, and
  * schedules an attempt to acquire it again, with its token raised by a jump.
@@ -460,7 +484,7 @@
   const { state } = context;
   const rivalLikely = mayHaveRival(state);
   worker.phase = "lost";
-  worker.hasNewOwner = true;
+  markOwnedElsewhere(state, worker);
   worker.usableFromMs = 0;
   // A pending poll was accepted under a token that is no longer valid.
   worker.pollCallId = NO_CALL;
@@ -475,7 +499,11 @@
     level: "warn",
     part: "workers",
     text: "worker is owned by another instance",
-  }, { workerId: worker.info.workerId, rivalLikely });
+  }, {
+    workerId: worker.info.workerId,
+    rivalLikely,
+    retryInMs: Math.round(worker.retryAtMs - state.nowMs),
+  });
 }
 
 /** Marks a worker as lost after a failed poll, and schedules a retry. */
@@ -538,7 +566,7 @@
     if (worker.phase === "lost") {
       if (state.nowMs >= worker.retryAtMs) {
         worker.retryAtMs = Infinity;
-        raiseFence(context, worker);
+        raiseFence(context, worker, "retry");
       }
       continue;
     }
