--- a/bench/recorded_runs_test.ts
+++ b/bench/recorded_runs_test.ts
@@ -3,6 +3,7 @@
 import {
   drawCellsRun,
   drawRecordedRun,
+  drawStepsRun,
   drawTakeoverRun,
   type EngineRun,
   simulateRun,
@@ -81,6 +82,11 @@
     draw: drawTakeoverRun,
     seeds: [3153],
   },
+  {
+    failure: "a deposed leader took workers back and started tasks again",
+    draw: drawStepsRun,
+    seeds: [20_011, 20_143],
+  },
 ];
 
 for (const { failure, draw, seeds } of drawnRegressions) {
