Randomised runs lose messages to peers without a connection; failing tests

An instance discards a message to a peer to which it has no connection; the simulated network delivered it, and lost only what was in flight at a reset.

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -776,8 +776,9 @@
       const { incarnation } = target;
       const pair = pairKey(instance.instanceId, instanceId);
       const resetCount = resetCounts.get(pair);
+      const isDown = instance.state?.peers.get(instanceId)?.connected === false;
       queue.at(arrivalMs(instance.instanceId, instanceId), () => {
-        if (resetCounts.get(pair) !== resetCount) return;
+        if (isDown || resetCounts.get(pair) !== resetCount) return;
         dispatch(target, incarnation, {
           type: "peerMessage",
           nowMs: queue.nowMs(),
