A leader takes a worker back soon only if a quorum says that it follows it

Cause: a leader that finds another owner of a worker acquires the worker again after 200 ms, under a token raised by 100 steps of terms, if it hears a quorum and misses no peer. Silent peers count as missing after 1 s only, but choose another leader after 0.5 s, and a leader that can't be heard by its peers may still hear them. It then takes the workers back from its successor, whose lists of runs are outdated from then on.

Change: after 200 ms the worker is acquired again only once a quorum of instances has said, by heartbeats since the loss, that it follows this leader; else after 5 s as before.

Before: two of the five new cases of taken_workers_test.ts red (silent peers, peers of another leader). After: green, 216 tests of the engine.

--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -98,14 +98,37 @@
  * heard from or that were removed after `PEER_RETENTION_MS` are not counted.
  */
 export function seesQuorum(state: EngineState): boolean {
-  let visible = 1;
+  return isQuorum(state, (peer) => isLive(state, peer));
+}
+
+/**
+ * Whether more than half of the cell's instances, counted as for a quorum, have
+ * said since the given time that they follow this instance as the leader.
+ */
+export function isFollowedByQuorum(
+  state: EngineState,
+  sinceMs: number,
+): boolean {
+  const { instanceId } = state.self;
+  return isQuorum(
+    state,
+    ({ leaderId, lastHeardAtMs }) =>
+      leaderId === instanceId && lastHeardAtMs > sinceMs,
+  );
+}
+
+function isQuorum(
+  state: EngineState,
+  counts: (peer: Peer) => boolean,
+): boolean {
+  let counted = 1;
   let known = 1;
   for (const peer of cellPeers(state)) {
     if (peer.lastHeardAtMs === 0) continue;
     known += 1;
-    if (isLive(state, peer)) visible += 1;
+    if (counts(peer)) counted += 1;
   }
-  return visible * 2 > known;
+  return counted * 2 > known;
 }
 
 /**
@@ -165,6 +188,7 @@
     startedAtMs: null,
     endedStartAtMs: null,
     lastSentAtMs: -Infinity,
+    heartbeatAtMs: 0,
     connected: false,
     refusedAtMs: 0,
     draining: false,
@@ -302,6 +326,7 @@
   // A later heartbeat on a newer connection may have overtaken this one.
   if (message.sentAtMs < peer.lastSentAtMs) return;
   peer.lastSentAtMs = message.sentAtMs;
+  peer.heartbeatAtMs = state.nowMs;
   peer.draining = message.draining;
   peer.isLeader = message.isLeader;
   peer.provisional = message.provisional;
--- a/src/engine/taken_workers_test.ts
+++ b/src/engine/taken_workers_test.ts
@@ -141,3 +141,56 @@
   expect(polledIds(completeStart(leader, start, outcome)))
     .not.toInclude(start.workerId);
 });
+
+const followers: {
+  name: string;
+  /** The leader that each peer says that it follows, once the worker is lost. */
+  leaderIds: Record<string, string>;
+  isAcquired: boolean;
+}[] = [
+  {
+    name: "all peers follow this leader",
+    leaderIds: { a: "self", b: "self" },
+    isAcquired: true,
+  },
+  {
+    name: "a quorum follows this leader",
+    leaderIds: { a: "self" },
+    isAcquired: true,
+  },
+  { name: "the peers are silent", leaderIds: {}, isAcquired: false },
+  {
+    name: "the peers follow another leader",
+    leaderIds: { a: "b", b: "b" },
+    isAcquired: false,
+  },
+];
+
+// A leader suspects another one only after peers were silent for a second, but
+// silent peers choose another one after half of that. It took its workers back.
+for (const { name, leaderIds, isAcquired } of followers) {
+  test(
+    `a worker that another instance took is${
+      isAcquired ? "" : " not"
+    } acquired again soon if ${name}`,
+    () => {
+      const { leader, start } = createLeader();
+      leader.tick(300);
+      rejectToken(leader, start.workerId);
+      leader.tick(100);
+      for (const [peer, leaderId] of Object.entries(leaderIds)) {
+        const sentAtMs = leader.state.nowMs;
+        leader.receive(peer, testHeartbeat({ leaderId, sentAtMs }));
+      }
+      const effects = [leader.tick(100), leader.tick(100), leader.tick(100)];
+      expect(polledIds(effects.flat()).includes(start.workerId))
+        .toEqual(isAcquired);
+    },
+  );
+}
+
+test("a worker that another instance took is acquired again in the end", () => {
+  const { leader, start } = createLeader();
+  rejectToken(leader, start.workerId);
+  expect(polledIds(leader.tick(5_100))).toInclude(start.workerId);
+});
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -350,6 +350,8 @@
   endedStartAtMs: number | null;
   /** The peer's monotonic clock in its latest heartbeat. */
   lastSentAtMs: number;
+  /** Time at which that heartbeat arrived; 0 before the first one. */
+  heartbeatAtMs: number;
   connected: boolean;
   /**
    * Time of the latest refused connection; 0 if none was refused since the
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -14,7 +14,7 @@
 import { emit, logDecision } from "./effects.ts";
 import { FENCES_PER_TERM, firstFence, workersToOwn } from "./leadership.ts";
 import { leaseEndsOnWorkerMs, maxLeaseMs, mayGrantLease } from "./leases.ts";
-import { mayHaveRival } from "./membership.ts";
+import { isFollowedByQuorum, mayHaveRival } from "./membership.ts";
 import { awaitsReport } from "./record_reports.ts";
 import {
   checkRuns,
@@ -70,15 +70,14 @@
  */
 const POLL_RETRY_DELAY_MS = 300;
 /**
- * Delay before acquiring a worker again that another instance owns, while a
- * peer is missing or no quorum is heard from: the owner is probably a competing
- * leader.
+ * Delay before acquiring a worker again that another instance owns, unless a
+ * quorum of instances says before that it follows this leader: the owner is
+ * probably a competing leader.
  */
 const REACQUIRE_DELAY_MS = 5_000;
 /**
- * Delay before acquiring a worker again that another instance owns, when no
- * peer is missing and a quorum is heard from: nothing suggests a competing
- * leader, so the retry can be quick.
+ * Minimum delay before acquiring a worker again that another instance owns. It
+ * is enough when no peer is missing and a quorum follows this leader.
  */
 const UNCONTESTED_REACQUIRE_DELAY_MS = 200;
 /**
@@ -501,11 +500,7 @@
     level: "warn",
     part: "workers",
     text: "worker is owned by another instance",
-  }, {
-    workerId: worker.info.workerId,
-    rivalLikely,
-    retryInMs: Math.round(worker.retryAtMs - state.nowMs),
-  });
+  }, { workerId: worker.info.workerId, rivalLikely });
 }
 
 /** Marks a worker as lost after a failed poll, and schedules a retry. */
@@ -566,7 +561,7 @@
   for (const worker of scheduler.workers.values()) {
     dropExpiredRuns(context, worker);
     if (worker.phase === "lost") {
-      if (state.nowMs >= worker.retryAtMs) {
+      if (state.nowMs >= worker.retryAtMs && mayRetry(state, worker)) {
         worker.retryAtMs = Infinity;
         raiseFence(context, worker, "retry");
       }
@@ -580,6 +575,20 @@
   }
 }
 
+/**
+ * Whether a lost worker whose retry is due may be acquired. While another
+ * instance owns it, the followers decide which of the two is the leader: a
+ * leader that was replaced a moment ago may not miss its peers yet.
+ */
+function mayRetry(
+  state: EngineState,
+  { hasNewOwner, newOwnerFoundAtMs }: OwnedWorker,
+): boolean {
+  return !hasNewOwner ||
+    state.nowMs - newOwnerFoundAtMs >= REACQUIRE_DELAY_MS ||
+    isFollowedByQuorum(state, newOwnerFoundAtMs);
+}
+
 /**
  * Drops the runs of a lost worker once all leases that cover them have expired,
  * unless another leader may be renewing them.
