Tests: a second shape for guards that few tests covered

isOutcomeOf: late outcomes free no capacity for another job, and a late acknowledgement is not one of the present run, which is looked for under a higher token when its own start gets no answer. endedStartAtMs: a job of two steps, with an earlier start time after the restart. mayBeNew: a known job that another entry submits for an earlier term. isSubmittedBy: the same job, submitted again by the restarted entry. The stop: an end in a report of another leader; it is repeated until the run is gone. findTask: an end found before the records does not end the job for its callers, of which the record has another outcome.

--- a/src/engine/known_ends_test.ts
+++ b/src/engine/known_ends_test.ts
@@ -310,3 +310,53 @@
   leader.completePoll(start!.workerId, { finished: [[FIRST, "done"]] });
   expect(stateOf(leader, FIRST)).toEqual("done");
 });
+
+// The end was reported by the leader that owns the worker of the earlier run.
+test("the latest run of a task that was done elsewhere is stopped until it is gone", () => {
+  const leader = createRestoringLeader();
+  const [start] = effectsOf([
+    ...leader.completePoll("w1"),
+    ...leader.completePoll("w2"),
+    ...pass(leader, 3_000),
+  ], "startTask");
+  leader.acknowledgeStart(start!);
+  const { workerId } = start!;
+  const running = [listed(FIRST)];
+  const stops = [...leader.receive("q", reportOf(FIRST, 1))];
+  leader.completePoll(workerId, { running });
+  stops.push(...pass(leader, 300));
+  const stop = { workerId, taskName: FIRST };
+  expect(
+    effectsOf(stops, "stopTask").map(({ workerId, taskName }) => ({
+      workerId,
+      taskName,
+    })),
+  ).toEqual([stop, stop]);
+  leader.completePoll(workerId, { finished: [[FIRST, "stopped"]] });
+  expect(effectsOf(pass(leader, 300), "stopTask")).toEqual([]);
+  expect(stateOf(leader, FIRST)).toEqual("done");
+});
+
+// The record may have another outcome, such as that of a cancellation.
+test("an end found before the records ends no job that is submitted again", () => {
+  const leader = createLeaderBeforeRecords();
+  const job: JobSpec = { ...testJob(1), isRecorded: true };
+  leader.receive("p", testSubmission({ jobId: JOB_ID, job }));
+  leader.tick();
+  const effects = [
+    ...leader.completePoll("w1", { finished: [[FIRST, "done"]] }),
+    ...pass(leader, 200),
+    ...openRecords(leader, [
+      testStoredRecord({
+        jobId: JOB_ID,
+        job,
+        outcome: { kind: "cancelled", begun: true },
+      }),
+    ]),
+    ...pass(leader, 200),
+  ];
+  const outcomes = effectsOf(effects, "sendPeer").flatMap(({ message }) =>
+    message.type === "jobEnded" ? [message.outcome.kind] : []
+  );
+  expect(outcomes).toEqual(["cancelled"]);
+});
--- a/src/engine/leader_terms_test.ts
+++ b/src/engine/leader_terms_test.ts
@@ -11,7 +11,9 @@
   testSubmission,
   testWorker,
 } from "./testing.ts";
-import type { Effect } from "./types.ts";
+import type { Effect, StartOutcome } from "./types.ts";
+
+type StartEffect = Extract<Effect, { type: "startTask" }>;
 
 const JOB_ID = "00000000000000aa";
 const FIRST_TERM = 900;
@@ -156,3 +158,92 @@
     expect(startsOf([...late, ...leader.tick(400)])).toEqual([]);
   });
 }
+
+/** A full leader, and its starts of the same runs in its two terms. */
+function createFullLeader() {
+  const leader = createTestLeader();
+  leader.tick(2_000);
+  const job = testJob(4);
+  const message = testSubmission({ jobId: JOB_ID, job });
+  const before = effectsOf(leader.receive("p", message), "startTask");
+  leader.after(420, { type: "processPaused", pausedMs: 420 });
+  while (leader.state.scheduler === null) leader.tick();
+  for (const workerId of ["w1", "w2"]) leader.completePoll(workerId);
+  leader.tick(100);
+  const starts = effectsOf([
+    ...leader.receive("p", { ...message, resubmitted: true }),
+    ...leader.completePoll("w1"),
+    ...leader.completePoll("w2"),
+  ], "startTask");
+  expect(starts.length).toEqual(4);
+  expect(starts.map(({ workerId, taskName, run }) => [workerId, taskName, run]))
+    .toEqual(
+      before.map(({ workerId, taskName, run }) => [workerId, taskName, run]),
+    );
+  return { leader, before, starts };
+}
+
+function completeStart(
+  leader: TestInstance,
+  { workerId, taskName, run, fence }: StartEffect,
+  outcome: StartOutcome,
+): Effect[] {
+  return leader.after(1, {
+    type: "startCompleted",
+    workerId,
+    taskName,
+    run,
+    fence,
+    outcome,
+  });
+}
+
+test("outcomes of starts in an earlier term free no capacity for other jobs", () => {
+  const { leader, before, starts } = createFullLeader();
+  for (const start of starts) leader.acknowledgeStart(start);
+  const message = testSubmission({ jobId: "00000000000000bb" });
+  expect(startsOf(leader.receive("p", message))).toEqual([]);
+  const late = before.flatMap((start) =>
+    completeStart(leader, start, { kind: "notSent", detail: "ECONNREFUSED" })
+  );
+  expect(startsOf([...late, ...leader.tick(400)])).toEqual([]);
+  const workers = [...leader.state.scheduler?.workers.values() ?? []];
+  expect(workers.map(({ usedCpuMilli }) => usedCpuMilli))
+    .toEqual([28_000, 28_000]);
+});
+
+// Only lists that are read under a higher token show whether the run started.
+test("a start that was acknowledged in an earlier term only is looked for", () => {
+  const { leader, before, starts } = createFullLeader();
+  completeStart(leader, before[0]!, { kind: "started", clockMs: null });
+  const start = starts[0]!;
+  const effects = completeStart(leader, start, {
+    kind: "unknown",
+    detail: "timeout",
+  });
+  expect(
+    effectsOf(effects, "hold").map(({ workerId, fence }) => ({
+      workerId,
+      fence,
+    })),
+  ).toEqual([{ workerId: start.workerId, fence: start.fence + 1 }]);
+});
+
+test("a known job that another entry submits for an earlier term starts after all workers are read", () => {
+  const leader = createReelectedLeader();
+  const term = leader.state.leaderTerm;
+  leader.receive("p", testSubmission({ jobId: JOB_ID, term }));
+  const submissionId = `q.${JOB_ID}`;
+  leader.receive(
+    "q",
+    testSubmission({ jobId: JOB_ID, submissionId, term: term - 1 }),
+  );
+  const early = [...leader.completePoll("w2"), ...leader.tick(100)];
+  expect(startsOf(early)).toEqual([]);
+  const later = [
+    ...leader.completePoll("w1"),
+    ...leader.completePoll("w2"),
+    ...leader.tick(100),
+  ];
+  expect(startsOf(later)).toEqual([`${JOB_ID}.0.0.0`]);
+});
--- a/src/engine/restarted_entry_test.ts
+++ b/src/engine/restarted_entry_test.ts
@@ -16,6 +16,7 @@
 import type { Effect } from "./types.ts";
 
 const JOB_ID = "00000000000000aa";
+const TASK_NAME = `${JOB_ID}.0.0.0`;
 const FIRST_START_MS = TEST_WALL_MS - 60_000;
 const SECOND_START_MS = TEST_WALL_MS - 1_000;
 
@@ -62,6 +63,14 @@
   return leader.receive(entryId, { type: "hello", instance, known: [] });
 }
 
+function reportsOf(effects: readonly Effect[]) {
+  return effectsOf(effects, "sendPeer").flatMap(({ message }) =>
+    message.type === "jobEnded"
+      ? [{ submissionId: message.submissionId, kind: message.outcome.kind }]
+      : []
+  );
+}
+
 function stopsOf(effects: readonly Effect[]): string[] {
   return effectsOf(effects, "stopTask").map(({ taskName }) => taskName);
 }
@@ -79,7 +88,7 @@
     const leader = createLeaderWithRun();
     expect(stopsOf(receive(leader, "p", FIRST_START_MS))).toEqual([]);
     expect(stopsOf(receive(leader, "p", SECOND_START_MS)))
-      .toEqual([`${JOB_ID}.0.0.0`]);
+      .toEqual([TASK_NAME]);
   });
 }
 
@@ -117,3 +126,34 @@
   expect(leader.state.scheduler?.jobs.get(jobId)?.outcome).toEqual(null);
   expect(stopsOf(hear(leader, "p", SECOND_START_MS))).toEqual([]);
 });
+
+test("a job that a restarted entry submits again goes on with its run", () => {
+  const leader = createLeaderWithRun();
+  const submissionId = `p.${SECOND_START_MS}.1.1`;
+  leader.receive("p", testSubmission({ jobId: JOB_ID, submissionId }));
+  expect(stopsOf(hear(leader, "p", SECOND_START_MS))).toEqual([]);
+  const ended = leader.completePoll("w1", { finished: [[TASK_NAME, "done"]] });
+  expect(reportsOf(ended)).toEqual([{ submissionId, kind: "done" }]);
+});
+
+// The wall clock was set back when the entry restarted, so the late message has
+// the later start time.
+test("a late message of an ended incarnation does not end a job between its steps", () => {
+  const leader = createLeaderWithRun();
+  const startedAtMs = FIRST_START_MS - 5_000;
+  expect(stopsOf(hear(leader, "p", startedAtMs))).toEqual([TASK_NAME]);
+  const submissionId = `p.${startedAtMs}.1.1`;
+  const [step] = testJob(1).steps;
+  const job = { spec: "text", steps: [step!, { ...step!, after: [0] }] };
+  const jobId = "00000000000000bb";
+  leader.receive("p", testSubmission({ jobId, job, submissionId }));
+  const later = [
+    ...hear(leader, "p", FIRST_START_MS),
+    ...leader.completePoll("w1", { finished: [[`${jobId}.0.0.0`, "done"]] }),
+    ...greet(leader, "p", FIRST_START_MS),
+    ...leader.completePoll("w1", { finished: [[`${jobId}.0.1.0`, "done"]] }),
+  ];
+  expect(effectsOf(later, "startTask").map(({ taskName }) => taskName))
+    .toEqual([`${jobId}.0.1.0`]);
+  expect(reportsOf(later)).toEqual([{ submissionId, kind: "done" }]);
+});
