--- a/src/engine/previous_leases_test.ts
+++ b/src/engine/previous_leases_test.ts
@@ -1,8 +1,10 @@
 import { test } from "node:test";
 import { expect } from "earl";
+import type { WorkerInfo } from "./schemas.ts";
 import {
   confirmWrites,
   createTestInstance,
+  createTestLeader,
   effectsOf,
   openRecords,
   testHeartbeat,
@@ -158,3 +160,38 @@
   expect(startsOf(passUntil(leader, laterMs, { workerId: other })))
     .toEqual([`${JOB_ID}.0.0.0`]);
 });
+
+/** Whether the lists of the listed workers show all runs of a job. */
+const hiddenRuns: {
+  name: string;
+  starts: number;
+  leftCell?: boolean;
+  workers?: WorkerInfo[];
+}[] = [
+  { name: "and all workers are read", starts: 1 },
+  { name: "and left its cell before", starts: 0, leftCell: true },
+  { name: "and a worker vanished", starts: 0, workers: [testWorker("w1")] },
+];
+
+for (const { name, starts, leftCell = false, workers } of hiddenRuns) {
+  test(`a job that is submitted again ${name} starts ${starts} times within a lease`, () => {
+    const leader = createTestLeader();
+    leader.tick(2_000);
+    if (workers !== undefined) {
+      leader.after(0, { type: "workersRead", workers });
+    }
+    const message = testSubmission({
+      jobId: JOB_ID,
+      resubmitted: true,
+      leftCell,
+    });
+    const effects = [
+      ...leader.receive("p", message),
+      ...leader.completePoll("w1"),
+      ...leader.completePoll("w2"),
+      ...leader.tick(1_000),
+    ];
+    expect(startsOf(effects).length).toEqual(starts);
+    expect(startsOf(leader.tick(100)).length).toEqual(1 - starts);
+  });
+}
--- a/src/engine/record_reports_test.ts
+++ b/src/engine/record_reports_test.ts
@@ -125,6 +125,25 @@
   expect(acknowledged(pass(leader, 100))).toEqual([1]);
 });
 
+// The sequence numbers of a worker begin anew when it restarts.
+test("a confirmation for an earlier incarnation of a worker discards no completion", () => {
+  const leader = createZoneLeader();
+  leader.completePoll("moved", { finished: [[TASK_NAME, "done"]] });
+  pass(leader, 100);
+  leader.receive(OTHER_ID, {
+    type: "completionsRecorded",
+    workerId: "moved",
+    startedAtMs: 0,
+    sequences: [1],
+  });
+  leader.completePoll("moved", { finished: [] });
+  const polls = effectsOf(pass(leader, 200), "hold");
+  expect(
+    polls.filter(({ workerId }) => workerId === "moved")
+      .every(({ lastSeenEnd }) => lastSeenEnd === 0),
+  ).toEqual(true);
+});
+
 /**
  * The owner of the records, after a change of cells that gave the worker of a
  * run to the other instance.
--- a/src/engine/replaced_attempt_test.ts
+++ b/src/engine/replaced_attempt_test.ts
@@ -151,3 +151,26 @@
     expect(rowsOf(pass(leader, 1_000))).toEqual([]);
   });
 }
+
+// Its callers were told that the outcome is unknown, which is recorded.
+test("a recorded job that ended as unknown is not run again for a later submission", () => {
+  const leader = createTestLeader();
+  openRecords(leader);
+  leader.tick(2_000);
+  const job = { ...recorded, deadlineMs: DEADLINE_MS };
+  const submitted = submit(leader, { submissionId: "p.1.1", job });
+  const started = confirmWrites(leader, submitted);
+  expect(effectsOf(started, "startTask").length).toEqual(1);
+  const ended = confirmWrites(leader, leader.tick(DEADLINE_MS));
+  const outcome = { kind: "unknown", reason: "deadline" } as const;
+  const report = { type: "jobEnded", jobId: JOB_ID, outcome } as const;
+  expect(messagesOf(ended)).toEqual([{ ...report, submissionId: "p.1.1" }]);
+  const again = submit(leader, { submissionId: "p.2.1", job });
+  expect(messagesOf(again)).toEqual([{ ...report, submissionId: "p.2.1" }]);
+  const later = [...again, ...confirmWrites(leader, again)];
+  for (const workerId of ["w1", "w2"]) {
+    later.push(...leader.completePoll(workerId));
+  }
+  later.push(...pass(leader, 1_000));
+  expect(effectsOf(later, "startTask")).toEqual([]);
+});
--- a/src/engine/run_lists_test.ts
+++ b/src/engine/run_lists_test.ts
@@ -121,3 +121,21 @@
   ];
   expect(startsOf(later).map(({ run }) => run)).toEqual([2]);
 });
+
+// A start that took effect before the restart ran, and may have had effects.
+test("a requested run may have started before its worker restarted", () => {
+  const job = { ...testJob(1), isRecorded: true, isAtMostOnce: true };
+  const { leader, start } = createLeaderWithStart(job);
+  const { workerId } = start;
+  leader.tick();
+  const effects = [
+    ...leader.completePoll(workerId, { bornMs: 2 }),
+    ...completeStart(leader, start, { kind: "unknown", detail: "reset" }),
+    ...leader.completePoll(workerId, { bornMs: 2 }),
+    ...leader.tick(400),
+    ...leader.completePoll(workerId, { bornMs: 2 }),
+  ];
+  expect(startsOf(effects)).toEqual([]);
+  expect(leader.state.scheduler?.jobs.get(JOB_ID)?.outcome)
+    .toEqual({ kind: "unknown", reason: "taskLost" });
+});
