--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -205,21 +205,25 @@
   };
 }
 
-/** Handles a peer's introduction of itself and of its live peers. */
+/**
+ * Handles a peer's introduction of itself and of its live peers. Returns whether
+ * it is the first message on a connection of the peer's present incarnation.
+ */
 export function onHello(
   context: ReduceContext,
   from: string,
   message: PeerMessageOf<"hello">,
-): void {
+): boolean {
   const { state } = context;
   const { instance, known } = message;
   updateKnownInstances(context, [instance, ...known]);
   const peer = state.peers.get(from);
-  if (peer === undefined || hasEnded(peer, instance.bornMs)) return;
+  if (peer === undefined || hasEnded(peer, instance.bornMs)) return false;
   resetIfRestarted(peer, instance.bornMs);
   peer.info = instance;
   updateLastHeard(state, from);
   sendHeartbeat(context, peer);
+  return true;
 }
 
 /**
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -189,9 +189,8 @@
   },
   hello: (context, from, message) => {
     endPreviousIncarnation(context, from, message.instance.bornMs);
-    onHello(context, from, message);
     // What the leader reported while it had no connection is lost.
-    resubmitAll(context, from);
+    if (onHello(context, from, message)) resubmitAll(context, from);
   },
   submit: onSubmit,
   withdraw: onWithdraw,
