--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -197,6 +197,30 @@
  */
 export type CallFate = "answered" | "answerLost" | "reset" | "late" | "lost";
 
+/** What happens at each kind of moment for which a fault can wait. */
+export interface Moments {
+  /** An instance has sent the start of a task. */
+  readonly startSent: WorkerMoment & { readonly taskName: string };
+  /** A worker has renewed its lease; the answer is on its way. */
+  readonly renewalAnswered: WorkerMoment;
+  /** A list of workers has arrived at an instance. */
+  readonly workersRead: InstanceMoment;
+  readonly becameLeader: InstanceMoment;
+  readonly drainBegan: InstanceMoment;
+}
+
+interface InstanceMoment {
+  readonly instanceId: string;
+}
+
+interface WorkerMoment extends InstanceMoment {
+  readonly workerId: string;
+}
+
+type MomentHandlers = {
+  [K in keyof Moments]: Set<(moment: Moments[K]) => void>;
+};
+
 /** A simulated instance. */
 interface SimulatedInstance {
   readonly instanceId: string;
@@ -325,6 +349,14 @@
   readonly discardedMilliMs: () => number;
   /** Returns the IDs of the instances that are leaders. */
   readonly leaders: () => string[];
+  /**
+   * Calls a handler right after each moment of a kind, before any time passes;
+   * returns a function that ends this.
+   */
+  readonly onMoment: <K extends keyof Moments>(
+    kind: K,
+    handler: (moment: Moments[K]) => void,
+  ) => () => void;
   /** Runs the simulation up to the given time. */
   readonly run: (untilMs: number) => Promise<void>;
 }
@@ -394,6 +426,13 @@
   let isPartitioned: ((a: string, b: string) => boolean) | null = null;
   const cuts = new Set<(from: string, to: string) => boolean>();
   const callFaults = new Set<(call: WorkerCall) => CallFate>();
+  const momentHandlers: MomentHandlers = {
+    startSent: new Set(),
+    renewalAnswered: new Set(),
+    workersRead: new Set(),
+    becameLeader: new Set(),
+    drainBegan: new Set(),
+  };
   /** Number of resets of the connections of each pair of instances. */
   const resetCounts = new Map<string, number>();
   let isStoreUnavailable = false;
@@ -607,6 +646,13 @@
     );
   }
 
+  function notify<K extends keyof Moments>(kind: K, moment: Moments[K]): void {
+    for (const handler of momentHandlers[kind]) {
+      // Not at once: the effects of the present event are still performed.
+      queue.at(queue.nowMs(), () => handler(moment));
+    }
+  }
+
   function isPartitionedPair(a: string, b: string): boolean {
     return isPartitioned !== null &&
       (isPartitioned(a, b) || isPartitioned(b, a));
@@ -662,7 +708,12 @@
       return;
     }
     restoredCount = 0;
+    const previousTerm = instance.state.scheduler?.term;
     const effects = reduceChecked(instance, event);
+    const term = instance.state?.scheduler?.term;
+    if (term !== undefined && term !== previousTerm) {
+      notify("becameLeader", { instanceId: instance.instanceId });
+    }
     const busyMs = restoredCount * (options.restoreMs ?? 0) + instance.eventMs;
     if (busyMs > 0) block(instance, incarnation, busyMs);
     for (const effect of effects) perform(instance, incarnation, effect);
@@ -875,6 +926,9 @@
           return;
         }
         if (fate === "answerLost" || fate === "late") return;
+        if (effect.leaseEndsMs !== null) {
+          notify("renewalAnswered", { instanceId, workerId });
+        }
         runAfter(delayMs, () => {
           if (isBlocked(workerId, instanceId)) return;
           if (fate === "answered") complete(outcome);
@@ -898,6 +952,7 @@
     const fate = late
       ? "late"
       : fateOf({ kind: "start", instanceId, workerId });
+    notify("startSent", { instanceId, workerId, taskName });
     const { startedAtMs } = worker;
     let completed = false;
     const complete = (outcome: StartOutcome): void => {
@@ -1179,6 +1234,7 @@
           nowMs,
           workers: listedWorkers,
         });
+        notify("workersRead", { instanceId: instance.instanceId });
       }
     }
     runAfter(READ_INTERVAL_MS, () => readPlatform(instance, incarnation));
@@ -1461,6 +1517,7 @@
         type: "drainRequested",
         nowMs,
       });
+      notify("drainBegan", { instanceId });
     },
     setPartition(predicate) {
       isPartitioned = predicate;
@@ -1508,6 +1565,10 @@
     leaders: () =>
       instances.filter((instance) => instance.state?.scheduler != null)
         .map((instance) => instance.instanceId),
+    onMoment(kind, handler) {
+      momentHandlers[kind].add(handler);
+      return () => momentHandlers[kind].delete(handler);
+    },
     run: (untilMs) => queue.runUntil(untilMs),
   };
 }
