Fake worker: leases end before a renewal, also of old starts, on slow clocks

The fake worker renewed the lease before it ended the runs whose lease had expired, so that a run went on as if the lease had not lapsed. A start that it refuses as old didn't extend the lease, and its clock ran as fast as that of the instances. By the protocol everything is killed when the lease expires, the lease is also taken from such a start, and a worker's clock may be 2% slow.

--- a/standins/worker_model.ts
+++ b/standins/worker_model.ts
@@ -45,6 +45,8 @@
   readonly runTimeFactor: number;
   /** Upper bound on the lease that one call can grant. */
   readonly leaseMs: number;
+  /** Rate of its clock, on which leases are measured; 1 if undefined. */
+  readonly clockRate?: number;
   /** Returns the task that a call starts, or undefined if there is none. */
   readonly taskOf: (call: EffectOf<"startTask">) => SimulatedTask | undefined;
   readonly onStart: (worker: FakeWorker, run: SimulatedRun) => void;
@@ -111,6 +113,7 @@
   const highestRunByTask = new Map<string, number>();
   /** Time at which the run of each retained completion ended, by sequence. */
   const endBySequence = new Map<number, number>();
+  const { clockRate = 1 } = options;
   let fence = 0;
   let leaseEndsMs = 0;
   /** End of the latest lease that was followed by a time without one. */
@@ -151,11 +154,16 @@
     );
   }
 
+  /** Returns the time on the worker's own clock. */
+  function clockMs(nowMs: number): number {
+    return (nowMs - worker.startedAtMs) * clockRate;
+  }
+
   /** Extends the lease to an end given on the worker's own clock. */
   function extendLease(endsOnClockMs: number, nowMs: number): void {
     const endsMs = Math.min(
-      endsOnClockMs + worker.startedAtMs,
-      nowMs + options.leaseMs,
+      endsOnClockMs / clockRate + worker.startedAtMs,
+      nowMs + options.leaseMs / clockRate,
     );
     if (leaseEndsMs < nowMs) lapsedAtMs = leaseEndsMs;
     leaseEndsMs = Math.max(leaseEndsMs, endsMs);
@@ -196,13 +204,15 @@
     start(call, nowMs) {
       if (call.fence < fence) return { kind: "refused", reason: "fenced" };
       fence = call.fence;
-      if (call.leaseEndsMs + worker.startedAtMs <= nowMs) {
+      if (call.leaseEndsMs <= clockMs(nowMs)) {
         return { kind: "refused", reason: "late" };
       }
-      const clockMs = nowMs - worker.startedAtMs;
       const current = running.get(call.taskName);
-      if (current?.run === call.run) return { kind: "started", clockMs };
+      if (current?.run === call.run) {
+        return { kind: "started", clockMs: clockMs(nowMs) };
+      }
       if (call.run <= (highestRunByTask.get(call.taskName) ?? 0)) {
+        extendLease(call.leaseEndsMs, nowMs);
         return { kind: "refused", reason: "oldRun" };
       }
       const task = options.taskOf(call);
@@ -222,7 +232,7 @@
       };
       running.set(call.taskName, run);
       options.onStart(worker, run);
-      return { kind: "started", clockMs };
+      return { kind: "started", clockMs: clockMs(nowMs) };
     },
     stop(call, nowMs) {
       if (call.fence < fence) return { kind: "fenced" };
@@ -238,8 +248,9 @@
     poll(call, nowMs, untilMs) {
       if (call.fence < fence) return { kind: "fenced" };
       fence = call.fence;
-      if (call.leaseEndsMs !== null) extendLease(call.leaseEndsMs, nowMs);
+      // Runs whose lease expired before this call have ended.
       worker.advance(nowMs);
+      if (call.leaseEndsMs !== null) extendLease(call.leaseEndsMs, nowMs);
       while ((finished[0]?.sequence ?? Infinity) <= call.lastSeenEnd) {
         endBySequence.delete(finished.shift()?.sequence ?? 0);
       }
@@ -247,7 +258,7 @@
       if (!worker.hangs) updateProgress(nowMs);
       return {
         kind: "held",
-        clockMs: nowMs - worker.startedAtMs,
+        clockMs: clockMs(nowMs),
         bornMs: worker.startedAtMs,
         running: [...running.values()].map((run) => {
           const { taskName, percent } = run;
