Randomised runs: faults that meet at a moment, in a draw of its own

The randomised runs placed faults by the clock, and some troubles of the platform were not drawn at all: a share of instances whom the store turns away while entries lapse, writes of the store that are done seconds later, lists of workers that are some seconds old, service discovery that lags, calls that are carried out late so that a lease counts from their arrival, callers that leave within moments of the first start.

drawMomentRun has rows of faults that wait for a moment: leaders that stall or freeze as the answer to a renewal is on its way, the instance that sent the latest start is killed, drains or stalls, cuts and refused connections that meet an election or a drain, a worker that loses its starter, or all others. The rows are an array of their own, since the seeds of drawGrownRun count modulo its rows. Workers' clocks run up to 2% slow. prove has an eighth kind, and an argument for just one kind.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -25,6 +25,11 @@
   type GrownFaultName,
   grownRows,
 } from "./grown_faults.ts";
+import {
+  momentFaultHandlers,
+  type MomentFaultName,
+  momentRows,
+} from "./moment_faults.ts";
 
 /** Start of the load; the instances have elected a leader by then. */
 const LOAD_START_MS = 3_000;
@@ -128,7 +133,8 @@
   | "scaleOut"
   | "zonesApart"
   | "damageJob"
-  | GrownFaultName;
+  | GrownFaultName
+  | MomentFaultName;
 
 function partitionFor(
   world: World,
@@ -246,6 +252,7 @@
   },
   damageJob,
   ...grownFaultHandlers,
+  ...momentFaultHandlers,
 };
 
 /** Damages the state of a job that has not ended, at one of the leaders. */
@@ -342,6 +349,8 @@
   readonly instancesPerZone?: number;
   /** See {@linkcode WorldOptions.resendMs}. */
   readonly resendMs?: number;
+  /** See {@linkcode WorldOptions.maxClockDrift}. */
+  readonly maxClockDrift?: number;
   /** See {@linkcode WorldOptions.restoreMs}. */
   readonly restoreMs?: number;
   /** See {@linkcode WorldOptions.keepsOrder}. */
@@ -549,6 +558,41 @@
   };
 }
 
+/** Number of seeds after which the rows of faults that meet come again. */
+export const MOMENT_ROWS = momentRows.length;
+/** Fraction by which the clocks of workers run slow at most. */
+const MAX_CLOCK_DRIFT = 0.02;
+
+/**
+ * Draws a run of a large fleet in which faults meet around the leaders: they
+ * wait for a moment of the run, such as a start or an election. Zones have a
+ * leader each in half of the runs; in the others there is one for all.
+ */
+export function drawMomentRun(seed: number): EngineRun {
+  const { faults, load, ...run } = drawRecordedRun(seed);
+  const row = momentRows[seed % momentRows.length] ?? [];
+  const firstAtMs = LOAD_START_MS + 2_000 + 190 * (seed % 30);
+  const added = faultsOfRow(row, firstAtMs);
+  const { zones, instancesPerZone } = grownFleet;
+  const workersPerZone = seed % 4 < 2
+    ? grownFleet.workersPerZone
+    : REFERENCE_WORKERS_PER_ZONE;
+  return {
+    ...run,
+    zones,
+    instancesPerZone,
+    workersPerZone,
+    load: load * workersPerZone * zones.length /
+      (3 * REFERENCE_WORKERS_PER_ZONE),
+    kinds: [...referenceKinds, ...chainKinds.slice(0, 2)],
+    faults: seed % 2 === 0 ? added : [...faults.slice(0, 1), ...added],
+    leaveShare: 0.05,
+    resendMs: RESEND_MS,
+    keepsOrder: true,
+    maxClockDrift: MAX_CLOCK_DRIFT,
+  };
+}
+
 /** Returns the options of the world of a run, which has the reference fleet. */
 export function worldOptions(
   {
@@ -562,6 +606,7 @@
     zones = ["a", "b", "c"],
     instancesPerZone = 2,
     resendMs,
+    maxClockDrift = 0,
   }: EngineRun,
 ) {
   return {
@@ -576,6 +621,7 @@
     lostResponseShare: lostResponseShare ?? 0,
     restoreMs,
     keepsOrder,
+    maxClockDrift,
   };
 }
 
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -17,6 +17,7 @@
   JobSpec,
   QueueRule,
   Reply,
+  WorkerInfo,
 } from "../src/engine/schemas.ts";
 import type {
   CallerReply,
@@ -55,6 +56,8 @@
 /** Bounds on the time after which a late call is carried out. */
 const MIN_LATE_CALL_MS = 2_000;
 const MAX_LATE_CALL_MS = 12_000;
+/** Upper bound on the delay of a call beyond its timeout. */
+const MAX_CALL_DELAY_MS = 1_500;
 /** Upper bound on the time until a reset connection is there again. */
 const MAX_RECONNECT_MS = 150;
 /**
@@ -62,6 +65,11 @@
  * effect.
  */
 const LOST_RESPONSE_DELAY_MS = 3_000;
+/** Bounds on the time after which a late write of the store is carried out. */
+const MIN_LATE_WRITE_MS = 1_000;
+const MAX_LATE_WRITE_MS = 6_000;
+/** Time for which earlier lists of workers are kept. */
+const LIST_HISTORY_MS = 5_000;
 /**
  * Standard deviations of the logarithms of drawn values: job width, mean run
  * time, CPU demand, declared run time, and run time of a task within its job.
@@ -173,6 +181,11 @@
    * job in memory again; undefined if it doesn't.
    */
   readonly resendMs?: number;
+  /**
+   * Fraction by which the clocks of workers run slow at most; each worker draws
+   * its own.
+   */
+  readonly maxClockDrift?: number;
   /** Jobs are damaged, so internal errors of jobs violate no guarantee. */
   readonly damagesJobs?: boolean;
   /** Receives the log lines of every instance. */
@@ -193,9 +206,21 @@
 /**
  * What becomes of a call to a worker: it is carried out and answered, or carried
  * out and its answer is lost, or its connection is reset after that, or it is
- * carried out seconds later without an answer, or it is lost.
+ * carried out after a delay of less than two seconds or seconds later, without
+ * an answer, or it is lost.
  */
-export type CallFate = "answered" | "answerLost" | "reset" | "late" | "lost";
+export type CallFate =
+  | "answered"
+  | "answerLost"
+  | "reset"
+  | "delayed"
+  | "late"
+  | "lost";
+
+/** Whether the caller gets no answer to a call that is carried out. */
+function isSilent(fate: CallFate): boolean {
+  return fate === "answerLost" || fate === "delayed" || fate === "late";
+}
 
 /** What happens at each kind of moment for which a fault can wait. */
 export interface Moments {
@@ -238,6 +263,8 @@
   eventMs: number;
   /** Difference of its wall clock from that of the others. */
   wallOffsetMs: number;
+  /** Age of the lists of workers that it reads. */
+  listAgeMs: number;
 }
 
 /** A job as seen by its caller. */
@@ -309,6 +336,13 @@
   readonly stepClock: (instanceId: string, byMs: number) => void;
   /** Multiplies the response time of the store. */
   readonly setStoreSlowness: (factor: number) => void;
+  /**
+   * Sets the share of the store's transactions that are carried out seconds
+   * later and not answered.
+   */
+  readonly setLateWriteShare: (share: number) => void;
+  /** Sets the age of the lists of workers that an instance reads. */
+  readonly setListAge: (instanceId: string, ageMs: number) => void;
   /** Stops an instance and restarts it after the given time. */
   readonly kill: (instanceId: string, downMs: number) => void;
   /** Pauses the process of an instance. */
@@ -400,6 +434,9 @@
   // other random draws.
   const storeGenerator = xoroshiro128plus(options.seed + 1);
   const storeRandom = (): number => uniformFloat64(storeGenerator);
+  // As above, for the rates of the workers' clocks.
+  const clockGenerator = xoroshiro128plus(options.seed + 2);
+  const clockRandom = (): number => uniformFloat64(clockGenerator);
   const queue = createEventQueue();
   const violations: string[] = [];
   const jobs = new Map<string, CallerRecord>();
@@ -437,6 +474,9 @@
   const resetCounts = new Map<string, number>();
   let isStoreUnavailable = false;
   let storeSlowness = 1;
+  let lateWriteShare = 0;
+  /** The lists of workers that were read lately, in the order of time. */
+  const listHistory: { atMs: number; workers: WorkerInfo[] }[] = [];
   let discardedMilliMs = 0;
   let jobCount = 0;
   let queryCount = 0;
@@ -461,6 +501,7 @@
           cpuMilli: workerSizeAt(index).cpuMilli,
           runTimeFactor: workerSizeAt(index).runTimeFactor,
           leaseMs: LEASE_MS,
+          clockRate: 1 - (options.maxClockDrift ?? 0) * clockRandom(),
           taskOf: ({ taskName }) => simulatedTasks.get(taskName),
           onStart: checkStart,
           onCompletion: (worker, run, outcome) => {
@@ -491,6 +532,7 @@
       pausedUntilMs: 0,
       eventMs: 0,
       wallOffsetMs: 0,
+      listAgeMs: 0,
     }))
   );
   const instancesById = new Map(
@@ -675,6 +717,9 @@
 
   /** Returns the time after which a call with a fate is carried out. */
   function callDelayMs(fate: CallFate, delayMs: number): number {
+    if (fate === "delayed") {
+      return delayMs + CALL_TIMEOUT_MS + MAX_CALL_DELAY_MS * random();
+    }
     return fate === "late"
       ? MIN_LATE_CALL_MS + (MAX_LATE_CALL_MS - MIN_LATE_CALL_MS) * random()
       : delayMs;
@@ -925,7 +970,7 @@
           runAfter(2, poll);
           return;
         }
-        if (fate === "answerLost" || fate === "late") return;
+        if (isSilent(fate)) return;
         if (effect.leaseEndsMs !== null) {
           notify("renewalAnswered", { instanceId, workerId });
         }
@@ -984,7 +1029,7 @@
       }
       worker.advance(queue.nowMs());
       const outcome = worker.start(effect, queue.nowMs());
-      if (fate === "answerLost" || fate === "late") return;
+      if (isSilent(fate)) return;
       runAfter(delayMs, () => {
         if (isBlocked(workerId, instanceId)) return;
         if (fate === "answered") complete(outcome);
@@ -1082,8 +1127,14 @@
     instance: SimulatedInstance,
     incarnation: number,
   ): StoreHost {
-    function call<T>(run: () => T): Promise<T> {
-      const isResponseLost = storeRandom() < (options.lostResponseShare ?? 0);
+    function call<T>(
+      run: () => T,
+      { isWrite = false }: { isWrite?: boolean } = {},
+    ): Promise<T> {
+      const isLate = isWrite && lateWriteShare > 0 &&
+        storeRandom() < lateWriteShare;
+      const isResponseLost = isLate ||
+        storeRandom() < (options.lostResponseShare ?? 0);
       return new Promise((resolve, reject) => {
         let timedOut = false;
         runAfter(STORE_TIMEOUT_MS, () => {
@@ -1093,9 +1144,13 @@
         });
         const { instanceId } = instance;
         if (isStoreUnavailable || isBlocked("store", instanceId)) return;
-        const durationMs = (isResponseLost
+        const drawnMs = (isResponseLost
           ? LOST_RESPONSE_DELAY_MS
           : STORE_LATENCY_MS * storeSlowness) * storeRandom();
+        const durationMs = isLate
+          ? MIN_LATE_WRITE_MS +
+            (MAX_LATE_WRITE_MS - MIN_LATE_WRITE_MS) * storeRandom()
+          : drawnMs;
         runAfter(durationMs, () => {
           const result = run();
           if (isResponseLost) {
@@ -1119,7 +1174,8 @@
       async *readPages(tablePart) {
         yield await call(() => store.readRows(tablePart));
       },
-      transact: (transaction) => call(() => store.transact(transaction)),
+      transact: (transaction) =>
+        call(() => store.transact(transaction), { isWrite: true }),
       close: () => Promise.resolve(),
     };
   }
@@ -1191,6 +1247,43 @@
     );
   }
 
+  /** Returns the workers that the store lists now. */
+  function listWorkers(): WorkerInfo[] {
+    return workers.filter((worker) =>
+      worker.alive && !isBlocked("store", worker.workerId) &&
+      !unlistedWorkers.has(worker)
+    ).map((worker) => ({
+      workerId: worker.workerId,
+      service: "s",
+      availabilityZone: worker.availabilityZone,
+      address: worker.workerId,
+      cpuMilli: worker.cpuMilli,
+      memoryMb: 1e6,
+      accelerators: 0,
+      labels: [],
+      draining: worker.draining,
+      bornMs: worker.startedAtMs,
+    }));
+  }
+
+  /** Returns the list of workers that an instance reads, which may be old. */
+  function readList({ listAgeMs }: SimulatedInstance): WorkerInfo[] {
+    const nowMs = queue.nowMs();
+    listHistory.push({ atMs: nowMs, workers: listWorkers() });
+    while ((listHistory[0]?.atMs ?? nowMs) < nowMs - LIST_HISTORY_MS) {
+      listHistory.shift();
+    }
+    const read = listHistory.findLast(({ atMs }) => atMs <= nowMs - listAgeMs);
+    return (read ?? listHistory[0])?.workers ?? [];
+  }
+
+  /** Whether an instance can't read the lists of the store. */
+  function isStoreOut({ instanceId }: SimulatedInstance): boolean {
+    if (isStoreUnavailable) return true;
+    for (const isCut of cuts) if (isCut("store", instanceId)) return true;
+    return false;
+  }
+
   /**
    * Periodically reports the configuration to an instance and, if it is the
    * leader or knows none, the list of workers. While the store is unavailable,
@@ -1204,7 +1297,7 @@
     const nowMs = queue.nowMs();
     const { state } = instance;
     const readsWorkers = state.scheduler !== null || state.leaderId === null;
-    if (isStoreUnavailable) {
+    if (isStoreOut(instance)) {
       dispatch(instance, incarnation, { type: "workersUnreadable", nowMs });
     } else {
       dispatch(instance, incarnation, {
@@ -1212,27 +1305,12 @@
         nowMs,
         configuration,
       });
-      const listedWorkers = workers.filter((worker) =>
-        worker.alive && !isBlocked("store", worker.workerId) &&
-        !unlistedWorkers.has(worker)
-      ).map((worker) => ({
-        workerId: worker.workerId,
-        service: "s",
-        availabilityZone: worker.availabilityZone,
-        address: worker.workerId,
-        cpuMilli: worker.cpuMilli,
-        memoryMb: 1e6,
-        accelerators: 0,
-        labels: [],
-        draining: worker.draining,
-        bornMs: worker.startedAtMs,
-      }));
       const type = "workersRead";
       if (readsWorkers) {
         dispatch(instance, incarnation, {
           type,
           nowMs,
-          workers: listedWorkers,
+          workers: readList(instance),
         });
         notify("workersRead", { instanceId: instance.instanceId });
       }
@@ -1481,6 +1559,12 @@
     setStoreSlowness(factor) {
       storeSlowness = factor;
     },
+    setLateWriteShare(share) {
+      lateWriteShare = share;
+    },
+    setListAge(instanceId, ageMs) {
+      (instancesById.get(instanceId) as SimulatedInstance).listAgeMs = ageMs;
+    },
     kill(instanceId, downMs) {
       kill(instancesById.get(instanceId) as SimulatedInstance, downMs);
     },
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -2,13 +2,14 @@
  * Simulates randomized runs of the engine for a range of seeds, 60 by default,
  * and prints the runs that violated a guarantee.
  *
- * Usage: prove.js [FIRST_SEED] [LAST_SEED]
+ * Usage: prove.js [FIRST_SEED] [LAST_SEED] [KIND]
  */
 
 import {
   drawCellsRun,
   drawDeadlyRun,
   drawGrownRun,
+  drawMomentRun,
   drawRecordedRun,
   drawRun,
   drawStepsRun,
@@ -19,6 +20,7 @@
 
 const first = Number(process.argv[2] ?? 1);
 const last = Number(process.argv[3] ?? first + 59);
+const onlyKind = process.argv[4];
 const kinds: Record<string, (seed: number) => EngineRun> = {
   memory: drawRun,
   recorded: drawRecordedRun,
@@ -27,11 +29,13 @@
   takeover: drawTakeoverRun,
   steps: drawStepsRun,
   grown: drawGrownRun,
+  moment: drawMomentRun,
 };
 let runs = 0;
 let failures = 0;
 for (let seed = first; seed <= last; seed += 1) {
   for (const [name, draw] of Object.entries(kinds)) {
+    if (onlyKind !== undefined && name !== onlyKind) continue;
     const run = draw(seed);
     const { violations } = await simulateRun(run);
     runs += 1;
