Randomised runs: brief cuts of the instance that started a task

Two more rows: the instance that sent the latest start is refused or cut off for 250 to 740 ms, less than the silence after which a leader drops jobs in memory, while leaders stall.

--- a/bench/moment_faults.ts
+++ b/bench/moment_faults.ts
@@ -21,6 +21,8 @@
   | "starterKilled"
   | "starterDrains"
   | "starterStalls"
+  | "starterRefused"
+  | "starterCut"
   | "leaderDrains"
   | "cutMeetsElection"
   | "refusalMeetsElection"
@@ -44,6 +46,11 @@
 const DOWN_MS = { min: 300, max: 1_500 };
 /** Bounds of the duration of a cut that meets another event. */
 const CUT_MS = { min: 300, max: 2_000 };
+/**
+ * Bounds of the duration of a cut that ends before a leader drops the jobs of
+ * the entries that it doesn't hear.
+ */
+const BRIEF_CUT_MS = { min: 250, max: 740 };
 /** Bounds of the time from an event to the fault that meets it. */
 const MEETING_MS = { min: 0, max: 60 };
 /** Time from the start of a drain to the end of its process. */
@@ -112,11 +119,15 @@
  * Cuts an instance off from the other instances. Its connections outlast the
  * cut, so that messages arrive late, or are reset at its end.
  */
-function cutFromPeers(world: World, instanceId: string): void {
+function cutFromPeers(
+  world: World,
+  instanceId: string,
+  bounds: Bounds = CUT_MS,
+): void {
   const end = world.addHold((from, to) =>
     from === instanceId || to === instanceId
   );
-  const cutMs = draw(world, CUT_MS);
+  const cutMs = draw(world, bounds);
   const isReset = world.random() < 0.5;
   world.queue.at(world.queue.nowMs() + cutMs, () => {
     if (isReset) world.resetConnections(instanceId);
@@ -244,6 +255,19 @@
       { kind: "startSent", forMs, intervalMs: STALL_INTERVAL_MS },
       ({ instanceId }) => world.pause(instanceId, draw(world, STALL_MS)),
     ),
+  starterRefused: (world, forMs) =>
+    atMoments(
+      world,
+      { kind: "startSent", forMs, intervalMs: STALL_INTERVAL_MS },
+      ({ instanceId }) =>
+        world.refuseConnections(instanceId, draw(world, BRIEF_CUT_MS)),
+    ),
+  starterCut: (world, forMs) =>
+    atMoments(
+      world,
+      { kind: "startSent", forMs, intervalMs: STALL_INTERVAL_MS },
+      ({ instanceId }) => cutFromPeers(world, instanceId, BRIEF_CUT_MS),
+    ),
   leaderDrains: (world) => {
     const leaders = world.leaders();
     if (leaders.length > 0) drainAndKill(world, pick(world, leaders));
@@ -405,4 +429,13 @@
     { name: "refusalMeetsElection", afterMs: 400, forMs: 6_000 },
     { name: "callerResets", afterMs: 0, forMs: 8_000 },
   ],
+  [
+    { name: "starterRefused", afterMs: 0, forMs: 8_000 },
+    { name: "leaderStallsAtRenewal", afterMs: 200, forMs: 7_000 },
+  ],
+  [
+    { name: "starterCut", afterMs: 0, forMs: 8_000 },
+    { name: "leaderStallsAtRenewal", afterMs: 200, forMs: 7_000 },
+    { name: "workerLosesStarter", afterMs: 700, forMs: 6_000 },
+  ],
 ];
