--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -17,6 +17,7 @@
   JobSpec,
   QueueRule,
   Reply,
+  WorkerInfo,
 } from "../src/engine/schemas.ts";
 import type {
   CallerReply,
@@ -55,6 +56,10 @@
 /** Bounds on the time after which a late call is carried out. */
 const MIN_LATE_CALL_MS = 2_000;
 const MAX_LATE_CALL_MS = 12_000;
+/** Upper bound on the delay of a call beyond its timeout. */
+const MAX_CALL_DELAY_MS = 1_500;
+/** Time after which instances reset a connection on which nothing arrives. */
+const IDLE_RESET_MS = 1_600;
 /** Upper bound on the time until a reset connection is there again. */
 const MAX_RECONNECT_MS = 150;
 /**
@@ -62,6 +67,11 @@
  * effect.
  */
 const LOST_RESPONSE_DELAY_MS = 3_000;
+/** Bounds on the time after which a late write of the store is carried out. */
+const MIN_LATE_WRITE_MS = 1_000;
+const MAX_LATE_WRITE_MS = 6_000;
+/** Time for which earlier lists of workers are kept. */
+const LIST_HISTORY_MS = 5_000;
 /**
  * Standard deviations of the logarithms of drawn values: job width, mean run
  * time, CPU demand, declared run time, and run time of a task within its job.
@@ -173,6 +183,11 @@
    * job in memory again; undefined if it doesn't.
    */
   readonly resendMs?: number;
+  /**
+   * Fraction by which the clocks of workers run slow at most; each worker draws
+   * its own.
+   */
+  readonly maxClockDrift?: number;
   /** Jobs are damaged, so internal errors of jobs violate no guarantee. */
   readonly damagesJobs?: boolean;
   /** Receives the log lines of every instance. */
@@ -193,9 +208,45 @@
 /**
  * What becomes of a call to a worker: it is carried out and answered, or carried
  * out and its answer is lost, or its connection is reset after that, or it is
- * carried out seconds later without an answer, or it is lost.
+ * carried out after a delay of less than two seconds or seconds later, without
+ * an answer, or it is lost.
  */
-export type CallFate = "answered" | "answerLost" | "reset" | "late" | "lost";
+export type CallFate =
+  | "answered"
+  | "answerLost"
+  | "reset"
+  | "delayed"
+  | "late"
+  | "lost";
+
+/** Whether the caller gets no answer to a call that is carried out. */
+function isSilent(fate: CallFate): boolean {
+  return fate === "answerLost" || fate === "delayed" || fate === "late";
+}
+
+/** What happens at each kind of moment for which a fault can wait. */
+export interface Moments {
+  /** An instance has sent the start of a task. */
+  readonly startSent: WorkerMoment & { readonly taskName: string };
+  /** A worker has renewed its lease; the answer is on its way. */
+  readonly renewalAnswered: WorkerMoment;
+  /** A list of workers has arrived at an instance. */
+  readonly workersRead: InstanceMoment;
+  readonly becameLeader: InstanceMoment;
+  readonly drainBegan: InstanceMoment;
+}
+
+interface InstanceMoment {
+  readonly instanceId: string;
+}
+
+interface WorkerMoment extends InstanceMoment {
+  readonly workerId: string;
+}
+
+type MomentHandlers = {
+  [K in keyof Moments]: Set<(moment: Moments[K]) => void>;
+};
 
 /** A simulated instance. */
 interface SimulatedInstance {
@@ -214,6 +265,28 @@
   eventMs: number;
   /** Difference of its wall clock from that of the others. */
   wallOffsetMs: number;
+  /** Age of the lists of workers that it reads. */
+  listAgeMs: number;
+}
+
+/** A message from one instance to another. */
+interface SentMessage {
+  readonly from: string;
+  readonly target: SimulatedInstance;
+  /** The incarnation of the target to which the connection leads. */
+  readonly incarnation: number;
+  /** Number of resets of the connection before the message was sent. */
+  readonly resetCount: number | undefined;
+  readonly sentAtMs: number;
+  /** The sender has a connection; without one the message is discarded. */
+  readonly isConnected: boolean;
+  readonly message: EffectOf<"sendPeer">["message"];
+}
+
+/** A time in which messages on some paths wait at their senders. */
+interface Hold {
+  readonly isHeld: (from: string, to: string) => boolean;
+  readonly messages: SentMessage[];
 }
 
 /** A job as seen by its caller. */
@@ -272,6 +345,14 @@
    * first to the second ID; returns a function that ends this.
    */
   readonly addCut: (isCut: (from: string, to: string) => boolean) => () => void;
+  /**
+   * Delays the messages between instances for which the predicate holds, as
+   * connections do that outlast a cut; returns a function that ends this and
+   * sends them. Connections with messages that have waited for long are reset.
+   */
+  readonly addHold: (
+    isHeld: (from: string, to: string) => boolean,
+  ) => () => void;
   /**
    * Decides what becomes of calls to workers, beside other such decisions;
    * returns a function that ends this.
@@ -285,6 +366,13 @@
   readonly stepClock: (instanceId: string, byMs: number) => void;
   /** Multiplies the response time of the store. */
   readonly setStoreSlowness: (factor: number) => void;
+  /**
+   * Sets the share of the store's transactions that are carried out seconds
+   * later and not answered.
+   */
+  readonly setLateWriteShare: (share: number) => void;
+  /** Sets the age of the lists of workers that an instance reads. */
+  readonly setListAge: (instanceId: string, ageMs: number) => void;
   /** Stops an instance and restarts it after the given time. */
   readonly kill: (instanceId: string, downMs: number) => void;
   /** Pauses the process of an instance. */
@@ -325,6 +413,14 @@
   readonly discardedMilliMs: () => number;
   /** Returns the IDs of the instances that are leaders. */
   readonly leaders: () => string[];
+  /**
+   * Calls a handler right after each moment of a kind, before any time passes;
+   * returns a function that ends this.
+   */
+  readonly onMoment: <K extends keyof Moments>(
+    kind: K,
+    handler: (moment: Moments[K]) => void,
+  ) => () => void;
   /** Runs the simulation up to the given time. */
   readonly run: (untilMs: number) => Promise<void>;
 }
@@ -368,6 +464,9 @@
   // other random draws.
   const storeGenerator = xoroshiro128plus(options.seed + 1);
   const storeRandom = (): number => uniformFloat64(storeGenerator);
+  // As above, for the rates of the workers' clocks.
+  const clockGenerator = xoroshiro128plus(options.seed + 2);
+  const clockRandom = (): number => uniformFloat64(clockGenerator);
   const queue = createEventQueue();
   const violations: string[] = [];
   const jobs = new Map<string, CallerRecord>();
@@ -393,11 +492,22 @@
   let restoredCount = 0;
   let isPartitioned: ((a: string, b: string) => boolean) | null = null;
   const cuts = new Set<(from: string, to: string) => boolean>();
+  const holds = new Set<Hold>();
   const callFaults = new Set<(call: WorkerCall) => CallFate>();
+  const momentHandlers: MomentHandlers = {
+    startSent: new Set(),
+    renewalAnswered: new Set(),
+    workersRead: new Set(),
+    becameLeader: new Set(),
+    drainBegan: new Set(),
+  };
   /** Number of resets of the connections of each pair of instances. */
   const resetCounts = new Map<string, number>();
   let isStoreUnavailable = false;
   let storeSlowness = 1;
+  let lateWriteShare = 0;
+  /** The lists of workers that were read lately, in the order of time. */
+  const listHistory: { atMs: number; workers: WorkerInfo[] }[] = [];
   let discardedMilliMs = 0;
   let jobCount = 0;
   let queryCount = 0;
@@ -422,6 +532,7 @@
           cpuMilli: workerSizeAt(index).cpuMilli,
           runTimeFactor: workerSizeAt(index).runTimeFactor,
           leaseMs: LEASE_MS,
+          clockRate: 1 - (options.maxClockDrift ?? 0) * clockRandom(),
           taskOf: ({ taskName }) => simulatedTasks.get(taskName),
           onStart: checkStart,
           onCompletion: (worker, run, outcome) => {
@@ -452,6 +563,7 @@
       pausedUntilMs: 0,
       eventMs: 0,
       wallOffsetMs: 0,
+      listAgeMs: 0,
     }))
   );
   const instancesById = new Map(
@@ -607,6 +719,13 @@
     );
   }
 
+  function notify<K extends keyof Moments>(kind: K, moment: Moments[K]): void {
+    for (const handler of momentHandlers[kind]) {
+      // Not at once: the effects of the present event are still performed.
+      queue.at(queue.nowMs(), () => handler(moment));
+    }
+  }
+
   function isPartitionedPair(a: string, b: string): boolean {
     return isPartitioned !== null &&
       (isPartitioned(a, b) || isPartitioned(b, a));
@@ -629,6 +748,9 @@
 
   /** Returns the time after which a call with a fate is carried out. */
   function callDelayMs(fate: CallFate, delayMs: number): number {
+    if (fate === "delayed") {
+      return delayMs + CALL_TIMEOUT_MS + MAX_CALL_DELAY_MS * random();
+    }
     return fate === "late"
       ? MIN_LATE_CALL_MS + (MAX_LATE_CALL_MS - MIN_LATE_CALL_MS) * random()
       : delayMs;
@@ -662,7 +784,12 @@
       return;
     }
     restoredCount = 0;
+    const previousTerm = instance.state.scheduler?.term;
     const effects = reduceChecked(instance, event);
+    const term = instance.state?.scheduler?.term;
+    if (term !== undefined && term !== previousTerm) {
+      notify("becameLeader", { instanceId: instance.instanceId });
+    }
     const busyMs = restoredCount * (options.restoreMs ?? 0) + instance.eventMs;
     if (busyMs > 0) block(instance, incarnation, busyMs);
     for (const effect of effects) perform(instance, incarnation, effect);
@@ -773,18 +900,18 @@
       if (target === undefined || isBlocked(instance.instanceId, instanceId)) {
         return;
       }
+      const from = instance.instanceId;
       const { incarnation } = target;
-      const pair = pairKey(instance.instanceId, instanceId);
-      const resetCount = resetCounts.get(pair);
-      const isDown = instance.state?.peers.get(instanceId)?.connected === false;
-      queue.at(arrivalMs(instance.instanceId, instanceId), () => {
-        if (isDown || resetCounts.get(pair) !== resetCount) return;
-        dispatch(target, incarnation, {
-          type: "peerMessage",
-          nowMs: queue.nowMs(),
-          from: instance.instanceId,
-          message,
-        });
+      const resetCount = resetCounts.get(pairKey(from, instanceId));
+      const peer = instance.state?.peers.get(instanceId);
+      sendMessage({
+        from,
+        target,
+        incarnation,
+        resetCount,
+        sentAtMs: queue.nowMs(),
+        isConnected: peer?.connected !== false,
+        message,
       });
     },
     hold: callPoll,
@@ -807,6 +934,66 @@
     performer?.(instance, incarnation, effect);
   }
 
+  /** Sends a message to a peer, at once or when the paths are no longer held. */
+  function sendMessage(sent: SentMessage): void {
+    const { from, target, incarnation, isConnected, message } = sent;
+    const { instanceId } = target;
+    for (const hold of holds) {
+      if (!hold.isHeld(from, instanceId)) continue;
+      hold.messages.push(sent);
+      return;
+    }
+    queue.at(arrivalMs(from, instanceId), () => {
+      const resetCount = resetCounts.get(pairKey(from, instanceId));
+      if (!isConnected || sent.resetCount !== resetCount) return;
+      dispatch(target, incarnation, {
+        type: "peerMessage",
+        nowMs: queue.nowMs(),
+        from,
+        message,
+      });
+    });
+  }
+
+  /** Sends the messages of a hold that has ended. */
+  function release({ messages }: Hold): void {
+    for (const sent of messages) {
+      const { from, target, sentAtMs, resetCount } = sent;
+      const pair = pairKey(from, target.instanceId);
+      if (resetCounts.get(pair) !== resetCount) continue;
+      if (queue.nowMs() - sentAtMs <= IDLE_RESET_MS) sendMessage(sent);
+      else {
+        const sender = instancesById.get(from) as SimulatedInstance;
+        resetConnection(sender, target);
+      }
+    }
+  }
+
+  /**
+   * Resets the connection of two instances; messages that have not arrived are
+   * lost.
+   */
+  function resetConnection(
+    instance: SimulatedInstance,
+    other: SimulatedInstance,
+  ): void {
+    const pair = pairKey(instance.instanceId, other.instanceId);
+    resetCounts.set(pair, (resetCounts.get(pair) ?? 0) + 1);
+    for (const [a, b] of [[instance, other], [other, instance]] as const) {
+      dispatch(a, a.incarnation, {
+        type: "peerDown",
+        nowMs: queue.nowMs(),
+        instanceId: b.instanceId,
+        refused: false,
+      });
+      const { incarnation } = a;
+      runAfter(
+        MAX_RECONNECT_MS * storeRandom(),
+        () => connectPeer(a, incarnation, b),
+      );
+    }
+  }
+
   /** Returns the time at which a message that is sent now arrives. */
   function arrivalMs(from: string, to: string): number {
     const drawnMs = queue.nowMs() + drawLatencyMs(from, to);
@@ -875,7 +1062,10 @@
           runAfter(2, poll);
           return;
         }
-        if (fate === "answerLost" || fate === "late") return;
+        if (isSilent(fate)) return;
+        if (effect.leaseEndsMs !== null) {
+          notify("renewalAnswered", { instanceId, workerId });
+        }
         runAfter(delayMs, () => {
           if (isBlocked(workerId, instanceId)) return;
           if (fate === "answered") complete(outcome);
@@ -899,6 +1089,7 @@
     const fate = late
       ? "late"
       : fateOf({ kind: "start", instanceId, workerId });
+    notify("startSent", { instanceId, workerId, taskName });
     const { startedAtMs } = worker;
     let completed = false;
     const complete = (outcome: StartOutcome): void => {
@@ -930,7 +1121,7 @@
       }
       worker.advance(queue.nowMs());
       const outcome = worker.start(effect, queue.nowMs());
-      if (fate === "answerLost" || fate === "late") return;
+      if (isSilent(fate)) return;
       runAfter(delayMs, () => {
         if (isBlocked(workerId, instanceId)) return;
         if (fate === "answered") complete(outcome);
@@ -1028,8 +1219,14 @@
     instance: SimulatedInstance,
     incarnation: number,
   ): StoreHost {
-    function call<T>(run: () => T): Promise<T> {
-      const isResponseLost = storeRandom() < (options.lostResponseShare ?? 0);
+    function call<T>(
+      run: () => T,
+      { isWrite = false }: { isWrite?: boolean } = {},
+    ): Promise<T> {
+      const isLate = isWrite && lateWriteShare > 0 &&
+        storeRandom() < lateWriteShare;
+      const isResponseLost = isLate ||
+        storeRandom() < (options.lostResponseShare ?? 0);
       return new Promise((resolve, reject) => {
         let timedOut = false;
         runAfter(STORE_TIMEOUT_MS, () => {
@@ -1039,9 +1236,13 @@
         });
         const { instanceId } = instance;
         if (isStoreUnavailable || isBlocked("store", instanceId)) return;
-        const durationMs = (isResponseLost
+        const drawnMs = (isResponseLost
           ? LOST_RESPONSE_DELAY_MS
           : STORE_LATENCY_MS * storeSlowness) * storeRandom();
+        const durationMs = isLate
+          ? MIN_LATE_WRITE_MS +
+            (MAX_LATE_WRITE_MS - MIN_LATE_WRITE_MS) * storeRandom()
+          : drawnMs;
         runAfter(durationMs, () => {
           const result = run();
           if (isResponseLost) {
@@ -1065,7 +1266,8 @@
       async *readPages(tablePart) {
         yield await call(() => store.readRows(tablePart));
       },
-      transact: (transaction) => call(() => store.transact(transaction)),
+      transact: (transaction) =>
+        call(() => store.transact(transaction), { isWrite: true }),
       close: () => Promise.resolve(),
     };
   }
@@ -1137,6 +1339,43 @@
     );
   }
 
+  /** Returns the workers that the store lists now. */
+  function listWorkers(): WorkerInfo[] {
+    return workers.filter((worker) =>
+      worker.alive && !isBlocked("store", worker.workerId) &&
+      !unlistedWorkers.has(worker)
+    ).map((worker) => ({
+      workerId: worker.workerId,
+      service: "s",
+      availabilityZone: worker.availabilityZone,
+      address: worker.workerId,
+      cpuMilli: worker.cpuMilli,
+      memoryMb: 1e6,
+      accelerators: 0,
+      labels: [],
+      draining: worker.draining,
+      bornMs: worker.startedAtMs,
+    }));
+  }
+
+  /** Returns the list of workers that an instance reads, which may be old. */
+  function readList({ listAgeMs }: SimulatedInstance): WorkerInfo[] {
+    const nowMs = queue.nowMs();
+    listHistory.push({ atMs: nowMs, workers: listWorkers() });
+    while ((listHistory[0]?.atMs ?? nowMs) < nowMs - LIST_HISTORY_MS) {
+      listHistory.shift();
+    }
+    const read = listHistory.findLast(({ atMs }) => atMs <= nowMs - listAgeMs);
+    return (read ?? listHistory[0])?.workers ?? [];
+  }
+
+  /** Whether an instance can't read the lists of the store. */
+  function isStoreOut({ instanceId }: SimulatedInstance): boolean {
+    if (isStoreUnavailable) return true;
+    for (const isCut of cuts) if (isCut("store", instanceId)) return true;
+    return false;
+  }
+
   /**
    * Periodically reports the configuration to an instance and, if it is the
    * leader or knows none, the list of workers. While the store is unavailable,
@@ -1150,7 +1389,7 @@
     const nowMs = queue.nowMs();
     const { state } = instance;
     const readsWorkers = state.scheduler !== null || state.leaderId === null;
-    if (isStoreUnavailable) {
+    if (isStoreOut(instance)) {
       dispatch(instance, incarnation, { type: "workersUnreadable", nowMs });
     } else {
       dispatch(instance, incarnation, {
@@ -1158,28 +1397,14 @@
         nowMs,
         configuration,
       });
-      const listedWorkers = workers.filter((worker) =>
-        worker.alive && !isBlocked("store", worker.workerId) &&
-        !unlistedWorkers.has(worker)
-      ).map((worker) => ({
-        workerId: worker.workerId,
-        service: "s",
-        availabilityZone: worker.availabilityZone,
-        address: worker.workerId,
-        cpuMilli: worker.cpuMilli,
-        memoryMb: 1e6,
-        accelerators: 0,
-        labels: [],
-        draining: worker.draining,
-        bornMs: worker.startedAtMs,
-      }));
       const type = "workersRead";
       if (readsWorkers) {
         dispatch(instance, incarnation, {
           type,
           nowMs,
-          workers: listedWorkers,
+          workers: readList(instance),
         });
+        notify("workersRead", { instanceId: instance.instanceId });
       }
     }
     runAfter(READ_INTERVAL_MS, () => readPlatform(instance, incarnation));
@@ -1390,28 +1615,21 @@
     resetConnections(instanceId) {
       const instance = instancesById.get(instanceId) as SimulatedInstance;
       for (const other of instances) {
-        if (other === instance) continue;
-        const pair = pairKey(instanceId, other.instanceId);
-        resetCounts.set(pair, (resetCounts.get(pair) ?? 0) + 1);
-        for (const [a, b] of [[instance, other], [other, instance]] as const) {
-          dispatch(a, a.incarnation, {
-            type: "peerDown",
-            nowMs: queue.nowMs(),
-            instanceId: b.instanceId,
-            refused: false,
-          });
-          const { incarnation } = a;
-          runAfter(
-            MAX_RECONNECT_MS * storeRandom(),
-            () => connectPeer(a, incarnation, b),
-          );
-        }
+        if (other !== instance) resetConnection(instance, other);
       }
     },
     addCut(isCut) {
       cuts.add(isCut);
       return () => cuts.delete(isCut);
     },
+    addHold(isHeld) {
+      const hold: Hold = { isHeld, messages: [] };
+      holds.add(hold);
+      return () => {
+        holds.delete(hold);
+        release(hold);
+      };
+    },
     addCallFault(fault) {
       callFaults.add(fault);
       return () => callFaults.delete(fault);
@@ -1426,6 +1644,12 @@
     setStoreSlowness(factor) {
       storeSlowness = factor;
     },
+    setLateWriteShare(share) {
+      lateWriteShare = share;
+    },
+    setListAge(instanceId, ageMs) {
+      (instancesById.get(instanceId) as SimulatedInstance).listAgeMs = ageMs;
+    },
     kill(instanceId, downMs) {
       kill(instancesById.get(instanceId) as SimulatedInstance, downMs);
     },
@@ -1462,6 +1686,7 @@
         type: "drainRequested",
         nowMs,
       });
+      notify("drainBegan", { instanceId });
     },
     setPartition(predicate) {
       isPartitioned = predicate;
@@ -1509,6 +1734,10 @@
     leaders: () =>
       instances.filter((instance) => instance.state?.scheduler != null)
         .map((instance) => instance.instanceId),
+    onMoment(kind, handler) {
+      momentHandlers[kind].add(handler);
+      return () => momentHandlers[kind].delete(handler);
+    },
     run: (untilMs) => queue.runUntil(untilMs),
   };
 }
