--- a/src/engine/second_copy_test.ts
+++ b/src/engine/second_copy_test.ts
@@ -23,6 +23,8 @@
   );
 }
 
+// The entry follows its leader anew and submits the job again. The leader refuses
+// the first copy, steps down, and gets the second one in its next term.
 test("a refusal of the first copy doesn't answer for a second copy on its way", () => {
   const entry = createTestInstance({ peers: ["a", "b", "c"] });
   const isLeader = { isLeader: true, term: TERM, leaderId: "a" };
--- a/src/engine/stale_submission_test.ts
+++ b/src/engine/stale_submission_test.ts
@@ -28,6 +28,8 @@
   return leader;
 }
 
+// Its peers have another leader by then, to which the entry submitted the job
+// too; a cut has delayed the submission, and the withdrawal is behind it.
 for (const silentMs of [600, 1_250, 1_450]) {
   test(`a submission that ends ${silentMs} ms of silence of all peers starts nothing at once`, () => {
     const leader = createLeader();
