Review: only heartbeats count as followers, a fenced worker waits for its retry

Messages of instances that had just left this leader, and silent ones after a delay by its own work, counted as followers. - A worker that another instance took and that then fell out of this leader's share was acquired at once when the share grew again, under the token raised for the retry. It waits for the retry now; a worker that was merely released is acquired at once as before. - A submission that the leader has already (same id) no longer makes it wait for all workers once more; entries repeat them more often now.

Before: the two new cases of other signs and the one of a fenced worker that is assigned again are red (the first with this change but the old comparison, the others on the commit before). After: green. The third change has no test of its own; the engine's tests are green.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -48,12 +48,13 @@
   /** Runs on lost workers occupy capacity until their leases have expired. */
   hasExpired: (nowMs, expiresAtMs) => nowMs >= expiresAtMs,
   /**
-   * A worker that another instance owns is acquired only once the delay for this
-   * is over, or if it is assigned to this leader again: its owner may have read
-   * that no run of a task is there, and started the task.
+   * A worker that another instance owns is acquired only by the delayed retry:
+   * its owner may have read that no run of a task is there, and started the
+   * task. One that this leader merely released may be assigned to it again.
    */
-  mayAcquire: ({ hasNewOwner }, cause) =>
-    !hasNewOwner || cause === "retry" || cause === "reassigned",
+  mayAcquire: ({ hasNewOwner, wasFenced }, cause) =>
+    !hasNewOwner || cause === "retry" ||
+    (cause === "reassigned" && !wasFenced),
   /** Runs of a previous leader may continue until their leases have expired. */
   mayRunElsewhere: (nowMs, expiresAtMs) => nowMs < expiresAtMs,
   /** A task under which workers crash does not start without end. */
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -112,8 +112,8 @@
   const { instanceId } = state.self;
   return isQuorum(
     state,
-    ({ leaderId, lastHeardAtMs }) =>
-      leaderId === instanceId && lastHeardAtMs > sinceMs,
+    ({ leaderId, heartbeatAtMs }) =>
+      leaderId === instanceId && heartbeatAtMs > sinceMs,
   );
 }
 
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -261,6 +261,7 @@
     });
     return;
   }
+  const isRepeated = job.submissionIdByEntry.get(from) === submissionId;
   job.submissionIdByEntry.set(from, submissionId);
   job.paused = false;
   if (record !== null) {
@@ -268,7 +269,7 @@
     sendPeer(context, from, { type: "jobAccepted", jobId, submissionId });
     return;
   }
-  if (message.resubmitted) {
+  if (message.resubmitted && !isRepeated) {
     job.mayHaveStarted = true;
     job.resumedAtMs = context.state.nowMs;
     scheduler.rereadWanted = true;
--- a/src/engine/taken_workers_test.ts
+++ b/src/engine/taken_workers_test.ts
@@ -142,6 +142,33 @@
     .not.toInclude(start.workerId);
 });
 
+const otherSigns: { name: string; apply: (leader: TestInstance) => void }[] = [
+  {
+    name: "messages other than heartbeats",
+    apply: (leader) => {
+      for (const peer of PEERS) {
+        leader.receive(peer, { type: "withdraw", jobId: "ab" });
+      }
+    },
+  },
+  {
+    name: "a delay by the leader's own work",
+    apply: (leader) => leader.after(400, { type: "processBusy", busyMs: 400 }),
+  },
+];
+
+// They say nothing of the leader that a peer follows by now.
+for (const { name, apply } of otherSigns) {
+  test(`a worker that another instance took is not acquired again soon after ${name}`, () => {
+    const { leader, start } = createLeader();
+    rejectToken(leader, start.workerId);
+    leader.tick(10);
+    apply(leader);
+    const effects = [leader.tick(150), leader.tick(100)].flat();
+    expect(polledIds(effects)).not.toInclude(start.workerId);
+  });
+}
+
 const followers: {
   name: string;
   /** The leader that each peer says that it follows, once the worker is lost. */
@@ -189,6 +216,31 @@
   );
 }
 
+const reassignments = [
+  { name: "was released only", isFenced: false },
+  { name: "another instance took, too,", isFenced: true },
+];
+
+// A deposed leader whose share of the workers grew again took the worker under
+// the token that it had raised for a later retry.
+for (const { name, isFenced } of reassignments) {
+  test(`a worker that ${name} and is assigned again is acquired at once: ${!isFenced}`, () => {
+    const { leader, start } = createLeader({ taskCount: 3 });
+    const { workerId } = start;
+    const worker = leader.state.scheduler?.workers.get(workerId);
+    if (isFenced) rejectToken(leader, workerId);
+    for (let passedMs = 0; passedMs < 1_400; passedMs += 100) {
+      leader.tick(100);
+      if (worker?.released === true) break;
+      const polled = isFenced ? [] : [workerId];
+      for (const id of ["w1", ...polled]) leader.completePoll(id);
+    }
+    expect(worker?.released).toEqual(true);
+    refusePeers(leader);
+    expect(polledIds(leader.tick(25)).includes(workerId)).toEqual(!isFenced);
+  });
+}
+
 test("a worker that another instance took is acquired again in the end", () => {
   const { leader, start } = createLeader();
   rejectToken(leader, start.workerId);
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -707,6 +707,8 @@
   hasNewOwner: boolean;
   /** Time at which this leader found that; 0 if it has not since it acquired it. */
   newOwnerFoundAtMs: number;
+  /** The worker has rejected this leader's token since it was last acquired. */
+  wasFenced: boolean;
   /** Time of the next report or inquiry that concerns the worker, if any. */
   nextReportAtMs: number;
   /** Highest sequence number acknowledged to the worker. */
@@ -941,7 +943,7 @@
   readonly mayServe: (worker: OwnedWorker) => boolean;
   readonly hasExpired: (nowMs: number, expiresAtMs: number) => boolean;
   readonly mayAcquire: (
-    worker: Pick<OwnedWorker, "hasNewOwner">,
+    worker: Pick<OwnedWorker, "hasNewOwner" | "wasFenced">,
     cause: AcquisitionCause,
   ) => boolean;
   readonly mayRunElsewhere: (nowMs: number, expiresAtMs: number) => boolean;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -137,8 +137,11 @@
   worker.info = info;
   const wasReleased = worker.released;
   worker.released = false;
-  if (wasReleased) raiseFence(context, worker, "reassigned");
-  else if (restarted) raiseFence(context, worker, "restarted");
+  if (wasReleased) {
+    // Applies if the worker may not be acquired at once.
+    worker.retryAtMs = context.state.nowMs;
+    raiseFence(context, worker, "reassigned");
+  } else if (restarted) raiseFence(context, worker, "restarted");
   else if (moved) raiseFence(context, worker, "moved");
 }
 
@@ -194,6 +197,7 @@
     orphansReadAtMs: -Infinity,
     hasNewOwner: false,
     newOwnerFoundAtMs: 0,
+    wasFenced: false,
     nextReportAtMs: 0,
     acknowledgedSequence: 0,
     pollCallId: 0,
@@ -398,6 +402,7 @@
   worker.phase = "ready";
   worker.hasNewOwner = false;
   worker.newOwnerFoundAtMs = 0;
+  worker.wasFenced = false;
   // A run that the previous owner stopped is not listed any more, but may
   // occupy the worker for as long as a stop takes.
   if (worker.usableFromMs === 0) {
@@ -485,6 +490,7 @@
   const { state } = context;
   const rivalLikely = mayHaveRival(state);
   worker.phase = "lost";
+  worker.wasFenced = true;
   markOwnedElsewhere(state, worker);
   worker.usableFromMs = 0;
   // A pending poll was accepted under a token that is no longer valid.
