--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -159,8 +159,10 @@
   context: ReduceContext,
   { jobId, leaderId }: Omit<Withdrawal, "sentAtMs">,
 ): void {
-  const { withdrawals, nowMs } = context.state;
-  withdrawals.push({ jobId, leaderId, sentAtMs: nowMs });
+  const { withdrawals, nowMs, self } = context.state;
+  if (leaderId !== self.instanceId) {
+    withdrawals.push({ jobId, leaderId, sentAtMs: nowMs });
+  }
   sendPeer(context, leaderId, { type: "withdraw", jobId });
 }
 
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -189,7 +189,8 @@
   },
   hello: (context, from, message) => {
     endPreviousIncarnation(context, from, message.instance.bornMs);
-    // What the leader reported while it had no connection is lost.
+    // Outcomes that a leader reported while its connection to this entry was down
+    // are lost; the leader answers again for jobs that are submitted again.
     if (onHello(context, from, message)) resubmitAll(context, from);
   },
   submit: onSubmit,
--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -51,7 +51,8 @@
   unknown: (context, { worker, run }) => {
     if (run.state !== "starting") return;
     context.state.counters.startsUnknown += 1;
-    // The lists read under the raised token show whether the run started.
+    // The lists read under the raised token, now or when a lost worker is
+    // acquired again, show whether the run started.
     raiseFence(context, worker, "startUnknown");
   },
 };
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -582,7 +582,8 @@
 }
 
 /**
- * Whether a lost worker whose retry is due may be acquired. While another
+ * Whether a lost worker whose retry is due may be acquired; the guard
+ * `mayAcquire` leaves a worker of another owner to this retry. While another
  * instance owns it, the followers decide which of the two is the leader: a
  * leader that was replaced a moment ago may not miss its peers yet.
  */
