--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -208,7 +208,7 @@
 
 /**
  * Handles a peer's introduction of itself and of its live peers. Returns whether
- * it is the first message on a connection of the peer's present incarnation.
+ * it comes from the peer's present incarnation, which has a new connection then.
  */
 export function onHello(
   context: ReduceContext,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -352,7 +352,7 @@
   endedStartAtMs: number | null;
   /** The peer's monotonic clock in its latest heartbeat. */
   lastSentAtMs: number;
-  /** Time at which that heartbeat arrived; 0 before the first one. */
+  /** Time at which the latest heartbeat arrived; 0 before the first one. */
   heartbeatAtMs: number;
   connected: boolean;
   /**
@@ -705,7 +705,7 @@
    * or assigned to another partition side or cell.
    */
   hasNewOwner: boolean;
-  /** Time at which this leader found that; 0 if it has not since it acquired it. */
+  /** Time at which this leader found another owner; 0 while it knows of none. */
   newOwnerFoundAtMs: number;
   /** The worker has rejected this leader's token since it was last acquired. */
   wasFenced: boolean;
