Each copy of a submission has an id of its own

Change: every copy has a new id, so the refusal of an earlier one is not that of the latest submission and is ignored.

--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -7,6 +7,7 @@
 import {
   drawDeadlyRun,
   drawGrownRun,
+  drawMomentRun,
   drawRecordedRun,
   drawStepsRun,
   drawTakeoverRun,
@@ -67,7 +68,8 @@
   keepTerm: (seed) => drawGrownRun(GROWN_ROWS * seed + 9),
   ignoreTerm: (seed) => drawGrownRun(GROWN_ROWS * seed + 1),
   keepJobsOfRestarted: (seed) => drawGrownRun(GROWN_ROWS * seed + 8),
-  forgetWithdrawals: (seed) => drawGrownRun(GROWN_ROWS * (seed - 1) + 1),
+  // The first of these runs showed the fault.
+  forgetWithdrawals: (seed) => drawMomentRun(30_208 + seed),
   completeReady: drawStepsRun,
   attachQueued: drawStepsRun,
   // With refused connections of the leader, and starts that are late.
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -120,8 +120,9 @@
     callerJob.submittedWithZoneCells = state.hasZoneCells;
     callerJob.submittedTo = leader.instanceId;
     callerJob.submittedTerm = leader.term;
-    callerJob.submissionCount += 1;
   }
+  // A refusal of an earlier copy must not answer for this one.
+  callerJob.submissionCount += 1;
   sendPeer(context, leader.instanceId, {
     type: "submit",
     jobId: callerJob.jobId,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -395,7 +395,7 @@
   submittedTo: string | null;
   /** Term of that leader; 0 if there was no submission. */
   submittedTerm: number;
-  /** Number of submissions; repeats to the same leader term do not count. */
+  /** Number of submissions, repeated ones included. */
   submissionCount: number;
   /** A previous leader may have started tasks of the job. */
   mayHaveStarted: boolean;
