The log tells starts of one instance in several terms apart, and when workers leave the list

Of two starts of a task by one instance, the log did not show whether they were of one term or process, nor by how many workers a new leader goes, nor that a worker had left its list. `task started` names the fencing token, `instance became leader` the age of the process and the number of workers of its cell, and each worker that leaves the list gets a line.

--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -285,6 +285,8 @@
   logDecision(context, { part: "leader", text: "instance became leader" }, {
     term,
     ...countInstances(state),
+    upMs: Math.round(state.nowMs - state.startedAtMs),
+    workers: cellWorkers(state).length,
     workersAgeMs: Math.round(state.nowMs - state.workersReadAtMs),
     leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
   });
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -133,6 +133,8 @@
     run: task.run,
     workerId,
     ...(task.runsAlone ? { isTrial: true } : {}),
+    // Tells starts of one instance in several terms or processes apart.
+    fence: worker.fence,
     usedCpuMilli: worker.usedCpuMilli,
     waitedMs: Math.round(state.nowMs - job.receivedAtMs),
   });
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -83,7 +83,7 @@
       cpuMilli: info.cpuMilli,
     });
   }
-  trackVanishedWorkers(state, next);
+  trackVanishedWorkers(context, next);
   state.workers = next;
   updateCells(context);
   return true;
@@ -134,14 +134,17 @@
  * the other side of a network partition.
  */
 function trackVanishedWorkers(
-  state: EngineState,
+  context: ReduceContext,
   next: ReadonlyMap<string, WorkerInfo>,
 ): void {
-  const { vanishedAtMs, nowMs } = state;
-  for (const [workerId, info] of state.workers) {
-    if (!next.has(workerId) && !info.draining) {
-      vanishedAtMs.set(workerId, nowMs);
-    }
+  const { vanishedAtMs, nowMs, workers } = context.state;
+  for (const [workerId, { draining }] of workers) {
+    if (next.has(workerId)) continue;
+    logDecision(context, { part: "workers", text: "worker left the list" }, {
+      workerId,
+      draining,
+    });
+    if (!draining) vanishedAtMs.set(workerId, nowMs);
   }
   for (const [workerId, atMs] of vanishedAtMs) {
     const isExpired = nowMs - atMs > VANISHED_RETENTION_MS;
