Failing test: a restarted leader starts a task beside the run of its earlier process

An entry and a leader, two real engines whose messages arrive at once: the leader is killed while the entry of one worker has lapsed, starts again with a list that lacks the worker, leads again, and gets the job back. It starts the task at once, beside the run that it started itself. One starter, no stop: the shape of the users' record.

--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -121,15 +121,18 @@
   : never;
 
 /**
- * Creates the instance `self`, which has a configuration and is connected to the
- * given peers.
+ * Creates an instance, by default with the id `self`, which has a configuration
+ * and is connected to the given peers.
  */
 export function createTestInstance(
-  { peers = [] }: { peers?: readonly string[] } = {},
+  { peers = [], self = testInstanceInfo("self") }: {
+    peers?: readonly string[];
+    self?: InstanceInfo;
+  } = {},
 ): TestInstance {
   let nowMs = 10_000;
   const state = createEngine({
-    self: testInstanceInfo("self"),
+    self,
     leaseMs: 1_000,
     stopMs: 50,
     nowMs,
