Failing tests first: crossed faults, and the starters of two runs

Cause: the randomised runs kill leaders for at least 1,000 ms, the length of a lease, and give every instance the same cores, so no leader is back while the leases of its runs go on. Their violation "twice" doesn't name the starters.

Change: a fault `leaderRestarts` (leaders are back within 150 to 550 ms), an option `cpuCoresOf` of the world and of a run, and the starter and time of both runs in the violation. No existing run draws other numbers.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -30,6 +30,10 @@
   type MomentFaultName,
   momentRows,
 } from "./moment_faults.ts";
+import {
+  restartFaultHandlers,
+  type RestartFaultName,
+} from "./restart_faults.ts";
 
 /** Start of the load; the instances have elected a leader by then. */
 const LOAD_START_MS = 3_000;
@@ -134,7 +138,8 @@
   | "zonesApart"
   | "damageJob"
   | GrownFaultName
-  | MomentFaultName;
+  | MomentFaultName
+  | RestartFaultName;
 
 function partitionFor(
   world: World,
@@ -253,6 +258,7 @@
   damageJob,
   ...grownFaultHandlers,
   ...momentFaultHandlers,
+  ...restartFaultHandlers,
 };
 
 /** Damages the state of a job that has not ended, at one of the leaders. */
@@ -351,6 +357,8 @@
   readonly resendMs?: number;
   /** See {@linkcode WorldOptions.maxClockDrift}. */
   readonly maxClockDrift?: number;
+  /** See {@linkcode WorldOptions.cpuCoresOf}. */
+  readonly cpuCoresOf?: (instanceId: string) => number;
   /** See {@linkcode WorldOptions.restoreMs}. */
   readonly restoreMs?: number;
   /** See {@linkcode WorldOptions.keepsOrder}. */
@@ -593,6 +601,14 @@
   };
 }
 
+/**
+ * Returns the processor cores of an instance of a fleet in which two instances
+ * of each zone are larger than the others.
+ */
+export function unequalCoresOf(instanceId: string): number {
+  return /-[12]$/.test(instanceId) ? 1.35 : 0.324;
+}
+
 /** Returns the options of the world of a run, which has the reference fleet. */
 export function worldOptions(
   {
@@ -607,6 +623,7 @@
     instancesPerZone = 2,
     resendMs,
     maxClockDrift = 0,
+    cpuCoresOf,
   }: EngineRun,
 ) {
   return {
@@ -614,6 +631,7 @@
     zones,
     instancesPerZone,
     ...(resendMs === undefined ? {} : { resendMs }),
+    ...(cpuCoresOf === undefined ? {} : { cpuCoresOf }),
     workersPerZone,
     workerSizes: referenceWorkers,
     kinds,
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -188,6 +188,11 @@
    * its own.
    */
   readonly maxClockDrift?: number;
+  /**
+   * Returns the processor cores of an instance; if undefined, instances don't
+   * name them.
+   */
+  readonly cpuCoresOf?: (instanceId: string) => number;
   /** Jobs are damaged, so internal errors of jobs violate no guarantee. */
   readonly damagesJobs?: boolean;
   /** Receives the log lines of every instance. */
@@ -289,6 +294,18 @@
   readonly messages: SentMessage[];
 }
 
+/** The latest start of a task. */
+interface LatestStart {
+  readonly workerId: string;
+  /** The instance that sent the start. */
+  readonly instanceId: string;
+  readonly atMs: number;
+}
+
+function describeStart({ workerId, instanceId, atMs }: LatestStart): string {
+  return `${workerId} (by ${instanceId} at ${Math.round(atMs)})`;
+}
+
 /** A job as seen by its caller. */
 export interface CallerRecord {
   readonly jobId: string;
@@ -483,7 +500,9 @@
     string,
     { cpuMilli: number; untilMs: number }
   >();
-  const workerIdByRunningTask = new Map<string, string>();
+  const latestStarts = new Map<string, LatestStart>();
+  /** The instance of which a worker carries out a start at present. */
+  let starterId = "";
   const zoneById = new Map<string, string>();
   const unlistedWorkers = new Set<FakeWorker>();
   /** Arrival of the latest message of each pair of instances. */
@@ -538,8 +557,8 @@
           onCompletion: (worker, run, outcome) => {
             if (outcome === "done") doneTasks.add(run.taskName);
             else discardedMilliMs += discardedWork(run, queue.nowMs());
-            if (workerIdByRunningTask.get(run.taskName) === worker.workerId) {
-              workerIdByRunningTask.delete(run.taskName);
+            if (latestStarts.get(run.taskName)?.workerId === worker.workerId) {
+              latestStarts.delete(run.taskName);
             }
           },
         }),
@@ -601,20 +620,27 @@
     if (simulatedTasks.get(taskName)?.isDeadly === true) {
       checkCrashes(worker, taskName);
     }
-    const otherWorkerId = workerIdByRunningTask.get(taskName);
-    const mayOverlap = otherWorkerId !== undefined &&
-      otherWorkerId !== worker.workerId &&
-      workersById.get(otherWorkerId)?.running.has(taskName) === true;
+    const before = latestStarts.get(taskName);
+    const start = {
+      workerId: worker.workerId,
+      instanceId: starterId,
+      atMs: queue.nowMs(),
+    };
+    const mayOverlap = before !== undefined &&
+      before.workerId !== worker.workerId &&
+      workersById.get(before.workerId)?.running.has(taskName) === true;
     if (mayOverlap) {
       // The other worker completes runs that are over by now.
-      workersById.get(otherWorkerId)?.advance(queue.nowMs());
-      if (workersById.get(otherWorkerId)?.running.has(taskName) === true) {
+      workersById.get(before.workerId)?.advance(queue.nowMs());
+      if (workersById.get(before.workerId)?.running.has(taskName) === true) {
         violations.push(
-          `twice: ${taskName} on ${otherWorkerId} and ${worker.workerId} at ${nowMs}`,
+          `twice: ${taskName} on ${describeStart(before)} and ${
+            describeStart(start)
+          }`,
         );
       }
     }
-    workerIdByRunningTask.set(taskName, worker.workerId);
+    latestStarts.set(taskName, start);
     const record = jobs.get(jobId);
     if (record?.outcome?.kind === "refused" && isOnlyRequest(record)) {
       violations.push(`refused: ${taskName} started at ${nowMs}`);
@@ -1120,6 +1146,7 @@
         return;
       }
       worker.advance(queue.nowMs());
+      starterId = instanceId;
       const outcome = worker.start(effect, queue.nowMs());
       if (isSilent(fate)) return;
       runAfter(delayMs, () => {
@@ -1273,12 +1300,16 @@
   }
 
   function infoOf(instance: SimulatedInstance, startedAtMs: number) {
+    const { cpuCoresOf } = options;
     return {
       instanceId: instance.instanceId,
       availabilityZone: instance.availabilityZone,
       region: "r",
       address: instance.instanceId,
       bornMs: startedAtMs,
+      ...(cpuCoresOf === undefined
+        ? {}
+        : { cpuCores: cpuCoresOf(instance.instanceId) }),
     };
   }
 
