A leader starts a job again only if it lists the workers that the leader before listed

What callers saw: a task of a job ran on two workers at once, both runs started by one instance, no stop for the first.

Cause: a leader that gets a job which an earlier one may have started waits until it has read the lists of runs of all workers. "All" was its own list. An instance that has just started may read a list that lacks live workers (entries that lapsed in the store), and remembers none that left it; the leader of one zone lists only that zone's workers, while the entry that brings it the job still took all zones for one cell. Its predecessor's runs on the other workers go on with their leases.

Ruled out: waiting for the leases always (every takeover would cost 1.08 s); that a young process waits always (the layout of cells and the lists of processes that are not young are not covered, and a restart with a whole list would wait); sending the lists themselves (350 workers from each follower at a takeover).

Change: a heartbeat names a digest of the workers of the sender's cell. An instance keeps the digest of the leader that it followed last, as told by that leader in its last term, and names it in submissions. The next leader waits for the leases unless its own digest is the same; then all workers on which the job may run are in its list, and it reads them as before. The digest is not known, and leases are waited for, if it changed within the last lease, if another leader was left shortly before, if workers left the list, or if the sender doesn't tell it (an older version). One mechanism covers both causes, since the layout of cells decides which workers the digest covers. The owner of the records applies it to restored jobs with the list that it knew itself.

Tests changed: two of engine_test.ts submit 2 s later, since an instance without any predecessor waits for retries of jobs that it can't know; the earlier term in leader_terms_test.ts is the leader's real one, and an unknown term is a case of its own; records_test.ts tells the list of the owner before, and has a case without it.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -11,6 +11,7 @@
   type LeaderTerm,
   leastLoadedZone,
 } from "./leader_lookup.ts";
+import { previousListDigest } from "./leader_lists.ts";
 import type { PeerMessageOf } from "./schemas.ts";
 import type {
   CallerJob,
@@ -135,6 +136,10 @@
     term: leader.term,
     resubmitted: callerJob.mayHaveStarted,
     leftCell: callerJob.leftCell,
+    // The leader of another cell has other workers.
+    previousListDigest: leader.instanceId === state.leaderId
+      ? previousListDigest(state)
+      : null,
     answerAt: callerJob.answerAt,
     doneTasks: [...callerJob.doneTasks],
   });
--- a/src/engine/engine_test.ts
+++ b/src/engine/engine_test.ts
@@ -46,6 +46,7 @@
 
 test("a leader starts tasks that fit and answers once all are done", () => {
   const leader = createTestLeader();
+  leader.tick(2_000);
   const effects = callerSubmit(leader);
   expect(startsOf(effects).length).toEqual(2);
   leader.tick();
@@ -251,6 +252,7 @@
 // The leases of its runs must expire, and a poll would renew them.
 test("a worker released to another partition side is not polled again", () => {
   const leader = createTestLeader();
+  leader.tick(2_000);
   const instances = ["p", "q", "r"].map((instanceId) => ({
     instanceId,
     availabilityZone: "caxias",
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -57,6 +57,11 @@
     (cause === "reassigned" && !wasFenced),
   /** Runs of a previous leader may continue until their leases have expired. */
   mayRunElsewhere: (nowMs, expiresAtMs) => nowMs < expiresAtMs,
+  /**
+   * The runs of a previous leader are known once the lists of all its workers
+   * have been read, which are those of this leader only if both list the same.
+   */
+  isSameList: (digest, previousDigest) => digest === previousDigest,
   /** A task under which workers crash does not start without end. */
   mustGiveUp: ({ crashes, crashedAlone }) =>
     crashes >= (crashedAlone ? GIVE_UP_CRASHES : MAX_CRASHES),
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -20,6 +20,8 @@
   readonly previousRunsExpireAtMs: number;
   /** Runs of a previous leader may be on workers of another cell. */
   readonly leftCell?: boolean;
+  /** See {@linkcode Job.previousListDigest}. */
+  readonly previousListDigest: string | null;
   /** Names of the tasks that a previous leader reported as done. */
   readonly doneTasks?: readonly string[];
   /** Null if the job is kept in memory only. */
@@ -63,6 +65,7 @@
     previousRunsExpireAtMs: options.previousRunsExpireAtMs,
     resumedAtMs: options.isResumed ? state.nowMs : -Infinity,
     leftCell: options.leftCell ?? false,
+    previousListDigest: options.previousListDigest,
     paused: false,
     isLate: false,
     isWaiting: false,
--- a/src/engine/leader_terms_test.ts
+++ b/src/engine/leader_terms_test.ts
@@ -15,6 +15,8 @@
 
 type StartEffect = Extract<Effect, { type: "startTask" }>;
 
+/** More than the time until a lease of an earlier leader has expired. */
+const LEASE_MS = 1_100;
 const JOB_ID = "00000000000000aa";
 const FIRST_TERM = 900;
 const SECOND_TERM = 901;
@@ -229,21 +231,29 @@
   ).toEqual([{ workerId: start.workerId, fence: start.fence + 1 }]);
 });
 
-test("a known job that another entry submits for an earlier term starts after all workers are read", () => {
-  const leader = createReelectedLeader();
-  const term = leader.state.leaderTerm;
-  leader.receive("p", testSubmission({ jobId: JOB_ID, term }));
-  const submissionId = `q.${JOB_ID}`;
-  leader.receive(
-    "q",
-    testSubmission({ jobId: JOB_ID, submissionId, term: term - 1 }),
-  );
-  const early = [...leader.completePoll("w2"), ...leader.tick(100)];
-  expect(startsOf(early)).toEqual([]);
-  const later = [
-    ...leader.completePoll("w1"),
-    ...leader.completePoll("w2"),
-    ...leader.tick(100),
-  ];
-  expect(startsOf(later)).toEqual([`${JOB_ID}.0.0.0`]);
-});
+/** Submissions of a known job by another entry, for an earlier term. */
+const laterEntries = [
+  { name: "this leader's earlier term", isOwn: true, waitMs: 0 },
+  { name: "an unknown earlier term", isOwn: false, waitMs: LEASE_MS },
+];
+
+for (const { name, isOwn, waitMs } of laterEntries) {
+  test(`a known job that another entry submits for ${name} starts after all workers are read and ${waitMs} ms`, () => {
+    const leader = createReelectedLeader();
+    const { leaderTerm, previousList } = leader.state;
+    leader.receive("p", testSubmission({ jobId: JOB_ID, term: leaderTerm }));
+    const submissionId = `q.${JOB_ID}`;
+    const term = isOwn ? previousList?.term ?? 0 : leaderTerm - 1;
+    leader.receive("q", testSubmission({ jobId: JOB_ID, submissionId, term }));
+    const early = [...leader.completePoll("w2"), ...leader.tick(100)];
+    expect(startsOf(early)).toEqual([]);
+    const later = [
+      ...leader.completePoll("w1"),
+      ...leader.completePoll("w2"),
+      ...leader.tick(100),
+    ];
+    const starts = [`${JOB_ID}.0.0.0`];
+    expect(startsOf(later)).toEqual(waitMs === 0 ? starts : []);
+    if (waitMs > 0) expect(startsOf(leader.tick(waitMs))).toEqual(starts);
+  });
+}
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -20,6 +20,7 @@
   seesMajority,
   workersAgeMs,
 } from "./membership.ts";
+import { leaveLeaderList, trackLeaderList } from "./leader_lists.ts";
 import { createRecordStoreState } from "./records.ts";
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import type {
@@ -174,6 +175,8 @@
 
 function followLeader(context: ReduceContext, peer: Peer): void {
   const { state } = context;
+  leaveLeaderList(state);
+  trackLeaderList(state, peer);
   state.leaderId = peer.info.instanceId;
   state.candidateSinceMs = 0;
   state.leaderTerm = peer.term;
@@ -185,6 +188,7 @@
   }, {
     leaderId: state.leaderId,
     term: peer.term,
+    list: peer.listDigest,
     leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
   });
   resubmitAll(context);
@@ -205,6 +209,7 @@
     term: state.leaderTerm,
     ...peerLogFields(state, state.leaderId),
   });
+  leaveLeaderList(state);
   state.leaderId = null;
   state.leaderTerm = 0;
   state.leaderlessSinceMs = state.nowMs;
@@ -280,6 +285,7 @@
   state.leaderId = state.self.instanceId;
   state.candidateSinceMs = 0;
   state.scheduler = createScheduler(state, term);
+  trackLeaderList(state, { term, listDigest: state.listDigest });
   state.leaderProvisional = state.scheduler.provisional;
   state.counters.takeovers += 1;
   logDecision(context, { part: "leader", text: "instance became leader" }, {
@@ -287,6 +293,7 @@
     ...countInstances(state),
     upMs: Math.round(state.nowMs - state.startedAtMs),
     workers: cellWorkers(state).length,
+    list: state.listDigest,
     workersAgeMs: Math.round(state.nowMs - state.workersReadAtMs),
     leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
   });
@@ -349,6 +356,7 @@
     term: scheduler.term,
     jobs: scheduler.jobs.size,
   });
+  leaveLeaderList(state);
   state.scheduler = null;
   state.leaderId = null;
   state.leaderTerm = 0;
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -2,6 +2,7 @@
 
 import { cellPeers, isInOwnCell } from "./cells.ts";
 import { emit, logDecision, sendPeer } from "./effects.ts";
+import { observeLeaderList, updateListDigest } from "./leader_lists.ts";
 import type { InstanceInfo, PeerMessageOf } from "./schemas.ts";
 import type {
   EngineEventOf,
@@ -201,6 +202,7 @@
     waitMsByService: {},
     term: 0,
     workersAgeMs: Infinity,
+    listDigest: null,
     configurationVersion: -1,
     nextHeartbeatAtMs: 0,
   };
@@ -331,6 +333,7 @@
   resetIfRestarted(peer, message.bornMs);
   // A later heartbeat on a newer connection may have overtaken this one.
   if (message.sentAtMs < peer.lastSentAtMs) return;
+  const { isLeader, term } = peer;
   peer.lastSentAtMs = message.sentAtMs;
   peer.heartbeatAtMs = state.nowMs;
   peer.draining = message.draining;
@@ -339,11 +342,17 @@
   peer.leaderId = message.leaderId;
   peer.term = message.term;
   peer.workersAgeMs = message.workersAgeMs;
+  peer.listDigest = message.listDigest;
+  const leadsOn = isLeader && message.isLeader && term === message.term;
+  if (from === state.leaderId && leadsOn) {
+    observeLeaderList(state, message.listDigest);
+  }
   peer.configurationVersion = message.configurationVersion;
   peer.hasZoneCells = message.hasZoneCells;
   // The most recent list of workers determines the cells.
   if (message.workersAgeMs < workersAgeMs(state)) {
     state.hasZoneCells = message.hasZoneCells;
+    updateListDigest(state);
   }
   peer.holdsRecords = message.holdsRecords;
   peer.waitMsByService = message.waitMsByService;
@@ -388,6 +397,7 @@
     leaderId: state.leaderId,
     maxTermSeen: state.maxTermSeen,
     workersAgeMs: workersAgeMs(state),
+    listDigest: state.listDigest,
     configurationVersion: state.configuration?.version ?? -1,
     recordsExist: state.recordsExist,
     hasZoneCells: state.hasZoneCells,
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -97,8 +97,9 @@
 
 /**
  * Whether a job may have runs of a previous leader that are unknown here and
- * have not expired: on a worker of another cell, on one that left the list, or
- * on one whose lists this leader has not read since the job was resubmitted.
+ * have not expired: on a worker of another cell, on one that left the list or
+ * that only the previous leader listed, or on one whose lists this leader has
+ * not read since the job was resubmitted.
  * Meanwhile no task of the job starts, since it might be running already.
  */
 export function mayHaveUnknownRuns(
@@ -109,9 +110,10 @@
     listsReadAtMs: () => number;
   },
 ): boolean {
-  const { nowMs, guards } = state;
+  const { nowMs, guards, listDigest } = state;
   if (!guards.mayRunElsewhere(nowMs, job.previousRunsExpireAtMs)) return false;
   if (job.leftCell || state.vanishedAtMs.size > 0) return true;
+  if (!guards.isSameList(listDigest, job.previousListDigest)) return true;
   // Another leader may have acquired a worker after its lists were read, and may
   // have started tasks of the job there.
   const readAtMs = listsReadAtMs();
--- a/src/engine/previous_runs.ts
+++ b/src/engine/previous_runs.ts
@@ -34,6 +34,14 @@
  */
 const MAX_MESSAGE_INTERVAL_MS = 500;
 
+/**
+ * Maximum time for which runs of a leader may continue after the last message of
+ * their entry, which may itself have run on for a while.
+ */
+export function maxRunOutlastMs(state: EngineState): number {
+  return MAX_MESSAGE_INTERVAL_MS + ENTRY_DROP_TIMEOUT_MS + maxLeaseMs(state);
+}
+
 /**
  * Returns the time until which runs of a submitted job that a previous leader
  * started may continue; a time in the past if there can be none.
@@ -45,19 +53,16 @@
 ): number {
   if (resubmitted) return state.nowMs + maxLeaseMs(state);
   const receivedAtMs = state.nowMs - ageMs;
-  const remainingMs = ENTRY_DROP_TIMEOUT_MS + maxLeaseMs(state);
   // This instance does not know of instances lost before it started.
-  let expiresAtMs = state.startedAtMs + remainingMs;
+  let expiresAtMs = state.startedAtMs + ENTRY_DROP_TIMEOUT_MS +
+    maxLeaseMs(state);
   for (const peer of state.peers.values()) {
     const lostAtMs = lossTimeMs(state, peer);
     // An entry lost in this term submitted its jobs to this leader, which thus
     // knows them.
     if (lostAtMs === 0 || lostAtMs >= scheduler.startedAtMs) continue;
     if (receivedAtMs < lostAtMs + CALLER_RETRY_DELAY_MS) continue;
-    expiresAtMs = Math.max(
-      expiresAtMs,
-      lostAtMs + MAX_MESSAGE_INTERVAL_MS + remainingMs,
-    );
+    expiresAtMs = Math.max(expiresAtMs, lostAtMs + maxRunOutlastMs(state));
   }
   return expiresAtMs;
 }
--- a/src/engine/queue_demand_test.ts
+++ b/src/engine/queue_demand_test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { createTestLeader, testJob, testQueue } from "./testing.ts";
+import { createTestLeader, SAME_LIST, testJob, testQueue } from "./testing.ts";
 
 /** Arrivals per 100 ms after the usual 2, and whether the last is surplus. */
 const cases = [
@@ -29,6 +29,7 @@
           timeLeftMs: 1e6,
           resubmitted: false,
           leftCell: false,
+          previousListDigest: SAME_LIST,
           answerAt: "ended",
           doneTasks: [],
         });
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -282,6 +282,7 @@
     // The previous owner may be the leader of another cell, with runs on the
     // workers of that cell.
     leftCell: state.hasZoneCells,
+    previousListDigest: state.previousList?.digest ?? null,
     record,
     isSurplus: false,
   });
--- a/src/engine/records_test.ts
+++ b/src/engine/records_test.ts
@@ -5,6 +5,7 @@
   createTestLeader,
   effectsOf,
   openRecords,
+  SAME_LIST,
   type TestInstance,
   testJob,
   testQueue,
@@ -31,6 +32,7 @@
     timeLeftMs: 6_000,
     resubmitted: false,
     leftCell: false,
+    previousListDigest: SAME_LIST,
     answerAt: "accepted",
     doneTasks: [],
     ...fields,
@@ -143,13 +145,23 @@
   expect(lastWrite(next)?.rows[0]?.expectedVersion).toEqual(7);
 });
 
-/** How a new leader restores a job, by the contents of the record. */
+/**
+ * How a new leader restores a job, by the contents of the record and by whether
+ * it knows that the owner before listed the same workers.
+ */
 const resumed: {
   name: string;
   fields: Partial<JobRecord>;
+  isListUnknown?: boolean;
   starts: number;
 }[] = [
   { name: "an unfinished job is resumed", fields: {}, starts: 1 },
+  {
+    name: "a job waits for leases if the list of the owner before is unknown",
+    fields: {},
+    isListUnknown: true,
+    starts: 0,
+  },
   {
     name: "a task that is done is not rerun",
     fields: { done: [0] },
@@ -162,9 +174,13 @@
   },
 ];
 
-for (const { name, fields, starts } of resumed) {
+for (const { name, fields, isListUnknown = false, starts } of resumed) {
   test(`records: ${name}`, () => {
     const leader = createTestLeader();
+    const { listDigest, nowMs } = leader.state;
+    leader.state.previousList = isListUnknown
+      ? null
+      : { term: 1, digest: listDigest, leftAtMs: nowMs };
     const before = openRecords(leader, [storedRecord(fields)]);
     // Workers are polled again, since another leader may have started tasks.
     leader.tick();
@@ -228,6 +244,7 @@
     timeLeftMs: 6_000,
     resubmitted: false,
     leftCell: false,
+    previousListDigest: SAME_LIST,
     answerAt: "accepted",
     doneTasks: [],
   });
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -134,6 +134,8 @@
   maxTermSeen: z.number(),
   /** Age of the sender's list of workers. */
   workersAgeMs: z.number(),
+  /** Digest of the workers of the sender's cell; null if it doesn't tell. */
+  listDigest: z.string().nullable().default(null),
   /** Version of the sender's configuration; -1 if it has none. */
   configurationVersion: z.number(),
   /** Job records may exist; false once a leader has found none. */
@@ -181,6 +183,11 @@
    * A leader of another cell may have started the job on that cell's workers.
    */
   leftCell: z.boolean(),
+  /**
+   * Digest of the workers by which the leader that the sender followed before
+   * started tasks; null if it is not known.
+   */
+  previousListDigest: z.string().nullable().default(null),
   /** Whether callers wait for completion, or until the record is persisted. */
   answerAt: z.enum(["ended", "accepted"]),
   /** Names of the tasks that a previous leader reported as done. */
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -10,6 +10,7 @@
 import { createJob, inheritProgress, queueReadyTasks } from "./job_state.ts";
 import { finishJob, startJob } from "./jobs.ts";
 import { maxLeaseMs } from "./leases.ts";
+import { submittedListDigest } from "./leader_lists.ts";
 import { previousRunsExpireAtMs } from "./previous_runs.ts";
 import { countArrival, isSurplus } from "./queue_demand.ts";
 import {
@@ -48,7 +49,12 @@
   const { scheduler } = state;
   if (scheduler === null) return;
   const resubmitted = !state.guards.mayBeNew(received, scheduler.term);
-  const message = { ...received, resubmitted };
+  const previousListDigest = submittedListDigest(
+    state,
+    received,
+    scheduler.term,
+  );
+  const message = { ...received, resubmitted, previousListDigest };
   if (isFaultyJob(state, message.jobId)) {
     const { jobId, submissionId } = message;
     const outcome = faultyJobOutcome;
@@ -123,6 +129,7 @@
       ? 0
       : previousRunsExpireAtMs(state, scheduler, message),
     leftCell: message.leftCell,
+    previousListDigest: message.previousListDigest,
     doneTasks: message.doneTasks,
     record: isRecorded ? initialRecordState(state, known) : null,
     isSurplus: isSurplus(scheduler, queue.name),
@@ -196,8 +203,9 @@
   scheduler: Scheduler,
   { job, message, waitMs }: { job: Job; message: Submit; waitMs: number },
 ): void {
-  const { nowMs } = context.state;
-  const { deadlineAtMs, previousRunsExpireAtMs } = job;
+  const { nowMs, listDigest } = context.state;
+  const { deadlineAtMs, previousRunsExpireAtMs, previousListDigest } = job;
+  const mayHaveRuns = previousRunsExpireAtMs > nowMs;
   // Stable field names: `begun` is whether the job may have started, and
   // `formerRunsForMs` the time until runs of a previous leader have expired.
   logDecision(context, { part: "admit", text: "job received" }, {
@@ -218,6 +226,10 @@
     recorded: job.record !== null,
     surplus: job.isSurplus,
     formerRunsForMs: Math.max(0, Math.round(previousRunsExpireAtMs - nowMs)),
+    // Digests of the list of workers here and at the previous leader.
+    ...(mayHaveRuns
+      ? { list: listDigest, formerList: previousListDigest }
+      : {}),
   });
 }
 
@@ -270,6 +282,7 @@
     return;
   }
   if (message.resubmitted && !isRepeated) {
+    mergePreviousList(context.state, job, { from, message });
     job.mayHaveStarted = true;
     job.resumedAtMs = context.state.nowMs;
     scheduler.rereadWanted = true;
@@ -280,6 +293,24 @@
   job.deadlineAtMs = Math.max(job.deadlineAtMs, deadlineAtMs);
 }
 
+/**
+ * Updates the list by which previous leaders started a job. It is not known
+ * while runs may continue that were started by different lists; a later
+ * submission by the same entry covers what the earlier ones told.
+ */
+function mergePreviousList(
+  { nowMs }: EngineState,
+  job: Job,
+  { from, message }: { from: string; message: Submit },
+): void {
+  const digest = message.previousListDigest;
+  const isOnlyEntry = [...job.submissionIdByEntry.keys()]
+    .every((entryId) => entryId === from);
+  const isKnown = isOnlyEntry || nowMs >= job.previousRunsExpireAtMs ||
+    job.previousListDigest === digest;
+  job.previousListDigest = isKnown ? digest : null;
+}
+
 /**
  * Returns the refusal of a submission whose specification differs from that of
  * the known at-most-once job with the same id, or null.
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -27,6 +27,12 @@
 /** Base of the wall clock in tests, in Unix milliseconds. */
 export const TEST_WALL_MS = 1_700_000_000_000;
 
+/**
+ * Stands in a submission for the list of the leader that receives it: the
+ * leader before started tasks by the same list.
+ */
+export const SAME_LIST = "same list";
+
 /** The queue of {@linkcode testConfiguration}. */
 export const testQueue: QueueRule = {
   name: "quotes",
@@ -152,8 +158,14 @@
     after,
     tick: (ms = 25) =>
       after(ms, { type: "tick", wallMs: TEST_WALL_MS + nowMs }),
-    receive: (from, message) =>
-      after(0, { type: "peerMessage", from, message }),
+    receive(from, message) {
+      const isSameList = message.type === "submit" &&
+        message.previousListDigest === SAME_LIST;
+      const received = isSameList
+        ? { ...message, previousListDigest: state.listDigest }
+        : message;
+      return after(0, { type: "peerMessage", from, message: received });
+    },
     completePoll(
       workerId,
       { running = [], finished = [], delayMs = 0, bornMs = 1 } = {},
@@ -216,6 +228,7 @@
     timeLeftMs: 6_000,
     resubmitted: false,
     leftCell: false,
+    previousListDigest: SAME_LIST,
     answerAt: "ended",
     doneTasks: [],
     ...fields,
@@ -237,6 +250,7 @@
     leaderId: null,
     maxTermSeen: 0,
     workersAgeMs: 0,
+    listDigest: null,
     recordsExist: false,
     hasZoneCells: false,
     holdsRecords: false,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -376,6 +376,8 @@
   waitMsByService: Readonly<Record<string, number>>;
   /** Age of the peer's list of workers at its latest heartbeat. */
   workersAgeMs: number;
+  /** Digest of the workers of the peer's cell; null if it is not known. */
+  listDigest: string | null;
   /** Version of the peer's configuration; -1 if none is known. */
   configurationVersion: number;
   nextHeartbeatAtMs: number;
@@ -553,6 +555,11 @@
   resumedAtMs: number;
   /** Runs of a previous leader may be on workers of another cell. */
   leftCell: boolean;
+  /**
+   * Digest of the list of workers by which a previous leader started tasks of
+   * the job; null if it is not known.
+   */
+  previousListDigest: string | null;
   /** No entry of the job is heard from, so none of its tasks is started. */
   paused: boolean;
   /** The objective passed while tasks were still queued. */
@@ -810,6 +817,28 @@
   demandsSampledAtMs: number;
 }
 
+/** The list of workers of the leader that an instance follows or is. */
+export interface LeaderList {
+  /** The leader's term. */
+  readonly term: number;
+  /** Digest of the workers of the leader's cell; null if it is not known. */
+  readonly digest: string | null;
+  /** Time at which it last changed; -Infinity if it has not in this term. */
+  readonly changedAtMs: number;
+}
+
+/** The list of workers of the leader that an instance followed last. */
+export interface PreviousList {
+  /** The leader's term. */
+  readonly term: number;
+  /**
+   * Null if it is not known, or if leases granted by another list may have
+   * lasted when the leader was left.
+   */
+  readonly digest: string | null;
+  readonly leftAtMs: number;
+}
+
 /** Completions on a worker of another leader, which retains them. */
 export interface ReportedCompletions {
   readonly workerId: string;
@@ -947,6 +976,10 @@
     cause: AcquisitionCause,
   ) => boolean;
   readonly mayRunElsewhere: (nowMs: number, expiresAtMs: number) => boolean;
+  readonly isSameList: (
+    digest: string,
+    previousDigest: string | null,
+  ) => boolean;
   readonly mustGiveUp: (
     task: Pick<Task, "crashes" | "crashedAlone">,
   ) => boolean;
@@ -1022,6 +1055,12 @@
   workers: Map<string, WorkerInfo>;
   /** Whether each availability zone has its own leader. */
   hasZoneCells: boolean;
+  /** Digest of the workers of this instance's cell. */
+  listDigest: string;
+  /** List of the leader that this instance follows or is; null without one. */
+  leaderList: LeaderList | null;
+  /** List of the leader followed before; null if there was none. */
+  previousList: PreviousList | null;
   /** Latest time at which each zone had a worker in the list. */
   readonly zoneListedAtMs: Map<string, number>;
   /**
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -2,7 +2,8 @@
 
 import { cellPeers, shouldUseZoneCells } from "./cells.ts";
 import { logDecision, sendPeer } from "./effects.ts";
-import { workersAgeMs } from "./membership.ts";
+import { updateListDigest } from "./leader_lists.ts";
+import { heartbeatAll, workersAgeMs } from "./membership.ts";
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import type { EngineEventOf, EngineState, ReduceContext } from "./types.ts";
 
@@ -86,6 +87,9 @@
   trackVanishedWorkers(context, next);
   state.workers = next;
   updateCells(context);
+  // Followers learn of a leader's list before it starts tasks by it.
+  const isNewList = updateListDigest(state);
+  if (isNewList && state.scheduler !== null) heartbeatAll(context);
   return true;
 }
 
