A worker that left the list is forgotten after its time, also if the list does not change

What callers saw: after each loss or restart of a leader, jobs that entries submitted again waited for 1.08 s, though all workers had been read.

Cause: while workers that left the list are remembered (15 s), a job that may have been started by an earlier leader waits for the leases. They were forgotten only when a later list differed, so that one worker that was gone for good made all such jobs wait until the next change.

The new case in unlisted_workers_test.ts failed before: 0 starts in place of 1, 16 s after the worker left; the case after 10 s holds on both.

Change: expired entries are removed on each tick.

--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -73,6 +73,7 @@
   ReduceContext,
 } from "./types.ts";
 import {
+  forgetVanishedWorkers,
   onPeerWorkers,
   onWorkersRead,
   onWorkersUnreadable,
@@ -333,6 +334,7 @@
   state.wallMs = event.wallMs;
   state.lastTickAtMs = state.nowMs;
   checkPeers(context);
+  forgetVanishedWorkers(state);
   checkLeadership(context);
   const { scheduler } = state;
   if (scheduler !== null) {
--- a/src/engine/unlisted_workers_test.ts
+++ b/src/engine/unlisted_workers_test.ts
@@ -3,11 +3,14 @@
 import type { InstanceInfo } from "./schemas.ts";
 import {
   createTestInstance,
+  createTestLeader,
+  effectsOf,
   TEST_WALL_MS,
   type TestInstance,
   testInstanceInfo,
   testJob,
   testQueue,
+  testSubmission,
   testWorker,
 } from "./testing.ts";
 import type { Effect, RunningRow } from "./types.ts";
@@ -150,3 +153,24 @@
     expect(fleet.startedOn.length).toEqual(starts);
   });
 }
+
+const vanished = [
+  { leftMsAgo: 10_000, starts: 0 },
+  { leftMsAgo: 16_000, starts: 1 },
+];
+
+// The worker was forgotten only when the list changed again.
+for (const { leftMsAgo, starts } of vanished) {
+  test(`${starts} jobs submitted again start at once ${leftMsAgo} ms after a worker left the list, which has not changed since`, () => {
+    const leader = createTestLeader();
+    const workers = [testWorker("w1")];
+    leader.after(0, { type: "workersRead", workers });
+    leader.tick(leftMsAgo);
+    leader.completePoll("w1");
+    const term = leader.state.leaderTerm;
+    const message = testSubmission({ jobId: JOB_ID, term, resubmitted: true });
+    leader.receive("p", message);
+    const effects = [...leader.tick(), ...leader.completePoll("w1")];
+    expect(effectsOf(effects, "startTask").length).toEqual(starts);
+  });
+}
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -150,9 +150,17 @@
     });
     if (!draining) vanishedAtMs.set(workerId, nowMs);
   }
+  for (const workerId of vanishedAtMs.keys()) {
+    if (next.has(workerId)) vanishedAtMs.delete(workerId);
+  }
+}
+
+/** Forgets workers that left the list `VANISHED_RETENTION_MS` ago. */
+export function forgetVanishedWorkers(
+  { vanishedAtMs, nowMs }: EngineState,
+): void {
   for (const [workerId, atMs] of vanishedAtMs) {
-    const isExpired = nowMs - atMs > VANISHED_RETENTION_MS;
-    if (isExpired || next.has(workerId)) vanishedAtMs.delete(workerId);
+    if (nowMs - atMs > VANISHED_RETENTION_MS) vanishedAtMs.delete(workerId);
   }
 }
 
