A leader that has just started holds possible retries only as long as runs may last

What callers saw: after a restart of all instances, jobs waited for 1.83 s after the start of the new leader.

Cause: a leader that has just started knows of no losses before its start, and took the start itself for the loss of an unknown entry. A caller comes again 1.2 s after the loss at the earliest, as the code assumes for entries that it knows.

Change: the unknown loss is at the start of the process or 1.2 s before the job was received, whichever is earlier. The rest of the bound is the same.

Evidence: previous_runs_test.ts, new cases 200 and 900 ms after the start failed before (no start within 700 ms), the case at 1,500 ms holds on both.

--- a/src/engine/previous_runs.ts
+++ b/src/engine/previous_runs.ts
@@ -53,9 +53,13 @@
 ): number {
   if (resubmitted) return state.nowMs + maxLeaseMs(state);
   const receivedAtMs = state.nowMs - ageMs;
-  // This instance does not know of instances lost before it started.
-  let expiresAtMs = state.startedAtMs + ENTRY_DROP_TIMEOUT_MS +
-    maxLeaseMs(state);
+  // This instance does not know of entries lost before it started, and a caller
+  // that comes again lost its entry some time ago.
+  const unknownLossAtMs = Math.min(
+    state.startedAtMs,
+    receivedAtMs - CALLER_RETRY_DELAY_MS,
+  );
+  let expiresAtMs = unknownLossAtMs + ENTRY_DROP_TIMEOUT_MS + maxLeaseMs(state);
   for (const peer of state.peers.values()) {
     const lostAtMs = lossTimeMs(state, peer);
     // An entry lost in this term submitted its jobs to this leader, which thus
--- a/src/engine/previous_runs_test.ts
+++ b/src/engine/previous_runs_test.ts
@@ -4,6 +4,8 @@
   createTestInstance,
   effectsOf,
   testHeartbeat,
+  testInstanceInfo,
+  testQueue,
   testSubmission,
   testWorker,
 } from "./testing.ts";
@@ -54,3 +56,48 @@
       .toEqual([]);
   });
 }
+
+/** Times since the start of a process at which it receives a job as the leader. */
+const youngLeaders = [
+  { upMs: 200, waitsMs: 600, startsWithinMs: 700 },
+  { upMs: 900, waitsMs: 600, startsWithinMs: 700 },
+  { upMs: 1_500, waitsMs: 300, startsWithinMs: 400 },
+];
+
+// A retry comes 1.2 s after the loss of its entry at the earliest, by when most
+// of the time for which runs of that entry's jobs may continue has passed.
+for (const { upMs, waitsMs, startsWithinMs } of youngLeaders) {
+  test(`a leader that started ${upMs} ms ago holds a possible retry for ${waitsMs} ms, and not for ${startsWithinMs} ms`, () => {
+    const self = { ...testInstanceInfo("self"), cpuCores: 2 };
+    const leader = createTestInstance({ peers: ["p"], self });
+    const hearP = () => {
+      const { nowMs: sentAtMs, leaderId } = leader.state;
+      leader.receive("p", testHeartbeat({ sentAtMs, leaderId }));
+    };
+    hearP();
+    leader.after(0, { type: "workersRead", workers: [testWorker("w1")] });
+    leader.tick();
+    leader.completePoll("w1");
+    const { startedAtMs } = leader.state;
+    while (leader.state.nowMs < startedAtMs + upMs) {
+      hearP();
+      leader.tick();
+    }
+    const message = testSubmission({
+      jobId: JOB_ID,
+      queue: { ...testQueue, objectiveMs: 3_000 },
+      previousListDigest: null,
+    });
+    const startsIn = (forMs: number) => {
+      const effects = [];
+      for (let ms = 0; ms < forMs; ms += 25) {
+        hearP();
+        effects.push(...leader.tick());
+      }
+      return effectsOf(effects, "startTask").length;
+    };
+    leader.receive("p", message);
+    expect(startsIn(waitsMs)).toEqual(0);
+    expect(startsIn(startsWithinMs - waitsMs)).toEqual(1);
+  });
+}
