Followers of the leader before confirm its list where an entry can't know it

What callers saw: after the restart of some instances, jobs that came through an entry that had just started were refused, since they would have had to wait until leases that nobody held had expired.

Cause: an entry that has followed no leader before knows no list, so its jobs waited although other followers of the leader knew the list. The other way round, an entry that had followed a leader for a moment only told its list, though a caller's retry may concern a run of the leader before that one (by reading).

Change: a submission and a heartbeat say of the list before that it is known, not known, or that the sender has not followed leaders for as long as runs may last. In the last case the leader goes by what its followers of this term tell. They send a heartbeat when they begin to follow. Workers that left the list count for their own cell only.

Evidence: three cases in unlisted_workers_test.ts, a retry through a new entry at a restarted leader: starts if a follower confirms the list (failed before: waits), waits if the list lacks a worker, waits if nobody knows.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -11,7 +11,7 @@
   type LeaderTerm,
   leastLoadedZone,
 } from "./leader_lookup.ts";
-import { previousListDigest } from "./leader_lists.ts";
+import { previousListReport } from "./leader_lists.ts";
 import type { PeerMessageOf } from "./schemas.ts";
 import type {
   CallerJob,
@@ -137,9 +137,9 @@
     resubmitted: callerJob.mayHaveStarted,
     leftCell: callerJob.leftCell,
     // The leader of another cell has other workers.
-    previousListDigest: leader.instanceId === state.leaderId
-      ? previousListDigest(state)
-      : null,
+    previousList: leader.instanceId === state.leaderId
+      ? previousListReport(state, { isNew: !callerJob.mayHaveStarted })
+      : { kind: "unknown" },
     answerAt: callerJob.answerAt,
     doneTasks: [...callerJob.doneTasks],
   });
--- a/src/engine/cells.ts
+++ b/src/engine/cells.ts
@@ -26,11 +26,17 @@
 /** Whether an instance is in the same cell as this one. */
 export function isInOwnCell(
   { hasZoneCells, self }: EngineState,
-  { availabilityZone }: InstanceInfo,
+  { availabilityZone }: Pick<InstanceInfo, "availabilityZone">,
 ): boolean {
   return !hasZoneCells || availabilityZone === self.availabilityZone;
 }
 
+/** Whether a worker of this instance's cell has left the list lately. */
+export function hasVanishedWorkers(state: EngineState): boolean {
+  return [...state.vanishedWorkers.values()]
+    .some((worker) => isInOwnCell(state, worker));
+}
+
 /** The peers in this instance's cell, live or not. */
 export function cellPeers(state: EngineState): Peer[] {
   const peers = [...state.peers.values()];
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -1,7 +1,7 @@
 /** State of a job at the leader: creation, and which of its tasks may start. */
 
 import { expectedCriticalPathMs } from "./expected_run_times.ts";
-import type { JobSpec, QueueRule } from "./schemas.ts";
+import type { JobSpec, PreviousListReport, QueueRule } from "./schemas.ts";
 import type { EngineState, Job, RecordState, Task } from "./types.ts";
 
 /** The parameters of {@linkcode createJob}. */
@@ -20,8 +20,8 @@
   readonly previousRunsExpireAtMs: number;
   /** Runs of a previous leader may be on workers of another cell. */
   readonly leftCell?: boolean;
-  /** See {@linkcode Job.previousListDigest}. */
-  readonly previousListDigest: string | null;
+  /** See {@linkcode Job.previousList}. */
+  readonly previousList: PreviousListReport;
   /** Names of the tasks that a previous leader reported as done. */
   readonly doneTasks?: readonly string[];
   /** Null if the job is kept in memory only. */
@@ -65,7 +65,7 @@
     previousRunsExpireAtMs: options.previousRunsExpireAtMs,
     resumedAtMs: options.isResumed ? state.nowMs : -Infinity,
     leftCell: options.leftCell ?? false,
-    previousListDigest: options.previousListDigest,
+    previousList: options.previousList,
     paused: false,
     isLate: false,
     isWaiting: false,
--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -8,11 +8,16 @@
  */
 
 import { createHash } from "node:crypto";
-import { cellWorkers } from "./cells.ts";
+import { isDeepStrictEqual } from "node:util";
+import { cellPeers, cellWorkers, hasVanishedWorkers } from "./cells.ts";
 import { maxLeaseMs } from "./leases.ts";
 import { maxRunOutlastMs } from "./previous_runs.ts";
-import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
-import type { EngineState, Peer } from "./types.ts";
+import type {
+  PeerMessageOf,
+  PreviousListReport,
+  WorkerInfo,
+} from "./schemas.ts";
+import type { EngineState, Peer, Scheduler } from "./types.ts";
 
 /** Characters of a digest, six bits each. */
 const DIGEST_LENGTH = 16;
@@ -43,6 +48,7 @@
   { term, listDigest }: Pick<Peer, "term" | "listDigest">,
 ): void {
   state.leaderList = { term, digest: listDigest, changedAtMs: -Infinity };
+  state.firstLedAtMs = Math.min(state.firstLedAtMs, state.nowMs);
 }
 
 /** Updates the list of the leader that this instance follows or is. */
@@ -76,26 +82,70 @@
 }
 
 /**
- * Digest of the list of the leader that this instance followed last; null if it
- * is not known, or if workers that left the list may have runs of that leader.
+ * What this instance knows of the list of the leader that it followed last. The
+ * job may be new here, and be one that a lost entry had before: then only an
+ * instance that has followed leaders for as long as such runs last knows them.
  */
-export function previousListDigest(
-  { previousList, vanishedAtMs }: EngineState,
-): string | null {
-  return vanishedAtMs.size > 0 ? null : previousList?.digest ?? null;
+export function previousListReport(
+  state: EngineState,
+  { isNew }: { isNew: boolean },
+): PreviousListReport {
+  const { previousList, firstLedAtMs, nowMs } = state;
+  const isTooYoung = nowMs - firstLedAtMs < maxRunOutlastMs(state);
+  if (previousList === null || (isNew && isTooYoung)) return { kind: "none" };
+  const { digest } = previousList;
+  return digest === null || hasVanishedWorkers(state)
+    ? { kind: "unknown" }
+    : { kind: "known", digest };
 }
 
 /**
- * Digest of the list by which a previous leader started tasks of a submitted
- * job; null if it is not known. A submission for an earlier term of this
- * instance names the list of the leader before that term.
+ * What a submission tells of the list by which a previous leader started tasks
+ * of its job. One for an earlier term of this instance names the list of the
+ * leader before that term.
  */
-export function submittedListDigest(
-  { previousList }: EngineState,
-  { resubmitted, term, previousListDigest }: PeerMessageOf<"submit">,
+export function submittedListReport(
+  { previousList: ownList }: EngineState,
+  { resubmitted, term, previousList }: PeerMessageOf<"submit">,
   ownTerm: number,
-): string | null {
-  if (term === undefined || term === ownTerm) return previousListDigest;
-  const ownDigest = previousList?.term === term ? previousList.digest : null;
-  return !resubmitted || previousListDigest === ownDigest ? ownDigest : null;
+): PreviousListReport {
+  if (term === undefined || term === ownTerm) return previousList;
+  const ownDigest = ownList?.term === term ? ownList.digest : null;
+  if (ownDigest === null) return { kind: "unknown" };
+  const ownReport = { kind: "known" as const, digest: ownDigest };
+  return !resubmitted || isDeepStrictEqual(previousList, ownReport)
+    ? ownReport
+    : { kind: "unknown" };
+}
+
+/**
+ * Whether this leader lists the workers by which a previous leader started tasks
+ * of a job. If the entry has not followed leaders for long enough to know, all
+ * peers that follow this leader and do know are believed.
+ */
+export function listsSameWorkers(
+  state: EngineState,
+  scheduler: Scheduler,
+  report: PreviousListReport,
+): boolean {
+  const { guards, listDigest } = state;
+  const reports = report.kind === "none"
+    ? followerReports(state, scheduler).filter(({ kind }) => kind !== "none")
+    : [report];
+  return reports.length > 0 &&
+    reports.every((known) =>
+      known.kind === "known" && guards.isSameList(listDigest, known.digest)
+    );
+}
+
+/** What this leader and its followers know of the list of the leader before. */
+function followerReports(
+  state: EngineState,
+  { term }: Scheduler,
+): PreviousListReport[] {
+  const followers = cellPeers(state).filter((peer) => peer.term === term);
+  return [
+    previousListReport(state, { isNew: true }),
+    ...followers.map(({ previousList }) => previousList),
+  ];
 }
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -18,6 +18,7 @@
   heartbeatAll,
   liveCellPeers,
   seesMajority,
+  sendHeartbeat,
   workersAgeMs,
 } from "./membership.ts";
 import { leaveLeaderList, trackLeaderList } from "./leader_lists.ts";
@@ -191,6 +192,8 @@
     list: peer.listDigest,
     leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
   });
+  // The leader learns by which list the leader before started tasks.
+  sendHeartbeat(context, peer);
   resubmitAll(context);
 }
 
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -2,7 +2,11 @@
 
 import { cellPeers, isInOwnCell } from "./cells.ts";
 import { emit, logDecision, sendPeer } from "./effects.ts";
-import { observeLeaderList, updateListDigest } from "./leader_lists.ts";
+import {
+  observeLeaderList,
+  previousListReport,
+  updateListDigest,
+} from "./leader_lists.ts";
 import type { InstanceInfo, PeerMessageOf } from "./schemas.ts";
 import type {
   EngineEventOf,
@@ -203,6 +207,7 @@
     term: 0,
     workersAgeMs: Infinity,
     listDigest: null,
+    previousList: { kind: "unknown" },
     configurationVersion: -1,
     nextHeartbeatAtMs: 0,
   };
@@ -343,6 +348,7 @@
   peer.term = message.term;
   peer.workersAgeMs = message.workersAgeMs;
   peer.listDigest = message.listDigest;
+  peer.previousList = message.previousList;
   const leadsOn = isLeader && message.isLeader && term === message.term;
   if (from === state.leaderId && leadsOn) {
     observeLeaderList(state, message.listDigest);
@@ -398,6 +404,7 @@
     maxTermSeen: state.maxTermSeen,
     workersAgeMs: workersAgeMs(state),
     listDigest: state.listDigest,
+    previousList: previousListReport(state, { isNew: true }),
     configurationVersion: state.configuration?.version ?? -1,
     recordsExist: state.recordsExist,
     hasZoneCells: state.hasZoneCells,
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -5,10 +5,11 @@
  * one with the lowest `placementCost` gets it.
  */
 
-import { cellWorkers } from "./cells.ts";
+import { cellWorkers, hasVanishedWorkers } from "./cells.ts";
 import { awaitsEvidence } from "./crashes.ts";
 import { isolateJob } from "./job_faults.ts";
 import { jobIdOf } from "./job_state.ts";
+import { listsSameWorkers } from "./leader_lists.ts";
 import { mayGrantLease } from "./leases.ts";
 import { hasQueuedTasks } from "./queue.ts";
 import { startRun } from "./runs.ts";
@@ -110,10 +111,11 @@
     listsReadAtMs: () => number;
   },
 ): boolean {
-  const { nowMs, guards, listDigest } = state;
+  const { nowMs, guards, scheduler } = state;
   if (!guards.mayRunElsewhere(nowMs, job.previousRunsExpireAtMs)) return false;
-  if (job.leftCell || state.vanishedAtMs.size > 0) return true;
-  if (!guards.isSameList(listDigest, job.previousListDigest)) return true;
+  if (job.leftCell || hasVanishedWorkers(state)) return true;
+  if (scheduler === null) return true;
+  if (!listsSameWorkers(state, scheduler, job.previousList)) return true;
   // Another leader may have acquired a worker after its lists were read, and may
   // have started tasks of the job there.
   const readAtMs = listsReadAtMs();
--- a/src/engine/previous_runs_test.ts
+++ b/src/engine/previous_runs_test.ts
@@ -86,7 +86,7 @@
     const message = testSubmission({
       jobId: JOB_ID,
       queue: { ...testQueue, objectiveMs: 3_000 },
-      previousListDigest: null,
+      previousList: { kind: "none" },
     });
     const startsIn = (forMs: number) => {
       const effects = [];
--- a/src/engine/queue_demand_test.ts
+++ b/src/engine/queue_demand_test.ts
@@ -29,7 +29,7 @@
           timeLeftMs: 1e6,
           resubmitted: false,
           leftCell: false,
-          previousListDigest: SAME_LIST,
+          previousList: SAME_LIST,
           answerAt: "ended",
           doneTasks: [],
         });
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -14,6 +14,7 @@
   queueJob,
   reportOutcome,
 } from "./jobs.ts";
+import { previousListReport } from "./leader_lists.ts";
 import { nextTerm } from "./leadership.ts";
 import { maxLeaseMs } from "./leases.ts";
 import { placeQueuedTasks } from "./placement.ts";
@@ -282,7 +283,7 @@
     // The previous owner may be the leader of another cell, with runs on the
     // workers of that cell.
     leftCell: state.hasZoneCells,
-    previousListDigest: state.previousList?.digest ?? null,
+    previousList: previousListReport(state, { isNew: false }),
     record,
     isSurplus: false,
   });
--- a/src/engine/records_test.ts
+++ b/src/engine/records_test.ts
@@ -32,7 +32,7 @@
     timeLeftMs: 6_000,
     resubmitted: false,
     leftCell: false,
-    previousListDigest: SAME_LIST,
+    previousList: SAME_LIST,
     answerAt: "accepted",
     doneTasks: [],
     ...fields,
@@ -244,7 +244,7 @@
     timeLeftMs: 6_000,
     resubmitted: false,
     leftCell: false,
-    previousListDigest: SAME_LIST,
+    previousList: SAME_LIST,
     answerAt: "accepted",
     doneTasks: [],
   });
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -117,6 +117,17 @@
   deadlineMs: z.number().positive().optional(),
 });
 
+/**
+ * What an instance tells of the list of workers by which the leader before the
+ * present one started tasks. `unknown` if leases granted by another list may
+ * last, `none` if the instance has not followed leaders for long enough.
+ */
+const previousListSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("known"), digest: z.string() }),
+  z.object({ kind: z.literal("unknown") }),
+  z.object({ kind: z.literal("none") }),
+]).default({ kind: "unknown" });
+
 const heartbeatSchema = z.object({
   type: z.literal("heartbeat"),
   /** Start time of the sender, which identifies its incarnation. */
@@ -136,6 +147,8 @@
   workersAgeMs: z.number(),
   /** Digest of the workers of the sender's cell; null if it doesn't tell. */
   listDigest: z.string().nullable().default(null),
+  /** The list of the leader that the sender followed before `term`. */
+  previousList: previousListSchema,
   /** Version of the sender's configuration; -1 if it has none. */
   configurationVersion: z.number(),
   /** Job records may exist; false once a leader has found none. */
@@ -183,11 +196,8 @@
    * A leader of another cell may have started the job on that cell's workers.
    */
   leftCell: z.boolean(),
-  /**
-   * Digest of the workers by which the leader that the sender followed before
-   * started tasks; null if it is not known.
-   */
-  previousListDigest: z.string().nullable().default(null),
+  /** The list of the leader that the sender followed before. */
+  previousList: previousListSchema,
   /** Whether callers wait for completion, or until the record is persisted. */
   answerAt: z.enum(["ended", "accepted"]),
   /** Names of the tasks that a previous leader reported as done. */
@@ -420,6 +430,8 @@
 export type JobOutcome = z.infer<typeof jobOutcomeSchema>;
 /** The reason why a job was refused before any of its tasks ran. */
 export type RefusalReason = (typeof refusalReasons)[number];
+/** See {@linkcode previousListSchema}. */
+export type PreviousListReport = z.infer<typeof previousListSchema>;
 /** See {@linkcode jobRecordSchema}. */
 export type JobRecord = z.infer<typeof jobRecordSchema>;
 /** See {@linkcode jobQuerySchema}. */
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -10,7 +10,7 @@
 import { createJob, inheritProgress, queueReadyTasks } from "./job_state.ts";
 import { finishJob, startJob } from "./jobs.ts";
 import { maxLeaseMs } from "./leases.ts";
-import { submittedListDigest } from "./leader_lists.ts";
+import { submittedListReport } from "./leader_lists.ts";
 import { previousRunsExpireAtMs } from "./previous_runs.ts";
 import { countArrival, isSurplus } from "./queue_demand.ts";
 import {
@@ -49,12 +49,8 @@
   const { scheduler } = state;
   if (scheduler === null) return;
   const resubmitted = !state.guards.mayBeNew(received, scheduler.term);
-  const previousListDigest = submittedListDigest(
-    state,
-    received,
-    scheduler.term,
-  );
-  const message = { ...received, resubmitted, previousListDigest };
+  const previousList = submittedListReport(state, received, scheduler.term);
+  const message = { ...received, resubmitted, previousList };
   if (isFaultyJob(state, message.jobId)) {
     const { jobId, submissionId } = message;
     const outcome = faultyJobOutcome;
@@ -129,7 +125,7 @@
       ? 0
       : previousRunsExpireAtMs(state, scheduler, message),
     leftCell: message.leftCell,
-    previousListDigest: message.previousListDigest,
+    previousList: message.previousList,
     doneTasks: message.doneTasks,
     record: isRecorded ? initialRecordState(state, known) : null,
     isSurplus: isSurplus(scheduler, queue.name),
@@ -204,7 +200,7 @@
   { job, message, waitMs }: { job: Job; message: Submit; waitMs: number },
 ): void {
   const { nowMs, listDigest } = context.state;
-  const { deadlineAtMs, previousRunsExpireAtMs, previousListDigest } = job;
+  const { deadlineAtMs, previousRunsExpireAtMs, previousList } = job;
   const mayHaveRuns = previousRunsExpireAtMs > nowMs;
   // Stable field names: `begun` is whether the job may have started, and
   // `formerRunsForMs` the time until runs of a previous leader have expired.
@@ -227,9 +223,7 @@
     surplus: job.isSurplus,
     formerRunsForMs: Math.max(0, Math.round(previousRunsExpireAtMs - nowMs)),
     // Digests of the list of workers here and at the previous leader.
-    ...(mayHaveRuns
-      ? { list: listDigest, formerList: previousListDigest }
-      : {}),
+    ...(mayHaveRuns ? { list: listDigest, formerList: previousList } : {}),
   });
 }
 
@@ -301,14 +295,13 @@
 function mergePreviousList(
   { nowMs }: EngineState,
   job: Job,
-  { from, message }: { from: string; message: Submit },
+  { from, message: { previousList } }: { from: string; message: Submit },
 ): void {
-  const digest = message.previousListDigest;
   const isOnlyEntry = [...job.submissionIdByEntry.keys()]
     .every((entryId) => entryId === from);
   const isKnown = isOnlyEntry || nowMs >= job.previousRunsExpireAtMs ||
-    job.previousListDigest === digest;
-  job.previousListDigest = isKnown ? digest : null;
+    isDeepStrictEqual(job.previousList, previousList);
+  job.previousList = isKnown ? previousList : { kind: "unknown" };
 }
 
 /**
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -8,6 +8,7 @@
   JobSpec,
   PeerMessage,
   PeerMessageOf,
+  PreviousListReport,
   QueueRule,
   WorkerInfo,
 } from "./schemas.ts";
@@ -31,7 +32,7 @@
  * Stands in a submission for the list of the leader that receives it: the
  * leader before started tasks by the same list.
  */
-export const SAME_LIST = "same list";
+export const SAME_LIST: PreviousListReport = { kind: "unknown" };
 
 /** The queue of {@linkcode testConfiguration}. */
 export const testQueue: QueueRule = {
@@ -160,10 +161,9 @@
       after(ms, { type: "tick", wallMs: TEST_WALL_MS + nowMs }),
     receive(from, message) {
       const isSameList = message.type === "submit" &&
-        message.previousListDigest === SAME_LIST;
-      const received = isSameList
-        ? { ...message, previousListDigest: state.listDigest }
-        : message;
+        message.previousList === SAME_LIST;
+      const previousList = { kind: "known" as const, digest: state.listDigest };
+      const received = isSameList ? { ...message, previousList } : message;
       return after(0, { type: "peerMessage", from, message: received });
     },
     completePoll(
@@ -228,7 +228,7 @@
     timeLeftMs: 6_000,
     resubmitted: false,
     leftCell: false,
-    previousListDigest: SAME_LIST,
+    previousList: SAME_LIST,
     answerAt: "ended",
     doneTasks: [],
     ...fields,
@@ -251,6 +251,7 @@
     maxTermSeen: 0,
     workersAgeMs: 0,
     listDigest: null,
+    previousList: { kind: "none" },
     recordsExist: false,
     hasZoneCells: false,
     holdsRecords: false,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -22,6 +22,7 @@
   JobSpec,
   PeerMessage,
   PeerMessageOf,
+  PreviousListReport,
   QueueRule,
   Reply,
   Step as JobStep,
@@ -378,6 +379,8 @@
   workersAgeMs: number;
   /** Digest of the workers of the peer's cell; null if it is not known. */
   listDigest: string | null;
+  /** What the peer knows of the leader that it followed before `term`. */
+  previousList: PreviousListReport;
   /** Version of the peer's configuration; -1 if none is known. */
   configurationVersion: number;
   nextHeartbeatAtMs: number;
@@ -555,11 +558,8 @@
   resumedAtMs: number;
   /** Runs of a previous leader may be on workers of another cell. */
   leftCell: boolean;
-  /**
-   * Digest of the list of workers by which a previous leader started tasks of
-   * the job; null if it is not known.
-   */
-  previousListDigest: string | null;
+  /** The list of workers by which a previous leader started tasks of the job. */
+  previousList: PreviousListReport;
   /** No entry of the job is heard from, so none of its tasks is started. */
   paused: boolean;
   /** The objective passed while tasks were still queued. */
@@ -817,6 +817,12 @@
   demandsSampledAtMs: number;
 }
 
+/** A worker that left the list of workers. */
+export interface VanishedWorker {
+  readonly availabilityZone: string;
+  readonly leftAtMs: number;
+}
+
 /** The list of workers of the leader that an instance follows or is. */
 export interface LeaderList {
   /** The leader's term. */
@@ -976,10 +982,7 @@
     cause: AcquisitionCause,
   ) => boolean;
   readonly mayRunElsewhere: (nowMs: number, expiresAtMs: number) => boolean;
-  readonly isSameList: (
-    digest: string,
-    previousDigest: string | null,
-  ) => boolean;
+  readonly isSameList: (digest: string, previousDigest: string) => boolean;
   readonly mustGiveUp: (
     task: Pick<Task, "crashes" | "crashedAlone">,
   ) => boolean;
@@ -1061,13 +1064,15 @@
   leaderList: LeaderList | null;
   /** List of the leader followed before; null if there was none. */
   previousList: PreviousList | null;
+  /** Time at which this instance first had a leader; Infinity before. */
+  firstLedAtMs: number;
   /** Latest time at which each zone had a worker in the list. */
   readonly zoneListedAtMs: Map<string, number>;
   /**
-   * Time at which a worker left the list without draining, by worker id; removed
-   * when the worker is listed again or after a retention time.
+   * Workers that left the list without draining, by worker id; removed when the
+   * worker is listed again or after a retention time.
    */
-  readonly vanishedAtMs: Map<string, number>;
+  readonly vanishedWorkers: Map<string, VanishedWorker>;
   /**
    * Time at which the list of workers was read from the store, here or by the
    * peer that sent it; -Infinity before the first list.
--- a/src/engine/unlisted_workers_test.ts
+++ b/src/engine/unlisted_workers_test.ts
@@ -22,7 +22,7 @@
 const OBSERVED_MS = 900;
 
 /** Instances whose messages to each other arrive at once. */
-function createFleet() {
+function createFleet(instanceIds: readonly string[]) {
   const instances = new Map<string, TestInstance>();
   /** Ids of the workers on which the task was started, in order. */
   const startedOn: string[] = [];
@@ -53,7 +53,7 @@
     start(self: InstanceInfo, workerIds: readonly string[]): TestInstance {
       const { instanceId } = self;
       const instance = createTestInstance({ self });
-      const infos = [...instances.keys(), "a", "b"].map(testInstanceInfo);
+      const infos = instanceIds.map(testInstanceInfo);
       instance.after(0, { type: "instancesRead", instances: infos });
       const workers = workerIds.map(testWorker);
       instance.after(0, { type: "workersRead", workers });
@@ -134,7 +134,7 @@
 // again at once, with no memory of the list by which it started the task.
 for (const { name, isListed, isRunning, starts } of cases) {
   test(`a task that an entry submits again to a restarted leader, ${name}`, () => {
-    const fleet = createFleet();
+    const fleet = createFleet(["a", "b"]);
     const idle = { leaderId: "a", running: () => [] };
     fleet.start(testInstanceInfo("b"), WORKER_IDS);
     fleet.start(infoOfLeader(TEST_WALL_MS - 50_000), WORKER_IDS);
@@ -154,6 +154,53 @@
   });
 }
 
+/** How long ago the entry of a job was lost when its caller comes again. */
+const RETRY_MS = 1_250;
+
+const retries = [
+  {
+    name: "whose list a follower of the leader before confirms, starts",
+    hasFollower: true,
+    isListed: true,
+    starts: 1,
+  },
+  {
+    name: "whose list lacks a worker of the leader before, waits",
+    hasFollower: true,
+    isListed: false,
+    starts: 0,
+  },
+  {
+    name: "of which no instance knows the list before, waits",
+    hasFollower: false,
+    isListed: true,
+    starts: 0,
+  },
+];
+
+// The leader, which was also the entry of the job, starts again together with
+// the entry to which the caller comes.
+for (const { name, hasFollower, isListed, starts } of retries) {
+  test(`a caller's retry through an entry that has just started, at a restarted leader ${name}`, () => {
+    const fleet = createFleet(["a", "b", "c"]);
+    const idle = { leaderId: "a", running: () => [] };
+    fleet.start(testInstanceInfo("b"), WORKER_IDS);
+    fleet.start(infoOfLeader(TEST_WALL_MS - 50_000), WORKER_IDS);
+    fleet.pass(3_000, idle);
+    fleet.submit("a");
+    const [runsOn] = fleet.startedOn.splice(0);
+    fleet.kill("a");
+    if (!hasFollower) fleet.kill("b");
+    const listedIds = WORKER_IDS.filter((id) => isListed || id !== runsOn);
+    fleet.start(infoOfLeader(TEST_WALL_MS), listedIds);
+    fleet.start(testInstanceInfo("c"), listedIds);
+    fleet.pass(RETRY_MS, idle);
+    fleet.submit("c");
+    fleet.pass(300, idle);
+    expect(fleet.startedOn.length).toEqual(starts);
+  });
+}
+
 const vanished = [
   { leftMsAgo: 10_000, starts: 0 },
   { leftMsAgo: 16_000, starts: 1 },
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -141,26 +141,29 @@
   context: ReduceContext,
   next: ReadonlyMap<string, WorkerInfo>,
 ): void {
-  const { vanishedAtMs, nowMs, workers } = context.state;
-  for (const [workerId, { draining }] of workers) {
+  const { vanishedWorkers, nowMs, workers } = context.state;
+  for (const [workerId, { draining, availabilityZone }] of workers) {
     if (next.has(workerId)) continue;
     logDecision(context, { part: "workers", text: "worker left the list" }, {
       workerId,
       draining,
     });
-    if (!draining) vanishedAtMs.set(workerId, nowMs);
+    if (draining) continue;
+    vanishedWorkers.set(workerId, { availabilityZone, leftAtMs: nowMs });
   }
-  for (const workerId of vanishedAtMs.keys()) {
-    if (next.has(workerId)) vanishedAtMs.delete(workerId);
+  for (const workerId of vanishedWorkers.keys()) {
+    if (next.has(workerId)) vanishedWorkers.delete(workerId);
   }
 }
 
 /** Forgets workers that left the list `VANISHED_RETENTION_MS` ago. */
 export function forgetVanishedWorkers(
-  { vanishedAtMs, nowMs }: EngineState,
+  { vanishedWorkers, nowMs }: EngineState,
 ): void {
-  for (const [workerId, atMs] of vanishedAtMs) {
-    if (nowMs - atMs > VANISHED_RETENTION_MS) vanishedAtMs.delete(workerId);
+  for (const [workerId, { leftAtMs }] of vanishedWorkers) {
+    if (nowMs - leftAtMs > VANISHED_RETENTION_MS) {
+      vanishedWorkers.delete(workerId);
+    }
   }
 }
 
