An instance that has just started waits for the list of instances before an early election

The leader stepped down, all jobs were submitted again, and workers were taken over.

Cause: the 900 ms for which a new instance listens are cut short once every known peer has answered. Before the list of instances is read, the known peers are those that have connected, not those that may follow a leader.

Change: the wait is cut short only after the list of instances, or the seeds in its place, has been read.

--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -271,11 +271,12 @@
 
 /**
  * Whether the cell has peers and each of them has sent a message or refused a
- * connection.
+ * connection. Before the list of instances is read, only peers that have
+ * connected are known, not those that may follow a leader.
  */
 function everyPeerAnswered(state: EngineState): boolean {
   const peers = cellPeers(state);
-  return peers.length > 0 &&
+  return state.hasReadInstances && peers.length > 0 &&
     peers.every((peer) => peer.lastHeardAtMs > 0 || peer.refusedAtMs > 0);
 }
 
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -135,6 +135,7 @@
     firstLedAtMs: Infinity,
     zoneListedAtMs: new Map(),
     vanishedWorkers: new Map(),
+    hasReadInstances: false,
     workersReadAtMs: -Infinity,
     workersUnreadableSinceMs: 0,
     listRecoveredAtMs: -Infinity,
@@ -266,8 +267,10 @@
     syncOwnedWorkers(context);
   },
   workersUnreadable: onWorkersUnreadable,
-  instancesRead: (context, event) =>
-    updateKnownInstances(context, event.instances),
+  instancesRead: (context, event) => {
+    context.state.hasReadInstances = true;
+    updateKnownInstances(context, event.instances);
+  },
   peerUp: (context, event) => {
     onPeerUp(context, event);
     resendToPeer(context, event.instanceId);
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1073,6 +1073,8 @@
    * worker is listed again or after a retention time.
    */
   readonly vanishedWorkers: Map<string, VanishedWorker>;
+  /** The list of instances, or the seeds in its place, was read. */
+  hasReadInstances: boolean;
   /**
    * Time at which the list of workers was read from the store, here or by the
    * peer that sent it; -Infinity before the first list.
