Leaders register their list in the store, for a successor whose peers know none

What callers saw: after all instances had started again, jobs were refused for up to 1.8 s, since no instance knew the list of the leader before.

Cause: a leader goes by what entries and followers know of the list before. If all have just started, none knows it.

Ruled out: starting at once in that case (an entry that lapsed in the store hides a run as before); a bound from the starts of the processes (a leader may have been lost after an entry, 1.08 s would remain of 1.83 s).

Change: a leader writes the digest of its list, or that it is not known, to a row of its cell in the table lists when it has changed, with a condition on the row's version. It is not known while runs may last that were started by another list (2.3 s), and while workers of the cell have left the list lately. An instance reads the rows once, after its start; the leader goes by them if no follower knows.

Remains: a leader that is lost within the milliseconds of that write, whose new worker lapses before all instances have started again.

--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -17,8 +17,10 @@
   PreviousListReport,
   WorkerInfo,
 } from "./schemas.ts";
-import type { EngineState, Peer, Scheduler } from "./types.ts";
+import type { EngineState, Peer, RegisteredList, Scheduler } from "./types.ts";
 
+/** Cell under which the list is registered if all zones are one. */
+const ALL_ZONES = "all";
 /** Characters of a digest, six bits each. */
 const DIGEST_LENGTH = 16;
 
@@ -120,8 +122,8 @@
 
 /**
  * Whether this leader lists the workers by which a previous leader started tasks
- * of a job. If the entry has not followed leaders for long enough to know, all
- * peers that follow this leader and do know are believed.
+ * of a job. If the entry has not followed leaders for long enough to know, the
+ * peers that follow this leader and do know are believed, or else the store.
  */
 export function listsSameWorkers(
   state: EngineState,
@@ -129,13 +131,45 @@
   report: PreviousListReport,
 ): boolean {
   const { guards, listDigest } = state;
+  const isSame = (digest: string | null): boolean =>
+    digest !== null && guards.isSameList(listDigest, digest);
   const reports = report.kind === "none"
     ? followerReports(state, scheduler).filter(({ kind }) => kind !== "none")
     : [report];
-  return reports.length > 0 &&
-    reports.every((known) =>
-      known.kind === "known" && guards.isSameList(listDigest, known.digest)
-    );
+  return reports.length > 0
+    ? reports.every((known) => known.kind === "known" && isSame(known.digest))
+    : isSame(registeredList(state).digest);
+}
+
+/** The list of this instance's cell, as far as it is known to be registered. */
+function registeredList(
+  { hasZoneCells, self, registeredLists }: EngineState,
+): RegisteredList {
+  const cell = hasZoneCells ? self.availabilityZone : ALL_ZONES;
+  return registeredLists.get(cell) ??
+    { cell, version: 0, term: 0, digest: null };
+}
+
+/**
+ * Returns what a leader has to register in place of the given version; null if
+ * there is nothing to change. The digest is null while runs may last that were
+ * started by another list than the present one, unless that is registered.
+ */
+export function listToRegister(state: EngineState): RegisteredList | null {
+  const { scheduler, listDigest, leaderList, nowMs } = state;
+  if (scheduler === null) return null;
+  const { term } = scheduler;
+  const before = registeredList(state);
+  const usedSinceMs = Math.max(
+    scheduler.startedAtMs,
+    leaderList?.changedAtMs ?? nowMs,
+  );
+  const isOnly = before.digest === listDigest ||
+    nowMs - usedSinceMs >= maxRunOutlastMs(state);
+  const digest = isOnly && !hasVanishedWorkers(state) ? listDigest : null;
+  return before.digest === digest || before.term > term
+    ? null
+    : { ...before, term, digest };
 }
 
 /** What this leader and its followers know of the list of the leader before. */
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -133,6 +133,7 @@
     leaderList: null,
     previousList: null,
     firstLedAtMs: Infinity,
+    registeredLists: new Map(),
     zoneListedAtMs: new Map(),
     vanishedWorkers: new Map(),
     hasReadInstances: false,
@@ -271,6 +272,9 @@
     context.state.hasReadInstances = true;
     updateKnownInstances(context, event.instances);
   },
+  registeredListsRead: ({ state }, { lists }) => {
+    for (const list of lists) state.registeredLists.set(list.cell, list);
+  },
   peerUp: (context, event) => {
     onPeerUp(context, event);
     resendToPeer(context, event.instanceId);
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -190,6 +190,11 @@
     /** Reading the list of workers from the store failed. */
     | { readonly type: "workersUnreadable" }
     | { readonly type: "instancesRead"; readonly instances: InstanceInfo[] }
+    /** Lists that leaders have registered in the store, some or all of them. */
+    | {
+      readonly type: "registeredListsRead";
+      readonly lists: readonly RegisteredList[];
+    }
     | { readonly type: "peerUp"; readonly instanceId: string }
     /** A connection to a peer closed or could not be opened. */
     | {
@@ -823,6 +828,18 @@
   readonly leftAtMs: number;
 }
 
+/** The list by which the leader of a cell starts tasks, as the store has it. */
+export interface RegisteredList {
+  /** The zone of the cell, or `all` if all zones are one. */
+  readonly cell: string;
+  /** Version of the row; 0 if there is none. */
+  readonly version: number;
+  /** Term of the leader that registered the list. */
+  readonly term: number;
+  /** Null if leases granted by another list may last. */
+  readonly digest: string | null;
+}
+
 /** The list of workers of the leader that an instance follows or is. */
 export interface LeaderList {
   /** The leader's term. */
@@ -1066,6 +1083,8 @@
   previousList: PreviousList | null;
   /** Time at which this instance first had a leader; Infinity before. */
   firstLedAtMs: number;
+  /** Lists that leaders have registered in the store, as far as known, by cell. */
+  readonly registeredLists: Map<string, RegisteredList>;
   /** Latest time at which each zone had a worker in the list. */
   readonly zoneListedAtMs: Map<string, number>;
   /**
--- a/src/engine/unlisted_workers_test.ts
+++ b/src/engine/unlisted_workers_test.ts
@@ -1,5 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
+import { listToRegister } from "./leader_lists.ts";
 import type { InstanceInfo } from "./schemas.ts";
 import {
   createTestInstance,
@@ -176,23 +177,47 @@
     isListed: true,
     starts: 0,
   },
+  {
+    name: "whose list only the store confirms, starts",
+    hasFollower: false,
+    isRegistered: true,
+    isListed: true,
+    starts: 1,
+  },
+  {
+    name: "whose list lacks a worker of the list in the store, waits",
+    hasFollower: false,
+    isRegistered: true,
+    isListed: false,
+    starts: 0,
+  },
 ];
 
 // The leader, which was also the entry of the job, starts again together with
 // the entry to which the caller comes.
-for (const { name, hasFollower, isListed, starts } of retries) {
+for (
+  const { name, hasFollower, isRegistered = false, isListed, starts } of retries
+) {
   test(`a caller's retry through an entry that has just started, at a restarted leader ${name}`, () => {
     const fleet = createFleet(["a", "b", "c"]);
     const idle = { leaderId: "a", running: () => [] };
     fleet.start(testInstanceInfo("b"), WORKER_IDS);
-    fleet.start(infoOfLeader(TEST_WALL_MS - 50_000), WORKER_IDS);
+    const first = fleet.start(
+      infoOfLeader(TEST_WALL_MS - 50_000),
+      WORKER_IDS,
+    );
     fleet.pass(3_000, idle);
     fleet.submit("a");
     const [runsOn] = fleet.startedOn.splice(0);
     fleet.kill("a");
     if (!hasFollower) fleet.kill("b");
     const listedIds = WORKER_IDS.filter((id) => isListed || id !== runsOn);
-    fleet.start(infoOfLeader(TEST_WALL_MS), listedIds);
+    const leader = fleet.start(infoOfLeader(TEST_WALL_MS), listedIds);
+    if (isRegistered) {
+      const list = listToRegister(first.state);
+      const lists = list === null ? [] : [list];
+      leader.after(0, { type: "registeredListsRead", lists });
+    }
     fleet.start(testInstanceInfo("c"), listedIds);
     fleet.pass(RETRY_MS, idle);
     fleet.submit("c");
--- a/src/instance/store_readers.ts
+++ b/src/instance/store_readers.ts
@@ -4,12 +4,18 @@
  */
 
 import type { Configuration, InstanceInfo } from "../engine/schemas.ts";
-import type { EngineEvent, EngineState } from "../engine/types.ts";
+import { listToRegister } from "../engine/leader_lists.ts";
+import type {
+  EngineEvent,
+  EngineState,
+  RegisteredList,
+} from "../engine/types.ts";
 import type { ClockHost } from "../host/clock_host.ts";
 import { sleep } from "../host/sleep.ts";
 import type { StoreHost } from "./hosts.ts";
 import { announceInstance, readInstances } from "./instance_table.ts";
 import type { JsonLog } from "./json_log.ts";
+import { readRegisteredLists, registerList } from "./list_registry.ts";
 
 /** Interval between reads of the list of workers. */
 const WORKERS_READ_INTERVAL_MS = 700;
@@ -27,6 +33,8 @@
  * again.
  */
 const RETRY_DELAY_MS = 250;
+/** Interval at which a leader compares its list with the registered one. */
+const LIST_CHECK_INTERVAL_MS = 100;
 /** Interval at which an instance that hears from no peer looks for peers. */
 const DISCOVERY_INTERVAL_MS = 3_000;
 
@@ -156,6 +164,29 @@
     }
   }
 
+  /**
+   * Reads the lists that leaders have registered once, then registers that of
+   * this instance whenever it is the leader.
+   */
+  async function registerLists(): Promise<void> {
+    let isRead = false;
+    while (!stopped) {
+      const list: RegisteredList | null = isRead ? listToRegister(state) : null;
+      if (!isRead || list !== null) {
+        const lists: RegisteredList[] | undefined = await attempt(() =>
+          list === null ? readRegisteredLists(store) : registerList(store, list)
+        );
+        if (stopped) return;
+        const nowMs = clock.nowMs();
+        if (lists === undefined) await sleep(RETRY_DELAY_MS);
+        else dispatch({ type: "registeredListsRead", nowMs, lists });
+        isRead ||= lists !== undefined;
+      }
+      await sleep(LIST_CHECK_INTERVAL_MS);
+    }
+  }
+
+  void registerLists();
   void followConfiguration();
   void followWorkers();
   void findPeers();
