A draining worker that left the list may still have runs

What callers saw: a task ran on two workers at once, both started by one instance in two of its terms.

Cause: a worker that drains and leaves the list, such as since its entry lapses, was not remembered as one that may have runs of an earlier leader.

Change: it is remembered as any other that left the list.

Evidence: the case of a draining worker in unlisted_workers_test.ts failed before (1 start in place of 0).

--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1088,8 +1088,8 @@
   /** Latest time at which each zone had a worker in the list. */
   readonly zoneListedAtMs: Map<string, number>;
   /**
-   * Workers that left the list without draining, by worker id; removed when the
-   * worker is listed again or after a retention time.
+   * Workers that left the list, by worker id; removed when the worker is listed
+   * again or after a retention time.
    */
   readonly vanishedWorkers: Map<string, VanishedWorker>;
   /** The list of instances, or the seeds in its place, was read. */
--- a/src/engine/unlisted_workers_test.ts
+++ b/src/engine/unlisted_workers_test.ts
@@ -227,15 +227,20 @@
 }
 
 const vanished = [
-  { leftMsAgo: 10_000, starts: 0 },
-  { leftMsAgo: 16_000, starts: 1 },
+  { leftMsAgo: 10_000, draining: false, starts: 0 },
+  // Its entry may have lapsed while the last runs were at work.
+  { leftMsAgo: 10_000, draining: true, starts: 0 },
+  { leftMsAgo: 16_000, draining: false, starts: 1 },
 ];
 
 // The worker was forgotten only when the list changed again.
-for (const { leftMsAgo, starts } of vanished) {
-  test(`${starts} jobs submitted again start at once ${leftMsAgo} ms after a worker left the list, which has not changed since`, () => {
+for (const { leftMsAgo, draining, starts } of vanished) {
+  const kind = draining ? "draining worker" : "worker";
+  test(`${starts} jobs submitted again start at once ${leftMsAgo} ms after a ${kind} left the list, which has not changed since`, () => {
     const leader = createTestLeader();
     const workers = [testWorker("w1")];
+    const before = [...workers, { ...testWorker("w2"), draining }];
+    leader.after(0, { type: "workersRead", workers: before });
     leader.after(0, { type: "workersRead", workers });
     leader.tick(leftMsAgo);
     leader.completePoll("w1");
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -134,8 +134,8 @@
 }
 
 /**
- * Remembers workers that left the list without draining: they may be alive on
- * the other side of a network partition.
+ * Remembers workers that left the list: they may be alive on the other side of a
+ * network partition, or their entries may have lapsed in the store.
  */
 function trackVanishedWorkers(
   context: ReduceContext,
@@ -148,7 +148,6 @@
       workerId,
       draining,
     });
-    if (draining) continue;
     vanishedWorkers.set(workerId, { availabilityZone, leftAtMs: nowMs });
   }
   for (const workerId of vanishedWorkers.keys()) {
