The list that shows that a worker has restarted is read again under a raised token

What callers saw: a task ran on two workers of one service and zone at once, both runs started by one instance; the first got no stop and ended done.

Cause: a worker restarts under its id, unnoticed by the leader. A start and a poll under one token are both on their way; the new incarnation answers the poll before the start reaches it. The list shows the restart and lacks the run, which counted as lost with the earlier incarnation, so the task started elsewhere. Then the new incarnation carried out the first start.

Evidence: "a list that overtakes a start to a restarted worker" failed before and holds.

Change: such a list is not used. The token is raised, and the next list either shows the run or the start is refused. Ruled out: taking such a run for one that is still starting, since nothing would end that state if the start was lost.

--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -347,7 +347,13 @@
   worker.pollFailures = 0;
   worker.listsReadAtMs = worker.pollSentAtMs;
   worker.clockOffsetMs = outcome.clockMs - state.nowMs;
-  updateIncarnation(context, worker, outcome.bornMs);
+  const hasRestarted = updateIncarnation(context, worker, outcome.bornMs);
+  // A start under the present token may arrive at the new incarnation after
+  // this list; under a raised token, the next one shows it or it is refused.
+  if (hasRestarted && !underNewFence) {
+    raiseFence(context, worker, "restarted");
+    return;
+  }
   for (const row of outcome.finished) {
     if (row.sequence <= worker.processedSequence) continue;
     worker.processedSequence = row.sequence;
@@ -366,15 +372,17 @@
 
 /**
  * Updates the start time that identifies the worker's incarnation. A restarted
- * worker has lost its runs and its list of completions.
+ * worker has lost its runs and its list of completions. Returns whether it has
+ * restarted.
  */
 function updateIncarnation(
   context: ReduceContext,
   worker: OwnedWorker,
   startedAtMs: number | null,
-): void {
-  if (startedAtMs === null || startedAtMs === worker.startedAtMs) return;
-  if (worker.startedAtMs !== null) {
+): boolean {
+  if (startedAtMs === null || startedAtMs === worker.startedAtMs) return false;
+  const hasRestarted = worker.startedAtMs !== null;
+  if (hasRestarted) {
     logDecision(context, { part: "workers", text: "worker restarted" }, {
       workerId: worker.info.workerId,
       bornMs: startedAtMs,
@@ -394,6 +402,7 @@
     }
   }
   worker.startedAtMs = startedAtMs;
+  return hasRestarted;
 }
 
 function becomeReady(context: ReduceContext, worker: OwnedWorker): void {
