A start prolongs the leases of all runs on its worker

What callers saw: a task ran on two workers at once. Task A and then task B start on one worker, the poll between them fails within 25 ms, and the worker stays out of reach: A counted as expired up to 540 ms before its lease ended, and started elsewhere.

Cause: on the worker, the deadline of a start holds for all that runs there; the leader took it for the lease of the started run only.

Change: a start moves the worker's `leaseExpiresAtMs`, which replaces the time that was kept for each run.

Evidence: "a start prolongs the lease of the other runs on its worker" failed before and holds; the other tests of src/engine as before.

--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -11,7 +11,7 @@
 import { isolateJob } from "./job_faults.ts";
 import { jobIdOf, mustNotRestart } from "./job_state.ts";
 import { recordsLeader } from "./leader_lookup.ts";
-import { leaseEndsOnWorkerMs } from "./leases.ts";
+import { leaseEndsOnWorkerMs, maxLeaseMs } from "./leases.ts";
 import { retainCompletion } from "./records.ts";
 import {
   hasProgressed,
@@ -149,6 +149,11 @@
     leaseEndsMs: leaseEndsOnWorkerMs(state, worker),
   });
   worker.nextPollAtMs = Math.min(worker.nextPollAtMs, state.nowMs);
+  // A start prolongs the lease of all runs on its worker.
+  worker.leaseExpiresAtMs = Math.max(
+    worker.leaseExpiresAtMs,
+    state.nowMs + maxLeaseMs(state),
+  );
 }
 
 /**
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -741,9 +741,8 @@
   /** Time at which the next poll is due; Infinity if none is scheduled. */
   nextPollAtMs: number;
   /**
-   * Time by which every lease has expired that polls of this leader have renewed
-   * or, after the worker was relinquished, polls of its new owner. Leases
-   * granted by starts are not included.
+   * Time by which every lease has expired that starts and polls of this leader
+   * have granted or, after the worker was relinquished, those of its new owner.
    */
   leaseExpiresAtMs: number;
   /**
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -615,9 +615,6 @@
   endFailedTrials(context, worker);
   if (!state.guards.hasExpired(state.nowMs, worker.leaseExpiresAtMs)) return;
   for (const run of [...worker.runs.values()]) {
-    // A start grants a lease, too, which `leaseExpiresAtMs` does not include.
-    const expiresAtMs = run.placedAtMs + maxLeaseMs(state);
-    if (!state.guards.hasExpired(state.nowMs, expiresAtMs)) continue;
     if (run.job !== null && mayBeRenewedElsewhere(state, worker, run.job)) {
       continue;
     }
