A leader that steps down remembers the unlisted workers that it has polled

What callers saw: a task ran on two workers at once, both started by one instance in two of its terms.

Cause: a worker that has left the list is polled on while it has runs. It was remembered for 15 s from when it left; a leader that steps down later, such as after a pause, and leads again took the list for whole beside a run that it had just renewed.

Change: the time counts from when the leader steps down.

Evidence: "a leader in a new term waits for the lease on a worker that left the list 16 s ago" failed before and holds.

--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -361,12 +361,28 @@
     jobs: scheduler.jobs.size,
   });
   leaveLeaderList(state);
+  rememberUnlistedWorkers(state, scheduler);
   state.scheduler = null;
   state.leaderId = null;
   state.leaderTerm = 0;
   state.leaderlessSinceMs = state.nowMs;
 }
 
+/**
+ * Remembers the workers that have left the list, but had runs of this leader
+ * until now: its polls have renewed their leases.
+ */
+function rememberUnlistedWorkers(
+  { workers, vanishedWorkers, nowMs }: EngineState,
+  scheduler: Scheduler,
+): void {
+  for (const [workerId, { runs, info }] of scheduler.workers) {
+    if (runs.size === 0 || workers.has(workerId)) continue;
+    const { availabilityZone } = info;
+    vanishedWorkers.set(workerId, { availabilityZone, leftAtMs: nowMs });
+  }
+}
+
 /**
  * Handles a pause of this process. The pause does not count as time without
  * messages from the peers. A leader steps down, because the peers may have
