A known job that left its cell by another entry's account waits for leases

What callers saw: a task ran on two workers of two cells at once (by a unit test).

Cause: a leader that has a job by one entry ignored that a further submission said that runs of it may be in another cell. Besides, a condition for repeated copies was never true, since each copy of a submission has an id of its own.

Change: the account is taken over; the condition is gone.

Evidence: "a known job that is submitted again after it left its cell waits for leases" failed before and holds.

--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -267,7 +267,6 @@
     });
     return;
   }
-  const isRepeated = job.submissionIdByEntry.get(from) === submissionId;
   job.submissionIdByEntry.set(from, submissionId);
   job.paused = false;
   if (record !== null) {
@@ -275,7 +274,8 @@
     sendPeer(context, from, { type: "jobAccepted", jobId, submissionId });
     return;
   }
-  if (message.resubmitted && !isRepeated) {
+  if (message.resubmitted) {
+    job.leftCell ||= message.leftCell;
     mergePreviousList(context.state, job, { from, message });
     job.mayHaveStarted = true;
     job.resumedAtMs = context.state.nowMs;
