The guard of the list of workers covers every way in which it is not known

Without the guard, a mutant took only differing digests for equal, and a list that is not known still held the job. Two functions take the leader's term from the state instead of a third parameter.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -61,7 +61,7 @@
    * The runs of a previous leader are known once the lists of all its workers
    * have been read, which are those of this leader only if both list the same.
    */
-  isSameList: (digest, previousDigest) => digest === previousDigest,
+  mayHaveUnlistedRuns: (listsSameWorkers) => !listsSameWorkers,
   /** A task under which workers crash does not start without end. */
   mustGiveUp: ({ crashes, crashedAlone }) =>
     crashes >= (crashedAlone ? GIVE_UP_CRASHES : MAX_CRASHES),
--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -17,7 +17,7 @@
   PreviousListReport,
   WorkerInfo,
 } from "./schemas.ts";
-import type { EngineState, Peer, RegisteredList, Scheduler } from "./types.ts";
+import type { EngineState, Peer, RegisteredList } from "./types.ts";
 
 /** Cell under which the list is registered if all zones are one. */
 const ALL_ZONES = "all";
@@ -107,11 +107,10 @@
  * leader before that term.
  */
 export function submittedListReport(
-  { previousList: ownList }: EngineState,
+  { leaderTerm, previousList: ownList }: EngineState,
   { resubmitted, term, previousList }: PeerMessageOf<"submit">,
-  ownTerm: number,
 ): PreviousListReport {
-  if (term === undefined || term === ownTerm) return previousList;
+  if (term === undefined || term === leaderTerm) return previousList;
   const ownDigest = ownList?.term === term ? ownList.digest : null;
   if (ownDigest === null) return { kind: "unknown" };
   const ownReport = { kind: "known" as const, digest: ownDigest };
@@ -127,18 +126,17 @@
  */
 export function listsSameWorkers(
   state: EngineState,
-  scheduler: Scheduler,
   report: PreviousListReport,
 ): boolean {
-  const { guards, listDigest } = state;
-  const isSame = (digest: string | null): boolean =>
-    digest !== null && guards.isSameList(listDigest, digest);
+  const { listDigest } = state;
   const reports = report.kind === "none"
-    ? followerReports(state, scheduler).filter(({ kind }) => kind !== "none")
+    ? followerReports(state).filter(({ kind }) => kind !== "none")
     : [report];
   return reports.length > 0
-    ? reports.every((known) => known.kind === "known" && isSame(known.digest))
-    : isSame(registeredList(state).digest);
+    ? reports.every((known) =>
+      known.kind === "known" && known.digest === listDigest
+    )
+    : registeredList(state).digest === listDigest;
 }
 
 /** The list of this instance's cell, as far as it is known to be registered. */
@@ -173,11 +171,9 @@
 }
 
 /** What this leader and its followers know of the list of the leader before. */
-function followerReports(
-  state: EngineState,
-  { term }: Scheduler,
-): PreviousListReport[] {
-  const followers = cellPeers(state).filter((peer) => peer.term === term);
+function followerReports(state: EngineState): PreviousListReport[] {
+  const { leaderTerm } = state;
+  const followers = cellPeers(state).filter(({ term }) => term === leaderTerm);
   return [
     previousListReport(state, { isNew: true }),
     ...followers.map(({ previousList }) => previousList),
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -111,11 +111,11 @@
     listsReadAtMs: () => number;
   },
 ): boolean {
-  const { nowMs, guards, scheduler } = state;
+  const { nowMs, guards } = state;
   if (!guards.mayRunElsewhere(nowMs, job.previousRunsExpireAtMs)) return false;
   if (job.leftCell || hasVanishedWorkers(state)) return true;
-  if (scheduler === null) return true;
-  if (!listsSameWorkers(state, scheduler, job.previousList)) return true;
+  const listsSame = listsSameWorkers(state, job.previousList);
+  if (guards.mayHaveUnlistedRuns(listsSame)) return true;
   // Another leader may have acquired a worker after its lists were read, and may
   // have started tasks of the job there.
   const readAtMs = listsReadAtMs();
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -49,7 +49,7 @@
   const { scheduler } = state;
   if (scheduler === null) return;
   const resubmitted = !state.guards.mayBeNew(received, scheduler.term);
-  const previousList = submittedListReport(state, received, scheduler.term);
+  const previousList = submittedListReport(state, received);
   const message = { ...received, resubmitted, previousList };
   if (isFaultyJob(state, message.jobId)) {
     const { jobId, submissionId } = message;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -998,7 +998,7 @@
     cause: AcquisitionCause,
   ) => boolean;
   readonly mayRunElsewhere: (nowMs: number, expiresAtMs: number) => boolean;
-  readonly isSameList: (digest: string, previousDigest: string) => boolean;
+  readonly mayHaveUnlistedRuns: (listsSameWorkers: boolean) => boolean;
   readonly mustGiveUp: (
     task: Pick<Task, "crashes" | "crashedAlone">,
   ) => boolean;
