A reported end counts only for the incarnation of the worker that it names

What callers saw (by a unit test): a task of a stored job ran on two workers at once.

Cause: the owner of a worker reports an end late, after the worker has restarted and another run with the same number is at work there; that run was taken for ended.

Change: such an end still completes its task if it is done, but ends no run.

Evidence: "an end that is reported late of a worker's earlier incarnation ends no run" failed before and holds.

--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -284,16 +284,18 @@
  */
 export function processReportedCompletion(
   context: ReduceContext,
-  { workerId, retainedSequences }: ReportedCompletions,
+  { workerId, startedAtMs, retainedSequences }: ReportedCompletions,
   row: FinishedRow,
 ): void {
   const { scheduler, guards } = context.state;
   const found = findTask(context, row.taskName);
   if (scheduler === null || found === null) return;
   const { job } = found;
-  // The run may still be tracked on the worker that this leader gave up.
+  // The run may still be tracked on the worker that this leader gave up, unless
+  // the worker has restarted since: its present runs may have the same numbers.
   const worker = scheduler.workers.get(workerId);
-  if (worker !== undefined) applyCompletion(context, worker, row);
+  const isTracked = worker !== undefined && worker.startedAtMs === startedAtMs;
+  if (isTracked) applyCompletion(context, worker, row);
   else if (row.end === "done") completeTask(context, found, { workerId, row });
   if (job.record === null || !guards.mustRetainCompletion(job)) return;
   retainCompletion(scheduler, job.record, {
