All ended incarnations of a peer are remembered

What callers saw (by a unit test): a peer stays hidden, and a job's entry counts as alive that is not.

Cause: of a peer's previous incarnations only the last one was remembered. After two restarts, a late heartbeat of the first counted as a new incarnation, and the present one as ended.

Evidence: "a late heartbeat doesn't hide the incarnation of a peer that restarted 2 times" failed before and holds.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -108,9 +108,12 @@
    * equality only, since the wall clock may have been set back, and messages of
    * the previous incarnation may arrive after the first one of the present.
    */
-  isNewIncarnation: ({ startedAtMs: knownAtMs, endedStartAtMs }, startedAtMs) =>
+  isNewIncarnation: (
+    { startedAtMs: knownAtMs, endedStartsAtMs },
+    startedAtMs,
+  ) =>
     knownAtMs !== null && startedAtMs !== knownAtMs &&
-    startedAtMs !== endedStartAtMs,
+    !endedStartsAtMs.has(startedAtMs),
   /**
    * A withdrawal may be lost with the connection until the leader has received
    * it or has dropped the job, since it hears nothing from the entry.
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -192,7 +192,7 @@
     lastMessageAtMs: 0,
     heardBeforeLossAtMs: 0,
     startedAtMs: null,
-    endedStartAtMs: null,
+    endedStartsAtMs: new Set(),
     lastSentAtMs: -Infinity,
     heartbeatAtMs: 0,
     connected: false,
@@ -309,8 +309,8 @@
  * Whether a message is one of a peer's previous incarnation. It may arrive after
  * the first one of the present incarnation, on another connection.
  */
-function hasEnded({ endedStartAtMs }: Peer, startedAtMs: number): boolean {
-  return endedStartAtMs === startedAtMs;
+function hasEnded({ endedStartsAtMs }: Peer, startedAtMs: number): boolean {
+  return endedStartsAtMs.has(startedAtMs);
 }
 
 /**
@@ -319,7 +319,7 @@
  */
 function resetIfRestarted(peer: Peer, startedAtMs: number): void {
   if (peer.startedAtMs === startedAtMs) return;
-  peer.endedStartAtMs = peer.startedAtMs;
+  if (peer.startedAtMs !== null) peer.endedStartsAtMs.add(peer.startedAtMs);
   peer.startedAtMs = startedAtMs;
   peer.lastSentAtMs = -Infinity;
   peer.isLeader = false;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -354,8 +354,8 @@
    * before its first hello or heartbeat.
    */
   startedAtMs: number | null;
-  /** The same of its previous incarnation; null if none was heard from. */
-  endedStartAtMs: number | null;
+  /** The same of its previous incarnations. */
+  readonly endedStartsAtMs: Set<number>;
   /** The peer's monotonic clock in its latest heartbeat. */
   lastSentAtMs: number;
   /** Time at which the latest heartbeat arrived; 0 before the first one. */
@@ -1014,7 +1014,7 @@
     fence: number,
   ) => boolean;
   readonly isNewIncarnation: (
-    peer: Pick<Peer, "startedAtMs" | "endedStartAtMs">,
+    peer: Pick<Peer, "startedAtMs" | "endedStartsAtMs">,
     startedAtMs: number,
   ) => boolean;
   readonly mayForgetWithdrawal: (nowMs: number, sentAtMs: number) => boolean;
