An entry that was delayed submits no jobs before it knows who has left

A caller whose entry was frozen left and had its job run by another entry; the first entry, running again, submitted it beside that.

Cause: after a delay of the process, what arrived meanwhile is handled in the order in which the event loop finds it: a request is read before the end of its connection. Measured with node 20 and a process that was busy for 700 ms, for a caller that had closed, half-closed or reset its connection 600 ms before: the tick first, the request after 4 to 13 ms, the end 2 ms later, the next tick about 20 ms after that. So the order of one iteration is no proof, and one tick isn't, either, where the process is stopped while it waits for events.

Ruled out: asking the socket of the request in the listener. It isn't marked as closed before its end is read, which is after the request.

Change: for 50 ms after a pause or a block of its event loop, an entry submits no job in memory; the tick after that submits those whose callers still wait. This covers a request that arrived in the delay and jobs that are submitted again: to another leader, over a new connection, or to another cell after a refusal. Recorded jobs are not deferred: they run once, and without their callers. Guard: mayHaveUnreadEnds.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -65,6 +65,7 @@
     submittedTo: null,
     submittedTerm: 0,
     submissionCount: 0,
+    isDeferred: false,
     mayHaveStarted: false,
     doneTasks: [],
     answerAt: event.answerAt,
@@ -106,13 +107,30 @@
   return submittedTo === leader.instanceId && submittedTerm === leader.term;
 }
 
-/** Submits a job to a leader, which may have it already. */
+/**
+ * Whether a job is not submitted now, since its callers may have left. A recorded
+ * job runs without its callers, and once only.
+ */
+function mustDefer(
+  { nowMs, delayEndedAtMs, guards }: EngineState,
+  { job }: CallerJob,
+): boolean {
+  return job.isRecorded !== true &&
+    guards.mayHaveUnreadEnds(nowMs, delayEndedAtMs);
+}
+
+/**
+ * Submits a job to a leader, which may have it already, or defers this to a later
+ * tick.
+ */
 function submit(
   context: ReduceContext,
   callerJob: CallerJob,
   leader: LeaderTerm,
 ): void {
   const { state } = context;
+  callerJob.isDeferred = mustDefer(state, callerJob);
+  if (callerJob.isDeferred) return;
   if (!isSubmittedTo(callerJob, leader)) {
     callerJob.mayHaveStarted ||= callerJob.submittedTo !== null;
     withdrawFromPrevious(context, callerJob, leader);
@@ -311,6 +329,11 @@
   const { spilledToZone, mayHaveStarted } = callerJob;
   if (!isFull || spilledToZone !== null || mayHaveStarted) return false;
   if (job.isRecorded === true) return false;
+  if (mustDefer(state, callerJob)) {
+    // The job is submitted to its own cell once more.
+    callerJob.submittedTo = null;
+    return true;
+  }
   callerJob.spilledToZone = leastLoadedZone(state, queue.service);
   const leader = leaderFor(state, callerJob);
   const isOtherLeader = leader !== null && leader.instanceId !== submittedTo;
@@ -444,7 +467,10 @@
     const leader = leaderFor(state, callerJob);
     if (leader !== null) {
       callerJob.leaderlessSinceMs = 0;
-      if (!isSubmittedTo(callerJob, leader)) submit(context, callerJob, leader);
+      const { isDeferred } = callerJob;
+      if (isDeferred || !isSubmittedTo(callerJob, leader)) {
+        submit(context, callerJob, leader);
+      }
       continue;
     }
     if (callerJob.leaderlessSinceMs === 0) {
--- a/src/engine/delayed_entry_test.ts
+++ b/src/engine/delayed_entry_test.ts
@@ -14,9 +14,14 @@
 const JOB_ID = "00000000000000aa";
 
 function hearLeader(entry: TestInstance, leaderId: string, term: number) {
-  const sentAtMs = entry.state.nowMs;
-  const isLeader = true;
-  const heartbeat = testHeartbeat({ sentAtMs, isLeader, leaderId, term });
+  const heartbeat = testHeartbeat({
+    sentAtMs: entry.state.nowMs,
+    isLeader: true,
+    leaderId,
+    term,
+    hasZoneCells: true,
+    waitMsByService: { s: 0 },
+  });
   return entry.receive(leaderId, heartbeat);
 }
 
@@ -35,14 +40,29 @@
 const leave = (entry: TestInstance): Effect[] =>
   entry.after(0, { type: "callerGone", requestId: "r" });
 
-/** An entry that follows the leader `a`. */
+/** An entry that follows the leader `a`; `z` is the leader of another cell. */
 function createEntry(): TestInstance {
   const entry = createTestInstance({ peers: ["a", "b"] });
+  const distant = { ...testInstanceInfo("z"), availabilityZone: "caxias" };
+  entry.after(0, { type: "instancesRead", instances: [distant] });
+  entry.after(0, { type: "peerUp", instanceId: "z" });
   hearLeader(entry, "a", 900);
+  hearLeader(entry, "z", 800);
   entry.tick();
   return entry;
 }
 
+/** The leader `a` refuses the job for lack of capacity. */
+function refuse(entry: TestInstance): Effect[] {
+  const job = entry.state.callerJobs.get(JOB_ID);
+  return entry.receive("a", {
+    type: "jobEnded",
+    jobId: JOB_ID,
+    submissionId: `${job?.submissionPrefix}.${job?.submissionCount}`,
+    outcome: { kind: "refused", reason: "overloaded", retryAfterMs: 0 },
+  });
+}
+
 const submissionsIn = (effects: readonly Effect[]): number =>
   effectsOf(effects, "sendPeer")
     .filter(({ message }) => message.type === "submit").length;
@@ -90,6 +110,7 @@
         known: [],
       }),
   },
+  { name: "a refusal by its leader", hasJob: true, apply: refuse },
 ];
 
 /** Applies an event as the first one after a delay of an entry. */
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -14,6 +14,12 @@
  */
 export const MAX_TASKS_PER_EVENT = 250;
 
+/**
+ * Time after a delay of the process within which what arrived during the delay
+ * is handled: the event loop reads each connection in two iterations at most.
+ */
+const UNREAD_ENDS_TIMEOUT_MS = 50;
+
 /** The conditions that apply in production. */
 export const defaultGuards: Guards = {
   /** A recorded job starts only after its record has been persisted. */
@@ -112,6 +118,12 @@
    */
   mayForgetWithdrawal: (nowMs, sentAtMs) =>
     nowMs - sentAtMs >= WITHDRAWAL_RETENTION_MS,
+  /**
+   * After a delay of its process, an entry handles requests before the ends of
+   * their connections. A caller that has left may have its job run elsewhere.
+   */
+  mayHaveUnreadEnds: (nowMs, delayEndedAtMs) =>
+    nowMs - delayEndedAtMs < UNREAD_ENDS_TIMEOUT_MS,
   /**
    * A leader that hears no quorum may have been replaced, whether its peers are
    * silent or refuse connections.
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -401,8 +401,12 @@
   excuseSilence(state);
 }
 
-/** Leaves the time since the latest tick out of the silence of the peers. */
+/**
+ * Leaves the time since the latest tick, for which this process was delayed, out
+ * of the silence of the peers.
+ */
 function excuseSilence(state: EngineState): void {
+  state.delayEndedAtMs = state.nowMs;
   const sinceLastTickMs = state.nowMs - state.lastTickAtMs;
   for (const peer of state.peers.values()) {
     if (peer.lastHeardAtMs > 0) peer.lastHeardAtMs += sinceLastTickMs;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -117,6 +117,7 @@
     nowMs,
     wallMs,
     lastTickAtMs: nowMs,
+    delayEndedAtMs: -Infinity,
     configuration: null,
     peers: new Map(),
     leaderId: null,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -397,6 +397,8 @@
   submittedTerm: number;
   /** Number of submissions, repeated ones included. */
   submissionCount: number;
+  /** A submission waits until the ends of callers' connections are handled. */
+  isDeferred: boolean;
   /** A previous leader may have started tasks of the job. */
   mayHaveStarted: boolean;
   /** Names of the tasks that a previous leader reported as done. */
@@ -966,6 +968,10 @@
     startedAtMs: number,
   ) => boolean;
   readonly mayForgetWithdrawal: (nowMs: number, sentAtMs: number) => boolean;
+  readonly mayHaveUnreadEnds: (
+    nowMs: number,
+    delayEndedAtMs: number,
+  ) => boolean;
   readonly mayHaveRival: (
     view: {
       readonly seesQuorum: boolean;
@@ -999,6 +1005,8 @@
   nowMs: number;
   wallMs: number;
   lastTickAtMs: number;
+  /** End of the latest delay of this process; -Infinity if there was none. */
+  delayEndedAtMs: number;
   configuration: Configuration | null;
   readonly peers: Map<string, Peer>;
   /** Id of the leader of this instance's cell; null if none is known. */
