A leader starts tasks only of entries that can't have left it since

A leader that was cut off from its peers got, at the end of the cut, a submission that the cut had delayed, and started its tasks at once. Its entry had submitted the job to another leader by then; the withdrawal was behind the submission.

Cause: the leader took any message of an entry as a sign that the entry follows it now. The class: a message that was delayed is taken for a current one. It acted in three places: at a submission; at a heartbeat, which ended the pause of the jobs of a silent entry; and after the leader's own process was busy, when the withdrawals are not read yet.

Ruled out: holding jobs by silence alone. At the end of a cut, delayed heartbeats arrive before and after the delayed submission, so the entry is heard again, and says that it follows this leader. Comparing the sender's clock with the recipient's: it needs an estimate of their difference that the delay itself must not spoil.

Change: submissions and heartbeats tell the recipient its own clock in its latest heartbeat that had reached the sender (heardAtMs). An entry leaves a silent leader after 500 ms, so it can't have left for silence if less has passed since, by the leader's clock alone. Otherwise, and after silence, refused connections or a block of the leader's event loop, the peer is marked (mayHaveLeft), and none of its jobs starts until a current heartbeat says that it follows this leader in this term, or a current submission arrives. The mark replaces the pause of single jobs (src/engine/followers.ts). Peers of an earlier version don't tell: their messages count as current once they have been heard for 500 ms. Guard: mayHaveLeft. The log line "job received" tells whether the job is paused.

An entry that left for a leader of a higher term which it heard, and not for silence, isn't told apart; its withdrawal arrives in order.

Evidence: the three tests of stale_submission_test.ts, red before, are green and unchanged. followers_test.ts, 16 tests: with the guard that never marks, 11 fail; with one that always does, 10 fail, among them the test that counts ticks: right after a takeover, 48 jobs of which half come from a follower all start in the tick in which those of the leader itself do. Tests of src/engine: 308 pass, 1 fails, the known one of unlisted_workers_test.ts.

Seven tests sent a submission of an entry that was a new peer, or silent for a second, without telling what it had heard, and one a heartbeat of a follower of term 0. They now tell what such an entry tells; what they expect is as before.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -4,6 +4,7 @@
  * complete in time is still admitted.
  */
 
+import { isPaused } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
 import { compareJobs, hasQueuedTasks } from "./queue.ts";
 import { isHeldBack } from "./suspected_queues.ts";
@@ -159,7 +160,9 @@
   load: QueuedLoad,
   job: Job,
 ): void {
-  if (job.paused || mayHavePreviousRuns(context.state, job)) return;
+  if (isPaused(context.state, job) || mayHavePreviousRuns(context.state, job)) {
+    return;
+  }
   const cpuMilli = queuedCpuMilli(context, job);
   load.cpuMilli += cpuMilli;
   load.workMilliMs += cpuMilli * job.criticalPathMs;
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -11,6 +11,7 @@
   type LeaderTerm,
   leastLoadedZone,
 } from "./leader_lookup.ts";
+import { heardFrom } from "./membership.ts";
 import type { PeerMessageOf } from "./schemas.ts";
 import type {
   CallerJob,
@@ -151,6 +152,7 @@
     ageMs: Math.round(state.nowMs - callerJob.receivedAtMs),
     timeLeftMs: Math.round(callerJob.deadlineAtMs - state.nowMs),
     term: leader.term,
+    ...heardFrom(state.peers.get(leader.instanceId)),
     resubmitted: callerJob.mayHaveStarted,
     leftCell: callerJob.leftCell,
     answerAt: callerJob.answerAt,
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -5,6 +5,7 @@
 
 import { GIVE_UP_CRASHES, MAX_CRASHES } from "./crashes.ts";
 import { faultyJobOutcome } from "./job_faults.ts";
+import { LEADER_TIMEOUT_MS } from "./membership.ts";
 import { WITHDRAWAL_RETENTION_MS } from "./previous_runs.ts";
 import type { Guards } from "./types.ts";
 
@@ -118,6 +119,11 @@
    */
   mayForgetWithdrawal: (nowMs, sentAtMs) =>
     nowMs - sentAtMs >= WITHDRAWAL_RETENTION_MS,
+  /**
+   * An entry that has not heard its leader for some time may have submitted its
+   * jobs to another one, and its withdrawals may be on their way.
+   */
+  mayHaveLeft: (nowMs, heardAtMs) => nowMs - heardAtMs >= LEADER_TIMEOUT_MS,
   /**
    * After a delay of its process, an entry handles requests before the ends of
    * their connections. A caller that has left may have its job run elsewhere.
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -63,7 +63,6 @@
     previousRunsExpireAtMs: options.previousRunsExpireAtMs,
     resumedAtMs: options.isResumed ? state.nowMs : -Infinity,
     leftCell: options.leftCell ?? false,
-    paused: false,
     isLate: false,
     isWaiting: false,
     outcome: null,
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -9,15 +9,12 @@
   refusalOf,
 } from "./admission.ts";
 import { logDecision } from "./effects.ts";
+import { checkFollowers } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
 import { mustNotRestart } from "./job_state.ts";
 import { finishJob } from "./jobs.ts";
-import { refusesConnections } from "./membership.ts";
 import { mayHaveUnknownRuns, oldestListsReadAtMs } from "./placement.ts";
-import {
-  ENTRY_DROP_TIMEOUT_MS,
-  ENTRY_PAUSE_TIMEOUT_MS,
-} from "./previous_runs.ts";
+import { ENTRY_DROP_TIMEOUT_MS } from "./previous_runs.ts";
 import { hasQueuedTasks, markLate } from "./queue.ts";
 import { knowsAllRecords, markDirty } from "./records.ts";
 import { storeUnavailableOutcome } from "./submissions.ts";
@@ -45,6 +42,7 @@
  */
 export function checkJobs(context: ReduceContext, scheduler: Scheduler): void {
   const { state } = context;
+  checkFollowers(state);
   const waits = createExpectedWaits(context, scheduler);
   for (const job of scheduler.jobs.values()) {
     if (job.outcome !== null) continue;
@@ -143,16 +141,13 @@
 }
 
 /**
- * Pauses a job without a record while none of its entries is heard from, and
- * drops it after a longer time: entries across a network partition have
- * resubmitted it to another leader, at once if the partition refuses
- * connections. Returns whether the job was dropped.
+ * Drops a job without a record after a time in which none of its entries is heard
+ * from: entries across a network partition have resubmitted it to another leader.
+ * Returns whether the job was dropped.
  */
 function checkEntries(context: ReduceContext, job: Job): boolean {
   if (job.record !== null) return false;
   const silentMs = sinceEntriesHeardMs(context.state, job);
-  job.paused = silentMs > ENTRY_PAUSE_TIMEOUT_MS ||
-    haveEntriesRefused(context.state, job);
   if (silentMs <= ENTRY_DROP_TIMEOUT_MS) return false;
   logDecision(context, {
     part: "jobs",
@@ -180,17 +175,6 @@
   return silentMs;
 }
 
-/** Whether each entry has refused a connection since it was last heard from. */
-function haveEntriesRefused(
-  state: EngineState,
-  { submissionIdByEntry }: Job,
-): boolean {
-  return [...submissionIdByEntry.keys()].every((entryId) => {
-    const peer = state.peers.get(entryId);
-    return peer !== undefined && refusesConnections(peer);
-  });
-}
-
 /** Discards ended jobs without a written record after their retention time. */
 function discardEndedJobs(state: EngineState, scheduler: Scheduler): void {
   const { endedJobs, jobs } = scheduler;
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -10,6 +10,7 @@
 import { resubmitAll } from "./callers.ts";
 import { cellPeers, cellWorkers, isInOwnCell } from "./cells.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { suspectFollowers } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
 import { isActiveLeader } from "./leader_lookup.ts";
 import { isReachable, peerRankKey, rankOfSelf } from "./leader_ranking.ts";
@@ -401,6 +402,7 @@
     isLeader: state.scheduler !== null,
   });
   excuseSilence(state);
+  suspectFollowers(state);
 }
 
 /**
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -190,6 +190,8 @@
     endedStartAtMs: null,
     lastSentAtMs: -Infinity,
     heartbeatAtMs: 0,
+    heardAgainAtMs: 0,
+    mayHaveLeft: false,
     connected: false,
     refusedAtMs: 0,
     draining: false,
@@ -236,6 +238,7 @@
   const peer = state.peers.get(from);
   if (peer === undefined) return;
   const silentMs = state.nowMs - peer.lastHeardAtMs;
+  if (silentMs >= LEADER_TIMEOUT_MS) peer.heardAgainAtMs = state.nowMs;
   if (silentMs >= PEER_TIMEOUT_MS) {
     peer.heardBeforeLossAtMs = peer.lastMessageAtMs;
   }
@@ -319,18 +322,21 @@
   peer.term = 0;
 }
 
-/** Updates this instance's view of a peer from the peer's heartbeat. */
+/**
+ * Updates this instance's view of a peer from the peer's heartbeat. Returns
+ * whether it is the latest one of the peer's present incarnation.
+ */
 export function onHeartbeat(
   context: ReduceContext,
   from: string,
   message: PeerMessageOf<"heartbeat">,
-): void {
+): boolean {
   const { state } = context;
   const peer = state.peers.get(from);
-  if (peer === undefined || hasEnded(peer, message.bornMs)) return;
+  if (peer === undefined || hasEnded(peer, message.bornMs)) return false;
   resetIfRestarted(peer, message.bornMs);
   // A later heartbeat on a newer connection may have overtaken this one.
-  if (message.sentAtMs < peer.lastSentAtMs) return;
+  if (message.sentAtMs < peer.lastSentAtMs) return false;
   peer.lastSentAtMs = message.sentAtMs;
   peer.heartbeatAtMs = state.nowMs;
   peer.draining = message.draining;
@@ -361,6 +367,7 @@
   if (message.configurationVersion > version) {
     sendPeer(context, from, { type: "configurationWanted" });
   }
+  return true;
 }
 
 /** Sends a heartbeat to a peer, if connected, and schedules the next one. */
@@ -387,6 +394,7 @@
     term: state.leaderTerm,
     leaderId: state.leaderId,
     maxTermSeen: state.maxTermSeen,
+    ...heardFrom(peer),
     workersAgeMs: workersAgeMs(state),
     configurationVersion: state.configuration?.version ?? -1,
     recordsExist: state.recordsExist,
@@ -396,6 +404,14 @@
   });
 }
 
+/** Tells a peer which of its heartbeats has arrived here last, if any has. */
+export function heardFrom(
+  peer: Peer | undefined,
+): { readonly heardAtMs?: number } {
+  const heardAtMs = peer?.lastSentAtMs ?? -Infinity;
+  return heardAtMs === -Infinity ? {} : { heardAtMs };
+}
+
 function waitsOf({ waitMsByService }: Scheduler): Record<string, number> {
   return Object.fromEntries(waitMsByService);
 }
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -7,6 +7,7 @@
 
 import { cellWorkers } from "./cells.ts";
 import { awaitsEvidence } from "./crashes.ts";
+import { isPaused } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
 import { jobIdOf } from "./job_state.ts";
 import { mayGrantLease } from "./leases.ts";
@@ -55,7 +56,7 @@
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
     if (
-      job.outcome !== null || job.paused ||
+      job.outcome !== null || isPaused(state, job) ||
       mayHaveUnknownRuns(state, { job, listsReadAtMs })
     ) {
       at += 1;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -16,6 +16,7 @@
 } from "./callers.ts";
 import { applyConfiguration, onConfigurationWanted } from "./configuration.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { onFollowerHeartbeat } from "./followers.ts";
 import { defaultGuards } from "./guards.ts";
 import { checkJobs } from "./job_watch.ts";
 import {
@@ -185,7 +186,9 @@
 const peerHandlers: PeerHandlers = {
   heartbeat: (context, from, message) => {
     endPreviousIncarnation(context, from, message.bornMs);
-    onHeartbeat(context, from, message);
+    if (onHeartbeat(context, from, message)) {
+      onFollowerHeartbeat(context.state, from, message);
+    }
     checkLeadership(context);
   },
   hello: (context, from, message) => {
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -132,6 +132,11 @@
   /** Id of the leader that the sender follows or is. */
   leaderId: z.string().nullable(),
   maxTermSeen: z.number(),
+  /**
+   * The recipient's monotonic clock in its latest heartbeat that had reached the
+   * sender; undefined if none had.
+   */
+  heardAtMs: z.number().optional(),
   /** Age of the sender's list of workers. */
   workersAgeMs: z.number(),
   /** Version of the sender's configuration; -1 if it has none. */
@@ -175,6 +180,11 @@
    * sent in this one.
    */
   term: z.number().optional(),
+  /**
+   * The recipient's monotonic clock in its latest heartbeat that had reached the
+   * sender; undefined if none had.
+   */
+  heardAtMs: z.number().optional(),
   /** The job was submitted to another leader or term before. */
   resubmitted: z.boolean(),
   /**
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -6,6 +6,7 @@
 import { isDeepStrictEqual } from "node:util";
 import { expectedWaitMs, refusalOf } from "./admission.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { isPaused, onFollowerSubmission } from "./followers.ts";
 import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
 import { createJob, inheritProgress, queueReadyTasks } from "./job_state.ts";
 import { finishJob, startJob } from "./jobs.ts";
@@ -47,6 +48,7 @@
   const { state } = context;
   const { scheduler } = state;
   if (scheduler === null) return;
+  onFollowerSubmission(state, from, received);
   const resubmitted = !state.guards.mayBeNew(received, scheduler.term);
   const message = { ...received, resubmitted };
   if (isFaultyJob(state, message.jobId)) {
@@ -217,6 +219,7 @@
     submittedTerm: message.term ?? null,
     recorded: job.record !== null,
     surplus: job.isSurplus,
+    paused: isPaused(context.state, job),
     formerRunsForMs: Math.max(0, Math.round(previousRunsExpireAtMs - nowMs)),
   });
 }
@@ -263,7 +266,6 @@
   }
   const isRepeated = job.submissionIdByEntry.get(from) === submissionId;
   job.submissionIdByEntry.set(from, submissionId);
-  job.paused = false;
   if (record !== null) {
     if (!record.accepted) return;
     sendPeer(context, from, { type: "jobAccepted", jobId, submissionId });
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -354,6 +354,13 @@
   lastSentAtMs: number;
   /** Time at which the latest heartbeat arrived; 0 before the first one. */
   heartbeatAtMs: number;
+  /**
+   * Time of the first message after the latest silence that lasted for as long as
+   * an entry waits for its leader; 0 before the first message.
+   */
+  heardAgainAtMs: number;
+  /** The peer may have submitted the jobs it had here to another leader. */
+  mayHaveLeft: boolean;
   connected: boolean;
   /**
    * Time of the latest refused connection; 0 if none was refused since the
@@ -555,8 +562,6 @@
   resumedAtMs: number;
   /** Runs of a previous leader may be on workers of another cell. */
   leftCell: boolean;
-  /** No entry of the job is heard from, so none of its tasks is started. */
-  paused: boolean;
   /** The objective passed while tasks were still queued. */
   isLate: boolean;
   /** The job is in its service's queue. */
@@ -968,6 +973,7 @@
     startedAtMs: number,
   ) => boolean;
   readonly mayForgetWithdrawal: (nowMs: number, sentAtMs: number) => boolean;
+  readonly mayHaveLeft: (nowMs: number, heardAtMs: number) => boolean;
   readonly mayHaveUnreadEnds: (
     nowMs: number,
     delayEndedAtMs: number,
