A request to cancel is answered once the previous owner can't start the job

What callers saw: tasks of a recorded job started after the request to cancel it had been answered with "cancelled".

Workers that it has not acquired yet take starts of the previous owner. The next owner delays the discarding of completions for 1.5 s for the same reason; replies to cancel requests had no such delay.

Ruled out: stopping the starts of the previous owner at once. It can't tell a cut from the end of all others, and the next owner may take over at any time after the latest confirmation, so it would have to wait as well. Answering once all workers are acquired: one that the next owner can't reach may be in reach of the previous one.

Change: for 1.5 s after the records were taken over, requests to cancel a restored job are answered when this time is over, below the 2 s after which an entry answers "unavailable". The job itself ends at once. Jobs that came after the takeover are answered as before. The condition is the guard mayHaveTwoOwners now.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -7,6 +7,7 @@
 import { faultyJobOutcome } from "./job_faults.ts";
 import { LEADER_TIMEOUT_MS } from "./membership.ts";
 import { WITHDRAWAL_RETENTION_MS } from "./previous_runs.ts";
+import { OWNERSHIP_CONFIRM_TIMEOUT_MS } from "./records.ts";
 import type { Guards } from "./types.ts";
 
 /**
@@ -136,6 +137,12 @@
    */
   mayHaveRival: ({ seesQuorum, hasMissingPeers }) =>
     !seesQuorum || hasMissingPeers,
+  /**
+   * The previous owner of the records relinquishes them after this time without
+   * a confirmation of the store.
+   */
+  mayHaveTwoOwners: (nowMs, openedAtMs) =>
+    nowMs - openedAtMs < OWNERSHIP_CONFIRM_TIMEOUT_MS,
   /**
    * Only the job that the leader has under its id is written, and no outcome of
    * a job that this leader never tried to write: before the records are read,
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -12,12 +12,14 @@
 import { hasStarted, queueReadyTasks } from "./job_state.ts";
 import { placeQueuedTasks } from "./placement.ts";
 import { dequeue, enqueue } from "./queue.ts";
-import { discardUnwritable, markDirty } from "./records.ts";
+import { discardUnwritable, markDirty, mayHaveTwoOwners } from "./records.ts";
 import { attachRuns, stopRun, stopTaskRuns } from "./runs.ts";
 import type { PeerMessageOf, Reply } from "./schemas.ts";
 import type {
+  EngineState,
   Job,
   JobOutcome,
+  RecordStoreState,
   ReduceContext,
   Scheduler,
   TaskCompletion,
@@ -242,6 +244,52 @@
   for (const jobs of records.dirty.values()) jobs.delete(job);
 }
 
+/**
+ * Whether tasks of a cancelled job may still start, because the previous owner
+ * of its record may not know that it is cancelled.
+ */
+function mayStartAfterCancelling(
+  state: EngineState,
+  { record }: Job,
+  outcome: JobOutcome,
+): boolean {
+  const { scheduler } = state;
+  return outcome.kind === "cancelled" && record?.isRestored === true &&
+    scheduler !== null && mayHaveTwoOwners(state, scheduler.records);
+}
+
+/**
+ * Answers the instances that requested the cancellation of a job, at once or as
+ * soon as none of its tasks can start any more.
+ */
+function replyToCancelRequests(
+  context: ReduceContext,
+  job: Job,
+  outcome: JobOutcome,
+): void {
+  const requests = job.record?.cancelRequests ?? [];
+  if (requests.length === 0) return;
+  if (mayStartAfterCancelling(context.state, job, outcome)) {
+    context.state.scheduler?.records.delayedReplies.push(job);
+    return;
+  }
+  const reply: Reply = { kind: "ended", outcome };
+  for (const { from, questionId } of requests.splice(0)) {
+    sendPeer(context, from, { type: "reply", questionId, reply });
+  }
+}
+
+/** Sends the replies to cancel requests that were delayed. */
+export function sendDelayedReplies(
+  context: ReduceContext,
+  { delayedReplies }: RecordStoreState,
+): void {
+  for (const job of delayedReplies.splice(0)) {
+    const outcome = job.record?.storedOutcome;
+    if (outcome) replyToCancelRequests(context, job, outcome);
+  }
+}
+
 /**
  * Reports the outcome of a job to its entries and to the instances that
  * requested its cancellation.
@@ -260,11 +308,7 @@
       outcome,
     });
   }
-  const reply: Reply = { kind: "ended", outcome };
-  for (const { from, questionId } of job.record?.cancelRequests ?? []) {
-    sendPeer(context, from, { type: "reply", questionId, reply });
-  }
-  job.record?.cancelRequests.splice(0);
+  replyToCancelRequests(context, job, outcome);
 }
 
 /** Stops all runs of a job. */
@@ -336,7 +380,9 @@
 ): Reply | null {
   const { record } = job;
   if (record?.storedOutcome) {
-    return { kind: "ended", outcome: record.storedOutcome };
+    record.cancelRequests.push(requester);
+    replyToCancelRequests(context, job, record.storedOutcome);
+    return null;
   }
   // In outcomes on the wire, `begun` is whether a task may have started.
   const begun = job.mayHaveStarted || hasStarted(job);
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -266,6 +266,7 @@
   { record: row, version }: StoredRecord,
 ): Job {
   const record = createRecordState(row.acceptedAtMs);
+  record.isRestored = true;
   const ageMs = Math.max(0, state.wallMs - row.acceptedAtMs);
   const receivedAtMs = state.nowMs - ageMs;
   const job = createJob(state, {
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -9,7 +9,12 @@
 import { emit, logDecision, sendPeer } from "./effects.ts";
 import { isolateJob } from "./job_faults.ts";
 import { queueReadyTasks } from "./job_state.ts";
-import { reportOutcome, startJob, stopJobRuns } from "./jobs.ts";
+import {
+  reportOutcome,
+  sendDelayedReplies,
+  startJob,
+  stopJobRuns,
+} from "./jobs.ts";
 import { recordsLeader } from "./leader_lookup.ts";
 import { nextTerm } from "./leadership.ts";
 import { mayHaveRival, seesQuorum } from "./membership.ts";
@@ -17,6 +22,7 @@
 import {
   createRecordStoreState,
   markDirty,
+  mayHaveTwoOwners,
   mergeRecord,
   OWNERSHIP_CONFIRM_INTERVAL_MS,
   OWNERSHIP_CONFIRM_TIMEOUT_MS,
@@ -27,7 +33,6 @@
 } from "./records.ts";
 import type {
   EngineEventOf,
-  EngineState,
   Job,
   OwnedWorker,
   RecordBatch,
@@ -68,22 +73,11 @@
   if (records.phase !== "open") return;
   if (!mayHaveTwoOwners(state, records)) {
     releaseCompletions(records.delayedCompletions);
+    sendDelayedReplies(context, records);
   }
   confirmOwnership(context, scheduler);
 }
 
-/**
- * Whether the previous owner may not know yet that it lost the records. If a
- * worker discarded a completion now, the previous owner could start the task
- * again.
- */
-function mayHaveTwoOwners(
-  state: EngineState,
-  records: RecordStoreState,
-): boolean {
-  return state.nowMs - records.openedAtMs < OWNERSHIP_CONFIRM_TIMEOUT_MS;
-}
-
 /**
  * While recorded jobs are active, another leader may own the records, or a
  * completion waits for it, confirms ownership with an empty write when due.
--- a/src/engine/record_takeover_test.ts
+++ b/src/engine/record_takeover_test.ts
@@ -156,3 +156,43 @@
   later.push(...pass(leader, 3_000));
   expect(startsOf(later)).toEqual([]);
 });
+
+function cancel(leader: TestInstance): Effect[] {
+  const type = "question";
+  const question = { kind: "cancel" as const, jobId: JOB_ID };
+  const effects = leader.receive("p", { type, questionId: "q", question });
+  return [...effects, ...confirmWrites(leader, effects)];
+}
+
+const cancelRepliesIn = (effects: readonly Effect[]): number =>
+  effectsOf(effects, "sendPeer")
+    .filter(({ message }) => message.type === "reply").length;
+
+const cancelled = { kind: "cancelled" as const, begun: true };
+const stored: { name: string; outcome: typeof cancelled | null }[] = [
+  { name: "that runs", outcome: null },
+  { name: "that is cancelled already", outcome: cancelled },
+];
+
+// The previous owner may start a task as long as it has not noticed that it lost
+// the records, up to 1,500 ms.
+for (const { name, outcome } of stored) {
+  test(`a request to cancel a job ${name}, just after a takeover, is answered later`, () => {
+    const leader = createLeaderBeforeRecords();
+    const record = testStoredRecord({ jobId: JOB_ID, job: recorded, outcome });
+    openRecords(leader, [record]);
+    const early = [...cancel(leader), ...pass(leader, 1_000)];
+    early.push(...cancel(leader), ...pass(leader, 400));
+    expect(cancelRepliesIn(early)).toEqual(0);
+    expect(cancelRepliesIn(pass(leader, 200))).toEqual(2);
+    expect(cancelRepliesIn(cancel(leader))).toEqual(1);
+  });
+}
+
+test("a request to cancel a job that came after a takeover is answered at once", () => {
+  const leader = createLeaderBeforeRecords();
+  openRecords(leader);
+  const message = testSubmission({ jobId: JOB_ID, job: recorded });
+  confirmWrites(leader, leader.receive("p", message));
+  expect(cancelRepliesIn(cancel(leader))).toEqual(1);
+});
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -61,6 +61,7 @@
     restoration: null,
     resuming: [],
     delayedCompletions: [],
+    delayedReplies: [],
     confirmedAtMs: 0,
     confirmWantedSinceMs: null,
     dirty: new Map(),
@@ -81,6 +82,7 @@
     inFlightCompletions: [],
     acceptedAtMs,
     endedAtMs: 0,
+    isRestored: false,
     cancelRequests: [],
   };
 }
@@ -100,6 +102,18 @@
     state.nowMs - records.confirmedAtMs < OWNERSHIP_CONFIRM_INTERVAL_MS;
 }
 
+/**
+ * Whether the previous owner may not know yet that it lost the records, and may
+ * start tasks of recorded jobs again: also those of which a completion is
+ * discarded or the cancellation is recorded.
+ */
+export function mayHaveTwoOwners(
+  { nowMs, guards }: EngineState,
+  { openedAtMs }: RecordStoreState,
+): boolean {
+  return guards.mayHaveTwoOwners(nowMs, openedAtMs);
+}
+
 /** Returns the part of the records table that contains a job's record. */
 export function partOf(jobId: string): number {
   return hashText(jobId) % RECORD_PARTS;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -517,6 +517,8 @@
   readonly acceptedAtMs: number;
   /** Time at which the job ended, in Unix milliseconds; 0 if it has not. */
   endedAtMs: number;
+  /** The record was read when this leader took over the records. */
+  isRestored: boolean;
   /** Cancel requests that are answered once the outcome is persisted. */
   readonly cancelRequests: {
     readonly from: string;
@@ -872,6 +874,11 @@
    * may not know yet that it lost the records.
    */
   readonly delayedCompletions: RetainedCompletion[];
+  /**
+   * Cancelled jobs with requests that are not answered yet, because the previous
+   * owner may start their tasks.
+   */
+  readonly delayedReplies: Job[];
   /**
    * Time at which the latest call was sent of those with which the store confirmed
    * that this leader owns the records.
@@ -974,6 +981,7 @@
   ) => boolean;
   readonly mayForgetWithdrawal: (nowMs: number, sentAtMs: number) => boolean;
   readonly mayHaveLeft: (nowMs: number, heardAtMs: number) => boolean;
+  readonly mayHaveTwoOwners: (nowMs: number, openedAtMs: number) => boolean;
   readonly mayHaveUnreadEnds: (
     nowMs: number,
     delayEndedAtMs: number,
