--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -74,6 +74,7 @@
   ReduceContext,
 } from "./types.ts";
 import {
+  forgetVanishedWorkers,
   onPeerWorkers,
   onWorkersRead,
   onWorkersUnreadable,
@@ -130,6 +131,9 @@
     draining: false,
     workers: new Map(),
     hasZoneCells: false,
+    listDigest: "",
+    leaderList: null,
+    previousList: null,
     zoneListedAtMs: new Map(),
     vanishedAtMs: new Map(),
     workersReadAtMs: -Infinity,
@@ -334,6 +338,7 @@
   state.wallMs = event.wallMs;
   state.lastTickAtMs = state.nowMs;
   checkPeers(context);
+  forgetVanishedWorkers(state);
   checkLeadership(context);
   const { scheduler } = state;
   if (scheduler !== null) {
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -2,7 +2,8 @@
 
 import { cellPeers, shouldUseZoneCells } from "./cells.ts";
 import { logDecision, sendPeer } from "./effects.ts";
-import { workersAgeMs } from "./membership.ts";
+import { updateListDigest } from "./leader_lists.ts";
+import { heartbeatAll, workersAgeMs } from "./membership.ts";
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import type { EngineEventOf, EngineState, ReduceContext } from "./types.ts";
 
@@ -86,6 +87,9 @@
   trackVanishedWorkers(context, next);
   state.workers = next;
   updateCells(context);
+  // Followers learn of a leader's list before it starts tasks by it.
+  const isNewList = updateListDigest(state);
+  if (isNewList && state.scheduler !== null) heartbeatAll(context);
   return true;
 }
 
@@ -146,9 +150,17 @@
     });
     if (!draining) vanishedAtMs.set(workerId, nowMs);
   }
+  for (const workerId of vanishedAtMs.keys()) {
+    if (next.has(workerId)) vanishedAtMs.delete(workerId);
+  }
+}
+
+/** Forgets workers that left the list `VANISHED_RETENTION_MS` ago. */
+export function forgetVanishedWorkers(
+  { vanishedAtMs, nowMs }: EngineState,
+): void {
   for (const [workerId, atMs] of vanishedAtMs) {
-    const isExpired = nowMs - atMs > VANISHED_RETENTION_MS;
-    if (isExpired || next.has(workerId)) vanishedAtMs.delete(workerId);
+    if (nowMs - atMs > VANISHED_RETENTION_MS) vanishedAtMs.delete(workerId);
   }
 }
 
