A submission for another term doesn't show that its entry follows

The clock by which an entry tells what it has heard is that of the leader's process in the term for which it meant the submission. After a restart on another host it may be any. Found by reading; the entry submits its jobs again as soon as it follows the present term, so nothing waits longer.

--- a/src/engine/followers.ts
+++ b/src/engine/followers.ts
@@ -1,8 +1,9 @@
 /**
  * Tells whether the entries of jobs in memory still follow this leader. An entry
- * that hears nothing from its leader for some time submits them to another one. A message tells which heartbeat of this leader its sender
- * had received last, so that one that was delayed is told from a current one,
- * whatever connections were cut and whichever process was delayed meanwhile.
+ * that hears nothing from its leader for some time submits them to another one.
+ * A message tells which heartbeat of this leader its sender had received last, so
+ * that one that was delayed is told from a current one, whatever connections were
+ * cut and whichever process was delayed meanwhile.
  */
 
 import { refusesConnections } from "./membership.ts";
@@ -43,14 +44,19 @@
   for (const peer of peers.values()) peer.mayHaveLeft = true;
 }
 
-/** Handles a submission, which shows that its sender follows this leader. */
+/**
+ * Handles a submission, which shows that its sender follows this leader, unless it
+ * was meant for another term, in which the clock may have been another one.
+ */
 export function onFollowerSubmission(
   state: EngineState,
   from: string,
-  { heardAtMs }: PeerMessageOf<"submit">,
+  { term, heardAtMs }: PeerMessageOf<"submit">,
 ): void {
   const peer = state.peers.get(from);
-  if (peer !== undefined) peer.mayHaveLeft = !isCurrent(state, peer, heardAtMs);
+  if (peer === undefined) return;
+  const isOtherTerm = term !== undefined && term !== state.scheduler?.term;
+  peer.mayHaveLeft = isOtherTerm || !isCurrent(state, peer, heardAtMs);
 }
 
 /**
--- a/src/engine/followers_test.ts
+++ b/src/engine/followers_test.ts
@@ -90,6 +90,19 @@
   });
 }
 
+for (const termsAgo of [0, 1]) {
+  test(`a job of a submission for ${termsAgo} terms ago is paused: ${termsAgo}`, () => {
+    const leader = createLeader();
+    const { nowMs: heardAtMs, leaderTerm } = leader.state;
+    const term = leaderTerm - termsAgo;
+    const effects = submit(leader, "p", { heardAtMs, term });
+    const paused = effectsOf(effects, "log")
+      .filter(({ text }) => text === "job received")
+      .map(({ fields }) => Number(fields["paused"]));
+    expect(paused).toEqual([termsAgo]);
+  });
+}
+
 const heartbeats: {
   name: string;
   from?: string;
