--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -2,7 +2,11 @@
 
 import { cellPeers, isInOwnCell } from "./cells.ts";
 import { emit, logDecision, sendPeer } from "./effects.ts";
-import { observeLeaderList, updateListDigest } from "./leader_lists.ts";
+import {
+  observeLeaderList,
+  previousListReport,
+  updateListDigest,
+} from "./leader_lists.ts";
 import type { InstanceInfo, PeerMessageOf } from "./schemas.ts";
 import type {
   EngineEventOf,
@@ -205,6 +209,7 @@
     term: 0,
     workersAgeMs: Infinity,
     listDigest: null,
+    previousList: { kind: "unknown" },
     configurationVersion: -1,
     nextHeartbeatAtMs: 0,
   };
@@ -349,6 +354,7 @@
   peer.term = message.term;
   peer.workersAgeMs = message.workersAgeMs;
   peer.listDigest = message.listDigest;
+  peer.previousList = message.previousList;
   const leadsOn = isLeader && message.isLeader && term === message.term;
   if (from === state.leaderId && leadsOn) {
     observeLeaderList(state, message.listDigest);
@@ -406,6 +412,7 @@
     ...heardFrom(peer),
     workersAgeMs: workersAgeMs(state),
     listDigest: state.listDigest,
+    previousList: previousListReport(state, { isNew: true }),
     configurationVersion: state.configuration?.version ?? -1,
     recordsExist: state.recordsExist,
     hasZoneCells: state.hasZoneCells,
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -134,8 +134,11 @@
     listDigest: "",
     leaderList: null,
     previousList: null,
+    firstLedAtMs: Infinity,
+    registeredLists: new Map(),
     zoneListedAtMs: new Map(),
-    vanishedAtMs: new Map(),
+    vanishedWorkers: new Map(),
+    hasReadInstances: false,
     workersReadAtMs: -Infinity,
     workersUnreadableSinceMs: 0,
     listRecoveredAtMs: -Infinity,
@@ -269,8 +272,13 @@
     syncOwnedWorkers(context);
   },
   workersUnreadable: onWorkersUnreadable,
-  instancesRead: (context, event) =>
-    updateKnownInstances(context, event.instances),
+  instancesRead: (context, event) => {
+    context.state.hasReadInstances = true;
+    updateKnownInstances(context, event.instances);
+  },
+  registeredListsRead: ({ state }, { lists }) => {
+    for (const list of lists) state.registeredLists.set(list.cell, list);
+  },
   peerUp: (context, event) => {
     onPeerUp(context, event);
     resendToPeer(context, event.instanceId);
