--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -5,7 +5,9 @@
 
 import { GIVE_UP_CRASHES, MAX_CRASHES } from "./crashes.ts";
 import { faultyJobOutcome } from "./job_faults.ts";
+import { LEADER_TIMEOUT_MS } from "./membership.ts";
 import { WITHDRAWAL_RETENTION_MS } from "./previous_runs.ts";
+import { OWNERSHIP_CONFIRM_TIMEOUT_MS } from "./records.ts";
 import type { Guards } from "./types.ts";
 
 /**
@@ -14,6 +16,12 @@
  */
 export const MAX_TASKS_PER_EVENT = 250;
 
+/**
+ * Time after a delay of the process within which what arrived during the delay
+ * is handled: the event loop reads each connection in two iterations at most.
+ */
+const UNREAD_ENDS_TIMEOUT_MS = 50;
+
 /** The conditions that apply in production. */
 export const defaultGuards: Guards = {
   /** A recorded job starts only after its record has been persisted. */
@@ -120,12 +128,29 @@
    */
   mayForgetWithdrawal: (nowMs, sentAtMs) =>
     nowMs - sentAtMs >= WITHDRAWAL_RETENTION_MS,
+  /**
+   * An entry that has not heard its leader for some time may have submitted its
+   * jobs to another one, and its withdrawals may be on their way.
+   */
+  mayHaveLeft: (nowMs, heardAtMs) => nowMs - heardAtMs >= LEADER_TIMEOUT_MS,
+  /**
+   * After a delay of its process, an entry handles requests before the ends of
+   * their connections. A caller that has left may have its job run elsewhere.
+   */
+  mayHaveUnreadEnds: (nowMs, delayEndedAtMs) =>
+    nowMs - delayEndedAtMs < UNREAD_ENDS_TIMEOUT_MS,
   /**
    * A leader that hears no quorum may have been replaced, whether its peers are
    * silent or refuse connections.
    */
   mayHaveRival: ({ seesQuorum, hasMissingPeers }) =>
     !seesQuorum || hasMissingPeers,
+  /**
+   * The previous owner of the records relinquishes them after this time without
+   * a confirmation of the store.
+   */
+  mayHaveTwoOwners: (nowMs, openedAtMs) =>
+    nowMs - openedAtMs < OWNERSHIP_CONFIRM_TIMEOUT_MS,
   /**
    * Only the job that the leader has under its id is written, and no outcome of
    * a job that this leader never tried to write: before the records are read,
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -66,7 +66,6 @@
     resumedAtMs: options.isResumed ? state.nowMs : -Infinity,
     leftCell: options.leftCell ?? false,
     previousList: options.previousList,
-    paused: false,
     isLate: false,
     isWaiting: false,
     outcome: null,
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -10,6 +10,7 @@
 import { resubmitAll } from "./callers.ts";
 import { cellPeers, cellWorkers, isInOwnCell } from "./cells.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { suspectFollowers } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
 import { isActiveLeader } from "./leader_lookup.ts";
 import { isReachable, peerRankKey, rankOfSelf } from "./leader_ranking.ts";
@@ -429,10 +430,15 @@
     isLeader: state.scheduler !== null,
   });
   excuseSilence(state);
+  suspectFollowers(state);
 }
 
-/** Leaves the time since the latest tick out of the silence of the peers. */
+/**
+ * Leaves the time since the latest tick, for which this process was delayed, out
+ * of the silence of the peers.
+ */
 function excuseSilence(state: EngineState): void {
+  state.delayEndedAtMs = state.nowMs;
   const sinceLastTickMs = state.nowMs - state.lastTickAtMs;
   for (const peer of state.peers.values()) {
     if (peer.lastHeardAtMs > 0) peer.lastHeardAtMs += sinceLastTickMs;
--- a/src/engine/previous_runs_test.ts
+++ b/src/engine/previous_runs_test.ts
@@ -87,6 +87,7 @@
       jobId: JOB_ID,
       queue: { ...testQueue, objectiveMs: 3_000 },
       previousList: { kind: "none" },
+      heardAtMs: leader.state.nowMs,
     });
     const startsIn = (forMs: number) => {
       const effects = [];
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -360,6 +360,13 @@
   lastSentAtMs: number;
   /** Time at which the latest heartbeat arrived; 0 before the first one. */
   heartbeatAtMs: number;
+  /**
+   * Time of the first message after the latest silence that lasted for as long as
+   * an entry waits for its leader; 0 before the first message.
+   */
+  heardAgainAtMs: number;
+  /** The peer may have submitted the jobs it had here to another leader. */
+  mayHaveLeft: boolean;
   connected: boolean;
   /**
    * Time of the latest refused connection; 0 if none was refused since the
@@ -407,6 +414,8 @@
   submittedTerm: number;
   /** Number of submissions, repeated ones included. */
   submissionCount: number;
+  /** A submission waits until the ends of callers' connections are handled. */
+  isDeferred: boolean;
   /** A previous leader may have started tasks of the job. */
   mayHaveStarted: boolean;
   /** Names of the tasks that a previous leader reported as done. */
@@ -518,6 +527,8 @@
   readonly acceptedAtMs: number;
   /** Time at which the job ended, in Unix milliseconds; 0 if it has not. */
   endedAtMs: number;
+  /** The record was read when this leader took over the records. */
+  isRestored: boolean;
   /** Cancel requests that are answered once the outcome is persisted. */
   readonly cancelRequests: {
     readonly from: string;
@@ -565,8 +576,6 @@
   leftCell: boolean;
   /** The list of workers by which a previous leader started tasks of the job. */
   previousList: PreviousListReport;
-  /** No entry of the job is heard from, so none of its tasks is started. */
-  paused: boolean;
   /** The objective passed while tasks were still queued. */
   isLate: boolean;
   /** The job is in its service's queue. */
@@ -916,6 +925,11 @@
    * may not know yet that it lost the records.
    */
   readonly delayedCompletions: RetainedCompletion[];
+  /**
+   * Cancelled jobs with requests that are not answered yet, because the previous
+   * owner may start their tasks.
+   */
+  readonly delayedReplies: Job[];
   /**
    * Time at which the latest call was sent of those with which the store confirmed
    * that this leader owns the records.
@@ -1018,6 +1032,12 @@
     startedAtMs: number,
   ) => boolean;
   readonly mayForgetWithdrawal: (nowMs: number, sentAtMs: number) => boolean;
+  readonly mayHaveLeft: (nowMs: number, heardAtMs: number) => boolean;
+  readonly mayHaveTwoOwners: (nowMs: number, openedAtMs: number) => boolean;
+  readonly mayHaveUnreadEnds: (
+    nowMs: number,
+    delayEndedAtMs: number,
+  ) => boolean;
   readonly mayHaveRival: (
     view: {
       readonly seesQuorum: boolean;
@@ -1051,6 +1071,8 @@
   nowMs: number;
   wallMs: number;
   lastTickAtMs: number;
+  /** End of the latest delay of this process; -Infinity if there was none. */
+  delayEndedAtMs: number;
   configuration: Configuration | null;
   readonly peers: Map<string, Peer>;
   /** Id of the leader of this instance's cell; null if none is known. */
