A list that has only grown is registered at once

What callers saw: after a cut of a zone and, 1.3 s later, the restart of all instances, possible retries waited for up to 630 ms, and most were refused.

Cause: a leader registers its list as not known for 2.3 s after each change, also when workers were added or listed again, though the new list covers all earlier runs.

Change: only a change by which a worker or an address left the list counts. Workers that left it count as before.

Evidence: leader_lists_test.ts: a list that grew from w1 and w2 is registered (not known before), one in which an address changed is not.

--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -29,19 +29,25 @@
  * or of the cells. Returns whether it has changed.
  */
 export function updateListDigest(state: EngineState): boolean {
-  const digest = digestOf(cellWorkers(state));
+  const before = state.listedNames;
+  const names = cellWorkers(state).map(nameOf).sort();
+  const digest = createHash("sha256").update(names.join("\n"))
+    .digest("base64url").slice(0, DIGEST_LENGTH);
   if (digest === state.listDigest) return false;
   state.listDigest = digest;
-  if (state.scheduler !== null) observeLeaderList(state, digest);
+  state.listedNames = new Set(names);
+  const { scheduler, leaderList, listedNames } = state;
+  if (scheduler === null || leaderList === null) return true;
+  // A list that has only grown covers all runs that were started by it before.
+  const hasGrown = [...before].every((name) => listedNames.has(name));
+  if (hasGrown) state.leaderList = { ...leaderList, digest };
+  else observeLeaderList(state, digest);
   return true;
 }
 
-/** Digest of the ids and addresses of workers, in any order. */
-export function digestOf(workers: readonly WorkerInfo[]): string {
-  const names = workers
-    .map(({ workerId, address }) => `${workerId} ${address}`);
-  return createHash("sha256").update(names.sort().join("\n"))
-    .digest("base64url").slice(0, DIGEST_LENGTH);
+/** Names a worker by its id and address. */
+function nameOf({ workerId, address }: WorkerInfo): string {
+  return `${workerId} ${address}`;
 }
 
 /** Begins to track the list of a leader in a new term. */
--- a/src/engine/leader_lists_test.ts
+++ b/src/engine/leader_lists_test.ts
@@ -11,6 +11,8 @@
   readonly registered: Registered;
   /** Time since the leader's list has changed; it has not if undefined. */
   readonly changedMsAgo?: number;
+  /** Workers of the leader's list before the change, which lists w1 to w3. */
+  readonly listedBefore?: readonly string[];
   readonly hasLost?: boolean;
   readonly passedMs: number;
   readonly expected: "nothing" | "the list" | "an unknown list";
@@ -23,6 +25,14 @@
   {
     registered: "another list",
     changedMsAgo: 1_000,
+    listedBefore: ["w1", "w2"],
+    passedMs: 3_000,
+    expected: "the list",
+  },
+  {
+    registered: "another list",
+    changedMsAgo: 1_000,
+    listedBefore: ["w1", "w2", "w3 at another address"],
     passedMs: 3_000,
     expected: "an unknown list",
   },
@@ -34,17 +44,29 @@
   },
 ];
 
-for (const { registered, changedMsAgo, hasLost, passedMs, expected } of cases) {
+for (const testCase of cases) {
+  const { registered, changedMsAgo, hasLost, passedMs, expected } = testCase;
+  const { listedBefore = [] } = testCase;
   const change = changedMsAgo === undefined
     ? ""
-    : `, changed ${changedMsAgo} ms ago`;
+    : `, changed from ${listedBefore} ${changedMsAgo} ms ago`;
   const loss = hasLost ? ", after a worker left the list" : "";
   test(`a leader for ${passedMs} ms that finds ${registered} registered${change}${loss}, registers ${expected}`, () => {
     const leader = createTestLeader();
     const { state } = leader;
+    if (changedMsAgo !== undefined) {
+      const before = listedBefore.map((name) => ({
+        ...testWorker(name.slice(0, 2)),
+        address: name,
+      }));
+      leader.after(0, { type: "workersRead", workers: before });
+    }
     leader.tick(passedMs - (changedMsAgo ?? 0));
     if (changedMsAgo !== undefined) {
-      const workers = ["w1", "w2", "w3"].map(testWorker);
+      const workers = ["w1", "w2", "w3"].map((workerId) => ({
+        ...testWorker(workerId),
+        address: workerId,
+      }));
       leader.after(0, { type: "workersRead", workers });
       leader.tick(changedMsAgo);
     }
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -132,6 +132,7 @@
     workers: new Map(),
     hasZoneCells: false,
     listDigest: "",
+    listedNames: new Set(),
     leaderList: null,
     previousList: null,
     firstLedAtMs: Infinity,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -854,7 +854,10 @@
   readonly term: number;
   /** Digest of the workers of the leader's cell; null if it is not known. */
   readonly digest: string | null;
-  /** Time at which it last changed; -Infinity if it has not in this term. */
+  /**
+   * Time at which it last changed; -Infinity if it has not in this term. The
+   * leader itself does not count a change by which its list only grew.
+   */
   readonly changedAtMs: number;
 }
 
@@ -1096,8 +1099,10 @@
   workers: Map<string, WorkerInfo>;
   /** Whether each availability zone has its own leader. */
   hasZoneCells: boolean;
-  /** Digest of the workers of this instance's cell. */
+  /** Digest of the ids and addresses of the workers of this instance's cell. */
   listDigest: string;
+  /** These ids and addresses. */
+  listedNames: ReadonlySet<string>;
   /** List of the leader that this instance follows or is; null without one. */
   leaderList: LeaderList | null;
   /** List of the leader followed before; null if there was none. */
