--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -16,6 +16,7 @@
   simulateRun,
   STEPS_FAULTS,
   TAKEOVER_ROWS,
+  unequalCoresOf,
 } from "./engine_runs.ts";
 
 const always = (): boolean => true;
@@ -57,8 +58,32 @@
   },
   keepJobsOfRestarted: { isNewIncarnation: never },
   forgetWithdrawals: { mayForgetWithdrawal: always },
+  trustOwnList: { mayHaveUnlistedRuns: never },
 };
 
+/** Seeds of runs in which a leader starts again beside a list with a hole. */
+const restartedLeaderSeeds = [71_007, 71_047, 71_027, 71_003];
+
+/** Draws a run in which leaders start again while entries have lapsed. */
+function drawRestartedLeaderRun(seed: number): EngineRun {
+  const drawn = drawMomentRun(restartedLeaderSeeds[seed - 1] ?? seed);
+  const lapses = [
+    { atMs: 4_697, forMs: 479, restartAtMs: 5_061 },
+    { atMs: 8_347, forMs: 2_021, restartAtMs: 8_600 },
+    { atMs: 12_347, forMs: 1_021, restartAtMs: 12_700 },
+  ];
+  return {
+    ...drawn,
+    lateStartShare: 0,
+    leaveShare: 0.15,
+    cpuCoresOf: unequalCoresOf,
+    faults: lapses.flatMap(({ atMs, forMs, restartAtMs }) => [
+      { name: "keysLapse", atMs, forMs },
+      { name: "leaderRestarts", atMs: restartAtMs, forMs: 0 },
+    ]),
+  };
+}
+
 /**
  * Runs in which mutants matter that the recorded runs don't show; those of a
  * takeover have the row of faults in which the mutant matters.
@@ -70,6 +95,7 @@
   keepJobsOfRestarted: (seed) => drawGrownRun(GROWN_ROWS * seed + 8),
   // The first of these runs showed the fault.
   forgetWithdrawals: (seed) => drawMomentRun(30_208 + seed),
+  trustOwnList: drawRestartedLeaderRun,
   completeReady: drawStepsRun,
   attachQueued: drawStepsRun,
   // With refused connections of the leader, and starts that are late.
