Randomized runs of crossed faults

Cause: the kinds of `prove` draw their faults from separate rows, kill instances for 300 ms to 1.6 s, and have lists of workers that are complete or old, but seldom shorter than those of the earlier starts.

Change: a kind `crossed` (`drawCrossedRun`): four to seven faults of all kinds within 3 s, 0, 5 or 20% late starts, 15% callers that leave, killed instances back within 600 ms and not paused any more, instances of different sizes in half of the runs. New faults: a leader that restarts after each election, one that can't reach a busy worker at its election, lists with holes, lists whose length crosses 70 and 100 workers; half of the runs have a row of them.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -5,6 +5,10 @@
 
 import type { QueueRule } from "../src/engine/schemas.ts";
 import { jobDamages } from "../src/engine/testing.ts";
+import {
+  crossedFaultHandlers,
+  type CrossedFaultName,
+} from "./crossed_faults.ts";
 import {
   type CallerRecord,
   createWorld,
@@ -12,7 +16,6 @@
   type World,
   type WorldOptions,
 } from "./engine_world.ts";
-
 import {
   during,
   type FaultHandler,
@@ -30,10 +33,6 @@
   type MomentFaultName,
   momentRows,
 } from "./moment_faults.ts";
-import {
-  restartFaultHandlers,
-  type RestartFaultName,
-} from "./restart_faults.ts";
 
 /** Start of the load; the instances have elected a leader by then. */
 const LOAD_START_MS = 3_000;
@@ -139,7 +138,7 @@
   | "damageJob"
   | GrownFaultName
   | MomentFaultName
-  | RestartFaultName;
+  | CrossedFaultName;
 
 function partitionFor(
   world: World,
@@ -258,7 +257,7 @@
   damageJob,
   ...grownFaultHandlers,
   ...momentFaultHandlers,
-  ...restartFaultHandlers,
+  ...crossedFaultHandlers,
 };
 
 /** Damages the state of a job that has not ended, at one of the leaders. */
@@ -359,6 +358,8 @@
   readonly maxClockDrift?: number;
   /** See {@linkcode WorldOptions.cpuCoresOf}. */
   readonly cpuCoresOf?: (instanceId: string) => number;
+  /** See {@linkcode WorldOptions.maxDownMs}. */
+  readonly maxDownMs?: number;
   /** See {@linkcode WorldOptions.restoreMs}. */
   readonly restoreMs?: number;
   /** See {@linkcode WorldOptions.keepsOrder}. */
@@ -534,7 +535,7 @@
 }
 
 /** The fleet of {@linkcode drawGrownRun}: zones with a leader each. */
-const grownFleet = {
+export const grownFleet = {
   zones: ["a", "b", "c", "d"],
   instancesPerZone: 4,
   workersPerZone: 28,
@@ -624,6 +625,7 @@
     resendMs,
     maxClockDrift = 0,
     cpuCoresOf,
+    maxDownMs,
   }: EngineRun,
 ) {
   return {
@@ -632,6 +634,7 @@
     instancesPerZone,
     ...(resendMs === undefined ? {} : { resendMs }),
     ...(cpuCoresOf === undefined ? {} : { cpuCoresOf }),
+    ...(maxDownMs === undefined ? {} : { maxDownMs }),
     workersPerZone,
     workerSizes: referenceWorkers,
     kinds,
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -193,6 +193,12 @@
    * name them.
    */
   readonly cpuCoresOf?: (instanceId: string) => number;
+  /**
+   * Upper bound on the time after which a killed instance is back, which then
+   * isn't paused, either. If undefined, the pause of a killed process goes on
+   * in the next one.
+   */
+  readonly maxDownMs?: number;
   /** Jobs are damaged, so internal errors of jobs violate no guarantee. */
   readonly damagesJobs?: boolean;
   /** Receives the log lines of every instance. */
@@ -1615,7 +1621,9 @@
     for (const other of instances) {
       if (other.state !== null) connectPeer(other, other.incarnation, instance);
     }
-    runAfter(downMs, () => {
+    const { maxDownMs } = options;
+    if (maxDownMs !== undefined) instance.pausedUntilMs = 0;
+    runAfter(Math.min(downMs, maxDownMs ?? downMs), () => {
       // A second fault may have restarted the instance in the meantime.
       if (instance.state !== null) resendJobsOf(instance);
       startInstance(instance);
--- a/bench/grown_faults.ts
+++ b/bench/grown_faults.ts
@@ -11,6 +11,8 @@
   type FaultHandler,
   pick,
   pickInstance,
+  repeat,
+  some,
 } from "./fault_tools.ts";
 
 /** The name of a fault; see {@linkcode grownFaultHandlers}. */
@@ -64,33 +66,10 @@
   readonly forMs: number;
 }
 
-/** Returns a random share of the items. */
-function some<T>(world: World, items: readonly T[], share: number): T[] {
-  return items.filter(() => world.random() < share);
-}
-
 function idsOf(workers: readonly FakeWorker[]): Set<string> {
   return new Set(workers.map(({ workerId }) => workerId));
 }
 
-/** Calls `step` at intervals of up to `intervalMs` for the given time. */
-function repeat(
-  world: World,
-  { forMs, intervalMs }: { forMs: number; intervalMs: number },
-  step: () => void,
-): void {
-  const endMs = world.queue.nowMs() + forMs;
-  const next = (): void => {
-    if (world.queue.nowMs() >= endMs) return;
-    step();
-    world.queue.at(
-      world.queue.nowMs() + intervalMs * (0.5 + 0.5 * world.random()),
-      next,
-    );
-  };
-  next();
-}
-
 function drawStallMs(world: World): number {
   return MIN_STALL_MS + (MAX_STALL_MS - MIN_STALL_MS) * world.random();
 }
--- a/bench/moment_faults.ts
+++ b/bench/moment_faults.ts
@@ -7,11 +7,17 @@
 import type {
   CallerRecord,
   CallFate,
-  Moments,
   WorkerCall,
   World,
 } from "./engine_world.ts";
-import { during, type FaultHandler, pick } from "./fault_tools.ts";
+import {
+  atMoments,
+  type Bounds,
+  draw,
+  during,
+  type FaultHandler,
+  pick,
+} from "./fault_tools.ts";
 import type { FaultAfter, GrownFaultName } from "./grown_faults.ts";
 
 /** The name of a fault; see {@linkcode momentFaultHandlers}. */
@@ -76,34 +82,6 @@
 /** Upper bound on the time from the first start of a job to its caller's leave. */
 const MAX_LEAVE_MS = 20;
 
-interface Bounds {
-  readonly min: number;
-  readonly max: number;
-}
-
-function draw(world: World, { min, max }: Bounds): number {
-  return min + (max - min) * world.random();
-}
-
-/**
- * Calls `act` at moments of a kind, at intervals of at most `intervalMs` if
- * there are enough of them, for the given time.
- */
-function atMoments<K extends keyof Moments>(
-  world: World,
-  { kind, forMs, intervalMs }: { kind: K; forMs: number; intervalMs: number },
-  act: (moment: Moments[K]) => void,
-): void {
-  let nextAtMs = 0;
-  const end = world.onMoment(kind, (moment) => {
-    const nowMs = world.queue.nowMs();
-    if (nowMs < nextAtMs) return;
-    nextAtMs = nowMs + intervalMs * (0.5 + 0.5 * world.random());
-    act(moment);
-  });
-  world.queue.at(world.queue.nowMs() + forMs, end);
-}
-
 /** Pauses leaders as the answer to a renewal is on its way to them. */
 function pauseAtRenewals(world: World, forMs: number, bounds: Bounds): void {
   const kind = "renewalAnswered";
@@ -144,7 +122,7 @@
 }
 
 /** Cuts a worker off from the instances for which the predicate holds. */
-function cutWorker(
+export function cutWorker(
   world: World,
   cutId: string,
   isCutOff: (instanceId: string) => boolean,
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -5,6 +5,7 @@
  * Usage: prove.js [FIRST_SEED] [LAST_SEED] [KIND]
  */
 
+import { drawCrossedRun } from "./crossed_runs.ts";
 import {
   drawCellsRun,
   drawDeadlyRun,
@@ -30,6 +31,7 @@
   steps: drawStepsRun,
   grown: drawGrownRun,
   moment: drawMomentRun,
+  crossed: drawCrossedRun,
 };
 let runs = 0;
 let failures = 0;
