--- a/src/engine/renewed_attempt_test.ts
+++ b/src/engine/renewed_attempt_test.ts
@@ -69,8 +69,9 @@
   { name: "a draining worker", draining: true },
 ];
 
-// A worker that drains completes its runs, and its row may expire meanwhile. In
-// the next term the leader has no lists of that worker.
+// A worker that drains completes its runs, and its row may expire meanwhile. The
+// leader renews its lease, but has no lists of it in the next term, for which the
+// list of workers has been the same for longer than a lease.
 for (const { name, draining } of departures) {
   test(`a job that is submitted again waits for its run on ${name} that left the list`, () => {
     const leader = createTestLeader();
@@ -85,7 +86,14 @@
     leader.after(0, { type: "workersRead", workers });
     leader.tick();
     leader.after(0, { type: "workersRead", workers: [other] });
-    leader.tick();
+    for (let percent = 10; percent < 90; percent += 1) {
+      const running = [{ taskName: TASK_NAME, run: 1, percent }];
+      const effects = [
+        ...leader.tick(),
+        ...leader.completePoll(workerId, { running }),
+      ];
+      expect(startsOf(effects)).toEqual([]);
+    }
     reelect(leader);
     leader.completePoll(otherId);
     leader.tick(100);
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -2,7 +2,8 @@
 
 import { cellPeers, shouldUseZoneCells } from "./cells.ts";
 import { logDecision, sendPeer } from "./effects.ts";
-import { workersAgeMs } from "./membership.ts";
+import { updateListDigest } from "./leader_lists.ts";
+import { heartbeatAll, workersAgeMs } from "./membership.ts";
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import type { EngineEventOf, EngineState, ReduceContext } from "./types.ts";
 
@@ -83,9 +84,12 @@
       cpuMilli: info.cpuMilli,
     });
   }
-  trackVanishedWorkers(state, next);
+  trackVanishedWorkers(context, next);
   state.workers = next;
   updateCells(context);
+  // Followers learn of a leader's list before it starts tasks by it.
+  const isNewList = updateListDigest(state);
+  if (isNewList && state.scheduler !== null) heartbeatAll(context);
   return true;
 }
 
@@ -134,14 +138,17 @@
  * the other side of a network partition.
  */
 function trackVanishedWorkers(
-  state: EngineState,
+  context: ReduceContext,
   next: ReadonlyMap<string, WorkerInfo>,
 ): void {
-  const { vanishedAtMs, nowMs } = state;
-  for (const [workerId, info] of state.workers) {
-    if (!next.has(workerId) && !info.draining) {
-      vanishedAtMs.set(workerId, nowMs);
-    }
+  const { vanishedAtMs, nowMs, workers } = context.state;
+  for (const [workerId, { draining }] of workers) {
+    if (next.has(workerId)) continue;
+    logDecision(context, { part: "workers", text: "worker left the list" }, {
+      workerId,
+      draining,
+    });
+    if (!draining) vanishedAtMs.set(workerId, nowMs);
   }
   for (const [workerId, atMs] of vanishedAtMs) {
     const isExpired = nowMs - atMs > VANISHED_RETENTION_MS;
