--- a/bench/crossed_runs_test.ts
+++ b/bench/crossed_runs_test.ts
@@ -1,5 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
+import { drawCrossedRun } from "./crossed_runs.ts";
 import {
   drawMomentRun,
   type EngineRun,
@@ -17,10 +18,19 @@
   });
 }
 
-/** Runs with faults of several kinds at once that violated a guarantee. */
+function drawMomentBase(seed: number): EngineRun {
+  return { ...drawMomentRun(seed), lateStartShare: 0, leaveShare: 0.15 };
+}
+
+/**
+ * Runs with faults of several kinds at once that violated a guarantee. The
+ * faults are listed, since the drawn ones change with each new fault.
+ */
 const regressions: {
   failure: string;
   seed: number;
+  /** Draws all but the faults; `drawMomentBase` if undefined. */
+  draw?: (seed: number) => EngineRun;
   faults: string;
   options?: Pick<EngineRun, "lateStartShare" | "cpuCoresOf">;
 }[] = [
@@ -45,14 +55,28 @@
       "reborn@6721+1422 leaderFreezesAtRenewal@6795+1014 leaderRestarts@7156+2968 leaderRestarts@8339+2833 keysLapse@8347+2021",
     options: { cpuCoresOf: unequalCoresOf },
   },
+  {
+    failure:
+      "a leader restarted twice beside draining workers whose rows had lapsed, and started their tasks",
+    seed: 78_473,
+    draw: drawCrossedRun,
+    faults:
+      "drainingRowsLapse@8031+1664 leaderRestartsAgain@8236+1711 callsDelayed@10787+2131 starterKilled@10491+783 leaderKill@10585+2322",
+  },
+  {
+    failure:
+      "leaders of one zone restarted in turn beside a list with holes, and started tasks of each other",
+    seed: 78_537,
+    draw: drawCrossedRun,
+    faults:
+      "leaderRestartsAgain@7663+545 listsHaveHoles@7362+2851 starterStalls@7122+1148 starterCut@8300+805",
+  },
 ];
 
-for (const { failure, seed, faults, options } of regressions) {
+for (const { failure, seed, draw, faults, options } of regressions) {
   test(`crossed faults, seed ${seed}: ${failure}`, async () => {
     const run = {
-      ...drawMomentRun(seed),
-      lateStartShare: 0,
-      leaveShare: 0.15,
+      ...(draw ?? drawMomentBase)(seed),
       faults: faultsOf(faults),
       ...options,
     };
