Soak of the platform's daemon: runs recorded, leaders restarted

Cause: no reproduction between real processes of two runs of one task by one leader. chaos can't show it: its entries submit only jobs whose tasks are never started again, their sizes are equal, and its list of workers has no holes.

The stand-in workers record each run with its fencing token, and the log lines of the leaders say whose term a token is of, so no header is needed.

--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -2,6 +2,7 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
+import { resolve } from "node:path";
 import { fileURLToPath } from "node:url";
 
 /** The directory of the compiled sources. */
@@ -41,20 +42,31 @@
   process.once(signal, () => process.exit(1));
 }
 
+/** Options of a process. */
+export interface ScriptOptions {
+  readonly args?: readonly string[];
+  /** Whether its stderr is passed on. */
+  readonly verbose?: boolean;
+  /** Its environment; by default that of this process. */
+  readonly env?: NodeJS.ProcessEnv;
+}
+
 /**
- * Starts a compiled script. The last lines of its stderr are kept for
- * {@linkcode unaskedExits}, or passed on if verbose.
+ * Starts a script, whose path is relative to the compiled sources. The last
+ * lines of its stderr are kept for {@linkcode unaskedExits}, or passed on if
+ * verbose.
  */
 export function startScript(
   name: string,
   script: string,
-  { args, verbose = false }: { args: readonly string[]; verbose?: boolean },
+  { args = [], verbose = false, env = process.env }: ScriptOptions,
 ): FleetProcess {
   const profiling = profileDirectory === undefined
     ? []
     : ["--cpu-prof", `--cpu-prof-dir=${profileDirectory}`];
-  const nodeArgs = [...profiling, `${DIST}${script}`, ...args];
+  const nodeArgs = [...profiling, resolve(DIST, script), ...args];
   const child = spawn(process.execPath, nodeArgs, {
+    env,
     stdio: ["ignore", "pipe", verbose ? "inherit" : "pipe"],
   });
   const started: FleetProcess = { name, child, isEnding: false };
--- a/standins/worker_model.ts
+++ b/standins/worker_model.ts
@@ -17,6 +17,8 @@
 export interface SimulatedRun {
   readonly taskName: string;
   readonly run: number;
+  /** Fencing token of the call that started it. */
+  readonly fence: number;
   readonly cpuMilli: number;
   readonly startedAtMs: number;
   readonly endsAtMs: number;
@@ -223,6 +225,7 @@
       const run: SimulatedRun = {
         taskName: call.taskName,
         run: call.run,
+        fence: call.fence,
         cpuMilli: task.cpuMilli,
         startedAtMs: nowMs,
         endsAtMs: nowMs + runMs,
