chaos: runs at the same time, lapsed entries, leaders killed in series

chaos counted starts, not whether two runs went on at the same time, and kept no log of a failing run. Its stand-in workers now record each run, its store lets entries lapse, and its instances log at `info` to a bounded directory that a failing run keeps. New faults: `listLapses`, `leaderRestarts`; `--faults` selects.

--- a/bench/chaos.ts
+++ b/bench/chaos.ts
@@ -1,8 +1,10 @@
 /**
  * Checks the guarantees with real processes under faults: instances killed,
  * paused and drained, zones partitioned, the store down or losing responses,
- * workers that reset connections, operators racing. The last line of stdout is
- * a JSON object; exits with 1 if a guarantee was violated.
+ * workers that reset connections, operators racing, entries of the list of
+ * workers that lapse, leaders killed again and again. The last line of stdout is
+ * a JSON object; exits with 1 if a guarantee was violated, and keeps the logs of
+ * the instances in the directory that the line names.
  */
 
 import { defineCommand, runMain } from "citty";
@@ -15,8 +17,11 @@
 } from "./caller.ts";
 import { callControl } from "./control.ts";
 import { type Fleet, type FleetEntry, startFleet } from "./fleet.ts";
+import { createInstanceLogs, type InstanceLogs } from "./instance_logs.ts";
 import { raceOperators } from "./operators.ts";
+import { describePairs, writeTimeline } from "./pair_report.ts";
 import { kill, terminate, unaskedExits } from "./processes.ts";
+import { findRunPairs } from "./run_pairs.ts";
 import {
   countCrossZoneStarts,
   countOutcome,
@@ -45,6 +50,8 @@
 const OUTAGE_MS = 3_000;
 /** Time within which an accepted change must be in force everywhere. */
 const CONFIGURATION_DEADLINE_MS = 2_000;
+/** Maximum number of pairs of runs that are printed, with a timeline each. */
+const MAX_TIMELINES = 20;
 
 /** The faults; their names are keys of `faults` in the last line. */
 type FaultName =
@@ -55,10 +62,13 @@
   | "loseAnswer"
   | "operatorRace"
   | "drain"
-  | "workerResets";
+  | "workerResets"
+  | "listLapses"
+  | "leaderRestarts";
 
 interface Chaos {
   readonly fleet: Fleet;
+  readonly logs: InstanceLogs;
   readonly workload: Workload;
   readonly faults: Record<FaultName, number>;
   /** Instances that a fault is using, which other faults must not pick. */
@@ -145,8 +155,43 @@
     await sleep(500);
     await callControl(port, "/set", knobs(false));
   },
+  listLapses: lapseEntries,
+  async leaderRestarts(chaos) {
+    const count = 2 + Math.floor(chaos.workload.nextUniform() * 4);
+    for (let left = count; left > 0; left -= 1) {
+      if (chaos.workload.nextUniform() < 0.7) await lapseEntries(chaos);
+      await restartLeader(chaos);
+      await sleep(100 + chaos.workload.nextUniform() * 600);
+    }
+  },
 };
 
+/** Lets the entries of some workers lapse, though the workers live. */
+async function lapseEntries({ fleet, logs, workload }: Chaos): Promise<void> {
+  const share = 0.2 + 0.4 * workload.nextUniform();
+  const forMs = Math.round(1_000 + 1_500 * workload.nextUniform());
+  const workerIds = fleet.workers.map(({ workerId }) => workerId)
+    .filter(() => workload.nextUniform() < share);
+  logs.note("fault: entries lapsed", { forMs, workerIds });
+  const body = { workerIds, forMs };
+  await callControl(fleet.storePort, "/control/lapse", { body });
+}
+
+/** Kills the leader, if no other fault uses it, and starts it again at once. */
+async function restartLeader(chaos: Chaos): Promise<void> {
+  const { fleet, logs, claimedEntries } = chaos;
+  const leaderIds = logs.leaders().map(({ instanceId }) => instanceId);
+  const leader = fleet.entries.find((entry) =>
+    leaderIds.includes(entry.slot) && !claimedEntries.has(entry)
+  );
+  if (leader === undefined) return;
+  claimedEntries.add(leader);
+  logs.note("fault: process killed", { target: leader.slot });
+  await kill(leader.process);
+  await restartEntry(chaos, leader);
+  claimedEntries.delete(leader);
+}
+
 async function setStoreKnobs(fleet: Fleet, knobs: object): Promise<void> {
   await callControl(fleet.storePort, "/control/knobs", { body: knobs });
 }
@@ -171,8 +216,10 @@
 }
 
 /** Injects faults, one or two at a time, until the given time. */
-async function injectFaults(chaos: Chaos, endMs: number): Promise<void> {
-  const names = Object.keys(faultHandlers) as FaultName[];
+async function injectFaults(
+  chaos: Chaos,
+  { names, endMs }: { names: readonly FaultName[]; endMs: number },
+): Promise<void> {
   const running: Promise<void>[] = [];
   while (performance.now() < endMs) {
     const count = chaos.workload.nextUniform() < 0.5 ? 1 : 2;
@@ -241,15 +288,23 @@
   args: {
     seed: { type: "string", default: String(DEFAULT_SEED) },
     seconds: { type: "string", default: String(DEFAULT_SECONDS) },
+    faults: {
+      type: "string",
+      default: Object.keys(faultHandlers).join(","),
+      description: "Names of the faults to draw from, separated by commas",
+    },
   },
   async run({ args }) {
     const seed = Number(args.seed);
+    const logs = createInstanceLogs(`chaos-${seed}`);
     const fleet = await startFleet({
       portBase: PORT_BASE,
       zoneLatencyMs: 0.5,
+      logs,
     });
     const chaos: Chaos = {
       fleet,
+      logs,
       workload: createWorkload(seed, "faults"),
       faults: Object.fromEntries(
         Object.keys(faultHandlers).map((name) => [name, 0]),
@@ -261,20 +316,22 @@
     };
     const caller = createCaller(fleet.balancerPort);
     const endMs = performance.now() + Number(args.seconds) * 1_000;
-    const faults = injectFaults(chaos, endMs);
+    const names = args.faults.split(",") as FaultName[];
+    const faults = injectFaults(chaos, { names, endMs });
     const submitted = await submitJobs(chaos, caller, { endMs, seed });
     await faults;
-    await report(chaos, submitted);
+    const hasFailed = await report(chaos, submitted);
     await caller.close();
     await fleet.stop();
+    if (!hasFailed) logs.remove();
   },
 });
 
 async function report(
   chaos: Chaos,
   { jobs, refused, outcomes, duplicateOutcomes }: SubmissionLog,
-): Promise<void> {
-  const { fleet } = chaos;
+): Promise<boolean> {
+  const { fleet, logs } = chaos;
   const tally = createTally();
   tally.jobsSubmitted = jobs.length;
   for (const { outcome } of outcomes) countOutcome(tally, outcome);
@@ -285,9 +342,17 @@
   tally.requestsCutByDrain = chaos.failedDrains;
   await countStarts(fleet, tally);
   await countCrossZoneStarts(fleet, tally, { jobs, refused });
+  const pairs = describePairs(findRunPairs(await fleet.readRuns()), logs);
+  tally.tasksRunTwiceAtOnce = pairs.length;
+  for (const pair of pairs.slice(0, MAX_TIMELINES)) {
+    writeTimeline(logs, pair);
+    process.stdout.write(`twice: ${JSON.stringify(pair)}\n`);
+  }
   const agreed = await allEntriesAgree(fleet);
   const { configurationLate, faults, notReady } = chaos;
   const errors = countErrors(outcomes.map(({ outcome }) => outcome));
+  const hasFailed = hasViolations(tally) || configurationLate > 0 ||
+    !agreed || notReady.length > 0 || unaskedExits.length > 0;
   const summary = {
     ...tally,
     configurationLate,
@@ -296,11 +361,11 @@
     unaskedExits,
     faults,
     errors,
+    logs: hasFailed ? logs.directory : null,
   };
   process.stdout.write(`${JSON.stringify(summary)}\n`);
-  const hasFailed = hasViolations(tally) || configurationLate > 0 ||
-    !agreed || notReady.length > 0 || unaskedExits.length > 0;
   process.exitCode = hasFailed ? 1 : 0;
+  return hasFailed;
 }
 
 /** Counts, by state and error code, the jobs that did not complete. */
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -8,7 +8,9 @@
 import { SLOT_CPU_MILLI } from "../src/entry/job_translation.ts";
 import { CONFIGURATION_ROW } from "../src/host/store_client.ts";
 import type { InstanceSettings } from "../src/settings/schema.ts";
+import type { RunRecord } from "../standins/run_records.ts";
 import { callControl, waitUntil } from "./control.ts";
+import type { InstanceLogs } from "./instance_logs.ts";
 import {
   type FleetProcess,
   kill,
@@ -31,6 +33,8 @@
   readonly zoneLatencyMs?: number;
   /** Whether instances log to stderr. */
   readonly verbose?: boolean;
+  /** Collects the log lines of the instances, at the level `info`. */
+  readonly logs?: InstanceLogs;
 }
 
 /** One entry instance of a fleet. */
@@ -53,6 +57,10 @@
   /** The control port of the workers stand-in, by zone. */
   readonly workerPorts: ReadonlyMap<string, number>;
   readonly workers: readonly WorkerInfo[];
+  /** Reads the records of all runs on the workers. */
+  readonly readRuns: () => Promise<RunRecord[]>;
+  /** Starts the process of an instance again, without waiting for it. */
+  readonly spawnEntry: (entry: FleetEntry) => void;
   /** Starts the process of an instance again and waits until it is ready. */
   readonly startEntry: (entry: FleetEntry) => Promise<void>;
   /** Applies a change to the configuration and returns the new version. */
@@ -168,7 +176,7 @@
 
 /** Starts a fleet and waits until every entry instance and stand-in is ready. */
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
-  const { portBase, verbose = false } = options;
+  const { portBase, verbose = false, logs } = options;
   const workersPerZone = options.workersPerZone ?? 10;
   const slots = options.slotsPerWorker ?? 8;
   const settings = readExample("sul");
@@ -205,7 +213,7 @@
       ...settings,
       instances,
       platform: { address: `127.0.0.1:${portBase}` },
-      log: { level: verbose ? "info" : "error" },
+      log: { level: verbose || logs !== undefined ? "info" : "error" },
     };
     writeFileSync(join(settingsDirectory, "base.yaml"), stringify(base));
     for (const [index, zone] of zones.entries()) {
@@ -232,7 +240,9 @@
       "--slot",
       slot,
     );
-    return startScript(slot, "src/cli/main.js", { args, verbose });
+    const process = startScript(slot, "src/cli/main.js", { args, verbose });
+    logs?.attach(process);
+    return process;
   }
 
   /**
@@ -247,8 +257,12 @@
     });
   }
 
-  async function startEntry(entry: FleetEntry): Promise<void> {
+  function respawnEntry(entry: FleetEntry): void {
     entry.process = spawnEntry(entry.slot, entry.availabilityZone);
+  }
+
+  async function startEntry(entry: FleetEntry): Promise<void> {
+    respawnEntry(entry);
     await waitForEntry(entry, "/ready");
   }
 
@@ -295,6 +309,7 @@
       firstPort,
       workersPerZone,
       slots,
+      zone,
     ]);
   }
   await callControl(portBase, "/control/workers", { body: workers });
@@ -335,6 +350,15 @@
     linkPort: portBase + PORTS.link,
     workerPorts,
     workers,
+    async readRuns() {
+      const records = await Promise.all(
+        [...workerPorts.values()].map((port) =>
+          callControl<RunRecord[]>(port, "/runs")
+        ),
+      );
+      return records.flat();
+    },
+    spawnEntry: respawnEntry,
     startEntry,
     applyConfiguration,
     async readLatestVersion() {
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -49,8 +49,15 @@
   readonly verbose?: boolean;
   /** Its environment; by default that of this process. */
   readonly env?: NodeJS.ProcessEnv;
+  /** Whether the script waits for {@linkcode release} before it is loaded. */
+  readonly isHeld?: boolean;
 }
 
+/** A module that blocks until a byte arrives on stdin. */
+const HOLD_MODULE = "data:text/javascript," + encodeURIComponent(
+  "import{readSync}from'node:fs';readSync(0,Buffer.alloc(1));",
+);
+
 /**
  * Starts a script, whose path is relative to the compiled sources. The last
  * lines of its stderr are kept for {@linkcode unaskedExits}, or passed on if
@@ -59,15 +66,18 @@
 export function startScript(
   name: string,
   script: string,
-  { args = [], verbose = false, env = process.env }: ScriptOptions,
+  { args = [], verbose = false, env = process.env, isHeld = false }:
+    ScriptOptions,
 ): FleetProcess {
   const profiling = profileDirectory === undefined
     ? []
     : ["--cpu-prof", `--cpu-prof-dir=${profileDirectory}`];
-  const nodeArgs = [...profiling, resolve(DIST, script), ...args];
+  const holding = isHeld ? ["--import", HOLD_MODULE] : [];
+  const path = resolve(DIST, script);
+  const nodeArgs = [...profiling, ...holding, path, ...args];
   const child = spawn(process.execPath, nodeArgs, {
     env,
-    stdio: ["ignore", "pipe", verbose ? "inherit" : "pipe"],
+    stdio: [isHeld ? "pipe" : "ignore", "pipe", verbose ? "inherit" : "pipe"],
   });
   const started: FleetProcess = { name, child, isEnding: false };
   let lastLines: string[] = [];
@@ -91,6 +101,11 @@
   return started;
 }
 
+/** Lets a process that was started with `isHeld` load its script. */
+export function release({ child }: FleetProcess): void {
+  child.stdin?.end("\n");
+}
+
 /** Waits until a stand-in reports on stdout that it is ready. */
 export async function waitUntilReady(
   { name, child }: FleetProcess,
--- a/bench/tally.ts
+++ b/bench/tally.ts
@@ -15,6 +15,8 @@
   jobsUnknown: number;
   tasksStarted: number;
   tasksStartedTwice: number;
+  /** Pairs of runs of one task that went on at the same time. */
+  tasksRunTwiceAtOnce: number;
   /** Answers in which a task has another task's result. */
   answersCrossed: number;
   /** Answers that report a job as complete without all its results. */
@@ -37,6 +39,7 @@
     jobsUnknown: 0,
     tasksStarted: 0,
     tasksStartedTwice: 0,
+    tasksRunTwiceAtOnce: 0,
     answersCrossed: 0,
     halfAnswers: 0,
     refusedButRun: 0,
@@ -115,8 +118,9 @@
 
 /** Whether a guarantee was violated or a job has no outcome. */
 export function hasViolations(tally: Tally): boolean {
-  const violations = tally.tasksStartedTwice + tally.answersCrossed +
-    tally.halfAnswers + tally.refusedButRun + tally.requestsCutByDrain +
+  const violations = tally.tasksStartedTwice + tally.tasksRunTwiceAtOnce +
+    tally.answersCrossed + tally.halfAnswers + tally.refusedButRun +
+    tally.requestsCutByDrain +
     tally.overCapacity;
   const outcomes = tally.jobsComplete + tally.jobsFailed +
     tally.jobsRefusedNotRun + tally.jobsUnknown;
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -34,6 +34,8 @@
 const knobs: Knobs = { down: false, slowMs: 0, loseAnswers: 0, listLagMs: 0 };
 const counts = { reads: 0, writes: 0 };
 const store = createFakeStore();
+/** Until when the entries of workers have lapsed, by worker. */
+const lapsedUntilMs = new Map<string, number>();
 
 /** Adds workers to the list of workers, or replaces their rows. */
 function writeWorkers(workers: readonly WorkerInfo[]): void {
@@ -68,14 +70,27 @@
   } else sendJson(response, 200, result);
 }
 
+/** Lets the entries of workers lapse for a time, though the workers live. */
+function lapse(
+  { workerIds, forMs }: { workerIds: readonly string[]; forMs: number },
+): void {
+  const untilMs = performance.now() + forMs;
+  for (const workerId of workerIds) lapsedUntilMs.set(workerId, untilMs);
+}
+
 function read({ body, response }: ServiceRequest): void {
   counts.reads += 1;
-  sendJson(response, 200, { rows: store.readRows(body) });
+  const nowMs = performance.now();
+  const rows = store.readRows(body).filter(({ table, key }) =>
+    table !== WORKERS_TABLE || (lapsedUntilMs.get(key) ?? 0) <= nowMs
+  );
+  sendJson(response, 200, { rows });
 }
 
 const controlHandlers: Record<string, (request: ServiceRequest) => void> = {
   "/control/knobs": ({ body }) => Object.assign(knobs, body),
   "/control/workers": ({ body }) => writeWorkers(body),
+  "/control/lapse": ({ body }) => lapse(body),
   "/control/leave": ({ body }) => markDraining(body.workerId),
   "/control/counts": () => {},
 };
--- a/standins/workers.ts
+++ b/standins/workers.ts
@@ -3,7 +3,7 @@
  * time, check fencing tokens, and retain completions until acknowledged. Their
  * counts of starts are the ground truth for checks of the guarantees.
  *
- * Usage: workers.js CONTROL_PORT FIRST_PORT WORKERS SLOTS
+ * Usage: workers.js CONTROL_PORT FIRST_PORT WORKERS SLOTS ZONE
  */
 
 import { SLOT_CPU_MILLI } from "../src/entry/job_translation.ts";
@@ -14,6 +14,7 @@
   type ServiceRequest,
   sleep,
 } from "./http_service.ts";
+import { createRunRecorder } from "./run_records.ts";
 import {
   createFakeWorker,
   type FakeWorker,
@@ -49,11 +50,13 @@
 
 const [controlPort = 0, firstPort = 0, workerCount = 0, slots = 0] = process
   .argv.slice(2).map(Number);
+const [zone = ""] = process.argv.slice(6);
+const recorder = createRunRecorder({ nowMs: () => performance.now() });
 const startsByEcho = new Map<string, number>();
 const echoOfTask = new Map<string, string>();
 /** What `/truth` serves: the starts that took place. */
 const counts = { started: 0, startedTwice: 0, overCapacity: 0, busyMs: 0 };
-/** Whether starts are counted by echo, which `/starts` serves. */
+/** Whether runs are recorded, and counted by echo, for `/runs` and `/starts`. */
 let isRecordingStarts = true;
 
 function countStart(worker: FakeWorker, run: SimulatedRun): void {
@@ -63,6 +66,7 @@
   const echo = echoOfTask.get(run.taskName);
   echoOfTask.delete(run.taskName);
   if (!isRecordingStarts || echo === undefined) return;
+  recorder.onStart(worker, run);
   const starts = (startsByEcho.get(echo) ?? 0) + 1;
   startsByEcho.set(echo, starts);
   if (starts > 1) counts.startedTwice += 1;
@@ -85,14 +89,14 @@
 function createWorker(index: number): Worker {
   const knobs: Knobs = { refuse: false, reset: false, slowFactor: 1 };
   const model = createFakeWorker({
-    workerId: `w${index}`,
-    availabilityZone: "",
+    workerId: `${zone}-x${index}`,
+    availabilityZone: zone,
     cpuMilli: slots * SLOT_CPU_MILLI,
     runTimeFactor: 1,
     leaseMs: MAX_LEASE_MS,
     taskOf: (call) => createTask(knobs, call),
     onStart: countStart,
-    onCompletion: () => {},
+    onCompletion: recorder.onCompletion,
   });
   return { knobs, model };
 }
@@ -108,6 +112,7 @@
 ): Promise<void> {
   const effect = body as EffectOf<"hold">;
   const untilMs = performance.now() + effect.waitMs;
+  recorder.onPoll(model, effect);
   while (!response.destroyed) {
     const outcome = model.poll(effect, performance.now(), untilMs);
     if (outcome !== null) {
@@ -131,6 +136,8 @@
 }
 
 function stop({ model }: Worker, { body, response }: ServiceRequest): void {
+  model.advance(performance.now());
+  recorder.onStopCall(model, body);
   sendJson(response, 200, model.stop(body, performance.now()));
 }
 
@@ -165,6 +172,10 @@
     isRecordingStarts = body.record;
   },
   "/truth": () => counts,
+  "/runs": () => {
+    for (const { model } of workers) model.advance(performance.now());
+    return recorder.records;
+  },
   "/starts": ({ body }) =>
     Object.fromEntries(
       (body.echoes as string[]).map((echo) => [
