--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -18,6 +18,7 @@
   heartbeatAll,
   liveCellPeers,
   seesMajority,
+  sendHeartbeat,
   workersAgeMs,
 } from "./membership.ts";
 import { leaveLeaderList, trackLeaderList } from "./leader_lists.ts";
@@ -191,6 +192,8 @@
     list: peer.listDigest,
     leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
   });
+  // The leader learns by which list the leader before started tasks.
+  sendHeartbeat(context, peer);
   resubmitAll(context);
 }
 
@@ -268,11 +271,12 @@
 
 /**
  * Whether the cell has peers and each of them has sent a message or refused a
- * connection.
+ * connection. Before the list of instances is read, only peers that have
+ * connected are known, not those that may follow a leader.
  */
 function everyPeerAnswered(state: EngineState): boolean {
   const peers = cellPeers(state);
-  return peers.length > 0 &&
+  return state.hasReadInstances && peers.length > 0 &&
     peers.every((peer) => peer.lastHeardAtMs > 0 || peer.refusedAtMs > 0);
 }
 
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -73,6 +73,7 @@
   ReduceContext,
 } from "./types.ts";
 import {
+  forgetVanishedWorkers,
   onPeerWorkers,
   onWorkersRead,
   onWorkersUnreadable,
@@ -131,8 +132,10 @@
     listDigest: "",
     leaderList: null,
     previousList: null,
+    firstLedAtMs: Infinity,
     zoneListedAtMs: new Map(),
-    vanishedAtMs: new Map(),
+    vanishedWorkers: new Map(),
+    hasReadInstances: false,
     workersReadAtMs: -Infinity,
     workersUnreadableSinceMs: 0,
     listRecoveredAtMs: -Infinity,
@@ -264,8 +267,10 @@
     syncOwnedWorkers(context);
   },
   workersUnreadable: onWorkersUnreadable,
-  instancesRead: (context, event) =>
-    updateKnownInstances(context, event.instances),
+  instancesRead: (context, event) => {
+    context.state.hasReadInstances = true;
+    updateKnownInstances(context, event.instances);
+  },
   peerUp: (context, event) => {
     onPeerUp(context, event);
     resendToPeer(context, event.instanceId);
@@ -333,6 +338,7 @@
   state.wallMs = event.wallMs;
   state.lastTickAtMs = state.nowMs;
   checkPeers(context);
+  forgetVanishedWorkers(state);
   checkLeadership(context);
   const { scheduler } = state;
   if (scheduler !== null) {
