--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -132,11 +132,32 @@
     record: isRecorded ? initialRecordState(state, known) : null,
     isSurplus: isSurplus(scheduler, queue.name),
   });
-  if (known !== undefined) inheritProgress(job, known);
+  if (known !== undefined) {
+    inheritProgress(job, known);
+    inheritPreviousRuns(state, job, known);
+  }
   queueReadyTasks(job);
   return job;
 }
 
+/** Lets a new attempt wait for the runs for which an earlier one has to. */
+function inheritPreviousRuns(
+  { nowMs }: EngineState,
+  job: Job,
+  earlier: Job,
+): void {
+  const { previousRunsExpireAtMs, previousList } = earlier;
+  if (nowMs >= previousRunsExpireAtMs) return;
+  const isSameList = isDeepStrictEqual(job.previousList, previousList);
+  if (!isSameList) job.previousList = { kind: "unknown" };
+  job.previousRunsExpireAtMs = Math.max(
+    job.previousRunsExpireAtMs,
+    previousRunsExpireAtMs,
+  );
+  job.resumedAtMs = Math.max(job.resumedAtMs, earlier.resumedAtMs);
+  job.leftCell ||= earlier.leftCell;
+}
+
 /**
  * Returns the initial state of a job's record. A previous attempt that was
  * refused may have written a row, which the new attempt overwrites.
