An entry without a leader for a long time knows no list before

What callers saw (by a unit test of the review): a caller's retry started beside its run, since the entry told the list of a leader that it had left 10 s before.

Cause: that an entry has followed leaders for long enough was counted from the first leader of its life, and a pause of its process did not count as time without one.

Change: the time counts anew after a gap as long as runs may last; a leader is left at its last message.

Evidence: two cases of reviewed_lists_test.ts failed before and hold.

--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -56,7 +56,15 @@
   { term, listDigest }: Pick<Peer, "term" | "listDigest">,
 ): void {
   state.leaderList = { term, digest: listDigest, changedAtMs: -Infinity };
-  state.firstLedAtMs = Math.min(state.firstLedAtMs, state.nowMs);
+  // After a long time without a leader, there may have been others meanwhile.
+  if (!hasFollowedLately(state)) state.firstLedAtMs = state.nowMs;
+}
+
+/** Whether this instance left a leader only as long ago as its runs may last. */
+function hasFollowedLately(state: EngineState): boolean {
+  const { previousList, nowMs } = state;
+  return previousList !== null &&
+    nowMs - previousList.leftAtMs < maxRunOutlastMs(state);
 }
 
 /** Updates the list of the leader that this instance follows or is. */
@@ -75,16 +83,17 @@
  * of a leader before that.
  */
 export function leaveLeaderList(state: EngineState): void {
-  const { leaderList, previousList, nowMs } = state;
+  const { leaderList, previousList, leaderId, peers, nowMs, lastTickAtMs } =
+    state;
   if (leaderList === null) return;
   const isSettled = nowMs - leaderList.changedAtMs >= maxLeaseMs(state);
-  const isOnly = previousList === null ||
-    nowMs - previousList.leftAtMs >= maxRunOutlastMs(state) ||
+  const isOnly = previousList === null || !hasFollowedLately(state) ||
     previousList.digest === leaderList.digest;
   state.previousList = {
     term: leaderList.term,
     digest: isSettled && isOnly ? leaderList.digest : null,
-    leftAtMs: nowMs,
+    // A pause of this process is part of the time without the leader.
+    leftAtMs: peers.get(leaderId ?? "")?.lastMessageAtMs ?? lastTickAtMs,
   };
   state.leaderList = null;
 }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1107,7 +1107,10 @@
   leaderList: LeaderList | null;
   /** List of the leader followed before; null if there was none. */
   previousList: PreviousList | null;
-  /** Time at which this instance first had a leader; Infinity before. */
+  /**
+   * Time since which this instance has had a leader, but for the time that an
+   * election takes; Infinity before.
+   */
   firstLedAtMs: number;
   /** Lists that leaders have registered in the store, as far as known, by cell. */
   readonly registeredLists: Map<string, RegisteredList>;
