A leader that polls a worker that left its list tells no list

What callers saw (by a unit test of the review, with the shape of the users' record if the same instance leads again): a task started again beside its run on a worker that had left the list over 15 s before.

Cause: a leader goes on polling such a worker while it has runs, and renews their leases, but told and registered its list as whole.

Change: meanwhile it tells its peers no digest and registers none, so that the next leader waits for the leases.

--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -45,6 +45,27 @@
   return true;
 }
 
+/**
+ * The digest that this instance tells its peers; null if it starts or polls tasks
+ * on workers that the digest does not cover.
+ */
+export function toldListDigest(state: EngineState): string | null {
+  return pollsUnlistedWorkers(state) ? null : state.listDigest;
+}
+
+/** Whether a worker that is not listed now may have runs of a leader. */
+function hasUnlistedRuns(state: EngineState): boolean {
+  return hasVanishedWorkers(state) || pollsUnlistedWorkers(state);
+}
+
+/** Whether this leader still polls a worker with runs that left its list. */
+function pollsUnlistedWorkers({ scheduler, workers }: EngineState): boolean {
+  for (const [workerId, { runs }] of scheduler?.workers ?? []) {
+    if (runs.size > 0 && !workers.has(workerId)) return true;
+  }
+  return false;
+}
+
 /** Names a worker by its id and address. */
 function nameOf({ workerId, address }: WorkerInfo): string {
   return `${workerId} ${address}`;
@@ -111,7 +132,7 @@
   const isTooYoung = nowMs - firstLedAtMs < maxRunOutlastMs(state);
   if (previousList === null || (isNew && isTooYoung)) return { kind: "none" };
   const { digest } = previousList;
-  return digest === null || hasVanishedWorkers(state)
+  return digest === null || hasUnlistedRuns(state)
     ? { kind: "unknown" }
     : { kind: "known", digest };
 }
@@ -179,7 +200,7 @@
   );
   const isOnly = before.digest === listDigest ||
     nowMs - usedSinceMs >= maxRunOutlastMs(state);
-  const digest = isOnly && !hasVanishedWorkers(state) ? listDigest : null;
+  const digest = isOnly && !hasUnlistedRuns(state) ? listDigest : null;
   return before.digest === digest || before.term > term
     ? null
     : { ...before, term, digest };
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -5,6 +5,7 @@
 import {
   observeLeaderList,
   previousListReport,
+  toldListDigest,
   updateListDigest,
 } from "./leader_lists.ts";
 import type { InstanceInfo, PeerMessageOf } from "./schemas.ts";
@@ -411,7 +412,7 @@
     maxTermSeen: state.maxTermSeen,
     ...heardFrom(peer),
     workersAgeMs: workersAgeMs(state),
-    listDigest: state.listDigest,
+    listDigest: toldListDigest(state),
     previousList: previousListReport(state, { isNew: true }),
     configurationVersion: state.configuration?.version ?? -1,
     recordsExist: state.recordsExist,
