A leader withdraws the registered list of a higher term when its own differs

Cause: a confirmed leader outranks a provisional one of a higher term, whose row was never replaced: the list of that one stayed registered as whole.

Change: the row is withdrawn, and then replaced.

Evidence: "a leader withdraws a list registered in a higher term when its own list changes" failed before and holds.

--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -200,10 +200,12 @@
   );
   const isOnly = before.digest === listDigest ||
     nowMs - usedSinceMs >= maxRunOutlastMs(state);
-  const digest = isOnly && !hasUnlistedRuns(state) ? listDigest : null;
-  return before.digest === digest || before.term > term
-    ? null
-    : { ...before, term, digest };
+  const ownDigest = isOnly && !hasUnlistedRuns(state) ? listDigest : null;
+  // A leader of a higher term may have stepped down, or be about to take over:
+  // its list is withdrawn first.
+  const mayRegister = before.term <= term || before.digest === ownDigest;
+  const digest = mayRegister ? ownDigest : null;
+  return before.digest === digest ? null : { ...before, term, digest };
 }
 
 /** What this leader and its followers know of the list of the leader before. */
