A registered list counts only while it was read lately

What callers saw: nothing (found by reading in the review).

Cause: the lists are read once, after the start of a process; an old process that has had no leader for a long time believed what it had read then.

Evidence: leader_lists_test.ts, believed after 1 s, not after 3 s.

--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -172,7 +172,17 @@
     ? reports.every((known) =>
       known.kind === "known" && known.digest === listDigest
     )
-    : registeredList(state).digest === listDigest;
+    : isRegisteredAsSame(state);
+}
+
+/**
+ * Whether the list in the store is that of this leader, as read so lately that a
+ * leader with another list would have been heard of since.
+ */
+function isRegisteredAsSame(state: EngineState): boolean {
+  const { nowMs, registeredListsReadAtMs, listDigest } = state;
+  return nowMs - registeredListsReadAtMs < maxRunOutlastMs(state) &&
+    registeredList(state).digest === listDigest;
 }
 
 /** The list of this instance's cell, as far as it is known to be registered. */
--- a/src/engine/leader_lists_test.ts
+++ b/src/engine/leader_lists_test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { listToRegister } from "./leader_lists.ts";
+import { listsSameWorkers, listToRegister } from "./leader_lists.ts";
 import { createTestLeader, testWorker } from "./testing.ts";
 import type { RegisteredList } from "./types.ts";
 
@@ -93,3 +93,23 @@
     expect(listToRegister(state)).toEqual(results[expected]);
   });
 }
+
+const ages = [
+  { readMsAgo: 1_000, isSame: true },
+  { readMsAgo: 3_000, isSame: false },
+];
+
+for (const { readMsAgo, isSame } of ages) {
+  test(`a registered list that was read ${readMsAgo} ms ago ${isSame ? "is" : "is not"} believed`, () => {
+    const leader = createTestLeader();
+    const { state } = leader;
+    state.firstLedAtMs = Infinity;
+    const digest = state.listDigest;
+    const lists: RegisteredList[] = [
+      { cell: "all", version: 3, term: 1, digest },
+    ];
+    leader.after(0, { type: "registeredListsRead", lists });
+    leader.tick(readMsAgo);
+    expect(listsSameWorkers(state, { kind: "none" })).toEqual(isSame);
+  });
+}
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -137,6 +137,7 @@
     previousList: null,
     firstLedAtMs: Infinity,
     registeredLists: new Map(),
+    registeredListsReadAtMs: -Infinity,
     zoneListedAtMs: new Map(),
     vanishedWorkers: new Map(),
     hasReadInstances: false,
@@ -279,6 +280,7 @@
   },
   registeredListsRead: ({ state }, { lists }) => {
     for (const list of lists) state.registeredLists.set(list.cell, list);
+    state.registeredListsReadAtMs = state.nowMs;
   },
   peerUp: (context, event) => {
     onPeerUp(context, event);
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1114,6 +1114,8 @@
   firstLedAtMs: number;
   /** Lists that leaders have registered in the store, as far as known, by cell. */
   readonly registeredLists: Map<string, RegisteredList>;
+  /** Time at which some of them were last read or written. */
+  registeredListsReadAtMs: number;
   /** Latest time at which each zone had a worker in the list. */
   readonly zoneListedAtMs: Map<string, number>;
   /**
