--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -31,17 +31,21 @@
 export const engineMutants: Record<string, Partial<Guards>> = {
   startUnrecorded: { mayStartJob: always },
   acknowledgeEarly: { mustRetainCompletion: never },
-  completeReady: { mayComplete: ({ state }) => isReadyState(state) },
-  attachQueued: { mayAttachRun: ({ state }) => state === "queued" },
   runAgain: { mayRunAgain: always },
   overcommit: { hasRoom: always },
   serveDraining: { mayServe: always },
   expireEarly: { hasExpired: always },
-  takeBack: { mayAcquire: always },
   ignorePreviousRuns: { mayRunElsewhere: never },
   neverGiveUp: { mustGiveUp: never },
   refuseStarted: { mayRefuse: always },
   revertConfiguration: { isNewer: always },
+};
+
+/** The mutants that matter when leaders or owners of the records change. */
+export const takeoverMutants: Record<string, Partial<Guards>> = {
+  completeReady: { mayComplete: ({ state }) => isReadyState(state) },
+  attachQueued: { mayAttachRun: ({ state }) => state === "queued" },
+  takeBack: { mayAcquire: always },
   restoreAtOnce: { fitsEvent: always },
   writeUnread: { mayWriteRecord: always },
   discardUnknown: { mayDiscardUnknown: always },
@@ -133,7 +137,8 @@
   name: string,
   { seeds }: { seeds: number },
 ): Promise<{ seed: number; violation: string } | null> {
-  const guards = engineMutants[name] ?? grownMutants[name] ?? {};
+  const guards = engineMutants[name] ?? takeoverMutants[name] ??
+    grownMutants[name] ?? {};
   const draw = drawMutantRun[name] ?? drawRecordedRun;
   for (let seed = 1; seed <= seeds; seed += 1) {
     const { violations } = await simulateRun(addFaults(draw(seed)), {
--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -260,15 +260,21 @@
   ...crossedFaultHandlers,
 };
 
+/** Jobs that were damaged; reading them again may throw. */
+const damagedJobs = new WeakSet<object>();
+
 /** Damages the state of a job that has not ended, at one of the leaders. */
 function damageJob(world: World): void {
   const leaders = world.instances.flatMap(({ state }) =>
     state?.scheduler ? [state.scheduler] : []
   );
   const open = leaders.flatMap(({ jobs }) => [...jobs.values()])
-    .filter((job) => job.outcome === null);
+    .filter((job) => job.outcome === null && !damagedJobs.has(job));
   if (open.length === 0) return;
-  pick(world, jobDamages).damage(pick(world, open));
+  const { damage } = pick(world, jobDamages);
+  const job = pick(world, open);
+  damagedJobs.add(job);
+  damage(job);
 }
 
 /** The reference kinds, two of them with persisted records. */
