A leader's own report does not count the unlisted workers that it polls

It knows their runs, so that its jobs need not wait for them; the next leader doesn't, which is why the leader tells and registers no list meanwhile.

--- a/src/engine/leader_lists.ts
+++ b/src/engine/leader_lists.ts
@@ -46,18 +46,13 @@
 }
 
 /**
- * The digest that this instance tells its peers; null if it starts or polls tasks
- * on workers that the digest does not cover.
+ * The digest that this instance tells its peers; null while it renews leases on
+ * workers that the digest does not cover.
  */
 export function toldListDigest(state: EngineState): string | null {
   return pollsUnlistedWorkers(state) ? null : state.listDigest;
 }
 
-/** Whether a worker that is not listed now may have runs of a leader. */
-function hasUnlistedRuns(state: EngineState): boolean {
-  return hasVanishedWorkers(state) || pollsUnlistedWorkers(state);
-}
-
 /** Whether this leader still polls a worker with runs that left its list. */
 function pollsUnlistedWorkers({ scheduler, workers }: EngineState): boolean {
   for (const [workerId, { runs }] of scheduler?.workers ?? []) {
@@ -132,7 +127,7 @@
   const isTooYoung = nowMs - firstLedAtMs < maxRunOutlastMs(state);
   if (previousList === null || (isNew && isTooYoung)) return { kind: "none" };
   const { digest } = previousList;
-  return digest === null || hasUnlistedRuns(state)
+  return digest === null || hasVanishedWorkers(state)
     ? { kind: "unknown" }
     : { kind: "known", digest };
 }
@@ -210,7 +205,9 @@
   );
   const isOnly = before.digest === listDigest ||
     nowMs - usedSinceMs >= maxRunOutlastMs(state);
-  const ownDigest = isOnly && !hasUnlistedRuns(state) ? listDigest : null;
+  const hasUnlistedRuns = hasVanishedWorkers(state) ||
+    pollsUnlistedWorkers(state);
+  const ownDigest = isOnly && !hasUnlistedRuns ? listDigest : null;
   // A leader of a higher term may have stepped down, or be about to take over:
   // its list is withdrawn first.
   const mayRegister = before.term <= term || before.digest === ownDigest;
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -32,7 +32,10 @@
  * Stands in a submission for the list of the leader that receives it: the
  * leader before started tasks by the same list.
  */
-export const SAME_LIST: PreviousListReport = { kind: "unknown" };
+export const SAME_LIST: PreviousListReport = {
+  kind: "known",
+  digest: "the list of the recipient",
+};
 
 /** The queue of {@linkcode testConfiguration}. */
 export const testQueue: QueueRule = {
--- a/src/engine/worker_list.ts
+++ b/src/engine/worker_list.ts
@@ -87,7 +87,7 @@
   trackVanishedWorkers(context, next);
   state.workers = next;
   updateCells(context);
-  // Followers learn of a leader's list before it starts tasks by it.
+  // Followers tell the next leader by which list this one started tasks.
   const isNewList = updateListDigest(state);
   if (isNewList && state.scheduler !== null) heartbeatAll(context);
   return true;
