--- /dev/null
+++ b/bench/configuration_world.ts
@@ -0,0 +1,548 @@
+/**
+ * Instances of the real engine that learn of configurations from a simulated
+ * store and from each other, in simulated time. Every message and every response
+ * of the store takes its share of the links of both ends, so that what waits
+ * behind a large one arrives late. Checks that each configuration is in force in
+ * time on every instance that has been in touch with the store.
+ */
+
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createEngine, reduce } from "../src/engine/reduce.ts";
+import type {
+  Configuration,
+  InstanceInfo,
+  PeerMessage,
+  QueueRule,
+} from "../src/engine/schemas.ts";
+import type { Effect, EngineEvent, EngineState } from "../src/engine/types.ts";
+import { createEventQueue } from "./event_queue.ts";
+
+const TICK_MS = 25;
+const EPOCH_MS = 1_700_000_000_000;
+/** Time after which a message without a large body reaches its peer. */
+const LATENCY_MS = 1;
+/** Duration of a call of the store, without the transfer of its response. */
+const STORE_MS = 8;
+/** Time limit of the response to a read of the store. */
+const READ_TIMEOUT_MS = 900;
+const FEED_WAIT_MS = 4_000;
+const RETRY_MS = 250;
+/** Size of a message other than a configuration. */
+const MESSAGE_BYTES = 700;
+/** Interval between checks of what is in force. */
+const CHECK_MS = 100;
+/** Time without trouble after which an instance counts as in touch. */
+const STABLE_MS = 5_000;
+/** Time after its acknowledgement in which a configuration must be in force. */
+const APPLY_MS = 4_000;
+/** The same while the store is not stable. */
+const UNSTABLE_APPLY_MS = 12_000;
+/** Time for which the feed hears nothing before its history is dropped. */
+const DEAF_MS = 1_000;
+
+/** A change that the operator makes. */
+export interface OperatorChange {
+  readonly atMs: number;
+  /** Number of queues that are added; one is dropped if it is 0. */
+  readonly addedQueues: number;
+}
+
+/** A fault of a run, from `atMs` on for `forMs`. */
+export interface ConfigurationFault {
+  /**
+   * `compact`: feeds hear nothing for a second, then the history is dropped and
+   * they are cut; reads of rows are `staleMs` behind. `refuse`: the store answers
+   * a share of the instances with errors. `silent`: the store answers none of
+   * them. `restart`: a share of the instances is killed and starts again.
+   */
+  readonly kind: "compact" | "refuse" | "silent" | "restart";
+  readonly atMs: number;
+  readonly forMs: number;
+  readonly share?: number;
+  readonly staleMs?: number;
+}
+
+/** A run of the world. */
+export interface ConfigurationRun {
+  readonly seed: number;
+  readonly zones: number;
+  readonly instancesPerZone: number;
+  /** Number of queues of the first configuration. */
+  readonly queues: number;
+  /** Rate of the links of all instances but three of each zone. */
+  readonly linkBytesPerMs: number;
+  readonly changes: readonly OperatorChange[];
+  readonly faults?: readonly ConfigurationFault[];
+  readonly durationMs: number;
+}
+
+/** What a run has shown. */
+export interface ConfigurationResult {
+  readonly violations: string[];
+  /** Most whole configurations that one instance sent to peers. */
+  readonly mostCopiesSent: number;
+  readonly peerBytes: number;
+  readonly storeBytes: number;
+  /** Longest time from an acknowledgement until it was in force in touch. */
+  readonly slowestMs: number;
+}
+
+interface SimulatedInstance {
+  readonly info: InstanceInfo;
+  readonly bytesPerMs: number;
+  state: EngineState;
+  incarnation: number;
+  isUp: boolean;
+  /** Time until which earlier transfers occupy the link, in each direction. */
+  sendsUntilMs: number;
+  receivesUntilMs: number;
+  troubledAtMs: number;
+  version: number;
+}
+
+interface StoredConfiguration {
+  readonly configuration: Configuration;
+  readonly rowVersion: number;
+  readonly ackedAtMs: number;
+}
+
+function queueOf(index: number): QueueRule {
+  return {
+    name: `r-${index.toString(36).padStart(7, "0")}`,
+    host: `host${index % 7}.example`,
+    pathPrefix: `/${index.toString(36).padStart(8, "p")}/`,
+    service: "s",
+    priority: 0,
+    attempts: 2,
+    stretch: 2,
+    objectiveMs: 1_000,
+    timeoutMs: 1_000,
+  };
+}
+
+/** Sizes of documents; they are shared by all messages that carry them. */
+const documentBytes = new WeakMap<object, number>();
+
+function sizeOfDocument(document: object): number {
+  const known = documentBytes.get(document);
+  if (known !== undefined) return known;
+  const bytes = JSON.stringify(document).length;
+  documentBytes.set(document, bytes);
+  return bytes;
+}
+
+function sizeOf(message: PeerMessage): number {
+  return message.type === "configuration"
+    ? MESSAGE_BYTES + sizeOfDocument(message.configuration)
+    : MESSAGE_BYTES;
+}
+
+/** Plays a run, and returns what it has shown. */
+export async function simulateConfiguration(
+  run: ConfigurationRun,
+): Promise<ConfigurationResult> {
+  const queue = createEventQueue();
+  const generator = xoroshiro128plus(run.seed);
+  const random = (): number => uniformFloat64(generator);
+  const violations: string[] = [];
+  const stored: StoredConfiguration[] = [];
+  let storeVersion = 10;
+  let historyFrom = 0;
+  let peerBytes = 0;
+  let storeBytes = 0;
+  let slowestMs = 0;
+  let nextQueueIndex = 0;
+  const faults = run.faults ?? [];
+  const refused = new Map<SimulatedInstance, "refuse" | "silent">();
+
+  const instances: SimulatedInstance[] = [];
+  for (let zone = 0; zone < run.zones; zone += 1) {
+    for (let index = 0; index < run.instancesPerZone; index += 1) {
+      const instanceId = `z${zone}-${index + 1}`;
+      const isLarge = index < 3;
+      const info = {
+        instanceId,
+        availabilityZone: `z${zone}`,
+        region: "r",
+        address: `${instanceId}:1`,
+        bornMs: EPOCH_MS,
+        cpuCores: isLarge ? 1.35 : 0.324,
+      };
+      instances.push({
+        info,
+        bytesPerMs: (isLarge ? 8 : 1) * run.linkBytesPerMs,
+        state: newState(info),
+        incarnation: 0,
+        isUp: true,
+        sendsUntilMs: 0,
+        receivesUntilMs: 0,
+        troubledAtMs: 0,
+        version: -1,
+      });
+    }
+  }
+  const byId = new Map(instances.map((each) => [each.info.instanceId, each]));
+
+  function newState(self: InstanceInfo): EngineState {
+    const nowMs = queue.nowMs();
+    const wallMs = EPOCH_MS + nowMs;
+    return createEngine({ self, leaseMs: 1_000, stopMs: 50, nowMs, wallMs });
+  }
+
+  function dispatch(
+    instance: SimulatedInstance,
+    incarnation: number,
+    event: EngineEvent,
+  ): void {
+    if (!instance.isUp || instance.incarnation !== incarnation) return;
+    for (const effect of reduce(instance.state, event)) {
+      perform(instance, effect);
+    }
+    const version = instance.state.configuration?.version ?? -1;
+    if (version < instance.version) {
+      violations.push(`${instance.info.instanceId} went back to ${version}`);
+    }
+    instance.version = version;
+  }
+
+  function perform(instance: SimulatedInstance, effect: Effect): void {
+    if (effect.type === "sendPeer") {
+      const receiver = byId.get(effect.instanceId);
+      if (receiver !== undefined) {
+        deliver(instance, receiver, effect.message);
+      }
+    }
+  }
+
+  /** Returns when a transfer has left a link that is shared by all of them. */
+  function occupy(freeAtMs: number, bytes: number, bytesPerMs: number): number {
+    return Math.max(freeAtMs, queue.nowMs()) + bytes / bytesPerMs;
+  }
+
+  function deliver(
+    from: SimulatedInstance,
+    to: SimulatedInstance,
+    message: PeerMessage,
+  ): void {
+    const bytes = sizeOf(message);
+    peerBytes += bytes;
+    from.sendsUntilMs = occupy(from.sendsUntilMs, bytes, from.bytesPerMs);
+    const { incarnation } = to;
+    queue.at(from.sendsUntilMs + LATENCY_MS, () => {
+      receive(to, incarnation, {
+        bytes,
+        run: () =>
+          dispatch(to, incarnation, {
+            type: "peerMessage",
+            nowMs: queue.nowMs(),
+            from: from.info.instanceId,
+            message,
+          }),
+      });
+    });
+  }
+
+  /** Runs a callback when a transfer has passed the link of its recipient. */
+  function receive(
+    to: SimulatedInstance,
+    incarnation: number,
+    { bytes, run: onReceived }: { bytes: number; run: () => void },
+  ): void {
+    if (to.incarnation !== incarnation) return;
+    to.receivesUntilMs = occupy(to.receivesUntilMs, bytes, to.bytesPerMs);
+    queue.at(to.receivesUntilMs, onReceived);
+  }
+
+  function isCompacted(atMs: number): ConfigurationFault | undefined {
+    return faults.find((fault) =>
+      fault.kind === "compact" && atMs >= fault.atMs &&
+      atMs < fault.atMs + fault.forMs
+    );
+  }
+
+  /** Whether the feeds hear nothing of a change made at a time. */
+  function isDeaf(atMs: number): boolean {
+    return faults.some((fault) =>
+      fault.kind === "compact" && atMs >= fault.atMs &&
+      atMs < fault.atMs + DEAF_MS
+    );
+  }
+
+  /** Returns the row that a read finds, which may be an old one. */
+  function readRow(): StoredConfiguration | undefined {
+    const staleMs = isCompacted(queue.nowMs())?.staleMs ?? 0;
+    return stored.findLast(({ ackedAtMs }) =>
+      ackedAtMs <= queue.nowMs() - staleMs
+    );
+  }
+
+  interface StoreCall {
+    readonly timeoutMs: number;
+    readonly onRow: (row: StoredConfiguration | null) => void;
+    readonly onFailure: () => void;
+  }
+
+  /** Sends a response of the store over the link of an instance. */
+  function respond(
+    instance: SimulatedInstance,
+    row: StoredConfiguration | null,
+    { timeoutMs, onRow, onFailure }: StoreCall,
+  ): void {
+    const bytes = row === null
+      ? MESSAGE_BYTES
+      : sizeOfDocument(row.configuration) * 4 / 3;
+    storeBytes += bytes;
+    const endMs = queue.nowMs() + timeoutMs;
+    receive(instance, instance.incarnation, {
+      bytes,
+      run: () => (queue.nowMs() > endMs ? onFailure() : onRow(row)),
+    });
+  }
+
+  /** Whether the store refuses a call; the failure is reported if it does. */
+  function isRefused(instance: SimulatedInstance, call: StoreCall): boolean {
+    const how = refused.get(instance);
+    if (how === undefined) return false;
+    const afterMs = how === "refuse" ? STORE_MS : call.timeoutMs;
+    queue.at(queue.nowMs() + afterMs, call.onFailure);
+    return true;
+  }
+
+  /** The loop by which an instance follows the configuration in the store. */
+  function follow(instance: SimulatedInstance): void {
+    const { incarnation } = instance;
+    let seenVersion = -1;
+    const retry = (): void => {
+      seenVersion = -1;
+      queue.at(queue.nowMs() + RETRY_MS, next);
+    };
+    const apply = (row: StoredConfiguration | null): void => {
+      if (row !== null) {
+        dispatch(instance, incarnation, {
+          type: "configurationRead",
+          nowMs: queue.nowMs(),
+          configuration: row.configuration,
+        });
+      }
+      next();
+    };
+    function next(): void {
+      if (instance.incarnation !== incarnation) return;
+      if (seenVersion >= 0) {
+        awaitChange();
+        return;
+      }
+      const call = {
+        timeoutMs: READ_TIMEOUT_MS,
+        onRow: apply,
+        onFailure: retry,
+      };
+      if (isRefused(instance, call)) return;
+      queue.at(queue.nowMs() + STORE_MS, () => {
+        const row = readRow() ?? null;
+        seenVersion = storeVersion;
+        respond(instance, row, call);
+      });
+    }
+    function awaitChange(): void {
+      const startedAtMs = queue.nowMs();
+      const call = {
+        timeoutMs: READ_TIMEOUT_MS,
+        onRow: apply,
+        onFailure: retry,
+      };
+      if (isRefused(instance, { ...call, timeoutMs: FEED_WAIT_MS })) return;
+      const poll = (): void => {
+        if (instance.incarnation !== incarnation) return;
+        if (seenVersion < historyFrom) {
+          retry();
+          return;
+        }
+        const row = stored.at(-1);
+        const isNew = row !== undefined && row.rowVersion > seenVersion &&
+          !isDeaf(queue.nowMs());
+        const isOver = queue.nowMs() - startedAtMs >= FEED_WAIT_MS;
+        if (!isNew && !isOver) {
+          queue.at(queue.nowMs() + 10, poll);
+          return;
+        }
+        if (isNew) seenVersion = row.rowVersion;
+        respond(instance, isNew ? row : null, call);
+      };
+      poll();
+    }
+    next();
+  }
+
+  function operate({ addedQueues }: OperatorChange): void {
+    const before = stored.at(-1);
+    const queues = [...before?.configuration.queues ?? []];
+    if (addedQueues === 0) {
+      queues.splice(Math.floor(random() * queues.length), 1);
+    }
+    for (let count = 0; count < addedQueues; count += 1) {
+      queues.push(queueOf(nextQueueIndex));
+      nextQueueIndex += 1;
+    }
+    storeVersion += 1 + Math.floor(3 * random());
+    stored.push({
+      rowVersion: storeVersion,
+      ackedAtMs: queue.nowMs(),
+      configuration: {
+        version: (before?.configuration.version ?? 0) + 1 +
+          Math.floor(3 * random()),
+        queues,
+        services: [{ name: "s", healthPath: "/h", guardsCapacity: false }],
+        maxBodyBytes: 1e6,
+        maxHeaderBytes: 1e5,
+        idleTimeoutMs: 15_000,
+      },
+    });
+  }
+
+  /** Starts an instance, which is connected to all others at once. */
+  function start(instance: SimulatedInstance): void {
+    instance.isUp = true;
+    instance.incarnation += 1;
+    instance.troubledAtMs = queue.nowMs();
+    instance.version = -1;
+    const { incarnation } = instance;
+    const bornMs = EPOCH_MS + queue.nowMs() + instance.incarnation;
+    instance.state = newState({ ...instance.info, bornMs });
+    const others = instances.filter((other) => other !== instance);
+    dispatch(instance, incarnation, {
+      type: "instancesRead",
+      nowMs: queue.nowMs(),
+      instances: others.map(({ state }) => state.self),
+    });
+    for (const other of others) {
+      const nowMs = queue.nowMs();
+      dispatch(instance, incarnation, {
+        type: "peerUp",
+        nowMs,
+        instanceId: other.info.instanceId,
+      });
+      dispatch(other, other.incarnation, {
+        type: "peerUp",
+        nowMs,
+        instanceId: instance.info.instanceId,
+      });
+    }
+    const tick = (): void => {
+      if (instance.incarnation !== incarnation || !instance.isUp) return;
+      const nowMs = queue.nowMs();
+      dispatch(instance, incarnation, {
+        type: "tick",
+        nowMs,
+        wallMs: EPOCH_MS + nowMs,
+      });
+      queue.at(nowMs + TICK_MS, tick);
+    };
+    queue.at(queue.nowMs() + TICK_MS * random(), tick);
+    follow(instance);
+  }
+
+  function stop(instance: SimulatedInstance): void {
+    instance.isUp = false;
+    instance.troubledAtMs = queue.nowMs();
+    for (const other of instances) {
+      if (other === instance) continue;
+      dispatch(other, other.incarnation, {
+        type: "peerDown",
+        nowMs: queue.nowMs(),
+        instanceId: instance.info.instanceId,
+        refused: true,
+      });
+    }
+  }
+
+  function drawShare(share: number): SimulatedInstance[] {
+    return instances.filter(() => random() < share);
+  }
+
+  const beginFault: Record<
+    ConfigurationFault["kind"],
+    (fault: ConfigurationFault) => void
+  > = {
+    compact: () => {
+      queue.at(queue.nowMs() + DEAF_MS, () => {
+        historyFrom = storeVersion;
+      });
+    },
+    refuse: (fault) => refuse(fault, "refuse"),
+    silent: (fault) => refuse(fault, "silent"),
+    restart: ({ share = 0.1, forMs }) => {
+      for (const instance of drawShare(share)) {
+        stop(instance);
+        queue.at(queue.nowMs() + forMs, () => start(instance));
+      }
+    },
+  };
+
+  function refuse(
+    { share = 1, forMs }: ConfigurationFault,
+    how: "refuse" | "silent",
+  ): void {
+    for (const instance of drawShare(share)) {
+      refused.set(instance, how);
+      queue.at(queue.nowMs() + forMs, () => refused.delete(instance));
+    }
+  }
+
+  /** Whether the store has been without a fault for `STABLE_MS`. */
+  function isStoreStable(atMs: number): boolean {
+    return faults.every((fault) =>
+      fault.kind === "restart" || atMs < fault.atMs ||
+      atMs > fault.atMs + fault.forMs + STABLE_MS
+    );
+  }
+
+  function check(): void {
+    const nowMs = queue.nowMs();
+    const boundMs = isStoreStable(nowMs) ? APPLY_MS : UNSTABLE_APPLY_MS;
+    for (const instance of instances) {
+      if (!instance.isUp || refused.has(instance)) continue;
+      if (nowMs - instance.troubledAtMs < STABLE_MS) continue;
+      const due = stored.findLast(({ ackedAtMs }) =>
+        ackedAtMs <= nowMs - boundMs
+      );
+      const missing = stored.find(({ configuration }) =>
+        configuration.version > instance.version
+      );
+      if (missing !== undefined) {
+        slowestMs = Math.max(slowestMs, nowMs - missing.ackedAtMs);
+      }
+      if (due === undefined) continue;
+      const { version } = due.configuration;
+      if (version <= instance.version) continue;
+      violations.push(
+        `${instance.info.instanceId} has ${instance.version} at ${nowMs}: ` +
+          `${version} was acknowledged at ${due.ackedAtMs}`,
+      );
+      // Reported once for each version.
+      instance.troubledAtMs = nowMs;
+    }
+    queue.at(nowMs + CHECK_MS, check);
+  }
+
+  operate({ atMs: 0, addedQueues: run.queues });
+  for (const instance of instances) start(instance);
+  for (const change of run.changes) {
+    queue.at(change.atMs, () => operate(change));
+  }
+  for (const fault of faults) {
+    queue.at(fault.atMs, () => beginFault[fault.kind](fault));
+  }
+  queue.at(CHECK_MS, check);
+  await queue.runUntil(run.durationMs);
+  return {
+    violations,
+    mostCopiesSent: Math.max(
+      ...instances.map(({ state }) => state.counters.configurationCopiesSent),
+    ),
+    peerBytes,
+    storeBytes,
+    slowestMs,
+  };
+}
--- a/src/engine/configuration.ts
+++ b/src/engine/configuration.ts
@@ -7,11 +7,13 @@
 
 /**
  * Puts a configuration into effect if it is newer than the present one, and
- * sends it to the peers that have an older one.
+ * sends it to the peers that have an older one. `source` is the id of the peer
+ * that sent it, or `store`.
  */
 export function applyConfiguration(
   context: ReduceContext,
   configuration: Configuration,
+  source: string,
 ): void {
   const { state } = context;
   const before = state.configuration?.version ?? -1;
@@ -24,11 +26,13 @@
     {
       version: configuration.version,
       before,
+      source,
       queues: configuration.queues.length,
     },
   );
   for (const peer of state.peers.values()) {
     if (peer.configurationVersion >= configuration.version) continue;
+    state.counters.configurationCopiesSent += 1;
     sendPeer(context, peer.info.instanceId, {
       type: "configuration",
       configuration,
@@ -43,6 +47,7 @@
 ): void {
   const { configuration } = context.state;
   if (configuration === null) return;
+  context.state.counters.configurationCopiesSent += 1;
   sendPeer(context, from, { type: "configuration", configuration });
 }
 
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -180,6 +180,8 @@
       holds: 0,
       takeovers: 0,
       peerMessages: 0,
+      configurationCopiesSent: 0,
+      configurationCopiesReceived: 0,
     },
   };
 }
@@ -215,8 +217,10 @@
   question: onQuery,
   reply: onReply,
   released: onReleased,
-  configuration: (context, _from, message) =>
-    applyConfiguration(context, message.configuration),
+  configuration: (context, from, message) => {
+    context.state.counters.configurationCopiesReceived += 1;
+    applyConfiguration(context, message.configuration, from);
+  },
   configurationWanted: onConfigurationWanted,
   workers: (context, _from, message) => {
     onPeerWorkers(context, message);
@@ -268,7 +272,7 @@
   openingContinued: onOpeningContinued,
   recordsWritten: onRecordsWritten,
   configurationRead: (context, event) =>
-    applyConfiguration(context, event.configuration),
+    applyConfiguration(context, event.configuration, "store"),
   workersRead: (context, event) => {
     onWorkersRead(context, event);
     syncOwnedWorkers(context);
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -998,6 +998,9 @@
   holds: number;
   takeovers: number;
   peerMessages: number;
+  /** Whole configurations sent to peers. */
+  configurationCopiesSent: number;
+  configurationCopiesReceived: number;
 }
 
 /** The conditions that guarantee safety; `guards.ts` documents each of them. */
