--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -1291,10 +1291,14 @@
         });
       });
     }
-    const resolveNull = () => Promise.resolve(null);
+    const resolveUnchanged = () =>
+      Promise.resolve({ kind: "unchanged" as const });
     return {
-      readConfiguration: resolveNull,
-      awaitConfiguration: resolveNull,
+      configuration: {
+        read: resolveUnchanged,
+        await: resolveUnchanged,
+        compare: resolveUnchanged,
+      },
       readWorkers: () => Promise.resolve([]),
       async *readPages(tablePart) {
         yield await call(() => store.readRows(tablePart));
--- a/src/engine/configuration.ts
+++ b/src/engine/configuration.ts
@@ -1,14 +1,25 @@
 /** The configuration in effect; its version only increases. */
 
+import {
+  applyChange,
+  changeBetween,
+  changesSince,
+  keepChange,
+} from "./configuration_changes.ts";
 import { assert } from "./debug.ts";
 import { logDecision, sendPeer } from "./effects.ts";
-import type { Configuration, QueueRule } from "./schemas.ts";
-import type { EngineState, ReduceContext } from "./types.ts";
+import { sendHeartbeat } from "./membership.ts";
+import type { Configuration, PeerMessageOf, QueueRule } from "./schemas.ts";
+import type { EngineState, Peer, ReduceContext } from "./types.ts";
+import { zoneRanking } from "./zone_ranking.ts";
+
+/** Number of instances to which each one passes a new configuration on. */
+const RELAY_FAN_OUT = 4;
 
 /**
  * Puts a configuration into effect if it is newer than the present one, and
- * sends it to the peers that have an older one. `source` is the id of the peer
- * that sent it, or `store`.
+ * passes it on to some instances of the zone. `source` tells in the log where
+ * the configuration came from.
  */
 export function applyConfiguration(
   context: ReduceContext,
@@ -16,9 +27,15 @@
   source: string,
 ): void {
   const { state } = context;
-  const before = state.configuration?.version ?? -1;
+  const { configuration: present, configurationSync: sync } = state;
+  const before = present?.version ?? -1;
+  if (configuration.version === before) adoptRowVersion(state, configuration);
   if (!state.guards.isNewer(configuration.version, before)) return;
   assert(configuration.version > before, "configuration_rises", `${before}`);
+  const change = present === null
+    ? null
+    : changeBetween(present, configuration);
+  sync.changes = keepChange(sync.changes, change);
   state.configuration = configuration;
   logDecision(
     context,
@@ -27,30 +44,137 @@
       version: configuration.version,
       before,
       source,
+      rowVersion: configuration.rowVersion ?? null,
       queues: configuration.queues.length,
+      changedQueues: change?.changedQueues.length ?? null,
+      droppedQueues: change?.droppedQueues.length ?? null,
+      // Time since the version before was known to be the newest.
+      provenMsAgo: Number.isFinite(sync.provenAtMs)
+        ? Math.round(state.nowMs - sync.provenAtMs)
+        : null,
+      behindMs: sync.behindSinceMs === 0
+        ? 0
+        : Math.round(state.nowMs - sync.behindSinceMs),
     },
   );
-  for (const peer of state.peers.values()) {
-    if (peer.configurationVersion >= configuration.version) continue;
-    state.counters.configurationCopiesSent += 1;
-    sendPeer(context, peer.info.instanceId, {
-      type: "configuration",
-      configuration,
-    });
+  if (present !== null) passOn(context, configuration);
+}
+
+/** Takes over the row version of the configuration in effect. */
+function adoptRowVersion(
+  state: EngineState,
+  { rowVersion }: Configuration,
+): void {
+  if (state.configuration === null || rowVersion === undefined) return;
+  state.configuration = { ...state.configuration, rowVersion };
+}
+
+/**
+ * Passes a new configuration on along a tree of the zone's instances: what it
+ * changes, or, if that is too large, only that there is a new version.
+ */
+function passOn(context: ReduceContext, { version }: Configuration): void {
+  const { state } = context;
+  const { instanceId } = state.self;
+  const ranking = zoneRanking(state);
+  const firstChild = RELAY_FAN_OUT * ranking.indexOf(instanceId) + 1;
+  for (const id of ranking.slice(firstChild, firstChild + RELAY_FAN_OUT)) {
+    const peer = state.peers.get(id);
+    if (peer === undefined || peer.configurationVersion >= version) continue;
+    if (!sendChanges(context, peer)) sendHeartbeat(context, peer);
   }
 }
 
-/** Sends the configuration in effect to a peer that requested it. */
+/** Sends a peer what it lacks; returns false if the changes are not known. */
+function sendChanges(
+  context: ReduceContext,
+  { info, configurationVersion }: Pick<Peer, "info" | "configurationVersion">,
+): boolean {
+  const { state } = context;
+  const { changes } = state.configurationSync;
+  const missing = changesSince(changes, configurationVersion);
+  if (missing.length === 0) return false;
+  state.counters.configurationChangesSent += 1;
+  sendPeer(context, info.instanceId, {
+    type: "configurationChanges",
+    changes: [...missing],
+  });
+  return true;
+}
+
+/**
+ * Answers a peer that requested the configuration: with the changes since its
+ * version, or with the whole configuration, unless one was sent just before.
+ */
 export function onConfigurationWanted(
   context: ReduceContext,
   from: string,
+  { baseVersion }: PeerMessageOf<"configurationWanted">,
 ): void {
-  const { configuration } = context.state;
-  if (configuration === null) return;
-  context.state.counters.configurationCopiesSent += 1;
+  const { state } = context;
+  const { configuration, configurationSync: sync } = state;
+  const peer = state.peers.get(from);
+  if (configuration === null || peer === undefined) return;
+  if (baseVersion >= configuration.version) return;
+  const { info } = peer;
+  if (sendChanges(context, { info, configurationVersion: baseVersion })) return;
+  if (!state.guards.maySendCopy(state.nowMs, sync.copySentAtMs)) {
+    sendPeer(context, from, { type: "configurationChanges", changes: [] });
+    return;
+  }
+  sync.copySentAtMs = state.nowMs;
+  state.counters.configurationCopiesSent += 1;
   sendPeer(context, from, { type: "configuration", configuration });
 }
 
+/** Applies the changes that a peer sent, as far as they fit the version here. */
+export function onConfigurationChanges(
+  context: ReduceContext,
+  from: string,
+  { changes }: PeerMessageOf<"configurationChanges">,
+): void {
+  const { state } = context;
+  const { configurationSync: sync } = state;
+  state.counters.configurationChangesReceived += 1;
+  if (sync.request?.peerId === from) sync.request = null;
+  updatePeerVersion(state, from, changes.at(-1)?.version ?? -1);
+  let configuration = state.configuration;
+  for (const change of changes) {
+    if (configuration === null) break;
+    configuration = applyChange(configuration, change) ?? configuration;
+  }
+  if (configuration !== null && configuration !== state.configuration) {
+    applyConfiguration(context, configuration, from);
+    return;
+  }
+  // The peer can't send what is missing here.
+  if (changes.length === 0) sync.mustCompare = true;
+}
+
+function updatePeerVersion(
+  { peers }: EngineState,
+  instanceId: string,
+  version: number,
+): void {
+  const peer = peers.get(instanceId);
+  if (peer === undefined) return;
+  peer.configurationVersion = Math.max(peer.configurationVersion, version);
+}
+
+/** Applies a whole configuration that a peer sent. */
+export function onConfigurationCopy(
+  context: ReduceContext,
+  from: string,
+  { configuration }: PeerMessageOf<"configuration">,
+): void {
+  const { state } = context;
+  state.counters.configurationCopiesReceived += 1;
+  const { configurationSync: sync } = state;
+  if (sync.request?.peerId === from) sync.request = null;
+  updatePeerVersion(state, from, configuration.version);
+  applyConfiguration(context, configuration, from);
+}
+
 /**
  * Returns the queue that a request belongs to: the queue of its host with the
  * longest prefix that matches its path; null if there is none.
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -379,13 +379,36 @@
   // A peer without a leader is answered on the next tick, so that it learns
   // which leader this instance follows, if any.
   if (message.leaderId === null) peer.nextHeartbeatAtMs = state.nowMs;
-  const version = state.configuration?.version ?? -1;
-  if (message.configurationVersion > version) {
-    sendPeer(context, from, { type: "configurationWanted" });
-  }
+  adoptConfigurationProof(state, message);
   return true;
 }
 
+/**
+ * Takes over from a peer when its configuration was known to be the newest, if
+ * this instance has the same or a later one.
+ */
+function adoptConfigurationProof(
+  { configuration, configurationSync: sync, nowMs }: EngineState,
+  { configurationVersion, configurationAgeMs }: PeerMessageOf<"heartbeat">,
+): void {
+  if (configuration === null || configurationAgeMs === undefined) return;
+  if (configurationVersion > configuration.version) return;
+  sync.provenAtMs = Math.max(sync.provenAtMs, nowMs - configurationAgeMs);
+}
+
+/**
+ * Tells a peer of this zone when the configuration in effect was known to be the
+ * newest, if it was.
+ */
+function configurationProof(
+  { self, configurationSync: { provenAtMs }, nowMs }: EngineState,
+  { info }: Peer,
+): { readonly configurationAgeMs?: number } {
+  const isNear = info.availabilityZone === self.availabilityZone;
+  if (!isNear || provenAtMs === -Infinity) return {};
+  return { configurationAgeMs: Math.round(nowMs - provenAtMs) };
+}
+
 /** Sends a heartbeat to a peer, if connected, and schedules the next one. */
 export function sendHeartbeat(context: ReduceContext, peer: Peer): void {
   const { state } = context;
@@ -415,6 +438,7 @@
     listDigest: toldListDigest(state),
     previousList: previousListReport(state, { isNew: true }),
     configurationVersion: state.configuration?.version ?? -1,
+    ...configurationProof(state, peer),
     recordsExist: state.recordsExist,
     hasZoneCells: state.hasZoneCells,
     holdsRecords: scheduler?.records.phase === "open",
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -14,7 +14,17 @@
   resendWithdrawals,
   resubmitAll,
 } from "./callers.ts";
-import { applyConfiguration, onConfigurationWanted } from "./configuration.ts";
+import {
+  applyConfiguration,
+  onConfigurationChanges,
+  onConfigurationCopy,
+  onConfigurationWanted,
+} from "./configuration.ts";
+import {
+  checkConfiguration,
+  createConfigurationSync,
+  onConfigurationAnswered,
+} from "./configuration_sync.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import { onFollowerHeartbeat } from "./followers.ts";
 import { defaultGuards } from "./guards.ts";
@@ -121,6 +131,7 @@
     lastTickAtMs: nowMs,
     delayEndedAtMs: -Infinity,
     configuration: null,
+    configurationSync: createConfigurationSync(self.instanceId),
     peers: new Map(),
     leaderId: null,
     leaderTerm: 0,
@@ -182,6 +193,10 @@
       peerMessages: 0,
       configurationCopiesSent: 0,
       configurationCopiesReceived: 0,
+      configurationChangesSent: 0,
+      configurationChangesReceived: 0,
+      configurationCalls: 0,
+      configurationCallsFailed: 0,
     },
   };
 }
@@ -217,10 +232,8 @@
   question: onQuery,
   reply: onReply,
   released: onReleased,
-  configuration: (context, from, message) => {
-    context.state.counters.configurationCopiesReceived += 1;
-    applyConfiguration(context, message.configuration, from);
-  },
+  configuration: onConfigurationCopy,
+  configurationChanges: onConfigurationChanges,
   configurationWanted: onConfigurationWanted,
   workers: (context, _from, message) => {
     onPeerWorkers(context, message);
@@ -272,7 +285,8 @@
   openingContinued: onOpeningContinued,
   recordsWritten: onRecordsWritten,
   configurationRead: (context, event) =>
-    applyConfiguration(context, event.configuration, "store"),
+    applyConfiguration(context, event.configuration, "operator"),
+  configurationAnswered: onConfigurationAnswered,
   workersRead: (context, event) => {
     onWorkersRead(context, event);
     syncOwnedWorkers(context);
@@ -353,6 +367,7 @@
   state.wallMs = event.wallMs;
   state.lastTickAtMs = state.nowMs;
   checkPeers(context);
+  checkConfiguration(context);
   forgetVanishedWorkers(state);
   checkLeadership(context);
   const { scheduler } = state;
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -67,6 +67,8 @@
 /** The configuration, which all instances share. */
 export const configurationSchema = z.object({
   version: z.number().int(),
+  /** Version of its row in the store; undefined if it is not known. */
+  rowVersion: z.number().optional(),
   queues: z.array(queueRuleSchema),
   services: z.array(serviceRuleSchema),
   maxBodyBytes: z.number().positive(),
@@ -76,6 +78,20 @@
   document: z.json().optional(),
 });
 
+/** What turns one version of the configuration into a later one. */
+export const configurationChangeSchema = configurationSchema.omit({
+  queues: true,
+}).extend({
+  /** The version that it applies to. */
+  baseVersion: z.number().int(),
+  /** The queues that it adds or replaces. */
+  changedQueues: z.array(queueRuleSchema),
+  /** Names of the queues that it drops. */
+  droppedQueues: z.array(z.string()),
+  /** Number of queues of the later version. */
+  queueCount: z.number().int(),
+});
+
 /** The resources and the run time that each task of a step needs. */
 export const jobTaskSchema = z.object({
   cpuMilli: z.number().nonnegative(),
@@ -156,6 +172,11 @@
   previousList: previousListSchema,
   /** Version of the sender's configuration; -1 if it has none. */
   configurationVersion: z.number(),
+  /**
+   * Time since that version was known to be the newest in the store; undefined
+   * if the sender doesn't know or is in another zone.
+   */
+  configurationAgeMs: z.number().optional(),
   /** Job records may exist; false once a leader has found none. */
   recordsExist: z.boolean(),
   /** Whether each zone has its own leader, by the sender's list of workers. */
@@ -382,7 +403,17 @@
     configuration: configurationSchema,
   }),
   /** Requests the recipient's configuration. */
-  z.object({ type: z.literal("configurationWanted") }),
+  z.object({
+    type: z.literal("configurationWanted"),
+    /** Version that the sender has; -1 if it has none. */
+    baseVersion: z.number().default(-1),
+  }),
+  /** The changes up to the sender's version, oldest first. */
+  z.object({
+    type: z.literal("configurationChanges"),
+    /** Empty if the sender can't tell them, nor send the configuration now. */
+    changes: z.array(configurationChangeSchema),
+  }),
   z.object({
     type: z.literal("workers"),
     ageMs: z.number(),
@@ -430,6 +461,8 @@
 export type ServiceRule = z.infer<typeof serviceRuleSchema>;
 /** See {@linkcode configurationSchema}. */
 export type Configuration = z.infer<typeof configurationSchema>;
+/** See {@linkcode configurationChangeSchema}. */
+export type ConfigurationChange = z.infer<typeof configurationChangeSchema>;
 /** See {@linkcode jobTaskSchema}. */
 export type JobTask = z.infer<typeof jobTaskSchema>;
 /** See {@linkcode stepSchema}. */
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -14,6 +14,7 @@
 import type { RunEstimate } from "./run_estimate.ts";
 import type {
   Configuration,
+  ConfigurationChange,
   FinishedRow,
   InstanceInfo,
   JobOutcome,
@@ -182,10 +183,16 @@
       readonly writeId: number;
       readonly outcome: WriteOutcome;
     }
+    /** An operator's change was accepted here. */
     | {
       readonly type: "configurationRead";
       readonly configuration: Configuration;
     }
+    | {
+      readonly type: "configurationAnswered";
+      readonly callId: number;
+      readonly outcome: ConfigurationOutcome;
+    }
     | { readonly type: "workersRead"; readonly workers: WorkerInfo[] }
     /** Reading the list of workers from the store failed. */
     | { readonly type: "workersUnreadable" }
@@ -332,7 +339,15 @@
     readonly fields: Readonly<Record<string, unknown>>;
   }
   /** A peer was added or removed, or its address has changed. */
-  | { readonly type: "peersChanged" };
+  | { readonly type: "peersChanged" }
+  /** Asks the store for the configuration, as {@linkcode ConfigurationCall}. */
+  | {
+    readonly type: "callConfiguration";
+    readonly callId: number;
+    readonly call: ConfigurationCall;
+    /** Version of the latest row that is known here; 0 if none is. */
+    readonly rowVersion: number;
+  };
 
 /** This instance's view of one peer. */
 export interface Peer {
@@ -1001,6 +1016,67 @@
   /** Whole configurations sent to peers. */
   configurationCopiesSent: number;
   configurationCopiesReceived: number;
+  /** Messages with changes of the configuration. */
+  configurationChangesSent: number;
+  configurationChangesReceived: number;
+  /** Calls of the store for the configuration, and those that failed. */
+  configurationCalls: number;
+  configurationCallsFailed: number;
+}
+
+/**
+ * How the store is asked for the configuration: `read` its row, which may be out
+ * of date; `await` a later change; or `compare` the version of its row with that
+ * of the configuration in force, which is never out of date.
+ */
+export type ConfigurationCall = "read" | "await" | "compare";
+
+/** The outcome of a {@linkcode ConfigurationCall}. */
+export type ConfigurationOutcome =
+  | { readonly kind: "found"; readonly configuration: Configuration }
+  /** There is no row, or none of another version than the one compared with. */
+  | { readonly kind: "unchanged" }
+  /** The store can't tell which changes there were. */
+  | { readonly kind: "historyLost" }
+  /** The row can't be used. */
+  | {
+    readonly kind: "invalid";
+    readonly rowVersion: number;
+    readonly detail: string;
+  }
+  | { readonly kind: "failed"; readonly detail: string };
+
+/** How this instance keeps its configuration up to date. */
+export interface ConfigurationSync {
+  /**
+   * Latest time at which the configuration in force was known to be the newest
+   * in the store; -Infinity if it has not been.
+   */
+  provenAtMs: number;
+  /** Recent changes up to the version in force, oldest first. */
+  changes: ConfigurationChange[];
+  /** The call of the store that has no outcome yet; null if there is none. */
+  call: {
+    readonly callId: number;
+    readonly kind: ConfigurationCall;
+    readonly startedAtMs: number;
+  } | null;
+  /** No call of the store before this time. */
+  nextCallAtMs: number;
+  /** The next call of the store compares the versions. */
+  mustCompare: boolean;
+  /** Failed calls of the store since the latest one that succeeded. */
+  failures: number;
+  /** Version of the newest row that could not be used; 0 if there is none. */
+  invalidRowVersion: number;
+  /** The unanswered request to a peer; null if there is none. */
+  request: { readonly peerId: string; readonly sentAtMs: number } | null;
+  /** The peer that was requested last, or this instance. */
+  lastRequestedId: string;
+  /** Time since which a live peer has had a newer version; 0 if none has. */
+  behindSinceMs: number;
+  /** Time at which a whole configuration was last sent to a peer. */
+  copySentAtMs: number;
 }
 
 /** The conditions that guarantee safety; `guards.ts` documents each of them. */
@@ -1024,6 +1100,8 @@
   ) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
+  readonly mustCompare: (proofAgeMs: number, maxAgeMs: number) => boolean;
+  readonly maySendCopy: (nowMs: number, copySentAtMs: number) => boolean;
   readonly mustFollowAnew: (term: number, followedTerm: number) => boolean;
   readonly mayBeNew: (
     submission: Pick<PeerMessageOf<"submit">, "resubmitted" | "term">,
@@ -1080,6 +1158,7 @@
   /** End of the latest delay of this process; -Infinity if there was none. */
   delayEndedAtMs: number;
   configuration: Configuration | null;
+  readonly configurationSync: ConfigurationSync;
   readonly peers: Map<string, Peer>;
   /** Id of the leader of this instance's cell; null if none is known. */
   leaderId: string | null;
--- a/src/host/fake_store.ts
+++ b/src/host/fake_store.ts
@@ -81,11 +81,17 @@
     return await operation();
   }
 
+  const answerUnchanged = () =>
+    callUnlessDown(() => ({ kind: "unchanged" as const }));
+
   const host: FakeStoreHost = {
     loseAnswers: 0,
     down: false,
-    readConfiguration: () => callUnlessDown(() => null),
-    awaitConfiguration: () => callUnlessDown(() => null),
+    configuration: {
+      read: answerUnchanged,
+      await: answerUnchanged,
+      compare: answerUnchanged,
+    },
     readWorkers: () => callUnlessDown(() => []),
     async *readPages(tablePart) {
       yield await callUnlessDown(() => store.readRows(tablePart));
--- a/src/host/store_client.ts
+++ b/src/host/store_client.ts
@@ -3,10 +3,14 @@
 import { Pool } from "undici";
 import VError from "verror";
 import { z } from "zod";
-import { type Configuration, workerInfoSchema } from "../engine/schemas.ts";
+import { workerInfoSchema } from "../engine/schemas.ts";
 import { toEngineConfiguration } from "../entry/configuration.ts";
 import { configurationDocumentSchema } from "../entry/schemas.ts";
-import type { StoreHost, StoreRow } from "../instance/hosts.ts";
+import type {
+  ConfigurationAnswer,
+  StoreHost,
+  StoreRow,
+} from "../instance/hosts.ts";
 import { sleep } from "./sleep.ts";
 
 /** Thrown when a store call fails; a write may have taken effect anyway. */
@@ -46,8 +50,6 @@
   { timeoutMs }: { timeoutMs: number },
 ): StoreHost {
   const pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS });
-  /** Version of the configuration row last read; 0 before the first read. */
-  let lastReadVersion = 0;
 
   async function post<T>(
     path: string,
@@ -78,20 +80,33 @@
     return (await post("/rows/read", tablePart, rowsSchema)).rows;
   }
 
-  /** Reads the configuration; returns null if it is absent or unchanged. */
-  async function readConfiguration(): Promise<Configuration | null> {
+  /** Reads the row of the configuration, unless it has the given version. */
+  async function readConfiguration(
+    knownVersion: number,
+  ): Promise<ConfigurationAnswer> {
     const rows = await readRows(CONFIGURATION_ROW);
     const row = rows.find(({ key }) => key === CONFIGURATION_ROW.key);
-    if (row === undefined || row.version === lastReadVersion) return null;
-    lastReadVersion = row.version;
-    return toEngineConfiguration(configurationDocumentSchema.parse(row.value));
+    if (row === undefined || row.version === knownVersion) {
+      return { kind: "unchanged" };
+    }
+    const document = configurationDocumentSchema.safeParse(row.value);
+    const rowVersion = row.version;
+    if (!document.success) {
+      const detail = document.error.message;
+      return { kind: "invalid", rowVersion, detail };
+    }
+    const configuration = toEngineConfiguration(document.data);
+    return { kind: "found", configuration: { ...configuration, rowVersion } };
   }
 
   return {
-    readConfiguration,
-    async awaitConfiguration() {
-      await sleep(CONFIGURATION_POLL_INTERVAL_MS);
-      return await readConfiguration();
+    configuration: {
+      read: () => readConfiguration(0),
+      async await(rowVersion) {
+        await sleep(CONFIGURATION_POLL_INTERVAL_MS);
+        return await readConfiguration(rowVersion);
+      },
+      compare: readConfiguration,
     },
     /** Rows that are not valid worker descriptions are skipped. */
     async readWorkers() {
--- a/src/instance/hosts.ts
+++ b/src/instance/hosts.ts
@@ -1,7 +1,9 @@
 /** The interfaces through which an instance calls workers and the store. */
 
-import type { Configuration, WorkerInfo } from "../engine/schemas.ts";
+import type { WorkerInfo } from "../engine/schemas.ts";
 import type {
+  ConfigurationCall,
+  ConfigurationOutcome,
   Effect,
   PollOutcome,
   StartOutcome,
@@ -71,18 +73,24 @@
    */
   | { readonly kind: "conflict"; readonly rows: readonly StoreRow[] };
 
+/** What the store tells of the configuration. */
+export type ConfigurationAnswer = Exclude<
+  ConfigurationOutcome,
+  { readonly kind: "failed" }
+>;
+
 /**
  * The store that outlives every instance. Calls reject while it is unavailable;
  * a rejected write may have taken effect.
  */
 export interface StoreHost {
-  /**
-   * Reads the configuration. Resolves to null if there is none, and may do so
-   * if it has not changed since the previous read.
-   */
-  readonly readConfiguration: () => Promise<Configuration | null>;
-  /** Waits for a newer configuration; resolves to null if none was found. */
-  readonly awaitConfiguration: () => Promise<Configuration | null>;
+  /** Asks for the configuration, each in its own way. */
+  readonly configuration: {
+    readonly [C in ConfigurationCall]: (
+      /** Version of the latest row that the caller knows; 0 if none. */
+      rowVersion: number,
+    ) => Promise<ConfigurationAnswer>;
+  };
   readonly readWorkers: () => Promise<WorkerInfo[]>;
   /**
    * Reads all rows of one part of a table. Each page is a response of its own,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -16,6 +16,7 @@
 import type {
   AnswerAt,
   CallerReply,
+  ConfigurationOutcome,
   Effect,
   EngineEvent,
   EngineState,
@@ -213,6 +214,20 @@
         dispatch({ type: "recordsOpened", nowMs, term, outcome });
       });
     },
+    callConfiguration: (effect) => {
+      const { callId, call, rowVersion } = effect;
+      const settle = (outcome: ConfigurationOutcome): void =>
+        dispatch({
+          type: "configurationAnswered",
+          nowMs: clock.nowMs(),
+          callId,
+          outcome,
+        });
+      store.configuration[call](rowVersion).then(
+        settle,
+        (error: Error) => settle({ kind: "failed", detail: error.message }),
+      );
+    },
     continueOpening: ({ term }) => {
       setImmediate(() =>
         dispatch({ type: "openingContinued", nowMs: clock.nowMs(), term })
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -88,9 +88,19 @@
     `bronzemill_workersListed ${state.workers.size}`,
     `bronzemill_jobsAtLeader ${scheduler?.jobs.size ?? 0}`,
     `bronzemill_configurationVersion ${state.configuration?.version ?? -1}`,
+    `bronzemill_configurationProofAgeMs ${proofAgeMs(state)}`,
   ];
 }
 
+/**
+ * Time since the configuration in effect was known to be the newest; -1 if it
+ * has not been.
+ */
+function proofAgeMs({ nowMs, configurationSync }: EngineState): number {
+  const { provenAtMs } = configurationSync;
+  return provenAtMs === -Infinity ? -1 : Math.round(nowMs - provenAtMs);
+}
+
 /** Creates an HTTP server that serves the metrics at `/metrics`. */
 export function createMetricsListener(metrics: Metrics): Server {
   return createServer((request, response) => {
--- a/src/instance/store_readers.ts
+++ b/src/instance/store_readers.ts
@@ -1,9 +1,9 @@
 /**
- * Registers the instance in the store, and periodically reads the
- * configuration, the list of workers and the registered instances from it.
+ * Registers the instance in the store, and periodically reads the list of
+ * workers and the registered instances from it.
  */
 
-import type { Configuration, InstanceInfo } from "../engine/schemas.ts";
+import type { InstanceInfo } from "../engine/schemas.ts";
 import { listToRegister } from "../engine/leader_lists.ts";
 import type {
   EngineEvent,
@@ -104,22 +104,6 @@
     }
   }
 
-  async function followConfiguration(): Promise<void> {
-    let lastReadSucceeded = false;
-    while (!stopped) {
-      const configuration: Configuration | null | undefined = await attempt(
-        lastReadSucceeded ? store.awaitConfiguration : store.readConfiguration,
-      );
-      if (stopped) return;
-      lastReadSucceeded = configuration !== undefined;
-      if (configuration === undefined) await sleep(RETRY_DELAY_MS);
-      else if (configuration !== null) {
-        const nowMs = clock.nowMs();
-        dispatch({ type: "configurationRead", nowMs, configuration });
-      }
-    }
-  }
-
   async function followWorkers(): Promise<void> {
     while (!stopped) {
       if (shouldReadWorkers(state)) {
@@ -187,7 +171,6 @@
   }
 
   void registerLists();
-  void followConfiguration();
   void followWorkers();
   void findPeers();
   return () => {
