--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -13,6 +13,7 @@
 } from "./leader_lookup.ts";
 import { previousListReport } from "./leader_lists.ts";
 import { heardFrom } from "./membership.ts";
+import { knownRule } from "./queue_rules.ts";
 import type { PeerMessageOf } from "./schemas.ts";
 import type {
   CallerJob,
@@ -143,11 +144,15 @@
   }
   // A refusal of an earlier copy must not answer for this one.
   callerJob.submissionCount += 1;
+  // A job that came before its queue was dropped keeps the rule that it had.
+  const rule = knownRule(state, callerJob.queue);
+  const version = state.configuration?.version ?? -1;
   sendPeer(context, leader.instanceId, {
     type: "submit",
     jobId: callerJob.jobId,
     submissionId: submissionIdOf(callerJob),
-    queue: callerJob.queue,
+    queue: rule ?? callerJob.queue,
+    configurationVersion: rule === null ? -1 : version,
     job: callerJob.job,
     availabilityZone: state.self.availabilityZone,
     ageMs: Math.round(state.nowMs - callerJob.receivedAtMs),
--- a/src/engine/configuration.ts
+++ b/src/engine/configuration.ts
@@ -9,6 +9,7 @@
 import { assert } from "./debug.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import { sendHeartbeat } from "./membership.ts";
+import { updateQueueRules } from "./queue_rules.ts";
 import type { Configuration, PeerMessageOf, QueueRule } from "./schemas.ts";
 import type { EngineState, Peer, ReduceContext } from "./types.ts";
 import { zoneRanking } from "./zone_ranking.ts";
@@ -37,6 +38,7 @@
     : changeBetween(present, configuration);
   sync.changes = keepChange(sync.changes, change);
   state.configuration = configuration;
+  updateQueueRules(state, configuration);
   logDecision(
     context,
     { part: "config", text: "configuration applied" },
@@ -151,7 +153,8 @@
   if (changes.length === 0) sync.mustCompare = true;
 }
 
-function updatePeerVersion(
+/** Records that a peer has at least the given version. */
+export function updatePeerVersion(
   { peers }: EngineState,
   instanceId: string,
   version: number,
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -80,6 +80,11 @@
   mayRefuse: ({ mayHaveStarted }) => !mayHaveStarted,
   /** A configuration is replaced only by one with a higher version. */
   isNewer: (version, currentVersion) => version > currentVersion,
+  /**
+   * A job goes by the newest rule of its queue that is known: its entry may have
+   * an older configuration, or a newer one.
+   */
+  hasOwnRule: (ownVersion, submittedVersion) => ownVersion >= submittedVersion,
   /**
    * A configuration that was not proved lately may have been replaced: a change
    * may be missing from the feed, and the instances that follow the store may be
--- a/src/engine/queue_demand_test.ts
+++ b/src/engine/queue_demand_test.ts
@@ -23,6 +23,7 @@
           jobId: `j${next}`,
           submissionId: `p.${next}.1`,
           queue: { ...testQueue, objectiveMs: 1e6 },
+          configurationVersion: -1,
           job: testJob(1),
           availabilityZone: "poa",
           ageMs: 0,
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -18,6 +18,7 @@
 import { nextTerm } from "./leadership.ts";
 import { maxLeaseMs } from "./leases.ts";
 import { placeQueuedTasks } from "./placement.ts";
+import { knownRule } from "./queue_rules.ts";
 import {
   createRecordState,
   mergeRecord,
@@ -270,9 +271,10 @@
   record.isRestored = true;
   const ageMs = Math.max(0, state.wallMs - row.acceptedAtMs);
   const receivedAtMs = state.nowMs - ageMs;
+  const { queue } = row;
   const job = createJob(state, {
     jobId: row.jobId,
-    queue: row.queue,
+    queue: knownRule(state, queue) ?? queue,
     spec: row.job,
     receivedAtMs,
     deadlineAtMs: receivedAtMs + (row.job.deadlineMs ?? Infinity),
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -62,6 +62,7 @@
   onReply,
 } from "./queries.ts";
 import { sampleDemands } from "./queue_demand.ts";
+import { createQueueRules } from "./queue_rules.ts";
 import { onOpeningContinued, onRecordsOpened } from "./record_opening.ts";
 import { checkRecords, onRecordsWritten } from "./record_ownership.ts";
 import {
@@ -132,6 +133,7 @@
     delayEndedAtMs: -Infinity,
     configuration: null,
     configurationSync: createConfigurationSync(self.instanceId),
+    queueRules: createQueueRules(),
     peers: new Map(),
     leaderId: null,
     leaderTerm: 0,
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -203,6 +203,8 @@
   /** Identifies the submission of the job to one leader term. */
   submissionId: z.string(),
   queue: queueRuleSchema,
+  /** Version of the configuration that `queue` is from; -1 if not told. */
+  configurationVersion: z.number().default(-1),
   job: jobSpecSchema,
   /** Zone of the sender, which is the job's entry. */
   availabilityZone: z.string(),
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -5,6 +5,7 @@
 
 import { isDeepStrictEqual } from "node:util";
 import { expectedWaitMs, refusalOf } from "./admission.ts";
+import { updatePeerVersion } from "./configuration.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import { isPaused, onFollowerSubmission } from "./followers.ts";
 import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
@@ -14,6 +15,7 @@
 import { submittedListReport } from "./leader_lists.ts";
 import { previousRunsExpireAtMs } from "./previous_runs.ts";
 import { countArrival, isSurplus } from "./queue_demand.ts";
+import { cameAfterDrop, learnRule, newestRule } from "./queue_rules.ts";
 import {
   createRecordState,
   fitsRow,
@@ -50,6 +52,8 @@
   const { scheduler } = state;
   if (scheduler === null) return;
   onFollowerSubmission(state, from, received);
+  learnRule(state, received);
+  updatePeerVersion(state, from, received.configurationVersion);
   const resubmitted = !state.guards.mayBeNew(received, scheduler.term);
   const previousList = submittedListReport(state, received);
   const message = { ...received, resubmitted, previousList };
@@ -86,7 +90,7 @@
   logSubmission(context, scheduler, { job, message, waitMs });
   const refusal = job.mayHaveStarted
     ? null
-    : immediateRefusal(state, scheduler, { job, waitMs });
+    : immediateRefusal(state, scheduler, { job, message, waitMs });
   if (refusal !== null) {
     finishJob(context, job, refusal);
     return;
@@ -107,7 +111,8 @@
   scheduler: Scheduler,
   { message, known }: { message: Submit; known: Job | undefined },
 ): Job {
-  const { jobId, queue, job: spec, ageMs, timeLeftMs } = message;
+  const { jobId, job: spec, ageMs, timeLeftMs } = message;
+  const queue = newestRule(state, message) ?? message.queue;
   const receivedAtMs = state.nowMs - ageMs;
   const isRecorded = spec.isRecorded === true;
   // A recorded job outlives its callers, so only its own deadline applies.
@@ -179,11 +184,14 @@
 function immediateRefusal(
   state: EngineState,
   scheduler: Scheduler,
-  { job, waitMs }: { job: Job; waitMs: number },
+  { job, message, waitMs }: { job: Job; message: Submit; waitMs: number },
 ): JobOutcome | null {
-  if (job.record === null) return refusalOf(state, job, waitMs);
   // The job may have a record that is not known here, so it may have started.
-  if (!knowsAllRecords(state, scheduler)) return null;
+  if (job.record !== null && !knowsAllRecords(state, scheduler)) return null;
+  if (cameAfterDrop(state, message, job.receivedAtMs)) {
+    return { kind: "refused", reason: "unknownQueue", retryAfterMs: 0 };
+  }
+  if (job.record === null) return refusalOf(state, job, waitMs);
   if (!fitsRow(job, job.record)) {
     return { kind: "refused", reason: "tooLarge", retryAfterMs: 0 };
   }
@@ -230,6 +238,10 @@
   logDecision(context, { part: "admit", text: "job received" }, {
     jobId: job.jobId,
     queue: job.queue.name,
+    service: job.queue.service,
+    // The versions that the entry and this leader know.
+    submittedVersion: message.configurationVersion,
+    configurationVersion: context.state.configuration?.version ?? -1,
     tasks: job.tasks.length,
     expectedWaitMs: Math.round(waitMs),
     expectedRunMs: Math.round(job.criticalPathMs),
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -225,6 +225,7 @@
     type: "submit",
     submissionId: `p.${fields.jobId}`,
     queue: testQueue,
+    configurationVersion: -1,
     job: testJob(1),
     availabilityZone: "poa",
     ageMs: 0,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -554,7 +554,8 @@
 /** A job at the leader. */
 export interface Job {
   readonly jobId: string;
-  readonly queue: QueueRule;
+  /** The newest rule of its queue that is known here. */
+  queue: QueueRule;
   readonly spec: JobSpec;
   readonly steps: readonly JobStep[];
   /**
@@ -1079,6 +1080,21 @@
   copySentAtMs: number;
 }
 
+/** The queues of the configuration, beyond what its document says. */
+export interface QueueRules {
+  /** The queues of the configuration in effect, by name. */
+  byName: ReadonlyMap<string, QueueRule>;
+  /** Times at which queues were dropped that have not come back since. */
+  readonly droppedAtMs: Map<string, number>;
+  /** Rules of later versions than the one in effect, as told by entries. */
+  readonly newer: Map<string, {
+    readonly configurationVersion: number;
+    readonly queue: QueueRule;
+  }>;
+  /** Time at which the first configuration took effect; Infinity before. */
+  knownSinceMs: number;
+}
+
 /** The conditions that guarantee safety; `guards.ts` documents each of them. */
 export interface Guards {
   readonly mayStartJob: (record: RecordState | null) => boolean;
@@ -1100,6 +1116,10 @@
   ) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
+  readonly hasOwnRule: (
+    ownVersion: number,
+    submittedVersion: number,
+  ) => boolean;
   readonly mustCompare: (proofAgeMs: number, maxAgeMs: number) => boolean;
   readonly maySendCopy: (nowMs: number, copySentAtMs: number) => boolean;
   readonly mustFollowAnew: (term: number, followedTerm: number) => boolean;
@@ -1159,6 +1179,7 @@
   delayEndedAtMs: number;
   configuration: Configuration | null;
   readonly configurationSync: ConfigurationSync;
+  readonly queueRules: QueueRules;
   readonly peers: Map<string, Peer>;
   /** Id of the leader of this instance's cell; null if none is known. */
   leaderId: string | null;
