--- a/src/admin/configuration_changes.ts
+++ b/src/admin/configuration_changes.ts
@@ -120,9 +120,12 @@
 ): Promise<ProposalResult> {
   const { expectedVersion, changeId, base, overlays } = proposal;
   const document = { version: expectedVersion + 1, changeId, base, overlays };
-  const existingResult = await findResult(store, document);
+  // The row that is expected must be the one that was found to have the expected
+  // version: a change that is accepted after the read must not be overwritten.
+  const documents = await readDocuments(store);
+  const existingResult = findResult(documents, document);
   if (existingResult !== null) return existingResult;
-  const stored = (await readDocuments(store)).get(CURRENT_KEY);
+  const stored = documents.get(CURRENT_KEY);
   try {
     const result = await store.transact({
       part: PART,
@@ -150,14 +153,13 @@
 }
 
 /**
- * Looks up the result of a change in the store. Returns null when the change
- * was not written and its expected version is still current.
+ * Looks up the result of a change in the stored documents. Returns null when the
+ * change was not written and its expected version is still current.
  */
-async function findResult(
-  store: StoreHost,
+function findResult(
+  stored: ReadonlyMap<string, StoredDocument>,
   document: ConfigurationDocument,
-): Promise<ProposalResult | null> {
-  const stored = await readDocuments(store);
+): ProposalResult | null {
   const accepted = stored.get(String(document.version))?.document;
   if (accepted?.changeId === document.changeId) {
     return { kind: "accepted", document: accepted };
@@ -178,7 +180,8 @@
 ): Promise<ProposalResult> {
   for (let attempt = 0; attempt < RESULT_READ_ATTEMPTS; attempt += 1) {
     await sleep(RESULT_READ_INTERVAL_MS);
-    const result = await findResult(store, document).catch(() => null);
+    const stored = await readDocuments(store).catch(() => null);
+    const result = stored === null ? null : findResult(stored, document);
     if (result !== null) return result;
   }
   throw cause;
--- a/src/admin/configuration_changes_test.ts
+++ b/src/admin/configuration_changes_test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { createFakeStoreHost } from "../host/fake_store.ts";
-import { readRows } from "../instance/hosts.ts";
+import { readRows, type StoreTransaction } from "../instance/hosts.ts";
 import {
   acceptProposal,
   checkProposal,
@@ -64,6 +64,34 @@
   expect(rows.map(({ version }) => version)).toEqual([1, 1]);
 });
 
+// Another operator's change is accepted just before a read or the write.
+for (const moment of ["read 1", "read 2", "write 1"]) {
+  test(`acceptProposal: one of two changes is accepted, raced at ${moment}`, async () => {
+    const store = createFakeStoreHost();
+    const counts = { read: 0, write: 0 };
+    const results: string[] = [];
+    async function race(call: "read" | "write"): Promise<void> {
+      counts[call] += 1;
+      if (`${call} ${counts[call]}` !== moment) return;
+      results.push(summarize(await acceptProposal(store, proposal(0, "b"))));
+    }
+    const raced = {
+      ...store,
+      async *readPages(tablePart: { table: string; part: string }) {
+        await race("read");
+        yield* store.readPages(tablePart);
+      },
+      async transact(transaction: StoreTransaction) {
+        await race("write");
+        return await store.transact(transaction);
+      },
+    };
+    results.push(summarize(await acceptProposal(raced, proposal(0, "a"))));
+    const accepted = results.filter((result) => result === "accepted 1");
+    expect(accepted.length).toEqual(1);
+  });
+}
+
 const invalidProposals: {
   name: string;
   change: Partial<Proposal>;
