--- a/bench/configuration_world.ts
+++ b/bench/configuration_world.ts
@@ -582,7 +582,8 @@
       refused.set(instance, how);
       queue.at(queue.nowMs() + fault.forMs, () => {
         refused.delete(instance);
-        instance.troubledAtMs = queue.nowMs();
+        // It may be frozen for longer.
+        instance.troubledAtMs = Math.max(instance.troubledAtMs, queue.nowMs());
       });
     }
   }
@@ -621,7 +622,7 @@
           `${version} was acknowledged at ${due.ackedAtMs}`,
       );
       // Reported once for each version.
-      instance.troubledAtMs = nowMs;
+      instance.troubledAtMs = Math.max(instance.troubledAtMs, nowMs);
     }
     queue.at(nowMs + CHECK_MS, check);
   }
