--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -483,7 +483,7 @@
 export function reconcileRuns(
   context: ReduceContext,
   worker: OwnedWorker,
-  { running, clockMs, sentAtMs, underNewFence }: {
+  { running, clockMs, sentAtMs, underNewFence, listsAllEnds }: {
     running: readonly RunningRow[];
     /** Clock of the worker at its answer. */
     clockMs: number;
@@ -493,6 +493,11 @@
      * the poll and is not listed can no longer start.
      */
     underNewFence: boolean;
+    /**
+     * Whether the worker listed all its completions. If not, a run that is not
+     * listed may have been done.
+     */
+    listsAllEnds: boolean;
   },
 ): void {
   const listed = new Set<string>();
@@ -507,6 +512,7 @@
     observeProgress(run, row.percent, clockMs);
     noteReportedProgress(context.state, run);
   }
+  if (!listsAllEnds) return;
   for (const [key, run] of worker.runs) {
     if (listed.has(key)) continue;
     const goneAtMs = run.state === "stopping"
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -38,6 +38,9 @@
   Scheduler,
 } from "./types.ts";
 
+/** Number of completions from which on a worker leaves the later ones out. */
+const MAX_LISTED_COMPLETIONS = 500;
+
 /**
  * Maximum time for which a worker delays its answer to a poll until a run
  * completes.
@@ -364,6 +367,7 @@
     clockMs: outcome.clockMs,
     sentAtMs: worker.pollSentAtMs,
     underNewFence,
+    listsAllEnds: outcome.finished.length < MAX_LISTED_COMPLETIONS,
   });
   onWorkerAnswer(context, worker);
   if (underNewFence) becomeReady(context, worker);
