--- a/src/engine/configuration.ts
+++ b/src/engine/configuration.ts
@@ -72,8 +72,10 @@
   state: EngineState,
   { rowVersion }: Configuration,
 ): void {
-  if (state.configuration === null || rowVersion === undefined) return;
-  state.configuration = { ...state.configuration, rowVersion };
+  const { configuration } = state;
+  if (configuration === null || rowVersion === undefined) return;
+  if (configuration.rowVersion === rowVersion) return;
+  state.configuration = { ...configuration, rowVersion };
 }
 
 /**
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -5,6 +5,7 @@
 
 import VError from "verror";
 import { createAdminListener } from "../admin/admin_listener.ts";
+import { isConfigured } from "../engine/configuration_sync.ts";
 import type { InstanceInfo } from "../engine/schemas.ts";
 import type { EngineState } from "../engine/types.ts";
 import { createClock } from "../host/clock.ts";
@@ -124,7 +125,8 @@
     access,
     effectiveConfiguration,
     isReady: () =>
-      effectiveConfiguration() !== null && !draining && state.leaderId !== null,
+      isConfigured(state) && effectiveConfiguration() !== null && !draining &&
+      state.leaderId !== null,
     isDraining: () => draining,
     onError: (error) => logError("callers", error),
   }, settings.entry);
