--- a/src/engine/configuration_sync.ts
+++ b/src/engine/configuration_sync.ts
@@ -33,8 +33,8 @@
 /** Bounds of the delay of the next call of the store after a failed one. */
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 800;
-/** Delay before the row is read again if there is none. */
-const NO_ROW_DELAY_MS = 250;
+/** Delay before the row is read again if there is none that can be used. */
+const READ_AGAIN_DELAY_MS = 250;
 /** Time after which a request to a peer counts as unanswered. */
 const REQUEST_TIMEOUT_MS = 400;
 /**
@@ -127,9 +127,7 @@
     applyConfiguration(context, configuration, `store, ${call}`);
   },
   unchanged: ({ state }, _outcome, call) => {
-    const { configurationSync: sync } = state;
-    if (call === "compare") sync.mustCompare = false;
-    if (call === "read") sync.nextCallAtMs = state.nowMs + NO_ROW_DELAY_MS;
+    if (call === "compare") state.configurationSync.mustCompare = false;
   },
   historyLost: ({ state }) => {
     state.configurationSync.mustCompare = true;
@@ -183,6 +181,9 @@
   sync.call = null;
   if (outcome.kind === "failed") return;
   sync.failures = 0;
+  if (call.kind === "read" && state.configuration?.rowVersion === undefined) {
+    sync.nextCallAtMs = state.nowMs + READ_AGAIN_DELAY_MS;
+  }
   // A read may return an old row, and the feed may leave out a change.
   if (call.kind === "compare") {
     sync.provenAtMs = Math.max(sync.provenAtMs, call.startedAtMs);
--- a/src/engine/configuration_sync_test.ts
+++ b/src/engine/configuration_sync_test.ts
@@ -139,6 +139,22 @@
   });
 }
 
+const unusable: ConfigurationOutcome[] = [
+  { kind: "unchanged" },
+  { kind: "invalid", rowVersion: 40, detail: "queues" },
+  { kind: "found", configuration: { ...stored, version: 0 } },
+];
+
+for (const outcome of unusable) {
+  test(`the row is read again after a delay: ${outcome.kind}`, () => {
+    const instance = createTestInstance();
+    instance.tick();
+    answer(instance, outcome);
+    expect(callsOf(instance.tick())).toEqual([]);
+    expect(callsOf(instance.tick(250)).length).toEqual(1);
+  });
+}
+
 test("a change is passed on to a peer as what it changes", () => {
   const instance = createProvenInstance(["a", "z"]);
   instance.tick();
