--- a/src/engine/configuration.ts
+++ b/src/engine/configuration.ts
@@ -42,6 +42,7 @@
     ? null
     : changeBetween(present, configuration);
   if (change !== null) sync.changes = keepChange(sync.changes, change);
+  sync.changeMessages.clear();
   state.configuration = configuration;
   updateQueueRules(state, configuration);
   logDecision(
@@ -101,17 +102,31 @@
   { info, configurationVersion }: Pick<Peer, "info" | "configurationVersion">,
 ): boolean {
   const { state } = context;
-  const { changes } = state.configurationSync;
-  const missing = changesSince(changes, configurationVersion);
-  if (missing.length === 0) return false;
+  const message = changesMessage(state, configurationVersion);
+  if (message === null) return false;
   state.counters.configurationChangesSent += 1;
-  sendPeer(context, info.instanceId, {
-    type: "configurationChanges",
-    changes: [...missing],
-  });
+  sendPeer(context, info.instanceId, message);
   return true;
 }
 
+/**
+ * Returns the message with the changes since a version, or null if they are not
+ * known. All peers get the same one, so that it is serialised once.
+ */
+function changesMessage(
+  { configurationSync: { changes, changeMessages } }: EngineState,
+  version: number,
+): PeerMessageOf<"configurationChanges"> | null {
+  const known = changeMessages.get(version);
+  if (known !== undefined) return known;
+  const missing = changesSince(changes, version);
+  if (missing.length === 0) return null;
+  const type = "configurationChanges";
+  const message: PeerMessageOf<typeof type> = { type, changes: [...missing] };
+  changeMessages.set(version, message);
+  return message;
+}
+
 /**
  * Answers a peer that requested the configuration: with the changes since its
  * version, or with the whole configuration, unless one was sent just before.
@@ -146,8 +161,7 @@
   const { state } = context;
   const { configurationSync: sync } = state;
   state.counters.configurationChangesReceived += 1;
-  if (sync.request?.peerId === from) sync.request = null;
-  updatePeerVersion(state, from, changes.at(-1)?.version ?? -1);
+  onRequestAnswered(state, from, changes.at(-1)?.version ?? -1);
   let configuration = state.configuration;
   for (const change of changes) {
     if (configuration === null) break;
@@ -161,6 +175,17 @@
   if (changes.length === 0) sync.mustCompare = true;
 }
 
+/** Notes that a peer sent a version, requested or not. */
+function onRequestAnswered(
+  state: EngineState,
+  instanceId: string,
+  version: number,
+): void {
+  const { configurationSync: sync } = state;
+  if (sync.request?.peerId === instanceId) sync.request = null;
+  updatePeerVersion(state, instanceId, version);
+}
+
 /** Records that a peer has at least the given version. */
 export function updatePeerVersion(
   { peers }: EngineState,
@@ -180,9 +205,7 @@
 ): void {
   const { state } = context;
   state.counters.configurationCopiesReceived += 1;
-  const { configurationSync: sync } = state;
-  if (sync.request?.peerId === from) sync.request = null;
-  updatePeerVersion(state, from, configuration.version);
+  onRequestAnswered(state, from, configuration.version);
   applyConfiguration(context, configuration, from);
 }
 
--- a/src/engine/configuration_changes.ts
+++ b/src/engine/configuration_changes.ts
@@ -103,6 +103,9 @@
     names.every((name) => a[name] === b[name]);
 }
 
-function queuesByName(queues: readonly QueueRule[]): Map<string, QueueRule> {
+/** Returns the queues by their names. */
+export function queuesByName(
+  queues: readonly QueueRule[],
+): Map<string, QueueRule> {
   return new Map(queues.map((queue) => [queue.name, queue]));
 }
--- a/src/engine/configuration_sync.ts
+++ b/src/engine/configuration_sync.ts
@@ -48,6 +48,7 @@
   return {
     provenAtMs: -Infinity,
     changes: [],
+    changeMessages: new Map(),
     call: null,
     nextCallAtMs: 0,
     mustCompare: false,
--- a/src/engine/configuration_sync_test.ts
+++ b/src/engine/configuration_sync_test.ts
@@ -196,6 +196,17 @@
     .toEqual([["t", "configurationChanges"], ["z", "configurationChanges"]]);
 });
 
+test("the peers that a change is passed on to get one message", () => {
+  const instance = createProvenInstance(["t", "z"]);
+  instance.tick();
+  const messages = messagesOf(instance.after(0, {
+    type: "configurationRead",
+    configuration: newer,
+  })).map(([, message]) => message);
+  expect(messages.length).toEqual(2);
+  expect(messages[0] === messages[1]).toEqual(true);
+});
+
 test("whole configurations are sent at intervals, and else refused at once", () => {
   const instance = createProvenInstance(["a", "z"]);
   const request: PeerMessage = {
--- a/src/engine/queue_rules.ts
+++ b/src/engine/queue_rules.ts
@@ -6,7 +6,7 @@
  * A configuration without queues leaves the rules to the submissions.
  */
 
-import { isSameRule } from "./configuration_changes.ts";
+import { isSameRule, queuesByName } from "./configuration_changes.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import type { Configuration, QueueRule } from "./schemas.ts";
 import type { EngineState, Job, QueueRules } from "./types.ts";
@@ -102,7 +102,7 @@
 ): void {
   const { queueRules: rules, nowMs } = state;
   rules.knownSinceMs = Math.min(rules.knownSinceMs, nowMs);
-  const byName = new Map(queues.map((queue) => [queue.name, queue]));
+  const byName = queuesByName(queues);
   for (const name of rules.byName.keys()) {
     if (!byName.has(name)) rules.droppedAtMs.set(name, nowMs);
   }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1056,6 +1056,8 @@
   provenAtMs: number;
   /** Recent changes up to the version in force, oldest first. */
   changes: ConfigurationChange[];
+  /** Messages that tell them, by the version that they begin with. */
+  readonly changeMessages: Map<number, PeerMessageOf<"configurationChanges">>;
   /** The call of the store that has no outcome yet; null if there is none. */
   call: {
     readonly callId: number;
