--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.mjs"
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,105 +1,108 @@
 /**
- * The leader is killed while stored jobs wait. Clients ask the other instances
- * how many jobs of the queue are pending.
+ * The leader's machine loses power while stored jobs run, some of which can never
+ * be done. A run that fails before the next leader is there is taken note of and
+ * not counted.
  */
 
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { runCase, send, sleep } from "../lib-2/fleet.mjs";
-import { HOST, newJobId, SERVICE, startSul } from "../lib-2/sul.mjs";
+import { runCase, send, sleep, waitFor } from "../lib-2/fleet.mjs";
+import { HOST, newJobId, startSul } from "../lib-2/sul.mjs";
 
-const RUN_MS = 2_000;
-const JOBS = 60;
-/** `visible_ms` and 2 s. */
-const VISIBLE_MS = 3_000 + 2_000;
-const ASK_INTERVAL_MS = 50;
-const ASK_FOR_MS = 4_000;
+/** `attempts` of the route `frete-ponteira`, and its jobs a second. */
+const ATTEMPTS = 2;
+const JOBS_PER_S = 70;
+const TRAFFIC_MS = 3_000;
+/** Every twentieth job can't be done: a share of 0.05. */
+const POISON_INTERVAL = 20;
+/** The power goes after this many of them were accepted and have started. */
+const POISON_BEFORE = 5;
+const STARTS_MS = 40;
 
-/** A queue whose jobs may take their time. */
-const routes = [{
-  name: "estoque-varetas",
-  host: HOST,
-  prefix: "/estoque/",
-  service: SERVICE,
-  timeout_ms: 5_000,
-  slo_ms: 20_000,
-  priority: 2,
-  attempts: 4,
-  stretch: 1.6,
-}];
+/**
+ * BUDGET: a start after `attempts` runs of the task have ended `failed`, if these
+ * ends are taken note of then or later.
+ */
+function findStartsBeyondBudget(events) {
+  const broken = [];
+  const isNoted = (end) =>
+    events.some(({ kind, worker, n }) =>
+      kind === "noted" && worker === end.worker && n === end.n
+    );
+  const failures = events.filter((event) =>
+    event.kind === "end" && event.how === "failed" && isNoted(event)
+  );
+  for (const start of events) {
+    if (start.kind !== "start") continue;
+    const before = failures.filter(({ task, atMs }) =>
+      task === start.task && atMs < start.atMs
+    );
+    if (before.length < ATTEMPTS) continue;
+    const times = before.map(({ atMs }) => `${atMs.toFixed(0)} ms`).join(", ");
+    broken.push(
+      `BUDGET: ${start.task} was started at ${
+        start.atMs.toFixed(0)
+      } ms, after its runs had failed at ${times}`,
+    );
+  }
+  return broken;
+}
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (context) => {
   const { record, trouble } = context;
-  const behave = () => ({ ms: RUN_MS, how: "done" });
-  const fleet = await startSul(context, {
-    behave,
-    workersPerZone: 1,
-    fleetRoutes: routes,
+  const behave = ({ spec }) => ({
+    ms: 100 + Math.random() * 200,
+    how: spec === "poison" ? "failed" : "done",
   });
+  const fleet = await startSul(context, { behave, workersPerZone: 5 });
   await sleep(4_000);
   const [leader] = await fleet.leaders();
   if (leader === undefined) throw new Error("there is no leader");
   const others = fleet.instances.filter((instance) => instance !== leader);
-  const accepted = [];
-  await Promise.all(Array.from({ length: JOBS }, async (_, index) => {
+  const poisonPaths = [];
+
+  async function submit(index) {
+    const isPoison = index % POISON_INTERVAL === POISON_INTERVAL - 1;
     const instance = others[index % others.length];
-    const jobId = newJobId();
+    const path = `/frete/${newJobId()}`;
     const answer = await send(instance, {
       method: "POST",
-      path: `/estoque/${jobId}`,
+      path,
       host: HOST,
       body: {
-        spec: "a rib",
-        steps: [{ count: 1, cpu: 14_000, mem_mb: 64, est_ms: RUN_MS }],
+        spec: isPoison ? "poison" : "a courier",
+        steps: [{ count: 2, cpu: 14_000, mem_mb: 64, est_ms: 200 }],
       },
     });
-    const { atMs } = record.add("POST", {
-      instance: instance.name,
-      jobId,
-      ...answer,
-    });
-    if (answer.status === 200) accepted.push({ jobId, atMs });
-  }));
-  if (accepted.length < JOBS) throw new Error("not all jobs were accepted");
-  await sleep(VISIBLE_MS + 500);
-
-  /** The jobs accepted so long ago that have not begun by now. */
-  function countPending(atMs) {
-    const begun = new Set(
-      record.events.filter(({ kind }) => kind === "start")
-        .map(({ task }) => task.split(".")[0]),
-    );
-    return accepted.filter((job) =>
-      atMs - job.atMs > VISIBLE_MS && !begun.has(job.jobId)
-    ).length;
+    record.add("POST", { instance: instance.name, path, isPoison, ...answer });
+    if (!isPoison || answer.status !== 200) return;
+    poisonPaths.push(path);
+    if (!trouble || poisonPaths.length !== POISON_BEFORE) return;
+    setTimeout(() => fleet.powerOff(leader, 3_000), STARTS_MS);
   }
 
-  const broken = [];
-  const endMs = performance.now() + ASK_FOR_MS;
-  if (trouble) fleet.signal(leader, "SIGKILL");
-  for (let turn = 0; performance.now() < endMs; turn += 1) {
-    const instance = others[turn % others.length];
-    const { status, body, error } = await send(instance, {
-      method: "GET",
-      path: "/estoque/",
-      host: HOST,
-      timeoutMs: 3_000,
-    });
-    const { atMs } = record.add("GET pending", {
-      instance: instance.name,
-      status,
-      body,
-      error,
-    });
-    const pending = countPending(atMs);
-    if (status === 200 && body.pending < pending / 2) {
-      broken.push(
-        `MIXED: ${instance.name} gives ${body.pending} as pending at ${
-          atMs.toFixed(0)
-        } ms, of ${pending} jobs`,
-      );
+  const submissions = [];
+  const startMs = performance.now();
+  for (let at = 0; at < TRAFFIC_MS; at = performance.now() - startMs) {
+    const due = Math.floor(at * JOBS_PER_S / 1_000);
+    while (submissions.length < due) {
+      submissions.push(submit(submissions.length));
     }
-    await sleep(ASK_INTERVAL_MS);
+    await sleep(5);
   }
-  return broken;
+  await Promise.all(submissions);
+  if (poisonPaths.length === 0) throw new Error("no such job was accepted");
+  await waitFor(async () => {
+    const states = await Promise.all(
+      poisonPaths.map((path) =>
+        send(others[0], { method: "GET", path, host: HOST })
+      ),
+    );
+    const ended = states.filter(({ body }) => body?.state === "failed").length;
+    record.add("GET", { instance: others[0].name, ended });
+    await sleep(500);
+    return ended === poisonPaths.length;
+  }, 20_000);
+  await sleep(1_000);
+  return findStartsBeyondBudget(record.events);
 });
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -89,8 +89,14 @@
         settle({ status: response.statusCode, body: parsed });
       });
     });
-    const timer = setTimeout(() => request.destroy(new Error("timeout")), timeoutMs);
-    request.on("error", ({ message, code }) => settle({ error: code ?? message }));
+    const timer = setTimeout(
+      () => request.destroy(new Error("timeout")),
+      timeoutMs,
+    );
+    request.on(
+      "error",
+      ({ message, code }) => settle({ error: code ?? message }),
+    );
     request.end(text);
   });
 }
@@ -115,21 +121,25 @@
       /\{\{#([\w.]+)\}\}\{\{\.\|json\}\}\{\{,\}\}\{\{\/\1\}\}/g,
       (_, path) => find(path).map((item) => JSON.stringify(item)).join(","),
     )
-    .replace(/\{\{([\w.]+)\|json\}\}/g, (_, path) =>
-      JSON.stringify(find(path) ?? null));
+    .replace(
+      /\{\{([\w.]+)\|json\}\}/g,
+      (_, path) => JSON.stringify(find(path) ?? null),
+    );
 }
 
-/** Finds a range of loopback addresses on which the ports are free. */
-async function findFreeNet() {
+/**
+ * Finds a range of loopback addresses that no other fleet uses. The server that
+ * is returned with it reserves the range.
+ */
+async function reserveNet() {
   for (let attempt = 0; attempt < 50; attempt += 1) {
     const net = `127.${30 + Math.floor(Math.random() * 200)}`;
     const server = createServer();
     const isFree = await new Promise((resolve) => {
       server.once("error", () => resolve(false));
-      server.listen(PORTS.front, `${net}.1.1`, () => resolve(true));
+      server.listen(PORTS.front, `${net}.255.1`, () => resolve(true));
     });
-    server.close();
-    if (isFree) return net;
+    if (isFree) return { net, server };
   }
   throw new Error("no free loopback addresses");
 }
@@ -144,7 +154,7 @@
   const store = await startStore();
   const directory = mkdtempSync(join(tmpdir(), "bronzemill-review-"));
   const { words, template } = readDeployFile();
-  const net = await findFreeNet();
+  const { net, server: reservation } = await reserveNet();
   const workers = [];
   const allProcesses = new Set();
   let isStopping = false;
@@ -182,7 +192,7 @@
   }
 
   function start(instance) {
-    if (isStopping) return;
+    if (isStopping || allProcesses.has(instance.process)) return;
     const { PATH, HOME, LANG } = process.env;
     const BRONZEMILL_CONFIG = writeSettings(instance);
     const log = openSync(join(directory, `${instance.name}.log`), "a");
@@ -255,9 +265,13 @@
 
   /** The instances that take themselves for the leader. */
   async function leaders() {
-    const live = instances.filter((instance) => allProcesses.has(instance.process));
+    const live = instances.filter((instance) =>
+      allProcesses.has(instance.process)
+    );
     const texts = await Promise.all(live.map(gauges));
-    return live.filter((_, index) => /^bronzemill_isLeader 1$/m.test(texts[index]));
+    return live.filter((_, index) =>
+      /^bronzemill_isLeader 1$/m.test(texts[index])
+    );
   }
 
   async function stop() {
@@ -270,6 +284,7 @@
     await waitFor(() => allProcesses.size === 0, 5_000);
     for (const worker of workers) worker.close();
     store.close();
+    reservation.close();
     if (process.env.KEEP === undefined) {
       rmSync(directory, { recursive: true, force: true });
     } else console.log(directory);
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -30,7 +30,8 @@
    */
   const faults = { mode: null, lostShare: 0, lateShare: 0, slowMs: 0 };
 
-  const idOf = ({ table, part = "", key }) => `${table}\u0000${part}\u0000${key}`;
+  const idOf = ({ table, part = "", key }) =>
+    `${table}\u0000${part}\u0000${key}`;
 
   function liveRow(id) {
     const row = rows.get(id);
@@ -123,7 +124,9 @@
     ];
     const part = all[0]?.part ?? "";
     const before = parts.get(part) ?? Promise.resolve();
-    const done = before.then(() => sleep(TX_MS + faults.slowMs)).then(() => apply(body));
+    const done = before.then(() => sleep(TX_MS + faults.slowMs)).then(() =>
+      apply(body)
+    );
     parts.set(part, done);
     return await done;
   }
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -34,6 +34,7 @@
   let startedAtMs = 0;
   let fence = 0;
   let leaseEndsMs = 0;
+  let isLeased = false;
   let nextEnd = 1;
   let runs = new Map();
   let ends = [];
@@ -57,6 +58,7 @@
     startedAtMs = performance.now();
     fence = 0;
     leaseEndsMs = 0;
+    isLeased = false;
     nextEnd = 1;
     runs = new Map();
     ends = [];
@@ -107,12 +109,16 @@
         end(key, run.how);
       } else if (nowMs >= leaseEndsMs) end(key, "lapsed");
     }
+    if (!isLeased || nowMs < leaseEndsMs) return;
+    isLeased = false;
+    record("lease lapsed", { worker: id });
   }
 
   function grant(deadlineMs) {
     if (deadlineMs === undefined) return;
     const longestMs = clockMs() + MAX_LEASE_MS;
     leaseEndsMs = Math.max(leaseEndsMs, Math.min(deadlineMs, longestMs));
+    isLeased ||= leaseEndsMs > clockMs();
   }
 
   function start({ task, run, spec, deadline_ms: deadlineMs }) {
@@ -146,7 +152,10 @@
     return { status: 200 };
   }
 
-  async function hold({ last_seen: lastSeen = 0, deadline_ms, wait_ms }, response) {
+  async function hold(
+    { last_seen: lastSeen = 0, deadline_ms, wait_ms },
+    response,
+  ) {
     grant(deadline_ms);
     const noted = ends.filter(([n]) => n <= lastSeen);
     for (const [n, task, run, how] of noted) {
@@ -216,7 +225,10 @@
   await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
   port = server.address().port;
   const address = `127.0.0.1:${port}`;
-  const timers = [setInterval(advance, CHECK_MS), setInterval(list, HEARTBEAT_MS)];
+  const timers = [
+    setInterval(advance, CHECK_MS),
+    setInterval(list, HEARTBEAT_MS),
+  ];
   reset();
   list();
 
@@ -240,7 +252,13 @@
       isUp = false;
       record("worker crashed", { worker: id, runs: runs.size });
       for (const run of runs.values()) {
-        record("end", { worker: id, task: run.task, run: run.run, how: "crashed", n: 0 });
+        record("end", {
+          worker: id,
+          task: run.task,
+          run: run.run,
+          how: "crashed",
+          n: 0,
+        });
       }
       runs = new Map();
       server.closeAllConnections();
