--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,108 +1,102 @@
 /**
- * The leader's machine loses power while stored jobs run, some of which can never
- * be done. A run that fails before the next leader is there is taken note of and
- * not counted.
+ * Five of seven machines are lost for good, the leader among the last two. Clients
+ * cancel stored jobs at the others and get no acknowledgement for 10 s.
  */
 
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { runCase, send, sleep, waitFor } from "../lib-2/fleet.mjs";
+import { runCase, send, sleep } from "../lib-2/fleet.mjs";
 import { HOST, newJobId, startSul } from "../lib-2/sul.mjs";
 
-/** `attempts` of the route `frete-ponteira`, and its jobs a second. */
-const ATTEMPTS = 2;
-const JOBS_PER_S = 70;
-const TRAFFIC_MS = 3_000;
-/** Every twentieth job can't be done: a share of 0.05. */
-const POISON_INTERVAL = 20;
-/** The power goes after this many of them were accepted and have started. */
-const POISON_BEFORE = 5;
-const STARTS_MS = 40;
-
-/**
- * BUDGET: a start after `attempts` runs of the task have ended `failed`, if these
- * ends are taken note of then or later.
- */
-function findStartsBeyondBudget(events) {
-  const broken = [];
-  const isNoted = (end) =>
-    events.some(({ kind, worker, n }) =>
-      kind === "noted" && worker === end.worker && n === end.n
-    );
-  const failures = events.filter((event) =>
-    event.kind === "end" && event.how === "failed" && isNoted(event)
-  );
-  for (const start of events) {
-    if (start.kind !== "start") continue;
-    const before = failures.filter(({ task, atMs }) =>
-      task === start.task && atMs < start.atMs
-    );
-    if (before.length < ATTEMPTS) continue;
-    const times = before.map(({ atMs }) => `${atMs.toFixed(0)} ms`).join(", ");
-    broken.push(
-      `BUDGET: ${start.task} was started at ${
-        start.atMs.toFixed(0)
-      } ms, after its runs had failed at ${times}`,
-    );
-  }
-  return broken;
-}
+const RUN_MS = 3_600;
+/** Pause of a client before it cancels again. */
+const RETRY_MS = 1_000;
+const JOBS = 12;
+/** Time between the first losses and the others. */
+const LOST_LATER_AFTER_MS = 1_500;
+/** `stable_ms`, `ack_ms` and `cancel_ms`. */
+const STABLE_MS = 3_000;
+const ACK_MS = 4_000;
+const CANCEL_MS = 3_000;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (context) => {
   const { record, trouble } = context;
-  const behave = ({ spec }) => ({
-    ms: 100 + Math.random() * 200,
-    how: spec === "poison" ? "failed" : "done",
-  });
-  const fleet = await startSul(context, { behave, workersPerZone: 5 });
+  const behave = () => ({ ms: RUN_MS, how: "done" });
+  const fleet = await startSul(context, { behave });
   await sleep(4_000);
   const [leader] = await fleet.leaders();
   if (leader === undefined) throw new Error("there is no leader");
   const others = fleet.instances.filter((instance) => instance !== leader);
-  const poisonPaths = [];
-
-  async function submit(index) {
-    const isPoison = index % POISON_INTERVAL === POISON_INTERVAL - 1;
-    const instance = others[index % others.length];
-    const path = `/frete/${newJobId()}`;
-    const answer = await send(instance, {
+  const lost = others.slice(0, 3);
+  const lostLater = [leader, others[3]];
+  const live = others.slice(4);
+  if (trouble) {
+    for (const instance of lost) fleet.signal(instance, "SIGKILL");
+  }
+  await sleep(LOST_LATER_AFTER_MS - 300);
+  const jobs = [];
+  for (let index = 0; index < JOBS; index += 1) {
+    const jobId = newJobId();
+    const path = `/cotacao/${jobId}`;
+    const answer = await send(live[index % live.length], {
       method: "POST",
       path,
       host: HOST,
       body: {
-        spec: isPoison ? "poison" : "a courier",
-        steps: [{ count: 2, cpu: 14_000, mem_mb: 64, est_ms: 200 }],
+        spec: "a rib",
+        steps: [{ count: 1, cpu: 14_000, mem_mb: 64, est_ms: RUN_MS }],
       },
     });
-    record.add("POST", { instance: instance.name, path, isPoison, ...answer });
-    if (!isPoison || answer.status !== 200) return;
-    poisonPaths.push(path);
-    if (!trouble || poisonPaths.length !== POISON_BEFORE) return;
-    setTimeout(() => fleet.powerOff(leader, 3_000), STARTS_MS);
+    record.add("POST", { path, ...answer });
+    if (answer.status === 200) jobs.push({ jobId, path });
   }
-
-  const submissions = [];
-  const startMs = performance.now();
-  for (let at = 0; at < TRAFFIC_MS; at = performance.now() - startMs) {
-    const due = Math.floor(at * JOBS_PER_S / 1_000);
-    while (submissions.length < due) {
-      submissions.push(submit(submissions.length));
-    }
-    await sleep(5);
+  if (jobs.length === 0) throw new Error("no job was accepted");
+  if (trouble) {
+    for (const instance of lostLater) fleet.signal(instance, "SIGKILL");
   }
-  await Promise.all(submissions);
-  if (poisonPaths.length === 0) throw new Error("no such job was accepted");
-  await waitFor(async () => {
-    const states = await Promise.all(
-      poisonPaths.map((path) =>
-        send(others[0], { method: "GET", path, host: HOST })
-      ),
-    );
-    const ended = states.filter(({ body }) => body?.state === "failed").length;
-    record.add("GET", { instance: others[0].name, ended });
-    await sleep(500);
-    return ended === poisonPaths.length;
-  }, 20_000);
+  await sleep(100);
+  /** From here on nothing is disrupted. */
+  await Promise.all(jobs.map(async (job, index) => {
+    for (let attempt = 0; attempt < 40; attempt += 1) {
+      const instance = live[(index + attempt) % live.length];
+      const sent = record.add("DELETE sent", {
+        instance: instance.name,
+        path: job.path,
+      });
+      job.sentAtMs ??= sent.atMs;
+      const answer = await send(instance, {
+        method: "DELETE",
+        path: job.path,
+        host: HOST,
+        timeoutMs: 3_000,
+      });
+      const { atMs } = record.add("DELETE", {
+        instance: instance.name,
+        path: job.path,
+        ...answer,
+      });
+      job.ackedAtMs = atMs;
+      if (answer.status === 200 || answer.status === 410) return;
+      await sleep(RETRY_MS);
+    }
+  }));
   await sleep(1_000);
-  return findStartsBeyondBudget(record.events);
+  const broken = [];
+  for (const { jobId, sentAtMs, ackedAtMs } of jobs) {
+    const limitMs = Math.min(ackedAtMs, sentAtMs + STABLE_MS + ACK_MS) +
+      CANCEL_MS;
+    for (const { kind, task, atMs, worker } of record.events) {
+      if (kind !== "start" || !task.startsWith(jobId) || atMs <= limitMs) {
+        continue;
+      }
+      broken.push(
+        `UNASKED: ${task} was started on ${worker} at ${
+          atMs.toFixed(0)
+        } ms; its cancellation was sent at ${
+          sentAtMs.toFixed(0)
+        } ms and acknowledged at ${ackedAtMs.toFixed(0)} ms`,
+      );
+    }
+  }
+  return broken;
 });
