--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -158,6 +158,9 @@
   const workers = [];
   const allProcesses = new Set();
   let isStopping = false;
+  process.on("exit", () => {
+    for (const child of allProcesses) child.kill("SIGKILL");
+  });
   const instances = Object.entries(zones).flatMap(([zone, count], zoneIndex) =>
     Array.from({ length: count }, (_, index) => ({
       name: `edge-${zone}-${index + 1}`,
@@ -347,6 +350,13 @@
   const record = createRecord(folder);
   const cleanups = [];
   let code = 2;
+  // An error of the script itself is not a broken rule.
+  for (const name of ["uncaughtException", "unhandledRejection"]) {
+    process.on(name, (error) => {
+      console.log(`the case couldn't run: ${error?.stack ?? error}`);
+      process.exit(2);
+    });
+  }
   try {
     const broken = await play({
       record,
