--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -141,7 +141,7 @@
       ms,
       stopAtMs: null,
     });
-    record("start", { worker: id, task, run });
+    record("start", { worker: id, task, run, labels });
     return { status: 200 };
   }
 
@@ -247,8 +247,8 @@
       else return;
       list();
     },
-    /** Crashes, and starts again under the same ID. */
-    async crash(forMs) {
+    /** Crashes, and starts again under the same ID, maybe as another kind. */
+    async crash(forMs, labelsThen = labels) {
       isUp = false;
       record("worker crashed", { worker: id, runs: runs.size });
       for (const run of runs.values()) {
@@ -265,6 +265,7 @@
       await new Promise((resolve) => server.close(resolve));
       await new Promise((resolve) => setTimeout(resolve, forMs));
       reset();
+      labels = labelsThen;
       await new Promise((resolve) => server.listen(port, "127.0.0.1", resolve));
       isUp = true;
       record("worker started", { worker: id });
