--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -27,9 +27,15 @@
   const [leader] = await fleet.leaders();
   if (leader === undefined) throw new Error("there is no leader");
   const others = fleet.instances.filter((instance) => instance !== leader);
-  const lost = others.slice(0, 3);
-  const lostLater = [leader, others[3]];
-  const live = others.slice(4);
+  // The two that are left are in two zones: only one zone loses all its machines.
+  const survivor = others.at(-1);
+  const live = [
+    others.find(({ zone }) => zone !== survivor.zone),
+    survivor,
+  ];
+  const lossOrder = others.filter((instance) => !live.includes(instance));
+  const lost = lossOrder.slice(0, 3);
+  const lostLater = [leader, ...lossOrder.slice(3)];
   if (trouble) {
     for (const instance of lost) fleet.signal(instance, "SIGKILL");
   }
