Recovery: a store that has had no records proves it after a loss of all instances

Cause: after all instances of a fleet of zone cells lost power, every worker lists completions of jobs in memory that no process remembers. A started leader takes them for completions of recorded jobs until the owner of the records has read these, and grants their workers no lease for 1,080 ms; the polls that retain them come every 20 ms. A trial (power loss at 12.5 s for 1.3 s, deployment with four zones and 246 workers, no stored jobs): leaders have all lists of runs at 14.15 s, first mass of starts at 15.35 s; 813 of 1,395 requests of seconds 14 to 16 refused. Ruled out, by added log fields: the registered list of workers (equal from the first read on), vanished workers, unread workers (none from 14.15 s on). Change: holder rows say whether their part has had records, written in the same transaction as the first one. A leader of a zone cell that reads completions of unknown jobs asks for these rows by transactions, which can't be out of date, and lets workers discard what they listed before the call. Rows of releases without the flag prove nothing. Conclusion: fleets that never stored a job need not wait for leases.

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -926,6 +926,17 @@
         dispatch(instance, incarnation, { type, nowMs, term, outcome });
       });
     },
+    checkRecords: (instance, incarnation, { term, sentAtMs }) => {
+      void instance.records?.check().then((outcome) => {
+        dispatch(instance, incarnation, {
+          type: "recordsChecked",
+          nowMs: queue.nowMs(),
+          term,
+          sentAtMs,
+          outcome,
+        });
+      });
+    },
     // After the events that arrived meanwhile, as `setImmediate` does.
     continueOpening: (instance, incarnation, { term }) => {
       const idleAtMs = Math.max(queue.nowMs(), instance.pausedUntilMs);
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -97,10 +97,16 @@
   /**
    * A worker discards a completion of an unknown job only if no record of the
    * job can exist: there are no records, or the store has confirmed since then
-   * that this leader, which has read all records, owns them.
+   * that this leader, which has read all records, owns them, or that it has had
+   * no records at all.
    */
-  mayDiscardUnknown: (recordsExist, readAtMs, { phase, confirmedAtMs }) =>
-    !recordsExist || (phase === "open" && confirmedAtMs > readAtMs),
+  mayDiscardUnknown: (
+    recordsExist,
+    readAtMs,
+    { phase, confirmedAtMs, absence },
+  ) =>
+    !recordsExist || (phase === "open" && confirmedAtMs > readAtMs) ||
+    absence.provedAtMs > readAtMs,
   /**
    * A worker that lists completions of unknown jobs gets no lease before those
    * of its previous owner have expired: that one starts the tasks again then.
--- a/src/engine/record_reports.ts
+++ b/src/engine/record_reports.ts
@@ -9,6 +9,7 @@
 
 import { sendPeer } from "./effects.ts";
 import { isActiveLeader, recordsLeader } from "./leader_lookup.ts";
+import { checkRecordsIfDue } from "./records_absence.ts";
 import {
   discardOrphanCompletions,
   processReportedCompletion,
@@ -41,6 +42,7 @@
   scheduler: Scheduler,
 ): void {
   const { state } = context;
+  checkRecordsIfDue(context, scheduler);
   for (const worker of scheduler.workers.values()) {
     discardOrphanCompletions(context, worker);
     if (state.nowMs < worker.nextReportAtMs) continue;
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -16,6 +16,7 @@
   HolderWatch,
   Job,
   RecordBatch,
+  RecordsAbsence,
   RecordState,
   RecordStoreState,
   RecordWrite,
@@ -75,6 +76,10 @@
   };
 }
 
+function createRecordsAbsence(): RecordsAbsence {
+  return { provedAtMs: -Infinity, nextCheckAtMs: 0 };
+}
+
 /** Returns the state of the records for a term that has not opened them. */
 export function createRecordStoreState(term: number): RecordStoreState {
   return {
@@ -83,6 +88,7 @@
     retryAtMs: 0,
     unavailableSinceMs: 0,
     holderWatch: createHolderWatch(),
+    absence: createRecordsAbsence(),
     wasReplaced: false,
     isOwner: false,
     openedAtMs: 0,
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -79,6 +79,7 @@
   onRunsWanted,
 } from "./record_reports.ts";
 import { flushRecords } from "./records.ts";
+import { onRecordsChecked } from "./records_absence.ts";
 import { onHolderRead } from "./records_holder.ts";
 import type { InstanceInfo, PeerMessage } from "./schemas.ts";
 import { onStartCompleted, onStopCompleted } from "./starts.ts";
@@ -296,6 +297,7 @@
   recordsOpened: onRecordsOpened,
   recordsClaimed: onRecordsClaimed,
   holderRead: onHolderRead,
+  recordsChecked: onRecordsChecked,
   openingContinued: onOpeningContinued,
   recordsWritten: onRecordsWritten,
   configurationRead: (context, event) =>
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -139,6 +139,15 @@
   | { readonly kind: "read"; readonly holder: RecordsHolder | null }
   | { readonly kind: "unavailable"; readonly detail: string };
 
+/**
+ * Whether the store has records: `none` if it has had none up to a time after
+ * the call.
+ */
+export type RecordsCheck =
+  | { readonly kind: "none" }
+  | { readonly kind: "mayExist" }
+  | { readonly kind: "unavailable"; readonly detail: string };
+
 /** Outcome of writing records in one transaction. */
 export type WriteOutcome =
   | { readonly kind: "written"; readonly version: number }
@@ -201,6 +210,14 @@
       readonly term: number;
       readonly outcome: HolderOutcome;
     }
+    /** The store was asked whether records exist. */
+    | {
+      readonly type: "recordsChecked";
+      readonly term: number;
+      /** Time at which the call was sent. */
+      readonly sentAtMs: number;
+      readonly outcome: RecordsCheck;
+    }
     /** The time to continue the takeover of the records, see `continueOpening`. */
     | { readonly type: "openingContinued"; readonly term: number }
     | {
@@ -310,6 +327,12 @@
   }
   /** Reads which instance owns the records, for the leader with the term. */
   | { readonly type: "readHolder"; readonly term: number }
+  /** Asks the store whether records exist, for the leader with the term. */
+  | {
+    readonly type: "checkRecords";
+    readonly term: number;
+    readonly sentAtMs: number;
+  }
   /**
    * Requests an `openingContinued` event after other events that have arrived:
    * the takeover of many records is divided, so that no event takes long.
@@ -1028,6 +1051,14 @@
   isAbsent: boolean;
 }
 
+/** What a leader knows of the absence of records; see `records_absence.ts`. */
+export interface RecordsAbsence {
+  /** Time up to which the store has had no records; -Infinity if not known. */
+  provedAtMs: number;
+  /** Earliest time of the next call; Infinity while one is in flight. */
+  nextCheckAtMs: number;
+}
+
 /** This leader's view of the job records in the store. */
 export interface RecordStoreState {
   /**
@@ -1042,6 +1073,7 @@
   /** Time since which the store has been unavailable; 0 while it answers. */
   unavailableSinceMs: number;
   readonly holderWatch: HolderWatch;
+  readonly absence: RecordsAbsence;
   /** Another leader has taken the records over from this one. */
   wasReplaced: boolean;
   /**
@@ -1288,7 +1320,10 @@
   readonly mayDiscardUnknown: (
     recordsExist: boolean,
     readAtMs: number,
-    records: Pick<RecordStoreState, "phase" | "confirmedAtMs">,
+    records: Pick<
+      RecordStoreState,
+      "phase" | "confirmedAtMs" | "absence"
+    >,
   ) => boolean;
   readonly mayGrantLease: (
     nowMs: number,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -223,6 +223,12 @@
         dispatch({ type: "holderRead", nowMs, term, outcome });
       });
     },
+    checkRecords: ({ term, sentAtMs }) => {
+      void records.check().then((outcome) => {
+        const nowMs = clock.nowMs();
+        dispatch({ type: "recordsChecked", nowMs, term, sentAtMs, outcome });
+      });
+    },
     callConfiguration: (effect) => {
       const { callId, call, rowVersion } = effect;
       const settle = (outcome: ConfigurationOutcome): void =>
--- a/src/instance/record_store.ts
+++ b/src/instance/record_store.ts
@@ -11,6 +11,7 @@
 import type {
   HolderOutcome,
   OpenOutcome,
+  RecordsCheck,
   StoredRecord,
   WriteOutcome,
 } from "../engine/types.ts";
@@ -36,6 +37,12 @@
   instanceId: z.string(),
   /** Absent in rows of releases that did not store it. */
   availabilityZone: z.string().nullable().default(null),
+  /**
+   * Whether the part has had records since its holder row was first written;
+   * absent in rows of releases that did not store it. It is written together with
+   * the first record, so that false proves that there is none.
+   */
+  hasRecords: z.boolean().nullable().default(null),
 });
 
 /** Opens and writes records. The promises never reject. */
@@ -47,18 +54,34 @@
   ) => Promise<OpenOutcome>;
   /** Reads which instance owns the records. */
   readonly readHolder: () => Promise<HolderOutcome>;
+  /** Asks whether any part has had records; see `RecordsCheck`. */
+  readonly check: () => Promise<RecordsCheck>;
   readonly write: (effect: EffectOf<"writeRecords">) => Promise<WriteOutcome>;
 }
 
 /** The outcome of claiming a part; `term` is that of the part's owner. */
 type ClaimResult =
-  | { readonly kind: "claimed"; readonly version: number }
+  | {
+    readonly kind: "claimed";
+    readonly version: number;
+    readonly hasRecords: boolean | null;
+  }
   | { readonly kind: "outranked"; readonly term: number };
 
 function partName(part: number): string {
   return `p${part}`;
 }
 
+/**
+ * Returns what a holder row says of records. Without a row, no release has ever
+ * owned the part, so that it has none.
+ */
+function recordFlagOf(row: StoreRow | undefined): boolean | null {
+  if (row === undefined) return false;
+  const holder = holderSchema.safeParse(row.value);
+  return holder.success ? holder.data.hasRecords : null;
+}
+
 /** Creates the record store of an instance on top of a store. */
 export function createRecordStore(
   store: StoreHost,
@@ -70,12 +93,17 @@
 ): RecordStore {
   /** By part, the version of the holder row that this instance wrote. */
   let holderVersions: number[] = [];
+  /** By part, what that row says of records; null if it doesn't say. */
+  let recordFlags: (boolean | null)[] = [];
   /** The term under which this instance opened the records last. */
   let ownTerm = 0;
 
   /** The holder row of a part that this instance owns. */
-  function holderRowOf(term: number) {
-    return { ...HOLDER_ROW, value: { term, instanceId, availabilityZone } };
+  function holderRowOf(term: number, hasRecords: boolean | null) {
+    return {
+      ...HOLDER_ROW,
+      value: { term, instanceId, availabilityZone, hasRecords },
+    };
   }
 
   async function readHolderRow(part: number): Promise<StoreRow | undefined> {
@@ -101,13 +129,14 @@
       const row = await readHolderRow(part);
       const holder = holderSchema.safeParse(row?.value);
       const holderTerm = holder.success ? holder.data.term : 0;
+      const hasRecords = recordFlagOf(row);
       if (holderTerm > term) return { kind: "outranked", term: holderTerm };
       if (row !== undefined && holderTerm === term) {
         // If the row is our own, an earlier claim took effect, but its response
         // was lost.
         const isOwn = holder.success && holder.data.instanceId === instanceId;
         return isOwn
-          ? { kind: "claimed", version: row.version }
+          ? { kind: "claimed", version: row.version, hasRecords }
           : { kind: "outranked", term };
       }
       if (abandonedVersion !== null && row?.version !== abandonedVersion) {
@@ -116,11 +145,11 @@
       const result = await store.transact({
         part: partName(part),
         expected: [{ ...HOLDER_ROW, version: row?.version ?? 0 }],
-        writes: [holderRowOf(term)],
+        writes: [holderRowOf(term, hasRecords)],
         removes: [],
       });
       if (result.kind === "done") {
-        return { kind: "claimed", version: result.version };
+        return { kind: "claimed", version: result.version, hasRecords };
       }
     }
     throw new Error(
@@ -172,11 +201,14 @@
     ownTerm = term;
     const claimResults = await claimAll({ term, abandonedVersion });
     const versions: number[] = [];
+    const flags: (boolean | null)[] = [];
     for (const result of claimResults) {
       if (result.kind === "outranked") return result;
       versions.push(result.version);
+      flags.push(result.hasRecords);
     }
     holderVersions = versions;
+    recordFlags = flags;
     onClaimed();
     const records = await Promise.all(
       RECORD_PART_NUMBERS.map(readRecordsTwice),
@@ -213,13 +245,17 @@
 
   /**
    * Writes or removes records of one part in a single transaction. In the watched
-   * part, it also gives the holder row a new version.
+   * part, it also gives the holder row a new version; in any part, the first
+   * record is written together with the holder row that tells of records.
    */
   async function writeBatch(
     { part, rows }: EffectOf<"writeRecords">,
   ): Promise<WriteOutcome> {
     const holderVersion = holderVersions[part] ?? 0;
-    const isWatched = part === WATCHED_PART;
+    const writesRecord = rows.some(({ record }) => record !== null);
+    const hasRecords = writesRecord || (recordFlags[part] ?? null);
+    const writesHolder = part === WATCHED_PART ||
+      hasRecords !== (recordFlags[part] ?? null);
     const recordRowKeys = rows.map(({ jobId }) => ({
       table: RECORDS_TABLE,
       key: jobId,
@@ -234,7 +270,7 @@
         })),
       ],
       writes: [
-        ...(isWatched ? [holderRowOf(ownTerm)] : []),
+        ...(writesHolder ? [holderRowOf(ownTerm, hasRecords)] : []),
         ...rows.flatMap(({ record }, index) =>
           record === null ? [] : [{ ...recordRowKeys[index]!, value: record }]
         ),
@@ -247,16 +283,40 @@
       return toRejection(result.rows, { part, holderVersion });
     }
     const { version } = result;
-    if (isWatched) adoptHolderVersion(part, { from: holderVersion, version });
+    if (writesHolder) {
+      adoptHolderRow(part, { from: holderVersion, version, hasRecords });
+    }
     return { kind: "written", version };
   }
 
   /** Uses a new version of the holder row, unless the part was opened anew. */
-  function adoptHolderVersion(
+  function adoptHolderRow(
     part: number,
-    { from, version }: { from: number; version: number },
+    { from, version, hasRecords }: {
+      from: number;
+      version: number;
+      hasRecords: boolean | null;
+    },
   ): void {
-    if (holderVersions[part] === from) holderVersions[part] = version;
+    if (holderVersions[part] !== from) return;
+    holderVersions[part] = version;
+    recordFlags[part] = hasRecords;
+  }
+
+  /**
+   * Asks by a transaction, not by a read, which may be out of date: it expects
+   * that the part has no holder row, and is answered with the present one.
+   */
+  async function hadNoRecords(part: number): Promise<boolean> {
+    const result = await store.transact({
+      part: partName(part),
+      expected: [{ ...HOLDER_ROW, version: 0 }],
+      writes: [],
+      removes: [],
+    });
+    if (result.kind === "done") return true;
+    const row = result.rows.find(({ table }) => table === HOLDER_ROW.table);
+    return row !== undefined && recordFlagOf(row) === false;
   }
 
   function toRejection(
@@ -273,7 +333,9 @@
         const zone = holder.success ? holder.data.availabilityZone : null;
         return { kind: "outranked", availabilityZone: zone };
       }
-      adoptHolderVersion(part, { from: holderVersion, version: row.version });
+      const { version } = row;
+      const hasRecords = recordFlagOf(row);
+      adoptHolderRow(part, { from: holderVersion, version, hasRecords });
     }
     const records = rows.filter(({ table }) => table === RECORDS_TABLE);
     return { kind: "changed", records: records.flatMap(decodeRecord) };
@@ -300,6 +362,18 @@
         return { kind: "unavailable", detail: (error as Error).message };
       }
     },
+    async check() {
+      try {
+        const answers = await Promise.all(
+          RECORD_PART_NUMBERS.map(hadNoRecords),
+        );
+        return {
+          kind: answers.every((isEmpty) => isEmpty) ? "none" : "mayExist",
+        };
+      } catch (error) {
+        return { kind: "unavailable", detail: (error as Error).message };
+      }
+    },
     async write(effect) {
       try {
         return await writeBatch(effect);
--- a/src/instance/record_store_test.ts
+++ b/src/instance/record_store_test.ts
@@ -1,6 +1,9 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import type { WriteOutcome } from "../engine/types.ts";
+import { partOf } from "../engine/records.ts";
+import type { JobRecord } from "../engine/schemas.ts";
+import { testStoredRecord } from "../engine/testing.ts";
+import type { RecordsCheck, WriteOutcome } from "../engine/types.ts";
 import { createFakeStoreHost, type FakeStoreHost } from "../host/fake_store.ts";
 import type { JsonLog } from "./json_log.ts";
 import { createRecordStore, type RecordStore } from "./record_store.ts";
@@ -20,6 +23,17 @@
   return owner.write({ type: "writeRecords", writeId: 1, part, rows: [] });
 }
 
+/** A record of a job that waits. */
+const RECORD = testStoredRecord({ jobId: "b2" }).record;
+
+function writeOf(
+  record: JobRecord,
+  expectedVersion: number,
+): Parameters<RecordStore["write"]>[0] {
+  const rows = [{ jobId: record.jobId, expectedVersion, record }];
+  return { type: "writeRecords", writeId: 2, part: partOf(record.jobId), rows };
+}
+
 function open(
   owner: RecordStore,
   term: number,
@@ -128,3 +142,91 @@
   failures = 8;
   expect((await open(owner, 3)).kind).toEqual("unavailable");
 });
+
+const recordFlags: {
+  name: string;
+  prepare: (store: FakeStoreHost) => Promise<unknown>;
+  kind: RecordsCheck["kind"];
+}[] = [
+  { name: "nobody has owned", prepare: () => Promise.resolve(), kind: "none" },
+  {
+    name: "an owner has opened",
+    prepare: (store) => open(createOwner(store, "a"), 1),
+    kind: "none",
+  },
+  {
+    name: "an owner confirms",
+    prepare: async (store) => {
+      const owner = createOwner(store, "a");
+      await open(owner, 1);
+      await confirm(owner);
+    },
+    kind: "none",
+  },
+  {
+    name: "two owners have opened in turn",
+    prepare: async (store) => {
+      await open(createOwner(store, "a"), 1);
+      await open(createOwner(store, "b"), 2);
+    },
+    kind: "none",
+  },
+  {
+    name: "an owner of a release without the flag has opened",
+    prepare: (store) =>
+      store.transact({
+        part: "p2",
+        expected: [],
+        writes: [{
+          table: "holders",
+          key: "records",
+          value: { term: 1, instanceId: "a", availabilityZone: "poa" },
+        }],
+        removes: [],
+      }),
+    kind: "mayExist",
+  },
+  {
+    name: "an owner has written to",
+    prepare: async (store) => {
+      const owner = createOwner(store, "a");
+      await open(owner, 1);
+      await owner.write(writeOf(RECORD, 0));
+    },
+    kind: "mayExist",
+  },
+  {
+    name: "a write without an answer has reached, before another owner",
+    prepare: async (store) => {
+      const owner = createOwner(store, "a");
+      await open(owner, 1);
+      store.loseAnswers = 1;
+      await owner.write(writeOf(RECORD, 0));
+      await open(createOwner(store, "b"), 2);
+    },
+    kind: "mayExist",
+  },
+];
+
+// Guards against completions of recorded jobs that are discarded as unknown.
+for (const { name, prepare, kind } of recordFlags) {
+  test(`records that ${name}: ${kind}`, async () => {
+    const store = createFakeStoreHost();
+    await prepare(store);
+    expect((await createOwner(store, "reader").check()).kind).toEqual(kind);
+  });
+}
+
+test("an owner whose first write was not answered writes again", async () => {
+  const store = createFakeStoreHost();
+  const owner = createOwner(store, "a");
+  await open(owner, 1);
+  store.loseAnswers = 1;
+  expect((await owner.write(writeOf(RECORD, 0))).kind).toEqual("unknown");
+  const changed = await owner.write(writeOf(RECORD, 0));
+  expect(changed.kind).toEqual("changed");
+  const version = changed.kind === "changed"
+    ? changed.records[0]?.version ?? 0
+    : 0;
+  expect((await owner.write(writeOf(RECORD, version))).kind).toEqual("written");
+});
