Election at start: a peer that refused and then connects counts as heard

Cause: after all instances lost power, a started instance waits until each peer has sent a message or refuses connections. Small instances refuse first, then accept, and take up to 0.5 s from there to their first message; from then on they counted as unheard again. Ruled out: rank (0 or 1, with its delay passed), the configuration and the list of workers (known at 0.06 s). Change: a peer that has refused a connection stays answered. It has just started and follows nobody; if it finds a leader, it reports it like any other.

--- a/src/engine/early_election_test.ts
+++ b/src/engine/early_election_test.ts
@@ -25,3 +25,24 @@
     expect(instance.state.scheduler !== null).toEqual(hasRead);
   });
 }
+
+const silentPeers = [
+  { name: "has refused a connection before", refuses: true },
+  { name: "may have run before", refuses: false },
+];
+
+// After all instances lost power, small ones take half a second from listening to
+// their first message; meanwhile nobody led.
+for (const { name, refuses } of silentPeers) {
+  test(`an instance whose connected, silent peer ${name} ${refuses ? "leads" : "waits"}`, () => {
+    const self = { ...testInstanceInfo("self"), cpuCores: 2 };
+    const instance = createTestInstance({ peers: ["p"], self });
+    if (refuses) {
+      instance.after(0, { type: "peerDown", instanceId: "p", refused: true });
+      instance.after(5, { type: "peerUp", instanceId: "p" });
+    }
+    instance.after(0, { type: "workersRead", workers: [testWorker("w1")] });
+    instance.tick(100);
+    expect(instance.state.scheduler !== null).toEqual(refuses);
+  });
+}
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -284,12 +284,14 @@
 /**
  * Whether the cell has peers and each of them has sent a message or refused a
  * connection. Before the list of instances is read, only peers that have
- * connected are known, not those that may follow a leader.
+ * connected are known, not those that may follow a leader. A peer that refused
+ * and then connects has just started, and knows no leader; small instances take
+ * half a second from there to their first message.
  */
 function everyPeerAnswered(state: EngineState): boolean {
   const peers = cellPeers(state);
   return state.hasReadInstances && peers.length > 0 &&
-    peers.every((peer) => peer.lastHeardAtMs > 0 || peer.refusedAtMs > 0);
+    peers.every((peer) => peer.lastHeardAtMs > 0 || peer.hasRefused);
 }
 
 /** Makes this instance the leader in a new term; it owns no workers yet. */
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -211,6 +211,7 @@
     mayHaveLeft: false,
     connected: false,
     refusedAtMs: 0,
+    hasRefused: false,
     draining: false,
     isLeader: false,
     leaderId: null,
@@ -297,7 +298,10 @@
   const wasLive = isLive(state, peer);
   peer.connected = false;
   if (wasLive) peer.heardBeforeLossAtMs = peer.lastMessageAtMs;
-  if (event.refused) peer.refusedAtMs = state.nowMs;
+  if (event.refused) {
+    peer.refusedAtMs = state.nowMs;
+    peer.hasRefused = true;
+  }
   if (!wasLive || isLive(state, peer)) return;
   peer.isLeader = false;
   logDecision(
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -446,6 +446,8 @@
    * latest successful one.
    */
   refusedAtMs: number;
+  /** The peer has refused a connection of this instance at any time. */
+  hasRefused: boolean;
   draining: boolean;
   isLeader: boolean;
   /** Id of the leader that the peer follows or is; null if there is none. */
