--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -118,16 +118,27 @@
    * persisted record, and their tasks may run again.
    */
   readonly guarantee?: "recorded" | "atMostOnce";
+  /** Upper bound on the CPU demand of a task; a multiple of the mean by default. */
+  readonly maxCpuMilli?: number;
   /** The long tail of the run times; undefined if there is none. */
   readonly tail?: {
     /** Share of jobs of which one task takes `factor` times as long. */
     readonly share: number;
     readonly factor: number;
   };
+  /** Share of tasks that take `factor` times as long; undefined if there is none. */
+  readonly taskTail?: { readonly share: number; readonly factor: number };
+  /**
+   * Time for which callers wait, who wait at least for the objective of the job;
+   * the queue's timeout if undefined.
+   */
+  readonly callerWaitMs?: number;
   /** Share of jobs that require the label of a zone's workers; 0 if undefined. */
   readonly labelShare?: number;
   /** Share of jobs of which the first task crashes each worker; 0 if undefined. */
   readonly deadlyShare?: number;
+  /** The worth of a job grows with its work, see {@linkcode worthFactor}. */
+  readonly isWorthByWork?: boolean;
   /** Value of a job that completes within its latency objective. */
   readonly worth: number;
   /** Value of a job that completes after its latency objective. */
@@ -153,6 +164,20 @@
   return Math.min(max, drawn);
 }
 
+/** Returns how long a caller waits for the end of its job. */
+function callerWaitMs({ kind, idealMs }: CallerRecord): number {
+  const { callerWaitMs: waitMs, queue } = kind;
+  if (waitMs === undefined) return queue.timeoutMs;
+  return Math.max(waitMs, queue.stretch * idealMs + queue.objectiveMs);
+}
+
+/** Returns the factor by which the work of a job changes its worth. */
+export function worthFactor({ kind, workMilliMs }: CallerRecord): number {
+  if (kind.isWorthByWork !== true) return 1;
+  const meanMilliMs = kind.width * kind.taskMs * kind.cpuMilli;
+  return Math.min(4, 0.3 + 0.7 * workMilliMs / meanMilliMs);
+}
+
 /** Options of a simulated world. */
 export interface WorldOptions {
   readonly seed: number;
@@ -201,6 +226,8 @@
    * in the next one.
    */
   readonly maxDownMs?: number;
+  /** The processor time of the engines is measured. */
+  readonly measuresCpu?: boolean;
   /** Jobs are damaged, so internal errors of jobs violate no guarantee. */
   readonly damagesJobs?: boolean;
   /** Receives the log lines of every instance. */
@@ -326,6 +353,8 @@
   readonly isDeadly: boolean;
   /** Longest run time of its tasks at run time factor 1, without queueing. */
   readonly idealMs: number;
+  /** The CPU time of all its tasks, in thousandths of a core times milliseconds. */
+  readonly workMilliMs: number;
   outcome: JobOutcome | null;
   /** The instance that got the latest request for the job, and its id there. */
   entryId: string;
@@ -436,6 +465,8 @@
    * a core times milliseconds.
    */
   readonly discardedMilliMs: () => number;
+  /** Returns the processor time of all engines in milliseconds, if measured. */
+  readonly engineCpuMs: () => number;
   /** Returns the IDs of the instances that are leaders. */
   readonly leaders: () => string[];
   /**
@@ -541,6 +572,7 @@
   /** The lists of workers that were read lately, in the order of time. */
   const listHistory: { atMs: number; workers: WorkerInfo[] }[] = [];
   let discardedMilliMs = 0;
+  let engineCpuMs = 0;
   let jobCount = 0;
   let queryCount = 0;
   const store = createFakeStore();
@@ -878,6 +910,7 @@
     event: EngineEvent,
   ): Effect[] {
     if (instance.state === null) return [];
+    const before = options.measuresCpu === true ? process.cpuUsage() : null;
     try {
       return reduce(instance.state, event);
     } catch (error) {
@@ -885,6 +918,11 @@
       violations.push(`invariant: ${error.message}`);
       kill(instance, 500);
       return [];
+    } finally {
+      if (before !== null) {
+        const used = process.cpuUsage(before);
+        engineCpuMs += (used.user + used.system) / 1_000;
+      }
     }
   }
 
@@ -1503,7 +1541,7 @@
       drawLognormal(random, {
         mean: kind.cpuMilli,
         spread: CPU_SPREAD,
-        max: MAX_CPU_FACTOR * kind.cpuMilli,
+        max: kind.maxCpuMilli ?? MAX_CPU_FACTOR * kind.cpuMilli,
       }) / 50,
     );
     const declaredMs = drawLognormal(random, {
@@ -1539,6 +1577,7 @@
       random() < kind.deadlyShare;
     const longTask = drawLongTask(kind, width);
     let idealMs = 0;
+    let workMilliMs = 0;
     for (let stepIndex = 0; stepIndex < stepCount; stepIndex += 1) {
       let longestMs = 0;
       for (let index = 0; index < width; index += 1) {
@@ -1546,9 +1585,11 @@
           mean: jobMs,
           spread: TASK_SPREAD,
         });
-        const runMs = index === longTask
+        const tailMs = index === longTask
           ? drawnMs * (kind.tail?.factor ?? 1)
           : drawnMs;
+        const runMs = tailMs * drawTaskFactor(kind);
+        workMilliMs += runMs * cpuMilli;
         longestMs = Math.max(longestMs, runMs);
         simulatedTasks.set(`${jobId}.0.${stepIndex}.${index}`, {
           cpuMilli,
@@ -1568,6 +1609,7 @@
       width,
       isDeadly,
       idealMs,
+      workMilliMs,
       outcome: null,
       entryId: instanceId,
       requestId: jobId,
@@ -1597,7 +1639,7 @@
       jobId,
       queue: kind.queue,
       job: spec,
-      timeoutMs: kind.queue.timeoutMs,
+      timeoutMs: callerWaitMs(record),
       answerAt: kind.guarantee === "recorded" ? "accepted" : "ended",
     });
   }
@@ -1614,6 +1656,12 @@
     return Math.floor(random() * width);
   }
 
+  /** Draws the factor of the run time of a task; 1 unless the kind has a tail. */
+  function drawTaskFactor({ taskTail }: JobKind): number {
+    if (taskTail === undefined || random() >= taskTail.share) return 1;
+    return taskTail.factor;
+  }
+
   function queryAnyInstance(
     query: JobQuery,
     onReply: (reply: Reply) => void,
@@ -1815,6 +1863,7 @@
       isStoreUnavailable = isUnavailable;
     },
     discardedMilliMs: () => discardedMilliMs,
+    engineCpuMs: () => engineCpuMs,
     leaders: () =>
       instances.filter((instance) => instance.state?.scheduler != null)
         .map((instance) => instance.instanceId),
