Placement and admission: less processor time near overload, same decisions

Cause: each poll and each start went through all waiting jobs and, for each, through all workers, although nearly none of the tasks fit anywhere; and each refusal after waiting computed the waits of the whole queue, and the ends of all runs, anew.

An empty queue is not gone through. Expected waits are computed for the jobs that are asked for only, and a refusal or a moved job keeps the capacity of the workers, whose runs it doesn't change.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -92,8 +92,11 @@
 export interface ExpectedWaits {
   /** Returns the expected wait of a job, in milliseconds. */
   readonly get: (job: Job) => number;
-  /** Discards the computed waits; to be called when the queues have changed. */
-  readonly reset: () => void;
+  /**
+   * Discards the computed waits; to be called when the queues have changed, or
+   * the runs have, too.
+   */
+  readonly reset: (changed: "queues" | "runs") => void;
 }
 
 /**
@@ -104,43 +107,55 @@
   context: ReduceContext,
   scheduler: Scheduler,
 ): ExpectedWaits {
-  let known = new Map<string, Map<Job, number>>();
+  const { state } = context;
+  const loads = new Map<string, Map<Job, QueuedLoad>>();
+  const capacities = new Map<string, ServiceCapacity>();
 
-  function waitsOf(service: string): Map<Job, number> {
-    let waits = known.get(service);
-    if (waits === undefined) {
-      waits = computeQueueWaits(context, scheduler, service);
-      known.set(service, waits);
+  function loadsOf(service: string): Map<Job, QueuedLoad> {
+    let known = loads.get(service);
+    if (known === undefined) {
+      known = computeLoadsAhead(context, scheduler, service);
+      loads.set(service, known);
     }
-    return waits;
+    return known;
+  }
+
+  function capacityOf(service: string): ServiceCapacity {
+    let known = capacities.get(service);
+    if (known === undefined) {
+      known = createServiceCapacity(state, scheduler, service);
+      capacities.set(service, known);
+    }
+    return known;
   }
 
   return {
-    get: (job) =>
-      waitsOf(job.queue.service).get(job) ??
-        expectedWaitMs(context, scheduler, job),
-    reset() {
-      known = new Map();
+    get(job) {
+      const { service } = job.queue;
+      const ahead = loadsOf(service).get(job);
+      if (ahead === undefined) return expectedWaitMs(context, scheduler, job);
+      return waitOf(capacityOf(service), { ahead, job });
+    },
+    reset(changed) {
+      loads.clear();
+      if (changed === "runs") capacities.clear();
     },
   };
 }
 
-/** Returns the expected wait of every job in a service's queue. */
-function computeQueueWaits(
+/** Returns the load before every job in a service's queue. */
+function computeLoadsAhead(
   context: ReduceContext,
   scheduler: Scheduler,
   service: string,
-): Map<Job, number> {
-  const waits = new Map<Job, number>();
-  const jobs = scheduler.waiting.get(service) ?? [];
-  if (jobs.length === 0) return waits;
-  const capacity = createServiceCapacity(context.state, scheduler, service);
+): Map<Job, QueuedLoad> {
+  const loads = new Map<Job, QueuedLoad>();
   const ahead: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
-  for (const job of jobs) {
-    waits.set(job, waitOf(capacity, { ahead, job }));
+  for (const job of scheduler.waiting.get(service) ?? []) {
+    loads.set(job, { ...ahead });
     addQueuedLoad(context, ahead, job);
   }
-  return waits;
+  return loads;
 }
 
 /** The queued tasks of some jobs. */
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -46,35 +46,36 @@
   const waits = createExpectedWaits(context, scheduler);
   for (const job of scheduler.jobs.values()) {
     if (job.outcome !== null) continue;
-    const hasChanged = isolateJob(context, job, {
+    const changed = isolateJob<"queues" | "runs" | null>(context, job, {
       stage: "admit",
-      fallback: true,
+      fallback: "runs",
       run: () => checkJob(context, scheduler, { job, waits }),
     });
-    if (hasChanged) waits.reset();
+    if (changed !== null) waits.reset(changed);
   }
   discardEndedJobs(state, scheduler);
   removeExpiredRecords(state, scheduler);
 }
 
-/** Checks one job. Returns whether the queues have changed. */
+/** Checks one job. Returns what has changed, or null. */
 function checkJob(
   context: ReduceContext,
   scheduler: Scheduler,
   { job, waits }: { job: Job; waits: ExpectedWaits },
-): boolean {
+): "queues" | "runs" | null {
   const { state } = context;
-  if (checkEntries(context, job)) return true;
+  if (checkEntries(context, job)) return "runs";
   const outcome = recheckAdmission(context, scheduler, { job, waits }) ??
     lostOutcome(state, scheduler, job);
   if (outcome !== null) {
     finishJob(context, job, outcome);
-    return true;
+    // A refused job has no runs.
+    return outcome.kind === "refused" ? "queues" : "runs";
   }
   const isMoved = demoteIfLate(state, scheduler, job);
-  if (state.nowMs < job.deadlineAtMs) return isMoved;
+  if (state.nowMs < job.deadlineAtMs) return isMoved ? "queues" : null;
   finishJob(context, job, { kind: "unknown", reason: "deadline" });
-  return true;
+  return "runs";
 }
 
 /**
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -23,6 +23,7 @@
   ReduceContext,
   Scheduler,
   Task,
+  WorkerRoom,
 } from "./types.ts";
 
 /**
@@ -46,6 +47,7 @@
   const { scheduler } = state;
   const waiting = scheduler?.waiting.get(service);
   if (scheduler === null || waiting === undefined) return;
+  if (waiting.length === 0) return;
   const workers = [...scheduler.workers.values()].filter((worker) =>
     worker.info.service === service && acceptsTasks(state, worker)
   );
@@ -57,6 +59,10 @@
     ? workers
     : workers.filter(({ info }) => !borrowed.has(info.workerId));
   const listsReadAtMs = createListsReadAt(state, scheduler);
+  const ownCandidates = createCandidates(state, ownWorkers);
+  const candidates = ownWorkers === workers
+    ? ownCandidates
+    : createCandidates(state, workers);
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
     if (
@@ -70,7 +76,11 @@
       stage: "place",
       fallback: true,
       run: () => {
-        placeJob(context, job.record === null ? ownWorkers : workers, job);
+        placeJob(
+          context,
+          job.record === null ? ownCandidates : candidates,
+          job,
+        );
         return hasQueuedTasks(job);
       },
     });
@@ -138,10 +148,65 @@
   return readAtMs === -Infinity || readAtMs < job.resumedAtMs;
 }
 
+/** The workers that may get tasks in one event. */
+interface Candidates {
+  readonly workers: OwnedWorker[];
+  /** The most of each resource that any of them has left. */
+  room: WorkerRoom;
+  /** The number of started tasks for which `room` was computed. */
+  startCount: number;
+}
+
+function createCandidates(
+  state: EngineState,
+  workers: OwnedWorker[],
+): Candidates {
+  const startCount = state.counters.tasksStarted;
+  return { workers, room: largestRoom(state, workers), startCount };
+}
+
+/** Returns the most of each resource that any of the workers has left. */
+function largestRoom(state: EngineState, workers: OwnedWorker[]): WorkerRoom {
+  const info = { cpuMilli: 0, memoryMb: 0, accelerators: 0 };
+  for (const worker of workers) {
+    if (!acceptsTasks(state, worker)) continue;
+    info.cpuMilli = Math.max(
+      info.cpuMilli,
+      worker.info.cpuMilli - worker.usedCpuMilli,
+    );
+    info.memoryMb = Math.max(
+      info.memoryMb,
+      worker.info.memoryMb - worker.usedMemoryMb,
+    );
+    info.accelerators = Math.max(
+      info.accelerators,
+      worker.info.accelerators - worker.usedAccelerators,
+    );
+  }
+  return { info, usedCpuMilli: 0, usedMemoryMb: 0, usedAccelerators: 0 };
+}
+
+/**
+ * Whether a task may fit on one of the workers. Near overload most waiting tasks
+ * fit nowhere, which is known here without a look at each worker.
+ */
+function mayFit(
+  state: EngineState,
+  candidates: Candidates,
+  task: Task,
+): boolean {
+  const startCount = state.counters.tasksStarted;
+  if (candidates.startCount !== startCount) {
+    candidates.startCount = startCount;
+    candidates.room = largestRoom(state, candidates.workers);
+  }
+  return state.guards.hasRoom(candidates.room, task);
+}
+
 /** Starts the queued tasks of a job, up to the first that fits nowhere. */
 function placeJob(
   context: ReduceContext,
-  workers: OwnedWorker[],
+  candidates: Candidates,
   job: Job,
 ): void {
   const isSuspected = isSuspectedQueue(context.state, job.queue.name);
@@ -152,10 +217,14 @@
       continue;
     }
     if (task.runsAlone) {
-      startTrial(context, workers, { job, task });
+      startTrial(context, candidates.workers, { job, task });
       continue;
     }
-    const worker = chooseWorker(context.state, workers, { task, isSuspected });
+    if (!mayFit(context.state, candidates, task)) return;
+    const worker = chooseWorker(context.state, candidates.workers, {
+      task,
+      isSuspected,
+    });
     if (worker === null) return;
     startRun(context, worker, { job, task });
   }
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -741,6 +741,14 @@
   readonly queueName: string | null;
 }
 
+/** The capacity of a worker, and what of it is in use. */
+export interface WorkerRoom {
+  readonly info: Pick<WorkerInfo, "cpuMilli" | "memoryMb" | "accelerators">;
+  readonly usedCpuMilli: number;
+  readonly usedMemoryMb: number;
+  readonly usedAccelerators: number;
+}
+
 /** A worker that this instance as the leader owns, is acquiring or has lost. */
 export interface OwnedWorker {
   info: WorkerInfo;
@@ -1234,7 +1242,7 @@
   readonly mayComplete: (task: Pick<Task, "state">) => boolean;
   readonly mayAttachRun: (task: Pick<Task, "state">) => boolean;
   readonly mayRunAgain: (job: Job, kind: TaskCompletion["kind"]) => boolean;
-  readonly hasRoom: (worker: OwnedWorker, task: Task) => boolean;
+  readonly hasRoom: (worker: WorkerRoom, task: Task) => boolean;
   readonly mayServe: (worker: OwnedWorker) => boolean;
   readonly hasExpired: (nowMs: number, expiresAtMs: number) => boolean;
   readonly mayAcquire: (
