Placement: compute the room of workers only when a task asks for it

The room was computed at each event. Now it is when the first task asks, and without a look at whether each worker still accepts tasks: more room than there is only leads to the look at single workers, as before.

--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -59,10 +59,10 @@
     ? workers
     : workers.filter(({ info }) => !borrowed.has(info.workerId));
   const listsReadAtMs = createListsReadAt(state, scheduler);
-  const ownCandidates = createCandidates(state, ownWorkers);
+  const ownCandidates = createCandidates(ownWorkers);
   const candidates = ownWorkers === workers
     ? ownCandidates
-    : createCandidates(state, workers);
+    : createCandidates(workers);
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
     if (
@@ -151,38 +151,34 @@
 /** The workers that may get tasks in one event. */
 interface Candidates {
   readonly workers: OwnedWorker[];
-  /** The most of each resource that any of them has left. */
-  room: WorkerRoom;
+  /** The most of each resource that any of them has left; null until needed. */
+  room: WorkerRoom | null;
   /** The number of started tasks for which `room` was computed. */
   startCount: number;
 }
 
-function createCandidates(
-  state: EngineState,
-  workers: OwnedWorker[],
-): Candidates {
-  const startCount = state.counters.tasksStarted;
-  return { workers, room: largestRoom(state, workers), startCount };
+function createCandidates(workers: OwnedWorker[]): Candidates {
+  return { workers, room: null, startCount: 0 };
 }
 
-/** Returns the most of each resource that any of the workers has left. */
-function largestRoom(state: EngineState, workers: OwnedWorker[]): WorkerRoom {
-  const info = { cpuMilli: 0, memoryMb: 0, accelerators: 0 };
+/**
+ * Returns the most of each resource that any of the workers has left, whether it
+ * still accepts tasks or not.
+ */
+function largestRoom(workers: OwnedWorker[]): WorkerRoom {
+  let cpuMilli = 0;
+  let memoryMb = 0;
+  let accelerators = 0;
   for (const worker of workers) {
-    if (!acceptsTasks(state, worker)) continue;
-    info.cpuMilli = Math.max(
-      info.cpuMilli,
-      worker.info.cpuMilli - worker.usedCpuMilli,
-    );
-    info.memoryMb = Math.max(
-      info.memoryMb,
-      worker.info.memoryMb - worker.usedMemoryMb,
-    );
-    info.accelerators = Math.max(
-      info.accelerators,
-      worker.info.accelerators - worker.usedAccelerators,
+    const { info } = worker;
+    cpuMilli = Math.max(cpuMilli, info.cpuMilli - worker.usedCpuMilli);
+    memoryMb = Math.max(memoryMb, info.memoryMb - worker.usedMemoryMb);
+    accelerators = Math.max(
+      accelerators,
+      info.accelerators - worker.usedAccelerators,
     );
   }
+  const info = { cpuMilli, memoryMb, accelerators };
   return { info, usedCpuMilli: 0, usedMemoryMb: 0, usedAccelerators: 0 };
 }
 
@@ -196,9 +192,9 @@
   task: Task,
 ): boolean {
   const startCount = state.counters.tasksStarted;
-  if (candidates.startCount !== startCount) {
+  if (candidates.room === null || candidates.startCount !== startCount) {
     candidates.startCount = startCount;
-    candidates.room = largestRoom(state, candidates.workers);
+    candidates.room = largestRoom(candidates.workers);
   }
   return state.guards.hasRoom(candidates.room, task);
 }
