Peers: a message from a peer ends the wait for a connection to it

Cause: an instance that starts while a peer's host has no power yet waits 0.75 s for its connection (its first packet is lost; 600 ms to the time-out, and 150 ms more), also when the peer is up and sends messages meanwhile. The peer gets no message that long and takes this instance for one that may follow a leader. Change: a message from a peer whose link is not connected starts a new attempt, at most every 150 ms.

--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -64,6 +64,8 @@
   queue: PeerMessage[];
   timer: NodeJS.Timeout | null;
   lastReceivedAtMs: number;
+  /** Time of the latest attempt to connect. */
+  attemptedAtMs: number;
   failures: number;
   closed: boolean;
 }
@@ -115,7 +117,10 @@
     }
     const { from, messages } = delivery.data;
     const link = links.get(from);
-    if (link !== undefined) link.lastReceivedAtMs = performance.now();
+    if (link !== undefined) {
+      link.lastReceivedAtMs = performance.now();
+      retryIfWaiting(link);
+    }
     for (const item of messages) receiveItem(from, item);
   }
 
@@ -130,8 +135,30 @@
     handlers.onMessage(from, message);
   }
 
+  /**
+   * Connects anew to a peer that sends messages while an earlier attempt to
+   * connect to it waits. That attempt was made before the peer's host was up, so
+   * its first packet is lost, and it would wait for `CONNECT_TIMEOUT_MS`.
+   */
+  function retryIfWaiting(link: Link): void {
+    const waitedMs = performance.now() - link.attemptedAtMs;
+    if (link.connected || waitedMs < RECONNECT_DELAY_STEP_MS) return;
+    link.attemptedAtMs = performance.now();
+    if (link.timer !== null) {
+      clearTimeout(link.timer);
+      link.timer = null;
+      openLink(link);
+      return;
+    }
+    // Its close event opens the next connection.
+    link.failures = -1;
+    link.socket?.destroy();
+  }
+
   function openLink(link: Link): void {
+    link.timer = null;
     if (link.closed) return;
+    link.attemptedAtMs = performance.now();
     const { host, port } = parseAddress(link.address);
     const socket = connect({ host, port, noDelay: true });
     let refused = false;
@@ -253,6 +280,7 @@
     queue: [],
     timer: null,
     lastReceivedAtMs: 0,
+    attemptedAtMs: 0,
     failures: 0,
     closed: false,
   };
