Evacuation of a zone: read from the store, passed on by heartbeats

Cause: operators had no means to keep tasks off the workers of a zone, apart from draining each worker.

Leaders read the rows evacuate/ZONE of table op, at once when they become leaders and every 1.5 s; heartbeats tell the zones and their age, and each instance keeps the freshest report. Workers of an evacuated zone get no task, don't count as capacity, and are neither lent nor asked for. A leader whose knowledge is as old as the bound starts nothing before it has tried to read the store. Without the setting evacuateMs there is no read, no state and no field in heartbeats.

Ruled out: ages of reports counted from their arrival. Two instances that pass an old report on in turn would make it younger with each hop, and undo a newer read; the age is counted from the recipient's latest heartbeat that the sender had seen. Ruled out: the change feed of the store, which may skip changes.

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -1332,6 +1332,7 @@
         compare: resolveUnchanged,
       },
       readWorkers: () => Promise.resolve([]),
+      readEvacuations: () => Promise.resolve([]),
       async *readPages(tablePart) {
         yield await call(() => store.readRows(tablePart));
       },
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -117,6 +117,10 @@
 function fillTemplate(template, fields) {
   const find = (path) => path.split(".").reduce((at, key) => at?.[key], fields);
   return template
+    .replace(
+      /\{\{#([\w.]+)\}\}\n([^]*?)\{\{\/\1\}\}\n/g,
+      (_, path, content) => find(path) === undefined ? "" : content,
+    )
     .replace(
       /\{\{#([\w.]+)\}\}\{\{\.\|json\}\}\{\{,\}\}\{\{\/\1\}\}/g,
       (_, path) => find(path).map((item) => JSON.stringify(item)).join(","),
--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -20,6 +20,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
+import { isEvacuated } from "./zones/evacuation.ts";
 
 /** Expected wait reported to peers for a service without usable workers. */
 const NO_WORKERS_WAIT_MS = 600_000;
@@ -187,12 +188,13 @@
 
 /** Whether workers of other zones may run the tasks of a job. */
 function mayBorrowWorkers(
-  { hasZoneCells, workers }: EngineState,
+  state: EngineState,
   { record, queue }: Job,
 ): boolean {
-  if (record === null || !hasZoneCells) return false;
-  return [...workers.values()].some(({ service, draining }) =>
-    service === queue.service && !draining
+  if (record === null || !state.hasZoneCells) return false;
+  return [...state.workers.values()].some((info) =>
+    info.service === queue.service && !info.draining &&
+    !isEvacuated(state, info)
   );
 }
 
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -53,6 +53,21 @@
     usedAccelerators + task.demand.accelerators <= info.accelerators,
   /** Draining or released workers get no tasks. */
   mayServe: ({ info, released }) => !info.draining && !released,
+  /** No task starts on a worker of an evacuated zone. */
+  mayUseZone: (isEvacuated) => !isEvacuated,
+  /**
+   * What is known of evacuations is too old to start tasks by if one may have
+   * been written and its time have passed since, unless this leader has just
+   * tried to read the store.
+   */
+  mayTrustEvacuations: (nowMs, { knownAtMs, attemptedAtMs, evacuateMs }) =>
+    nowMs - Math.max(knownAtMs, attemptedAtMs) < evacuateMs,
+  /**
+   * A report of evacuated zones may have been delayed on its way. It was sent
+   * after its sender had heard this instance, whose clock was rounded. Otherwise
+   * instances that pass on an old report in turn would make it seem fresh.
+   */
+  provenSentAtMs: (_nowMs, heardAtMs) => (heardAtMs ?? -Infinity) - 1,
   /** Runs on lost workers occupy capacity until their leases have expired. */
   hasExpired: (nowMs, expiresAtMs) => nowMs >= expiresAtMs,
   /**
--- a/src/engine/leader_lookup.ts
+++ b/src/engine/leader_lookup.ts
@@ -2,6 +2,7 @@
 
 import { isLive, LEADER_TIMEOUT_MS } from "./membership.ts";
 import type { CallerJob, EngineState, Peer } from "./types.ts";
+import { isEvacuated } from "./zones/evacuation.ts";
 
 /** A leader and its term. */
 export interface LeaderTerm {
@@ -210,6 +211,7 @@
   let bestWaitMs = MAX_SPILL_WAIT_MS;
   for (const peer of state.peers.values()) {
     if (peer.info.availabilityZone === state.self.availabilityZone) continue;
+    if (isEvacuated(state, peer.info)) continue;
     const waitMs = peer.waitMsByService[service];
     if (waitMs === undefined || waitMs >= bestWaitMs) continue;
     if (!isActiveLeader(state, peer)) continue;
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -26,6 +26,7 @@
 import { createRecordStoreState } from "./records.ts";
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import { createWorkerLoans } from "./worker_loans.ts";
+import { beginEvacuationReads } from "./zones/evacuation.ts";
 import type {
   EngineEventOf,
   EngineState,
@@ -313,6 +314,7 @@
     workersAgeMs: Math.round(state.nowMs - state.workersReadAtMs),
     leaderlessMs: Math.round(state.nowMs - state.leaderlessSinceMs),
   });
+  beginEvacuationReads(context);
   heartbeatAll(context);
   sendWorkerList(context);
   resubmitAll(context);
--- a/src/engine/loan_grants.ts
+++ b/src/engine/loan_grants.ts
@@ -14,6 +14,7 @@
   Scheduler,
 } from "./types.ts";
 import { isSettled, tasksThatFit } from "./worker_loans.ts";
+import { isEvacuated } from "./zones/evacuation.ts";
 
 /** Time without a message from a borrower after which its loans end. */
 const LOAN_TIMEOUT_MS = 1_200;
@@ -143,7 +144,8 @@
   return worker.phase === "ready" && state.guards.mayServe(worker) &&
     worker.unsizedRunCount === 0 && worker.trialCount === 0 &&
     worker.crash === null && state.nowMs >= worker.usableFromMs &&
-    state.nowMs >= worker.suspendedUntilMs;
+    state.nowMs >= worker.suspendedUntilMs &&
+    !isEvacuated(state, worker.info);
 }
 
 /** The capacity for a service that may still be lent. */
@@ -156,13 +158,13 @@
   let usedMilli = 0;
   for (const { info, usedCpuMilli } of workers.values()) {
     if (info.service !== service || info.draining) continue;
-    if (loans.borrowed.has(info.workerId)) continue;
+    if (loans.borrowed.has(info.workerId) || isEvacuated(state, info)) continue;
     allMilli += info.cpuMilli;
     usedMilli += usedCpuMilli;
   }
   for (const workerId of loans.lent.keys()) {
     const info = state.workers.get(workerId);
-    if (info?.service !== service) continue;
+    if (info?.service !== service || isEvacuated(state, info)) continue;
     allMilli += info.cpuMilli;
     usedMilli += info.cpuMilli;
   }
--- a/src/engine/loan_requests.ts
+++ b/src/engine/loan_requests.ts
@@ -21,6 +21,7 @@
   Task,
 } from "./types.ts";
 import { isSettled, tasksThatFit } from "./worker_loans.ts";
+import { isEvacuated } from "./zones/evacuation.ts";
 
 /** Interval of the messages to a lender while there are demands or loans. */
 const REQUEST_INTERVAL_MS = 200;
@@ -168,7 +169,7 @@
   for (const info of state.workers.values()) {
     const { availabilityZone } = info;
     if (availabilityZone === state.self.availabilityZone) continue;
-    if (zones.has(availabilityZone)) continue;
+    if (zones.has(availabilityZone) || isEvacuated(state, info)) continue;
     if (tasksThatFit(info, demand) > 0) zones.add(availabilityZone);
   }
   return zones;
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -16,6 +16,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
+import { evacuationReport, onEvacuationReport } from "./zones/evacuation.ts";
 
 /**
  * Interval of heartbeats from a leader, to the sender's leader, to leaders of
@@ -391,6 +392,7 @@
   // which leader this instance follows, if any.
   if (message.leaderId === null) peer.nextHeartbeatAtMs = state.nowMs;
   adoptConfigurationProof(state, message);
+  onEvacuationReport(context, from, message);
   return true;
 }
 
@@ -450,6 +452,7 @@
     previousList: previousListReport(state, { isNew: true }),
     configurationVersion: state.configuration?.version ?? -1,
     ...configurationProof(state, peer),
+    ...evacuationReport(state),
     recordsExist: state.recordsExist,
     hasZoneCells: state.hasZoneCells,
     holdsRecords: scheduler?.records.isOwner === true,
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -24,6 +24,7 @@
   Scheduler,
   Task,
 } from "./types.ts";
+import { mayStartOn } from "./zones/evacuation.ts";
 
 /**
  * Workers whose slowness rounds to the same multiple of this value count as
@@ -173,7 +174,7 @@
   const { state } = context;
   const { scheduler } = state;
   if (scheduler === null || awaitsEvidence(task)) return;
-  if (!mayStartTrial(scheduler, job)) return;
+  if (!mayStartTrial(state, scheduler, job)) return;
   const suited = workers.filter((worker) =>
     acceptsTasks(state, worker) && meetsRequirements(worker, task) &&
     isLargeEnough(worker, task)
@@ -196,6 +197,7 @@
   if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
   if (worker.unsizedRunCount > 0 || worker.trialCount > 0) return false;
   if (!mayGrantLease(state, worker)) return false;
+  if (!mayStartOn(state, worker.info)) return false;
   // Runs that a previous owner stopped may occupy capacity until this time,
   // although the worker no longer lists them.
   if (state.nowMs < worker.usableFromMs) return false;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -103,6 +103,12 @@
   rereadWorkers,
   syncWorkers,
 } from "./workers.ts";
+import {
+  checkEvacuations,
+  createEvacuationState,
+  onEvacuationsRead,
+  onEvacuationsUnreadable,
+} from "./zones/evacuation.ts";
 
 /** Options for creating the state of an engine. */
 export interface EngineOptions {
@@ -111,6 +117,11 @@
   readonly leaseMs: number;
   /** Upper bound of the time that a worker takes to stop a run. */
   readonly stopMs: number;
+  /**
+   * Time after the write of an evacuation from which on no task starts in its
+   * zone; if undefined, zones can't be evacuated.
+   */
+  readonly evacuateMs?: number | undefined;
   readonly nowMs: number;
   readonly wallMs: number;
   /** Guards to override, in runs that verify that each guard is needed. */
@@ -128,7 +139,7 @@
  * ```
  */
 export function createEngine(options: EngineOptions): EngineState {
-  const { self, leaseMs, stopMs, nowMs, wallMs } = options;
+  const { self, leaseMs, stopMs, evacuateMs, nowMs, wallMs } = options;
   return {
     self,
     leaseMs,
@@ -164,6 +175,7 @@
     workersReadAtMs: -Infinity,
     workersUnreadableSinceMs: 0,
     listRecoveredAtMs: -Infinity,
+    evacuation: createEvacuationState(evacuateMs),
     callerJobs: new Map(),
     withdrawals: [],
     pendingQueries: new Map(),
@@ -207,6 +219,8 @@
       configurationChangesReceived: 0,
       configurationCalls: 0,
       configurationCallsFailed: 0,
+      evacuationReads: 0,
+      evacuationReadsFailed: 0,
     },
   };
 }
@@ -306,6 +320,8 @@
     syncOwnedWorkers(context);
   },
   workersUnreadable: onWorkersUnreadable,
+  evacuationsRead: onEvacuationsRead,
+  evacuationsUnreadable: onEvacuationsUnreadable,
   instancesRead: (context, event) => {
     context.state.hasReadInstances = true;
     updateKnownInstances(context, event.instances);
@@ -384,6 +400,7 @@
   checkConfiguration(context);
   forgetVanishedWorkers(state);
   checkLeadership(context);
+  checkEvacuations(context);
   const { scheduler } = state;
   if (scheduler !== null) {
     checkLentWorkers(context, scheduler);
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -187,6 +187,12 @@
    * Expected queueing delay by service; empty unless the sender is a leader.
    */
   waitMsByService: z.record(z.string(), z.number()),
+  /** The evacuated zones that the sender knows; undefined if it knows nothing. */
+  evacuation: z.object({
+    zones: z.array(z.string()),
+    /** Upper bound on the time since the store was asked for them. */
+    ageMs: z.number(),
+  }).optional(),
 });
 
 const helloSchema = z.object({
--- a/src/engine/service_capacity.ts
+++ b/src/engine/service_capacity.ts
@@ -5,11 +5,12 @@
 
 import { remainingMs } from "./run_progress.ts";
 import type { EngineState, OwnedWorker, Scheduler } from "./types.ts";
+import { isEvacuated } from "./zones/evacuation.ts";
 
 /** The capacity of the usable workers of a service. */
 export interface ServiceCapacity {
   readonly state: EngineState;
-  /** Workers that are neither draining nor lost nor suspended. */
+  /** Workers that are neither draining nor lost, suspended or evacuated. */
   readonly workers: readonly OwnedWorker[];
   /** Their capacity, including what running tasks occupy. */
   readonly cpuMilli: number;
@@ -37,6 +38,7 @@
     const { info, phase, suspendedUntilMs } = worker;
     if (info.service !== service || info.draining) continue;
     if (scheduler.loans.borrowed.has(info.workerId)) continue;
+    if (isEvacuated(state, info)) continue;
     if (phase === "lost" || suspendedUntilMs > state.nowMs) continue;
     workers.push(worker);
     cpuMilli += info.cpuMilli;
--- a/src/engine/trials.ts
+++ b/src/engine/trials.ts
@@ -5,6 +5,7 @@
  */
 
 import type { EngineState, Job, OwnedWorker, Scheduler } from "./types.ts";
+import { isEvacuated } from "./zones/evacuation.ts";
 
 /**
  * Shares of a service's workers that may run trials or be down after one; at
@@ -18,6 +19,7 @@
 
 /** Whether a task of a job may start in a trial now, if a worker is free. */
 export function mayStartTrial(
+  state: EngineState,
   { workers }: Scheduler,
   { queue: { service }, record }: Job,
 ): boolean {
@@ -27,6 +29,7 @@
   let usedCpuMilli = 0;
   for (const worker of workers.values()) {
     if (worker.info.service !== service) continue;
+    if (isEvacuated(state, worker.info)) continue;
     all += 1;
     if (worker.crash?.endedTrial === true || worker.trialCount > 0) {
       inTrials += 1;
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -12,6 +12,7 @@
  */
 
 import type { RunEstimate } from "./run_estimate.ts";
+import type { EvacuationState } from "./zones/evacuation_state.ts";
 import type {
   Configuration,
   ConfigurationChange,
@@ -221,6 +222,19 @@
     | { readonly type: "workersRead"; readonly workers: WorkerInfo[] }
     /** Reading the list of workers from the store failed. */
     | { readonly type: "workersUnreadable" }
+    /** The evacuated zones were read from the store. */
+    | {
+      readonly type: "evacuationsRead";
+      readonly zones: readonly string[];
+      /** Time of the request, as in the effect. */
+      readonly requestedAtMs: number;
+    }
+    /** Reading the evacuated zones from the store failed. */
+    | {
+      readonly type: "evacuationsUnreadable";
+      readonly requestedAtMs: number;
+      readonly detail: string;
+    }
     | { readonly type: "instancesRead"; readonly instances: InstanceInfo[] }
     /** Lists that leaders have registered in the store, some or all of them. */
     | {
@@ -327,6 +341,8 @@
     readonly instanceId: string;
     readonly message: PeerMessage;
   }
+  /** Reads the evacuated zones from the store. */
+  | { readonly type: "readEvacuations"; readonly requestedAtMs: number }
   /** Polls a worker: reads its lists of runs and may renew its lease. */
   | {
     readonly type: "hold";
@@ -1153,6 +1169,9 @@
   /** Calls of the store for the configuration, and those that failed. */
   configurationCalls: number;
   configurationCallsFailed: number;
+  /** Reads of the evacuated zones from the store, and those that failed. */
+  evacuationReads: number;
+  evacuationReadsFailed: number;
 }
 
 /**
@@ -1236,6 +1255,18 @@
   readonly mayRunAgain: (job: Job, kind: TaskCompletion["kind"]) => boolean;
   readonly hasRoom: (worker: OwnedWorker, task: Task) => boolean;
   readonly mayServe: (worker: OwnedWorker) => boolean;
+  readonly mayUseZone: (isEvacuated: boolean) => boolean;
+  readonly mayTrustEvacuations: (
+    nowMs: number,
+    evacuation: Pick<
+      EvacuationState,
+      "knownAtMs" | "attemptedAtMs" | "evacuateMs"
+    >,
+  ) => boolean;
+  readonly provenSentAtMs: (
+    nowMs: number,
+    heardAtMs: number | undefined,
+  ) => number;
   readonly hasExpired: (nowMs: number, expiresAtMs: number) => boolean;
   readonly mayAcquire: (
     worker: Pick<OwnedWorker, "hasNewOwner" | "wasFenced">,
@@ -1379,6 +1410,8 @@
    * there was none.
    */
   listRecoveredAtMs: number;
+  /** What is known of evacuated zones; null if the settings have no bound. */
+  readonly evacuation: EvacuationState | null;
   readonly callerJobs: Map<string, CallerJob>;
   /** The recent withdrawals, which may be lost with a connection; oldest first. */
   readonly withdrawals: Withdrawal[];
--- /dev/null
+++ b/src/engine/zones/evacuation.ts
@@ -0,0 +1,217 @@
+/**
+ * Evacuation of zones: operators name the zones on whose workers no task is to
+ * start. Leaders read their names from the store, and heartbeats pass on what is
+ * known, so that a new leader, or one that can't read the store, knows it too.
+ */
+
+import { emit, logDecision } from "../effects.ts";
+import type { PeerMessageOf, WorkerInfo } from "../schemas.ts";
+import type { EngineEventOf, EngineState, ReduceContext } from "../types.ts";
+import type { EvacuationState } from "./evacuation_state.ts";
+
+/**
+ * Time between two requests of a leader to the store. With the 900 ms that a
+ * response takes at most, a leader knows of an evacuation after 2.4 s.
+ */
+const READ_INTERVAL_MS = 1_500;
+/** Delay before a failed read is repeated. */
+const RETRY_DELAY_MS = 250;
+/** Maximum number of log lines about zones in one event. */
+const MAX_LOGGED_ZONES = 20;
+
+/** The part of a heartbeat that tells what its sender knows. */
+type EvacuationReport = NonNullable<PeerMessageOf<"heartbeat">["evacuation"]>;
+
+/**
+ * Returns the state of an instance that knows nothing yet; null if its settings
+ * have no bound, so that zones are not evacuated.
+ */
+export function createEvacuationState(
+  evacuateMs: number | undefined,
+): EvacuationState | null {
+  if (evacuateMs === undefined) return null;
+  return {
+    evacuateMs,
+    zones: new Set(),
+    knownAtMs: -Infinity,
+    attemptedAtMs: -Infinity,
+    pendingSinceMs: null,
+    nextReadAtMs: 0,
+    isUnreadable: false,
+  };
+}
+
+/** Whether a worker, or all workers of a zone, are known to be evacuated. */
+export function isEvacuated(
+  { evacuation }: EngineState,
+  { availabilityZone }: Pick<WorkerInfo, "availabilityZone">,
+): boolean {
+  return evacuation !== null && evacuation.zones.has(availabilityZone);
+}
+
+/**
+ * Whether tasks may start on a worker: its zone is not evacuated, as far as
+ * known, and enough is known.
+ */
+export function mayStartOn(state: EngineState, info: WorkerInfo): boolean {
+  const { evacuation, guards, nowMs } = state;
+  if (evacuation === null) return true;
+  return guards.mayUseZone(isEvacuated(state, info)) &&
+    guards.mayTrustEvacuations(nowMs, evacuation);
+}
+
+/** Reads the evacuated zones at once, since this instance became the leader. */
+export function beginEvacuationReads(context: ReduceContext): void {
+  const { evacuation } = context.state;
+  if (evacuation === null) return;
+  evacuation.attemptedAtMs = -Infinity;
+  requestRead(context, evacuation);
+}
+
+/** Reads the evacuated zones when that is due, if this is a leader. */
+export function checkEvacuations(context: ReduceContext): void {
+  const { evacuation, scheduler, nowMs } = context.state;
+  if (evacuation === null || scheduler === null) return;
+  if (evacuation.pendingSinceMs !== null) return;
+  if (nowMs >= evacuation.nextReadAtMs) requestRead(context, evacuation);
+}
+
+function requestRead(
+  context: ReduceContext,
+  evacuation: EvacuationState,
+): void {
+  const { nowMs, counters } = context.state;
+  counters.evacuationReads += 1;
+  evacuation.pendingSinceMs = nowMs;
+  evacuation.nextReadAtMs = nowMs + READ_INTERVAL_MS;
+  emit(context, { type: "readEvacuations", requestedAtMs: nowMs });
+}
+
+/** Handles the evacuated zones as read from the store. */
+export function onEvacuationsRead(
+  context: ReduceContext,
+  { zones, requestedAtMs }: EngineEventOf<"evacuationsRead">,
+): void {
+  const { evacuation } = context.state;
+  if (evacuation === null) return;
+  if (endRead(evacuation, requestedAtMs)) evacuation.isUnreadable = false;
+  update(context, evacuation, {
+    zones: new Set(zones.filter((zone) => zone !== "")),
+    knownAtMs: requestedAtMs,
+    source: "store",
+  });
+}
+
+/**
+ * Handles a read of the evacuated zones that failed. What is known remains in
+ * force, also if that is nothing.
+ */
+export function onEvacuationsUnreadable(
+  context: ReduceContext,
+  { requestedAtMs, detail }: EngineEventOf<"evacuationsUnreadable">,
+): void {
+  const { evacuation, nowMs, counters } = context.state;
+  if (evacuation === null || !endRead(evacuation, requestedAtMs)) return;
+  counters.evacuationReadsFailed += 1;
+  evacuation.nextReadAtMs = nowMs + RETRY_DELAY_MS;
+  if (evacuation.isUnreadable) return;
+  evacuation.isUnreadable = true;
+  logDecision(context, {
+    level: "warn",
+    part: "zones",
+    text: "reading the evacuated zones failed; the known ones remain so",
+  }, {
+    zones: [...evacuation.zones].slice(0, MAX_LOGGED_ZONES),
+    knownMsAgo: knownMsAgo(evacuation, nowMs),
+    detail,
+  });
+}
+
+/** Ends the pending read; returns false if the outcome is that of another one. */
+function endRead(evacuation: EvacuationState, requestedAtMs: number): boolean {
+  if (evacuation.pendingSinceMs !== requestedAtMs) return false;
+  evacuation.pendingSinceMs = null;
+  evacuation.attemptedAtMs = requestedAtMs;
+  return true;
+}
+
+/** Returns what this instance's heartbeats tell of evacuated zones, if anything. */
+export function evacuationReport(
+  { evacuation, nowMs }: EngineState,
+): { readonly evacuation?: EvacuationReport } {
+  if (evacuation === null || evacuation.knownAtMs === -Infinity) return {};
+  const zones = [...evacuation.zones];
+  // Rounded up: a report must not seem fresher than it is.
+  const ageMs = Math.ceil(nowMs - evacuation.knownAtMs);
+  return { evacuation: { zones, ageMs } };
+}
+
+/**
+ * Adopts what a peer's heartbeat tells of evacuated zones, if that is fresher
+ * than what is known here. Instances of an older release tell nothing.
+ */
+export function onEvacuationReport(
+  context: ReduceContext,
+  from: string,
+  { evacuation: report, heardAtMs }: Pick<
+    PeerMessageOf<"heartbeat">,
+    "evacuation" | "heardAtMs"
+  >,
+): void {
+  const { evacuation, nowMs, guards } = context.state;
+  if (evacuation === null || report === undefined) return;
+  const sentAtMs = guards.provenSentAtMs(nowMs, heardAtMs);
+  update(context, evacuation, {
+    zones: new Set(report.zones),
+    knownAtMs: Math.min(nowMs, sentAtMs) - Math.max(0, report.ageMs),
+    source: from,
+  });
+}
+
+/** Replaces what is known by something fresher, and logs what has changed. */
+function update(
+  context: ReduceContext,
+  evacuation: EvacuationState,
+  { zones, knownAtMs, source }: {
+    zones: ReadonlySet<string>;
+    knownAtMs: number;
+    source: string;
+  },
+): void {
+  if (knownAtMs <= evacuation.knownAtMs) return;
+  const before = evacuation.zones;
+  evacuation.zones = zones;
+  evacuation.knownAtMs = knownAtMs;
+  const begun = [...zones].filter((zone) => !before.has(zone));
+  const ended = [...before].filter((zone) => !zones.has(zone));
+  logZones(context, begun, { text: "zone evacuated", source });
+  logZones(context, ended, { text: "evacuation of zone ended", source });
+}
+
+function logZones(
+  context: ReduceContext,
+  zones: readonly string[],
+  { text, source }: { text: string; source: string },
+): void {
+  const { state } = context;
+  for (const zone of zones.slice(0, MAX_LOGGED_ZONES)) {
+    // The number of workers shows an evacuation of a zone that doesn't exist.
+    const workers = [...state.workers.values()]
+      .filter(({ availabilityZone }) => availabilityZone === zone);
+    logDecision(context, { part: "zones", text }, {
+      zone,
+      workers: workers.length,
+      source,
+      isLeader: state.scheduler !== null,
+      zonesLeftOut: Math.max(0, zones.length - MAX_LOGGED_ZONES),
+    });
+  }
+}
+
+/** Age of what is known; null if nothing is. */
+export function knownMsAgo(
+  { knownAtMs }: Pick<EvacuationState, "knownAtMs">,
+  nowMs: number,
+): number | null {
+  return knownAtMs === -Infinity ? null : Math.round(nowMs - knownAtMs);
+}
--- /dev/null
+++ b/src/engine/zones/evacuation_state.ts
@@ -0,0 +1,28 @@
+/** What an instance knows of evacuated zones. */
+
+/** The state of an instance whose settings bound the time of an evacuation. */
+export interface EvacuationState {
+  /**
+   * Time after the write of an evacuation from which on no task starts in its
+   * zone.
+   */
+  readonly evacuateMs: number;
+  /** The evacuated zones as last known; empty while nothing is known. */
+  zones: ReadonlySet<string>;
+  /**
+   * Time since which these zones are known: that of the request to the store,
+   * here or by a peer, or an earlier one; -Infinity if nothing is known.
+   */
+  knownAtMs: number;
+  /**
+   * Time of the latest request to the store in this leader's term that was
+   * answered or failed; -Infinity if there was none.
+   */
+  attemptedAtMs: number;
+  /** Time of the request that has no outcome yet; null if there is none. */
+  pendingSinceMs: number | null;
+  /** Time from which on a leader asks the store again. */
+  nextReadAtMs: number;
+  /** The latest request failed. */
+  isUnreadable: boolean;
+}
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -1,6 +1,7 @@
 /** The state dump of an instance, limited in size. */
 
 import type { EngineState, OwnedWorker, Scheduler } from "../engine/types.ts";
+import { knownMsAgo } from "../engine/zones/evacuation.ts";
 
 /** The maximum number of entries that a dump shows of each list. */
 const MAX_LISTED = 50;
@@ -20,6 +21,8 @@
     leaderTerm: state.leaderTerm,
     hasZoneCells: state.hasZoneCells,
     recordsZone: state.recordsZone,
+    // Null if the settings have no bound, so that zones can't be evacuated.
+    evacuation: dumpEvacuation(state),
     counters: state.counters,
     sizes: {
       callerJobs: state.callerJobs.size,
@@ -44,6 +47,16 @@
   };
 }
 
+function dumpEvacuation({ evacuation, nowMs }: EngineState): object | null {
+  if (evacuation === null) return null;
+  return {
+    zones: [...evacuation.zones].slice(0, MAX_LISTED),
+    // Null if nothing is known yet.
+    knownMsAgo: knownMsAgo(evacuation, nowMs),
+    isUnreadable: evacuation.isUnreadable,
+  };
+}
+
 function dumpScheduler(state: EngineState, scheduler: Scheduler): object {
   const { jobs, records, loans, waiting, workers, queueDemands } = scheduler;
   return {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -98,6 +98,7 @@
     self,
     leaseMs: settings.workers.leaseMs,
     stopMs: settings.workers.stopMs,
+    evacuateMs: settings.workers.evacuateMs,
     seeds: [...dialAddresses.values()],
     dialAddress: ({ instanceId, address }) =>
       dialAddresses.get(instanceId) ?? address,
--- a/src/host/fake_store.ts
+++ b/src/host/fake_store.ts
@@ -93,6 +93,7 @@
       compare: answerUnchanged,
     },
     readWorkers: () => callUnlessDown(() => []),
+    readEvacuations: () => callUnlessDown(() => []),
     async *readPages(tablePart) {
       yield await callUnlessDown(() => store.readRows(tablePart));
     },
--- a/src/host/store_client.ts
+++ b/src/host/store_client.ts
@@ -24,6 +24,15 @@
 } as const;
 /** The table that lists the workers. */
 export const WORKERS_TABLE = "workers";
+/**
+ * Table, part and beginning of the keys of the rows that evacuate a zone each;
+ * the zone's name follows.
+ */
+export const EVACUATION_ROWS = {
+  table: "op",
+  part: "",
+  keyPrefix: "evacuate/",
+} as const;
 /** Delay before each repeated read of the configuration row. */
 const CONFIGURATION_POLL_INTERVAL_MS = 400;
 /** Maximum number of concurrent connections to the store. */
@@ -114,6 +123,12 @@
       const parsed = rows.map(({ value }) => workerInfoSchema.safeParse(value));
       return parsed.flatMap((result) => result.success ? [result.data] : []);
     },
+    async readEvacuations() {
+      const { table, part, keyPrefix } = EVACUATION_ROWS;
+      const rows = await readRows({ table, part });
+      return rows.filter(({ key }) => key.startsWith(keyPrefix))
+        .map(({ key }) => key.slice(keyPrefix.length));
+    },
     // This interface has no pages.
     async *readPages(tablePart) {
       yield await readRows(tablePart);
--- a/src/instance/hosts.ts
+++ b/src/instance/hosts.ts
@@ -92,6 +92,8 @@
     ) => Promise<ConfigurationAnswer>;
   };
   readonly readWorkers: () => Promise<WorkerInfo[]>;
+  /** Reads the names of the zones that an operator evacuates. */
+  readonly readEvacuations: () => Promise<string[]>;
   /**
    * Reads all rows of one part of a table. Each page is a response of its own,
    * so that handling a large table doesn't block the event loop.
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -28,7 +28,7 @@
 import { createPauseDetector } from "./pause_detector.ts";
 import { createPeerMesh, type PeerMesh } from "./peer_mesh.ts";
 import { createRecordStore } from "./record_store.ts";
-import { startStoreReaders } from "./store_readers.ts";
+import { readEvacuations, startStoreReaders } from "./store_readers.ts";
 
 /**
  * Time between an internal error and the end of the process, in which the log
@@ -50,6 +50,8 @@
   readonly leaseMs: number;
   /** The longest time a worker takes to stop a run. */
   readonly stopMs: number;
+  /** See `EngineOptions.evacuateMs`. */
+  readonly evacuateMs?: number | undefined;
   /** Addresses, as HOST:PORT, to contact if the instance table is unreadable. */
   readonly seeds: readonly string[];
   /** Returns the address to connect to; by default the peer's `address`. */
@@ -121,6 +123,7 @@
     self,
     leaseMs: options.leaseMs,
     stopMs: options.stopMs,
+    evacuateMs: options.evacuateMs,
     nowMs: clock.nowMs(),
     wallMs: clock.wallMs(),
   });
@@ -249,6 +252,11 @@
         dispatch({ type: "recordsWritten", nowMs, writeId, outcome });
       });
     },
+    readEvacuations: ({ requestedAtMs }) => {
+      void readEvacuations(store, requestedAtMs).then((outcome) =>
+        dispatch({ nowMs: clock.nowMs(), ...outcome })
+      );
+    },
     sendPeer: ({ instanceId, message }) => mesh?.send(instanceId, message),
     hold: (effect) => {
       const { workerId, callId } = effect;
--- a/src/instance/instance_test.ts
+++ b/src/instance/instance_test.ts
@@ -189,6 +189,7 @@
     store: {
       configuration: { read: never, await: never, compare: never },
       readWorkers: never,
+      readEvacuations: never,
       readPages: async function* () {
         yield await never();
       },
--- a/src/instance/list_registry_test.ts
+++ b/src/instance/list_registry_test.ts
@@ -15,6 +15,7 @@
       compare: resolveUnchanged,
     },
     readWorkers: () => Promise.resolve([]),
+    readEvacuations: () => Promise.resolve([]),
     async *readPages(tablePart) {
       yield await Promise.resolve(store.readRows(tablePart));
     },
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -89,6 +89,9 @@
     `bronzemill_jobsAtLeader ${scheduler?.jobs.size ?? 0}`,
     `bronzemill_workersBorrowed ${scheduler?.loans.borrowed.size ?? 0}`,
     `bronzemill_workersLent ${scheduler?.loans.lent.size ?? 0}`,
+    ...(state.evacuation === null
+      ? []
+      : [`bronzemill_zonesEvacuated ${state.evacuation.zones.size}`]),
     `bronzemill_configurationVersion ${state.configuration?.version ?? -1}`,
     `bronzemill_configurationProofAgeMs ${proofAgeMs(state)}`,
   ];
--- a/src/instance/store_readers.ts
+++ b/src/instance/store_readers.ts
@@ -178,6 +178,20 @@
   };
 }
 
+/** Reads the evacuated zones; the outcome is an event but for its time. */
+export async function readEvacuations(
+  store: Pick<StoreHost, "readEvacuations">,
+  requestedAtMs: number,
+) {
+  try {
+    const zones = await store.readEvacuations();
+    return { type: "evacuationsRead" as const, requestedAtMs, zones };
+  } catch (error) {
+    const detail = (error as Error).message;
+    return { type: "evacuationsUnreadable" as const, requestedAtMs, detail };
+  }
+}
+
 /** Whether a peer was heard from within the discovery interval. */
 function hasRecentPeer(state: EngineState): boolean {
   for (const peer of state.peers.values()) {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -43,6 +43,11 @@
   leaseMs: z.int().positive().default(1_000),
   /** The longest time a worker takes to stop a run. */
   stopMs: z.int().nonnegative().default(50),
+  /**
+   * Time after the write of an evacuation from which on no task starts in its
+   * zone; without it, zones can't be evacuated.
+   */
+  evacuateMs: z.int().positive().optional(),
 });
 
 const adminSchema = z.strictObject({
