Randomized runs with evacuated zones

Cause: nothing showed that an evacuation holds beside outages of the store, partitions and lost leaders.

Each start is checked against the rows of the store: none goes to an evacuated zone 5 s after the write (11 s while reads fail at once) by an instance that reaches the store. Leaders must know the removal of a row within the same time. Late reads take up to 850 ms. The draws of other kinds don't change: evacuations have a random generator of their own.

--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -6,6 +6,7 @@
 import type { Guards, TaskState } from "../src/engine/types.ts";
 import {
   drawDeadlyRun,
+  drawEvacuationRun,
   drawGrownRun,
   drawMomentRun,
   drawRecordedRun,
@@ -13,6 +14,7 @@
   drawTakeoverRun,
   drawZonesRun,
   type EngineRun,
+  EVACUATION_ROWS,
   GROWN_ROWS,
   simulateRun,
   STEPS_FAULTS,
@@ -69,6 +71,13 @@
   trustDistantZones: { mayHaveDistantRival: never },
 };
 
+/** The mutants that matter when zones are evacuated. */
+export const evacuationMutants: Record<string, Partial<Guards>> = {
+  startEvacuated: { mayUseZone: always },
+  startUnread: { mayTrustEvacuations: always },
+  trustReportAge: { provenSentAtMs: (nowMs) => nowMs },
+};
+
 /** The mutants that runs of a large fleet show, which take longer. */
 export const grownMutants: Record<string, Partial<Guards>> = {
   keepTerm: { mustFollowAnew: never },
@@ -91,6 +100,7 @@
   ...takeoverMutants,
   ...ownershipMutants,
   ...zoneMutants,
+  ...evacuationMutants,
   ...grownMutants,
   ...restartMutants,
 };
@@ -118,6 +128,26 @@
   };
 }
 
+/**
+ * Draws a run in which all instances start again several times, knowing nothing,
+ * while a zone is evacuated.
+ */
+function drawForgottenRun(seed: number): EngineRun {
+  const drawn = drawEvacuationRun(seed);
+  const restarts = [8_500, 10_000, 11_500, 13_000, 14_500];
+  return {
+    ...drawn,
+    faults: [
+      { name: "evacuate", atMs: 3_000, forMs: 14_000 },
+      ...restarts.map((atMs) => ({
+        name: "killAll" as const,
+        atMs,
+        forMs: 0,
+      })),
+    ],
+  };
+}
+
 /**
  * Runs in which mutants matter that the recorded runs don't show; those of a
  * takeover have the row of faults in which the mutant matters.
@@ -144,6 +174,10 @@
   leaseUnreported: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 3),
   waitForOwner: (seed) => drawZonesRun(ZONE_ROWS * seed + 1),
   trustDistantZones: (seed) => drawZonesRun(ZONE_ROWS * (seed + 17) + 2),
+  startEvacuated: drawEvacuationRun,
+  startUnread: drawForgottenRun,
+  // With slow instances, which pass reports on late.
+  trustReportAge: (seed) => drawEvacuationRun(EVACUATION_ROWS * seed + 7),
   restoreAtOnce: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 4),
 };
 
--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -23,6 +23,11 @@
   pick,
   pickInstance,
 } from "./fault_tools.ts";
+import {
+  evacuationFaultHandlers,
+  type EvacuationFaultName,
+  evacuationRows,
+} from "./evacuation_faults.ts";
 import {
   type FaultAfter,
   grownFaultHandlers,
@@ -141,7 +146,8 @@
   | GrownFaultName
   | MomentFaultName
   | CrossedFaultName
-  | ZoneFaultName;
+  | ZoneFaultName
+  | EvacuationFaultName;
 
 /**
  * Injects each fault. `nodeCut` separates an instance from the other instances
@@ -251,6 +257,7 @@
   ...momentFaultHandlers,
   ...crossedFaultHandlers,
   ...zoneFaultHandlers,
+  ...evacuationFaultHandlers,
 };
 
 /** Jobs that were damaged; reading them again may throw. */
@@ -363,6 +370,8 @@
   readonly restoreMs?: number;
   /** See {@linkcode WorldOptions.keepsOrder}. */
   readonly keepsOrder?: boolean;
+  /** See {@linkcode WorldOptions.evacuateMs}. */
+  readonly evacuateMs?: number;
 }
 
 /** The result of a run: violated guarantees and numbers of jobs by outcome. */
@@ -646,6 +655,34 @@
   };
 }
 
+/** Number of seeds after which the rows of faults with evacuations come again. */
+export const EVACUATION_ROWS = evacuationRows.length;
+/** The bound on the time of an evacuation in these runs. */
+const EVACUATE_MS = 5_000;
+/** The load of these runs, which two of three zones can carry. */
+const EVACUATION_LOAD = 0.55;
+
+/**
+ * Draws a run in which zones are evacuated beside faults of the store, of links
+ * between zones and of leaders. Zones have a leader each in half of the runs, and
+ * half of the runs have other faults, too.
+ */
+export function drawEvacuationRun(seed: number): EngineRun {
+  const { faults, load: _, ...run } = drawRecordedRun(seed);
+  const row: readonly FaultAfter<FaultName>[] =
+    evacuationRows[seed % EVACUATION_ROWS] ?? [];
+  const added = faultsOfRow(row, LOAD_START_MS + 500 + 95 * (seed % 20));
+  const hasCells = seed % 4 < 2;
+  return {
+    ...run,
+    ...(hasCells ? cellsFleet(EVACUATION_LOAD) : { load: EVACUATION_LOAD }),
+    kinds: seed % 3 === 0 ? chainKinds : labelledKinds,
+    faults: seed % 8 < 4 ? added : [...faults.slice(0, 2), ...added],
+    keepsOrder: true,
+    evacuateMs: EVACUATE_MS,
+  };
+}
+
 /**
  * Returns the processor cores of an instance of a fleet in which two instances
  * of each zone are larger than the others.
@@ -670,6 +707,7 @@
     maxClockDrift = 0,
     cpuCoresOf,
     maxDownMs,
+    evacuateMs,
   }: EngineRun,
 ) {
   return {
@@ -687,6 +725,7 @@
     restoreMs,
     keepsOrder,
     maxClockDrift,
+    evacuateMs,
   };
 }
 
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -70,6 +70,16 @@
 /** Bounds on the time after which a late write of the store is carried out. */
 const MIN_LATE_WRITE_MS = 1_000;
 const MAX_LATE_WRITE_MS = 6_000;
+/**
+ * Share of the reads of evacuations that are answered late, and the upper bound
+ * on their time, which is within the time limit of a response.
+ */
+const LATE_EVACUATION_READ_SHARE = 0.3;
+const LATE_EVACUATION_READ_MS = 850;
+/** Interval at which what leaders know of evacuations is checked. */
+const EVACUATION_CHECK_INTERVAL_MS = 50;
+/** Added to the bound of an evacuation while reads of the store fail at once. */
+const UNSTABLE_STORE_MS = 6_000;
 /** Time for which earlier lists of workers are kept. */
 const LIST_HISTORY_MS = 5_000;
 /**
@@ -201,6 +211,8 @@
    * in the next one.
    */
   readonly maxDownMs?: number;
+  /** See `EngineOptions.evacuateMs`; if undefined, no zone is evacuated. */
+  readonly evacuateMs?: number | undefined;
   /** Jobs are damaged, so internal errors of jobs violate no guarantee. */
   readonly damagesJobs?: boolean;
   /** Receives the log lines of every instance. */
@@ -280,6 +292,11 @@
   wallOffsetMs: number;
   /** Age of the lists of workers that it reads. */
   listAgeMs: number;
+  /**
+   * Latest time at which it was paused or out of contact with the store, where
+   * zones are evacuated.
+   */
+  outAtMs: number;
 }
 
 /** A message from one instance to another. */
@@ -422,6 +439,10 @@
     isListed: boolean,
   ) => void;
   readonly setStoreUnavailable: (isUnavailable: boolean) => void;
+  /** Writes the row that evacuates a zone, or removes it. */
+  readonly setEvacuated: (zone: string, isEvacuated: boolean) => void;
+  /** Sets the share of the reads of evacuations that fail at once. */
+  readonly setFailedEvacuationReads: (share: number) => void;
   /** Shrinks or grows a worker's capacity while it runs. */
   readonly setCapacity: (worker: FakeWorker, cpuMilli: number) => void;
   /** Cancels a job through a random running instance. */
@@ -497,6 +518,9 @@
   // As above, for the rates of the workers' clocks.
   const clockGenerator = xoroshiro128plus(options.seed + 2);
   const clockRandom = (): number => uniformFloat64(clockGenerator);
+  // As above, for the reads of evacuations.
+  const evacuationGenerator = xoroshiro128plus(options.seed + 3);
+  const evacuationRandom = (): number => uniformFloat64(evacuationGenerator);
   const queue = createEventQueue();
   const violations: string[] = [];
   const jobs = new Map<string, CallerRecord>();
@@ -538,6 +562,13 @@
   let isStoreUnavailable = false;
   let storeSlowness = 1;
   let lateWriteShare = 0;
+  /** Time at which the row of each evacuated zone was written. */
+  const evacuatedAtMs = new Map<string, number>();
+  /** Latest time at which a row of an evacuated zone was written or removed. */
+  let evacuationsChangedAtMs = 0;
+  let failedEvacuationReads = 0;
+  /** Latest time at which reads of evacuations failed at once. */
+  let unstableAtMs = -Infinity;
   /** The lists of workers that were read lately, in the order of time. */
   const listHistory: { atMs: number; workers: WorkerInfo[] }[] = [];
   let discardedMilliMs = 0;
@@ -596,6 +627,7 @@
       eventMs: 0,
       wallOffsetMs: 0,
       listAgeMs: 0,
+      outAtMs: -Infinity,
     }))
   );
   const instancesById = new Map(
@@ -958,6 +990,7 @@
         ...fields,
       });
     },
+    readEvacuations,
     sendPeer: (instance, _incarnation, { instanceId, message }) => {
       const target = instancesById.get(instanceId);
       if (target === undefined || isBlocked(instance.instanceId, instanceId)) {
@@ -1153,6 +1186,7 @@
       ? "late"
       : fateOf({ kind: "start", instanceId, workerId });
     notify("startSent", { instanceId, workerId, taskName });
+    checkEvacuation(instance, worker, taskName);
     const { startedAtMs } = worker;
     let completed = false;
     const complete = (outcome: StartOutcome): void => {
@@ -1256,6 +1290,7 @@
       nowMs,
       wallMs,
       guards,
+      evacuateMs: options.evacuateMs,
     });
     instance.records = createRecordStore(storeHostOf(instance, incarnation), {
       log: discardingLog,
@@ -1342,6 +1377,114 @@
     };
   }
 
+  /** Reads the rows of evacuated zones for an instance. */
+  function readEvacuations(
+    instance: SimulatedInstance,
+    incarnation: number,
+    { requestedAtMs }: EffectOf<"readEvacuations">,
+  ): void {
+    let zones: string[] | null = null;
+    const { instanceId } = instance;
+    const fail = (detail: string): void =>
+      dispatch(instance, incarnation, {
+        type: "evacuationsUnreadable",
+        nowMs: queue.nowMs(),
+        requestedAtMs,
+        detail,
+      });
+    const isLate = evacuationRandom() < LATE_EVACUATION_READ_SHARE;
+    const maxMs = isLate ? LATE_EVACUATION_READ_MS : STORE_LATENCY_MS;
+    const answeredMs = maxMs * storeSlowness * evacuationRandom();
+    const readMs = answeredMs * evacuationRandom();
+    if (evacuationRandom() < failedEvacuationReads) {
+      runAfter(answeredMs, () => fail("unexpected status 500"));
+      return;
+    }
+    const isOut = (): boolean =>
+      isStoreUnavailable || isBlocked("store", instanceId) ||
+      isBlocked(instanceId, "store");
+    runAfter(readMs, () => {
+      if (!isOut()) zones = [...evacuatedAtMs.keys()];
+    });
+    runAfter(Math.min(answeredMs, STORE_TIMEOUT_MS), () => {
+      if (zones === null || isOut() || answeredMs >= STORE_TIMEOUT_MS) {
+        const restMs = Math.max(0, STORE_TIMEOUT_MS - answeredMs);
+        runAfter(restMs, () => fail("no complete response"));
+        return;
+      }
+      dispatch(instance, incarnation, {
+        type: "evacuationsRead",
+        nowMs: queue.nowMs(),
+        requestedAtMs,
+        zones,
+      });
+    });
+  }
+
+  /** Checks that a start goes to no worker of an evacuated zone. */
+  function checkEvacuation(
+    instance: SimulatedInstance,
+    { availabilityZone, workerId }: FakeWorker,
+    taskName: string,
+  ): void {
+    const writtenAtMs = evacuatedAtMs.get(availabilityZone);
+    if (writtenAtMs === undefined) return;
+    const lateMs = queue.nowMs() - evacuationDueMs(instance, writtenAtMs);
+    if (lateMs < 0) return;
+    violations.push(
+      `evacuated: ${taskName} on ${workerId} by ${instance.instanceId} at ${
+        Math.round(queue.nowMs())
+      }, ${Math.round(lateMs)} ms after the bound`,
+    );
+  }
+
+  /**
+   * Returns the time by which an instance has to act on a change of evacuations.
+   * The bound doesn't apply while it is out of contact with the store.
+   */
+  function evacuationDueMs(
+    { outAtMs }: SimulatedInstance,
+    changedAtMs: number,
+  ): number {
+    const evacuateMs = options.evacuateMs ?? Infinity;
+    const dueMs = Math.max(changedAtMs, outAtMs) + evacuateMs;
+    return unstableAtMs >= changedAtMs ? dueMs + UNSTABLE_STORE_MS : dueMs;
+  }
+
+  /**
+   * Notes which instances are out of contact with the store, and checks that the
+   * leaders of the others know which zones are evacuated.
+   */
+  function checkKnownEvacuations(): void {
+    const nowMs = queue.nowMs();
+    if (failedEvacuationReads > 0) unstableAtMs = nowMs;
+    for (const instance of instances) {
+      const { instanceId, state, pausedUntilMs } = instance;
+      const isOut = isStoreUnavailable || storeSlowness > 1 ||
+        isBlocked("store", instanceId) || isBlocked(instanceId, "store") ||
+        (nowMs < pausedUntilMs && instance.eventMs === 0);
+      if (isOut) instance.outAtMs = nowMs;
+      const scheduler = state?.scheduler ?? null;
+      if (state === null || state.evacuation === null || scheduler === null) {
+        continue;
+      }
+      const changedAtMs = Math.max(
+        evacuationsChangedAtMs,
+        scheduler.startedAtMs,
+      );
+      if (nowMs < evacuationDueMs(instance, changedAtMs)) continue;
+      const known = [...state.evacuation.zones].sort().join(" ");
+      const written = [...evacuatedAtMs.keys()].sort().join(" ");
+      if (known === written) continue;
+      violations.push(
+        `evacuations: ${instanceId} knows "${known}", not "${written}", at ${
+          Math.round(nowMs)
+        }`,
+      );
+    }
+    runAfter(EVACUATION_CHECK_INTERVAL_MS, checkKnownEvacuations);
+  }
+
   function infoOf(instance: SimulatedInstance, startedAtMs: number) {
     const { cpuCoresOf } = options;
     return {
@@ -1679,6 +1822,7 @@
   for (const instance of instances) {
     queue.at(100 * random(), () => startInstance(instance));
   }
+  if (options.evacuateMs !== undefined) queue.at(0, checkKnownEvacuations);
 
   return {
     queue,
@@ -1815,6 +1959,16 @@
     setStoreUnavailable(isUnavailable) {
       isStoreUnavailable = isUnavailable;
     },
+    setEvacuated(zone, isEvacuated) {
+      evacuationsChangedAtMs = queue.nowMs();
+      if (!isEvacuated) evacuatedAtMs.delete(zone);
+      else if (!evacuatedAtMs.has(zone)) {
+        evacuatedAtMs.set(zone, queue.nowMs());
+      }
+    },
+    setFailedEvacuationReads(share) {
+      failedEvacuationReads = share;
+    },
     discardedMilliMs: () => discardedMilliMs,
     leaders: () =>
       instances.filter((instance) => instance.state?.scheduler != null)
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -11,6 +11,7 @@
 import {
   drawCellsRun,
   drawDeadlyRun,
+  drawEvacuationRun,
   drawGrownRun,
   drawMomentRun,
   drawRecordedRun,
@@ -69,6 +70,7 @@
   moment: play(drawMomentRun),
   crossed: play(drawCrossedRun),
   zones: play(drawZonesRun),
+  evacuation: play(drawEvacuationRun),
   configuration: playConfiguration,
 };
 let runs = 0;
