--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -1473,7 +1473,7 @@
         scheduler.startedAtMs,
       );
       if (nowMs < evacuationDueMs(instance, changedAtMs)) continue;
-      const known = [...state.evacuation.zones].sort().join(" ");
+      const known = [...state.evacuation.zones.keys()].sort().join(" ");
       const written = [...evacuatedAtMs.keys()].sort().join(" ");
       if (known === written) continue;
       violations.push(
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -53,8 +53,11 @@
     usedAccelerators + task.demand.accelerators <= info.accelerators,
   /** Draining or released workers get no tasks. */
   mayServe: ({ info, released }) => !info.draining && !released,
-  /** No task starts on a worker of an evacuated zone. */
-  mayUseZone: (isEvacuated) => !isEvacuated,
+  /**
+   * No task starts on a worker of an evacuated zone, but for tasks of jobs that
+   * have started there, until `closesAtMs`.
+   */
+  mayUseZone: (nowMs, closesAtMs) => nowMs < closesAtMs,
   /**
    * What is known of evacuations is too old to start tasks by if one may have
    * been written and its time have passed since, unless this leader has just
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -24,7 +24,7 @@
   Scheduler,
   Task,
 } from "./types.ts";
-import { mayStartOn } from "./zones/evacuation.ts";
+import { startableWorkers } from "./zones/evacuation.ts";
 
 /**
  * Workers whose slowness rounds to the same multiple of this value count as
@@ -71,7 +71,12 @@
       stage: "place",
       fallback: true,
       run: () => {
-        placeJob(context, job.record === null ? ownWorkers : workers, job);
+        const owned = job.record === null ? ownWorkers : workers;
+        placeJob(
+          context,
+          startableWorkers(state, { job, workers: owned }),
+          job,
+        );
         return hasQueuedTasks(job);
       },
     });
@@ -197,7 +202,6 @@
   if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
   if (worker.unsizedRunCount > 0 || worker.trialCount > 0) return false;
   if (!mayGrantLease(state, worker)) return false;
-  if (!mayStartOn(state, worker.info)) return false;
   // Runs that a previous owner stopped may occupy capacity until this time,
   // although the worker no longer lists them.
   if (state.nowMs < worker.usableFromMs) return false;
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -135,9 +135,10 @@
  * and is connected to the given peers.
  */
 export function createTestInstance(
-  { peers = [], self = testInstanceInfo("self") }: {
+  { peers = [], self = testInstanceInfo("self"), evacuateMs }: {
     peers?: readonly string[];
     self?: InstanceInfo;
+    evacuateMs?: number | undefined;
   } = {},
 ): TestInstance {
   let nowMs = 10_000;
@@ -145,6 +146,7 @@
     self,
     leaseMs: 1_000,
     stopMs: 50,
+    evacuateMs,
     nowMs,
     wallMs: TEST_WALL_MS,
   });
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1255,7 +1255,7 @@
   readonly mayRunAgain: (job: Job, kind: TaskCompletion["kind"]) => boolean;
   readonly hasRoom: (worker: OwnedWorker, task: Task) => boolean;
   readonly mayServe: (worker: OwnedWorker) => boolean;
-  readonly mayUseZone: (isEvacuated: boolean) => boolean;
+  readonly mayUseZone: (nowMs: number, closesAtMs: number) => boolean;
   readonly mayTrustEvacuations: (
     nowMs: number,
     evacuation: Pick<
--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -6,7 +6,13 @@
 
 import { emit, logDecision } from "../effects.ts";
 import type { PeerMessageOf, WorkerInfo } from "../schemas.ts";
-import type { EngineEventOf, EngineState, ReduceContext } from "../types.ts";
+import type {
+  EngineEventOf,
+  EngineState,
+  Job,
+  OwnedWorker,
+  ReduceContext,
+} from "../types.ts";
 import type { EvacuationState } from "./evacuation_state.ts";
 
 /**
@@ -14,6 +20,11 @@
  * response takes at most, a leader knows of an evacuation after 2.4 s.
  */
 const READ_INTERVAL_MS = 1_500;
+/**
+ * Time before the bound of an evacuation from which on jobs that have started get
+ * no worker of the zone either: a start takes less to reach its worker.
+ */
+const FINISH_MARGIN_MS = 1_000;
 /** Delay before a failed read is repeated. */
 const RETRY_DELAY_MS = 250;
 /** Maximum number of log lines about zones in one event. */
@@ -32,7 +43,7 @@
   if (evacuateMs === undefined) return null;
   return {
     evacuateMs,
-    zones: new Set(),
+    zones: new Map(),
     knownAtMs: -Infinity,
     attemptedAtMs: -Infinity,
     pendingSinceMs: null,
@@ -50,14 +61,36 @@
 }
 
 /**
- * Whether tasks may start on a worker: its zone is not evacuated, as far as
- * known, and enough is known.
+ * Returns those of the workers on which tasks of a job may start: none while too
+ * little is known, else those that are not evacuated, as far as known. A job that
+ * has started may go on in an evacuated zone for a time.
  */
-export function mayStartOn(state: EngineState, info: WorkerInfo): boolean {
+export function startableWorkers(
+  state: EngineState,
+  { job, workers }: { job: Job; workers: OwnedWorker[] },
+): OwnedWorker[] {
   const { evacuation, guards, nowMs } = state;
-  if (evacuation === null) return true;
-  return guards.mayUseZone(isEvacuated(state, info)) &&
-    guards.mayTrustEvacuations(nowMs, evacuation);
+  if (evacuation === null) return workers;
+  if (!guards.mayTrustEvacuations(nowMs, evacuation)) return [];
+  const { zones } = evacuation;
+  if (zones.size === 0) return workers;
+  const finishes = mustFinishHere(state, job);
+  return workers.filter(({ info }) => {
+    const closesAtMs = zones.get(info.availabilityZone);
+    return closesAtMs === undefined ||
+      guards.mayUseZone(nowMs, finishes ? closesAtMs : -Infinity);
+  });
+}
+
+/**
+ * Whether a job in memory can't go on elsewhere: it may have started, so that it
+ * is not refused, and its cell has workers of one zone only.
+ */
+function mustFinishHere(
+  { hasZoneCells }: EngineState,
+  { record, mayHaveStarted }: Job,
+): boolean {
+  return hasZoneCells && record === null && mayHaveStarted;
 }
 
 /** Reads the evacuated zones at once, since this instance became the leader. */
@@ -96,7 +129,7 @@
   if (evacuation === null) return;
   if (endRead(evacuation, requestedAtMs)) evacuation.isUnreadable = false;
   update(context, evacuation, {
-    zones: new Set(zones.filter((zone) => zone !== "")),
+    zones: zones.filter((zone) => zone !== ""),
     knownAtMs: requestedAtMs,
     source: "store",
   });
@@ -121,7 +154,7 @@
     part: "zones",
     text: "reading the evacuated zones failed; the known ones remain so",
   }, {
-    zones: [...evacuation.zones].slice(0, MAX_LOGGED_ZONES),
+    zones: [...evacuation.zones.keys()].slice(0, MAX_LOGGED_ZONES),
     knownMsAgo: knownMsAgo(evacuation, nowMs),
     detail,
   });
@@ -140,7 +173,7 @@
   { evacuation, nowMs }: EngineState,
 ): { readonly evacuation?: EvacuationReport } {
   if (evacuation === null || evacuation.knownAtMs === -Infinity) return {};
-  const zones = [...evacuation.zones];
+  const zones = [...evacuation.zones.keys()];
   // Rounded up: a report must not seem fresher than it is.
   const ageMs = Math.ceil(nowMs - evacuation.knownAtMs);
   return { evacuation: { zones, ageMs } };
@@ -162,7 +195,7 @@
   if (evacuation === null || report === undefined) return;
   const sentAtMs = guards.provenSentAtMs(nowMs, heardAtMs);
   update(context, evacuation, {
-    zones: new Set(report.zones),
+    zones: report.zones,
     knownAtMs: Math.min(nowMs, sentAtMs) - Math.max(0, report.ageMs),
     source: from,
   });
@@ -173,17 +206,23 @@
   context: ReduceContext,
   evacuation: EvacuationState,
   { zones, knownAtMs, source }: {
-    zones: ReadonlySet<string>;
+    zones: readonly string[];
     knownAtMs: number;
     source: string;
   },
 ): void {
   if (knownAtMs <= evacuation.knownAtMs) return;
   const before = evacuation.zones;
-  evacuation.zones = zones;
+  // An evacuation that is new here was written after the read before this one.
+  const closesAtMs = evacuation.knownAtMs + evacuation.evacuateMs -
+    FINISH_MARGIN_MS;
+  const after = new Map(
+    zones.map((zone) => [zone, before.get(zone) ?? closesAtMs]),
+  );
+  evacuation.zones = after;
   evacuation.knownAtMs = knownAtMs;
-  const begun = [...zones].filter((zone) => !before.has(zone));
-  const ended = [...before].filter((zone) => !zones.has(zone));
+  const begun = [...after.keys()].filter((zone) => !before.has(zone));
+  const ended = [...before.keys()].filter((zone) => !after.has(zone));
   logZones(context, begun, { text: "zone evacuated", source });
   logZones(context, ended, { text: "evacuation of zone ended", source });
 }
--- a/src/engine/zones/evacuation_state.ts
+++ b/src/engine/zones/evacuation_state.ts
@@ -7,8 +7,11 @@
    * zone.
    */
   readonly evacuateMs: number;
-  /** The evacuated zones as last known; empty while nothing is known. */
-  zones: ReadonlySet<string>;
+  /**
+   * The evacuated zones as last known, each with the time from which on also jobs
+   * that have started get no worker there; empty while nothing is known.
+   */
+  zones: ReadonlyMap<string, number>;
   /**
    * Time since which these zones are known: that of the request to the store,
    * here or by a peer, or an earlier one; -Infinity if nothing is known.
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -50,7 +50,7 @@
 function dumpEvacuation({ evacuation, nowMs }: EngineState): object | null {
   if (evacuation === null) return null;
   return {
-    zones: [...evacuation.zones].slice(0, MAX_LISTED),
+    zones: [...evacuation.zones.keys()].slice(0, MAX_LISTED),
     // Null if nothing is known yet.
     knownMsAgo: knownMsAgo(evacuation, nowMs),
     isUnreadable: evacuation.isUnreadable,
