Evacuation: workers that a job may use are found once an event

Cause: near overload, placement goes through all waiting jobs in each event; while a zone is evacuated, each of them went through all workers once more.

The lists for jobs that have begun and for others are made once an event. Tests for the demands of the owner of the records while a zone is evacuated.

--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -24,7 +24,7 @@
   Scheduler,
   Task,
 } from "./types.ts";
-import { startableWorkers } from "./zones/evacuation.ts";
+import { createStartableWorkers } from "./zones/evacuation.ts";
 
 /**
  * Workers whose slowness rounds to the same multiple of this value count as
@@ -58,6 +58,7 @@
     ? workers
     : workers.filter(({ info }) => !borrowed.has(info.workerId));
   const listsReadAtMs = createListsReadAt(state, scheduler);
+  const startableWorkers = createStartableWorkers(state);
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
     if (
@@ -72,11 +73,7 @@
       fallback: true,
       run: () => {
         const owned = job.record === null ? ownWorkers : workers;
-        placeJob(
-          context,
-          startableWorkers(state, { job, workers: owned }),
-          job,
-        );
+        placeJob(context, startableWorkers(job, owned), job);
         return hasQueuedTasks(job);
       },
     });
--- a/src/engine/worker_loans_test.ts
+++ b/src/engine/worker_loans_test.ts
@@ -93,8 +93,8 @@
 }
 
 /** The leader of `poa`. */
-function createLeader(): TestInstance {
-  const leader = createTestInstance();
+function createLeader(evacuateMs?: number): TestInstance {
+  const leader = createTestInstance({ evacuateMs });
   const other: InstanceInfo = {
     ...testInstanceInfo(OTHER_ID),
     availabilityZone: "caxias",
@@ -110,8 +110,8 @@
 }
 
 /** The leader of `poa`, which owns the records. */
-function createOwner(): TestInstance {
-  const owner = createLeader();
+function createOwner(evacuateMs?: number): TestInstance {
+  const owner = createLeader(evacuateMs);
   const { term } = owner.state.scheduler!.records;
   const outcome = { kind: "opened" as const, records: [] };
   owner.after(5, { type: "recordsOpened", term, outcome });
@@ -203,6 +203,26 @@
   expect(first?.demands).toEqual([DEMAND]);
 });
 
+// Recorded jobs would wait beside idle workers of other zones, or a lender would
+// be asked for workers on which nothing may start.
+for (
+  const { zone, step, demands } of [
+    { zone: "poa", step: {}, demands: [DEMAND] },
+    { zone: "caxias", step: { requiredLabel: LABEL }, demands: [] },
+  ]
+) {
+  test(`workers asked for by the owner of the records while ${zone} is evacuated: ${demands.length} kinds`, () => {
+    const owner = createOwner(5_000);
+    const requestedAtMs = owner.state.nowMs;
+    owner.after(0, { type: "evacuationsRead", zones: [zone], requestedAtMs });
+    const started = submit(owner, jobWith(step));
+    const effects = [...started, ...pass(owner, 600)];
+    const [first] = messagesOf(effects, "workersWanted");
+    expect(first?.demands ?? []).toEqual(demands);
+    expect(effectsOf(effects, "startTask")).toEqual([]);
+  });
+}
+
 /** The owner of the records, which has borrowed the worker `c0` for a task. */
 function createBorrower(): { owner: TestInstance; fence: number } {
   const owner = createOwner();
--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -61,26 +61,36 @@
   return evacuation !== null && evacuation.zones.has(availabilityZone);
 }
 
+/** Returns those of some workers on which tasks of a job may start now. */
+type StartableWorkers = (job: Job, workers: OwnedWorker[]) => OwnedWorker[];
+
 /**
- * Returns those of the workers on which tasks of a job may start: none while too
+ * Returns a function for the jobs of one event. It returns no worker while too
  * little is known, else those that are not evacuated, as far as known. A job that
  * has started may go on in an evacuated zone for a time.
  */
-export function startableWorkers(
-  state: EngineState,
-  { job, workers }: { job: Job; workers: OwnedWorker[] },
-): OwnedWorker[] {
+export function createStartableWorkers(state: EngineState): StartableWorkers {
   const { evacuation, guards, nowMs } = state;
-  if (evacuation === null) return workers;
-  if (!guards.mayTrustEvacuations(nowMs, evacuation)) return [];
+  if (evacuation === null) return (_job, workers) => workers;
+  if (!guards.mayTrustEvacuations(nowMs, evacuation)) return () => [];
   const { zones } = evacuation;
-  if (zones.size === 0) return workers;
-  const finishes = mustFinishHere(state, job);
-  return workers.filter(({ info }) => {
-    const closesAtMs = zones.get(info.availabilityZone);
-    return closesAtMs === undefined ||
-      guards.mayUseZone(nowMs, finishes ? closesAtMs : -Infinity);
-  });
+  if (zones.size === 0) return (_job, workers) => workers;
+  const forNewJobs = new Map<OwnedWorker[], OwnedWorker[]>();
+  const forStartedJobs = new Map<OwnedWorker[], OwnedWorker[]>();
+  return (job, workers) => {
+    const finishes = mustFinishHere(state, job);
+    const known = finishes ? forStartedJobs : forNewJobs;
+    let startable = known.get(workers);
+    if (startable === undefined) {
+      startable = workers.filter(({ info }) => {
+        const closesAtMs = zones.get(info.availabilityZone);
+        return closesAtMs === undefined ||
+          guards.mayUseZone(nowMs, finishes ? closesAtMs : -Infinity);
+      });
+      known.set(workers, startable);
+    }
+    return startable;
+  };
 }
 
 /**
