--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -25,6 +25,7 @@
   Task,
   WorkerRoom,
 } from "./types.ts";
+import { createStartableWorkers } from "./zones/evacuation.ts";
 
 /**
  * Workers whose slowness rounds to the same multiple of this value count as
@@ -59,10 +60,8 @@
     ? workers
     : workers.filter(({ info }) => !borrowed.has(info.workerId));
   const listsReadAtMs = createListsReadAt(state, scheduler);
-  const ownCandidates = createCandidates(ownWorkers);
-  const candidates = ownWorkers === workers
-    ? ownCandidates
-    : createCandidates(workers);
+  const startableWorkers = createStartableWorkers(state);
+  const candidatesOf = createCandidatesCache();
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
     if (
@@ -76,11 +75,8 @@
       stage: "place",
       fallback: true,
       run: () => {
-        placeJob(
-          context,
-          job.record === null ? ownCandidates : candidates,
-          job,
-        );
+        const owned = job.record === null ? ownWorkers : workers;
+        placeJob(context, candidatesOf(startableWorkers(job, owned)), job);
         return hasQueuedTasks(job);
       },
     });
@@ -157,8 +153,17 @@
   startCount: number;
 }
 
-function createCandidates(workers: OwnedWorker[]): Candidates {
-  return { workers, room: null, startCount: 0 };
+/** Returns a function that makes one object for each list in one event. */
+function createCandidatesCache(): (workers: OwnedWorker[]) => Candidates {
+  const known = new Map<OwnedWorker[], Candidates>();
+  return (workers) => {
+    let candidates = known.get(workers);
+    if (candidates === undefined) {
+      candidates = { workers, room: null, startCount: 0 };
+      known.set(workers, candidates);
+    }
+    return candidates;
+  };
 }
 
 /**
@@ -238,7 +243,7 @@
   const { state } = context;
   const { scheduler } = state;
   if (scheduler === null || awaitsEvidence(task)) return;
-  if (!mayStartTrial(scheduler, job)) return;
+  if (!mayStartTrial(state, scheduler, job)) return;
   const suited = workers.filter((worker) =>
     acceptsTasks(state, worker) && meetsRequirements(worker, task) &&
     isLargeEnough(worker, task)
