Overload policy by cost: started jobs first, slack kept, unsuited jobs refused

Cause: near the capacity many jobs are partly started, hold cores and end late; jobs with no room for a longer run than expected are admitted and end late; a job whose label or size no worker of the cell has waits until its slack is used up and is then refused as `overloaded`.

Change: src/engine/overload/ has a table of two policies. `objective` is as before. `cost` applies where zones are cells and queues of different priorities share a service: jobs that are partly started come first within their priority; admission keeps a quarter of the slack that the queue's stretch allows for runs that take longer than expected; a job in memory that no worker of the cell could run is refused at once, and one that no usable worker could run is refused with `noWorker`. Recorded jobs are refused as before, with the same waits.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -791,7 +791,7 @@
     if (atMs > endMs) return;
     world.queue.at(atMs, () => {
       const record = world.submit(
-        pick(world, world.instances).instanceId,
+        pick({ random: world.jobRandom }, world.instances).instanceId,
         kind,
       );
       if (record !== null && kind.guarantee !== undefined) {
@@ -805,7 +805,7 @@
           leaveLater(world, record);
         }
       }
-      scheduleNext(atMs - gapMs * Math.log(1 - world.random()));
+      scheduleNext(atMs - gapMs * Math.log(1 - world.jobRandom()));
     });
   };
   scheduleNext(beginMs);
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -226,6 +226,11 @@
    * in the next one.
    */
   readonly maxDownMs?: number;
+  /**
+   * Arrivals and jobs are drawn by a generator of their own, so that they remain
+   * the same whatever the engine decides.
+   */
+  readonly drawsJobsApart?: boolean;
   /** The processor time of the engines is measured. */
   readonly measuresCpu?: boolean;
   /** Jobs are damaged, so internal errors of jobs violate no guarantee. */
@@ -377,6 +382,8 @@
   /** Violated guarantees, each with the task or job concerned. */
   readonly violations: string[];
   readonly random: () => number;
+  /** Draws arrivals and jobs, see {@linkcode WorldOptions.drawsJobsApart}. */
+  readonly jobRandom: () => number;
   /**
    * Submits a job of the given kind to an instance; returns null if the
    * instance is not running.
@@ -528,6 +535,10 @@
   // As above, for the rates of the workers' clocks.
   const clockGenerator = xoroshiro128plus(options.seed + 2);
   const clockRandom = (): number => uniformFloat64(clockGenerator);
+  const jobGenerator = xoroshiro128plus(options.seed + 3);
+  const jobRandom = options.drawsJobsApart === true
+    ? (): number => uniformFloat64(jobGenerator)
+    : random;
   const queue = createEventQueue();
   const violations: string[] = [];
   const jobs = new Map<string, CallerRecord>();
@@ -1526,25 +1537,25 @@
     if (instance.state === null) return null;
     jobCount += 1;
     const jobId = jobCount.toString(16).padStart(16, "0");
-    const drawn = drawLognormal(random, {
+    const drawn = drawLognormal(jobRandom, {
       mean: kind.width,
       spread: WIDTH_SPREAD,
       max: 4 * kind.width,
     });
     const width = Math.max(1, Math.round(drawn));
-    const jobMs = drawLognormal(random, {
+    const jobMs = drawLognormal(jobRandom, {
       mean: kind.taskMs,
       spread: RUN_SPREAD,
       max: 4 * kind.taskMs,
     });
     const cpuMilli = 50 * Math.round(
-      drawLognormal(random, {
+      drawLognormal(jobRandom, {
         mean: kind.cpuMilli,
         spread: CPU_SPREAD,
         max: kind.maxCpuMilli ?? MAX_CPU_FACTOR * kind.cpuMilli,
       }) / 50,
     );
-    const declaredMs = drawLognormal(random, {
+    const declaredMs = drawLognormal(jobRandom, {
       mean: jobMs,
       spread: DECLARED_SPREAD,
     });
@@ -1557,9 +1568,9 @@
     };
     const { labelShare } = kind;
     // Nothing is drawn for other kinds, so that their runs remain the same.
-    const hasLabel = labelShare !== undefined && random() < labelShare;
+    const hasLabel = labelShare !== undefined && jobRandom() < labelShare;
     const labelled = hasLabel
-      ? workers[Math.floor(random() * workers.length)]
+      ? workers[Math.floor(jobRandom() * workers.length)]
       : undefined;
     const stepCount = kind.stepCount ?? 1;
     const job: JobSpec = {
@@ -1574,14 +1585,14 @@
       })),
     };
     const isDeadly = kind.deadlyShare !== undefined &&
-      random() < kind.deadlyShare;
+      jobRandom() < kind.deadlyShare;
     const longTask = drawLongTask(kind, width);
     let idealMs = 0;
     let workMilliMs = 0;
     for (let stepIndex = 0; stepIndex < stepCount; stepIndex += 1) {
       let longestMs = 0;
       for (let index = 0; index < width; index += 1) {
-        const drawnMs = drawLognormal(random, {
+        const drawnMs = drawLognormal(jobRandom, {
           mean: jobMs,
           spread: TASK_SPREAD,
         });
@@ -1652,13 +1663,13 @@
 
   /** Draws the index of the task of a job that takes long; null for none. */
   function drawLongTask({ tail }: JobKind, width: number): number | null {
-    if (tail === undefined || random() >= tail.share) return null;
-    return Math.floor(random() * width);
+    if (tail === undefined || jobRandom() >= tail.share) return null;
+    return Math.floor(jobRandom() * width);
   }
 
   /** Draws the factor of the run time of a task; 1 unless the kind has a tail. */
   function drawTaskFactor({ taskTail }: JobKind): number {
-    if (taskTail === undefined || random() >= taskTail.share) return 1;
+    if (taskTail === undefined || jobRandom() >= taskTail.share) return 1;
     return taskTail.factor;
   }
 
@@ -1862,6 +1873,7 @@
     setStoreUnavailable(isUnavailable) {
       isStoreUnavailable = isUnavailable;
     },
+    jobRandom,
     discardedMilliMs: () => discardedMilliMs,
     engineCpuMs: () => engineCpuMs,
     leaders: () =>
--- a/bench/fault_tools.ts
+++ b/bench/fault_tools.ts
@@ -5,7 +5,7 @@
 /** Injects a fault that lasts for a time. */
 export type FaultHandler = (world: World, forMs: number) => void;
 
-export function pick<T>(world: World, items: readonly T[]): T {
+export function pick<T>(world: Pick<World, "random">, items: readonly T[]): T {
   return items[Math.floor(world.random() * items.length)] as T;
 }
 
--- a/bench/overload_mix.ts
+++ b/bench/overload_mix.ts
@@ -22,6 +22,7 @@
   instancesPerZone: 2,
   workersPerZone: WORKERS_PER_ZONE,
   workerSizes,
+  drawsJobsApart: true,
 };
 
 function queueOf(name: string, priority: number): QueueRule {
--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -6,7 +6,9 @@
 
 import { isPaused } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
-import { compareJobs, hasQueuedTasks } from "./queue.ts";
+import { overloadPolicyOf } from "./overload/policies.ts";
+import { hasSuitedWorkers } from "./overload/suitability.ts";
+import { compareJobs, compareUnstarted, hasQueuedTasks } from "./queue.ts";
 import { isHeldBack } from "./suspected_queues.ts";
 import {
   createServiceCapacity,
@@ -45,13 +47,21 @@
     const retryAfterMs = HELD_BACK_RETRY_AFTER_MS;
     return { kind: "refused", reason: "overloaded", retryAfterMs };
   }
-  if (state.nowMs + waitMs + job.criticalPathMs <= latestCompletionAtMs(job)) {
-    return null;
-  }
+  const { plannedRunMs, checksSuitability } = overloadPolicyOf(
+    state,
+    job.queue.service,
+  );
+  const mayCheck = checksSuitability && job.record === null;
+  const isUnsuited = mayCheck &&
+    !hasSuitedWorkers(state, job, { usable: false });
+  const endAtMs = state.nowMs + waitMs + plannedRunMs(job);
+  if (!isUnsuited && endAtMs <= latestCompletionAtMs(job)) return null;
   const finiteWaitMs = Number.isFinite(waitMs) ? waitMs : 0;
+  const isOverload = Number.isFinite(waitMs) &&
+    (!mayCheck || hasSuitedWorkers(state, job, { usable: true }));
   return {
     kind: "refused",
-    reason: Number.isFinite(waitMs) ? "overloaded" : "noWorker",
+    reason: isOverload ? "overloaded" : "noWorker",
     retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(finiteWaitMs)),
   };
 }
@@ -82,6 +92,9 @@
   const ahead: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
   for (const other of scheduler.waiting.get(service) ?? []) {
     if (other === job || compareJobs(other, job) > 0) break;
+    // The wait of a recorded job, by which it may be refused, doesn't depend on
+    // the policy.
+    if (job.record !== null && compareUnstarted(other, job) > 0) continue;
     addQueuedLoad(context, ahead, other);
   }
   const capacity = createServiceCapacity(state, scheduler, service);
@@ -133,7 +146,9 @@
     get(job) {
       const { service } = job.queue;
       const ahead = loadsOf(service).get(job);
-      if (ahead === undefined) return expectedWaitMs(context, scheduler, job);
+      if (ahead === undefined || job.record !== null) {
+        return expectedWaitMs(context, scheduler, job);
+      }
       return waitOf(capacityOf(service), { ahead, job });
     },
     reset(changed) {
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -67,6 +67,7 @@
     leftCell: options.leftCell ?? false,
     previousList: options.previousList,
     isLate: false,
+    isPartlyStarted: false,
     isWaiting: false,
     outcome: null,
     endedAtMs: 0,
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -10,6 +10,7 @@
   isolateJob,
 } from "./job_faults.ts";
 import { hasStarted, queueReadyTasks } from "./job_state.ts";
+import { countRefusal } from "./overload/reports.ts";
 import { placeQueuedTasks } from "./placement.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import { discardUnwritable, markDirty, mayHaveTwoOwners } from "./records.ts";
@@ -189,6 +190,7 @@
   if (scheduler === null || job.outcome !== null) return;
   if (outcome.kind === "refused") {
     assert(!job.mayHaveStarted, "refused_means_not_begun", job.jobId);
+    countRefusal(state, job, outcome);
   }
   job.outcome = outcome;
   job.endedAtMs = state.nowMs;
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -354,6 +354,7 @@
     rereadAtMs: -Infinity,
     rereadWanted: false,
     waitMsByService: new Map(),
+    overload: { policyByService: new Map() },
     queueDemands: new Map(),
     demandsSampledAtMs: state.nowMs,
   };
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -9,10 +9,11 @@
 import { awaitsEvidence } from "./crashes.ts";
 import { isPaused } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
-import { jobIdOf } from "./job_state.ts";
+import { hasStarted, jobIdOf } from "./job_state.ts";
 import { listsSameWorkers } from "./leader_lists.ts";
 import { mayGrantLease } from "./leases.ts";
-import { hasQueuedTasks } from "./queue.ts";
+import { overloadPolicyOf } from "./overload/policies.ts";
+import { hasQueuedTasks, markPartlyStarted } from "./queue.ts";
 import { startRun } from "./runs.ts";
 import { isHeldBack, isMixed, isSuspectedQueue } from "./suspected_queues.ts";
 import { isReserved, mayStartTrial, reserveWorker } from "./trials.ts";
@@ -63,6 +64,7 @@
   const candidates = ownWorkers === workers
     ? ownCandidates
     : createCandidates(workers);
+  const { finishesStartedFirst } = overloadPolicyOf(state, service);
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
     if (
@@ -81,9 +83,15 @@
           job.record === null ? ownCandidates : candidates,
           job,
         );
-        return hasQueuedTasks(job);
+        if (!hasQueuedTasks(job)) return false;
+        if (finishesStartedFirst && !job.isPartlyStarted && hasStarted(job)) {
+          markPartlyStarted(state, scheduler, job);
+        }
+        return true;
       },
     });
+    // If the job has moved, then to an earlier place: the next job is at the next
+    // place in either case.
     if (hasQueued) {
       at += 1;
       continue;
--- a/src/engine/queue.ts
+++ b/src/engine/queue.ts
@@ -14,15 +14,28 @@
 /**
  * Compares two jobs by the order in which they are served: surplus jobs of a
  * flood come last; then the lower `priority` value of the queue comes first,
- * then jobs that are not late, then the earlier objective. The job id makes the
- * order total.
+ * then jobs that are not late, then those that are to be finished first, then
+ * the earlier objective. The job id makes the order total.
  */
 export function compareJobs(a: Job, b: Job): number {
+  return compareRanks(a, b) ||
+    Number(b.isPartlyStarted) - Number(a.isPartlyStarted) ||
+    compareObjectives(a, b);
+}
+
+/** Compares two jobs as {@linkcode compareJobs}, whether they have started or not. */
+export function compareUnstarted(a: Job, b: Job): number {
+  return compareRanks(a, b) || compareObjectives(a, b);
+}
+
+function compareRanks(a: Job, b: Job): number {
   return Number(a.isSurplus) - Number(b.isSurplus) ||
     a.queue.priority - b.queue.priority ||
-    Number(a.isLate) - Number(b.isLate) ||
-    a.objectiveAtMs - b.objectiveAtMs ||
-    (a.jobId < b.jobId ? -1 : 1);
+    Number(a.isLate) - Number(b.isLate);
+}
+
+function compareObjectives(a: Job, b: Job): number {
+  return a.objectiveAtMs - b.objectiveAtMs || (a.jobId < b.jobId ? -1 : 1);
 }
 
 /**
@@ -81,3 +94,17 @@
   job.isLate = true;
   if (wasWaiting) enqueue(state, job);
 }
+
+/**
+ * Marks a job of which only some tasks have started, which moves it before the
+ * jobs of equal priority that have not started.
+ */
+export function markPartlyStarted(
+  state: EngineState,
+  scheduler: Scheduler,
+  job: Job,
+): void {
+  const wasWaiting = dequeue(scheduler, job);
+  job.isPartlyStarted = true;
+  if (wasWaiting) enqueue(state, job);
+}
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -56,6 +56,7 @@
   updateLastHeard,
   workersAgeMs,
 } from "./membership.ts";
+import { logPolicyChanges } from "./overload/reports.ts";
 import { placeQueuedTasks } from "./placement.ts";
 import {
   checkPendingQueries,
@@ -177,6 +178,7 @@
     lastCallId: 0,
     lastSubmissionNumber: 0,
     lastWriteId: 0,
+    refusals: new Map(),
     counters: {
       jobsReceived: 0,
       jobsDone: 0,
@@ -395,6 +397,7 @@
     checkReports(context, scheduler);
     sampleDemands(scheduler, state.nowMs);
     updateWaitsByService(context, scheduler);
+    logPolicyChanges(context, scheduler);
     applyTaskCompletions(context);
     checkJobs(context, scheduler);
     for (const service of scheduler.waiting.keys()) {
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -11,6 +11,7 @@
  * their comments say otherwise.
  */
 
+import type { OverloadState, RefusalCount } from "./overload/types.ts";
 import type { RunEstimate } from "./run_estimate.ts";
 import type {
   Configuration,
@@ -639,6 +640,11 @@
   previousList: PreviousListReport;
   /** The objective passed while tasks were still queued. */
   isLate: boolean;
+  /**
+   * Tasks have started while others were queued, under a policy that finishes such
+   * jobs first.
+   */
+  isPartlyStarted: boolean;
   /** The job is in its service's queue. */
   isWaiting: boolean;
   outcome: JobOutcome | null;
@@ -895,6 +901,7 @@
   rereadWanted: boolean;
   /** Expected queueing delay by service, as sent to peers. */
   readonly waitMsByService: Map<string, number>;
+  readonly overload: OverloadState;
   /** Demand statistics by queue. */
   readonly queueDemands: Map<string, QueueDemand>;
   demandsSampledAtMs: number;
@@ -1413,6 +1420,8 @@
   lastSubmissionNumber: number;
   /** Id of the latest write of records; 0 before the first one. */
   lastWriteId: number;
+  /** Refusals by this instance as the leader, by reason and priority. */
+  readonly refusals: Map<string, RefusalCount>;
   readonly counters: Counters;
 }
 
