Overload policy by cost: a bound on jobs that are partly started

Cause: above the capacity, many jobs of the less urgent queues get their workers one by one, hold them meanwhile and end late.

Change: a job of a less urgent queue begins if the workers have room for all its queued tasks, or if no job of its priority is partly started. So one job of each priority collects workers, which keeps wide jobs from being starved.

--- a/src/engine/overload/policies.ts
+++ b/src/engine/overload/policies.ts
@@ -21,6 +21,8 @@
    * for that reason.
    */
   readonly checksSuitability: boolean;
+  /** Whether few jobs of less urgent queues may be partly started at a time. */
+  readonly limitsPartlyStarted: boolean;
   /** Returns the time that is set aside for the run of a job on admission. */
   readonly plannedRunMs: (job: Job) => number;
 }
@@ -37,11 +39,13 @@
   objective: {
     finishesStartedFirst: false,
     checksSuitability: false,
+    limitsPartlyStarted: false,
     plannedRunMs: ({ criticalPathMs }) => criticalPathMs,
   },
   cost: {
     finishesStartedFirst: true,
     checksSuitability: true,
+    limitsPartlyStarted: true,
     plannedRunMs({ criticalPathMs, queue, record }) {
       // A recorded job is refused only where it would be by its objective.
       if (record !== null) return criticalPathMs;
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -12,6 +12,7 @@
 import { hasStarted, jobIdOf } from "./job_state.ts";
 import { listsSameWorkers } from "./leader_lists.ts";
 import { mayGrantLease } from "./leases.ts";
+import { createBeginCheck } from "./overload/begin.ts";
 import { overloadPolicyOf } from "./overload/policies.ts";
 import { hasQueuedTasks, markPartlyStarted } from "./queue.ts";
 import { startRun } from "./runs.ts";
@@ -64,6 +65,10 @@
   const candidates = ownWorkers === workers
     ? ownCandidates
     : createCandidates(workers);
+  const mayBegin = createBeginCheck(state, scheduler, {
+    service,
+    workers: ownWorkers,
+  });
   const { finishesStartedFirst } = overloadPolicyOf(state, service);
   for (let at = 0; at < waiting.length;) {
     const job = waiting[at] as Job;
@@ -78,6 +83,7 @@
       stage: "place",
       fallback: true,
       run: () => {
+        if (!mayBegin(job)) return true;
         placeJob(
           context,
           job.record === null ? ownCandidates : candidates,
