--- a/src/engine/overload/begin.ts
+++ b/src/engine/overload/begin.ts
@@ -3,8 +3,10 @@
  * others wait. Load: more work of less urgent queues than the workers can do.
  */
 
-import type { Configuration } from "../schemas.ts";
+import type { Configuration, Step } from "../schemas.ts";
+import { isReserved } from "../trials.ts";
 import type { EngineState, Job, OwnedWorker, Scheduler } from "../types.ts";
+import { tasksThatFit } from "../worker_loans.ts";
 import { overloadPolicyOf } from "./policies.ts";
 
 /**
@@ -31,26 +33,42 @@
   return lowest;
 }
 
-/** Whether the workers have room for all queued tasks of a job now. */
+/** Returns how many more tasks with a demand fit on a worker now. */
+function placesLeft(
+  state: EngineState,
+  worker: OwnedWorker,
+  demand: Step,
+): number {
+  const { info, usedCpuMilli, usedMemoryMb, usedAccelerators } = worker;
+  if (isReserved(state, worker)) return 0;
+  return tasksThatFit({
+    ...info,
+    cpuMilli: info.cpuMilli - usedCpuMilli,
+    memoryMb: info.memoryMb - usedMemoryMb,
+    accelerators: info.accelerators - usedAccelerators,
+  }, { ...demand, service: info.service });
+}
+
+/**
+ * Whether the workers have room for all queued tasks of a job now. Steps that are
+ * queued at the same time are looked at one by one.
+ */
 function fitsWhole(
+  state: EngineState,
   workers: readonly OwnedWorker[],
-  { tasks }: Job,
+  { tasks, steps }: Job,
 ): boolean {
-  let count = 0;
-  let taskMilli = 1;
-  for (const { state, demand } of tasks) {
-    if (state !== "queued") continue;
-    count += 1;
-    taskMilli = Math.max(taskMilli, demand.cpuMilli);
-  }
-  for (const { info, usedCpuMilli } of workers) {
-    if (count <= 0) break;
-    count -= Math.max(
-      0,
-      Math.floor((info.cpuMilli - usedCpuMilli) / taskMilli),
-    );
-  }
-  return count <= 0;
+  return steps.every((demand, stepIndex) => {
+    let left = 0;
+    for (const task of tasks) {
+      if (task.stepIndex === stepIndex && task.state === "queued") left += 1;
+    }
+    for (const worker of workers) {
+      if (left <= 0) break;
+      left -= placesLeft(state, worker, demand);
+    }
+    return left <= 0;
+  });
 }
 
 /** Returns the check for the jobs of a service in one pass over its queue. */
@@ -77,7 +95,7 @@
     if (job.record !== null || job.tasks.some(({ runsAlone }) => runsAlone)) {
       return true;
     }
-    if (fitsWhole(workers, job)) return true;
+    if (fitsWhole(state, workers, job)) return true;
     const count = partlyStarted.get(priority) ?? 0;
     if (count >= MAX_PARTLY_STARTED) return false;
     partlyStarted.set(priority, count + 1);
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -1,5 +1,6 @@
 /** The state dump of an instance, limited in size. */
 
+import { partlyStartedCount } from "../engine/overload/reports.ts";
 import type { EngineState, OwnedWorker, Scheduler } from "../engine/types.ts";
 
 /** The maximum number of entries that a dump shows of each list. */
@@ -45,7 +46,8 @@
 }
 
 function dumpScheduler(state: EngineState, scheduler: Scheduler): object {
-  const { jobs, records, loans, waiting, workers, queueDemands } = scheduler;
+  const { jobs, records, loans, overload, waiting, workers, queueDemands } =
+    scheduler;
   return {
     // Time since the leader term started.
     sinceMs: Math.round(state.nowMs - scheduler.startedAtMs),
@@ -53,6 +55,11 @@
     jobs: jobs.size,
     workersBorrowed: loans.borrowed.size,
     workersLent: loans.lent.size,
+    overload: {
+      policies: Object.fromEntries(overload.policyByService),
+      partlyStarted: partlyStartedCount(scheduler),
+      refusals: [...state.refusals.values()],
+    },
     waiting: Object.fromEntries(
       [...waiting].map(([service, list]) => [service, list.length]),
     ),
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -4,6 +4,7 @@
  */
 
 import { StatsD } from "hot-shots";
+import { partlyStartedCount } from "../engine/overload/reports.ts";
 import type { Counters, EngineState } from "../engine/types.ts";
 import type { Settings } from "../settings/schema.ts";
 
@@ -32,6 +33,10 @@
     }
     client.gauge("callerJobs", state.callerJobs.size);
     client.gauge("jobsAtLeader", state.scheduler?.jobs.size ?? 0);
+    client.gauge(
+      "jobsPartlyStarted",
+      state.scheduler === null ? 0 : partlyStartedCount(state.scheduler),
+    );
   }, METRICS_INTERVAL_MS);
   return () => {
     clearInterval(timer);
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -2,6 +2,7 @@
 
 import { createServer, type Server } from "node:http";
 import * as hdr from "hdr-histogram-js";
+import { partlyStartedCount } from "../engine/overload/reports.ts";
 import type { CallerReply, EngineState } from "../engine/types.ts";
 
 /** Latencies above this are recorded as this value. */
@@ -58,6 +59,7 @@
     text() {
       const lines = [
         ...counterLines(state),
+        ...refusalLines(state),
         ...gaugeLines(state),
         `bronzemill_longestEventMs ${Math.round(longestEventMs)}`,
       ];
@@ -80,6 +82,13 @@
     .map(([name, value]) => `bronzemill_${name} ${value}`);
 }
 
+/** Returns the refusals by this instance as the leader. */
+function refusalLines({ refusals }: EngineState): string[] {
+  return [...refusals.values()].map(({ reason, priority, count }) =>
+    `bronzemill_refusals{reason="${reason}",priority="${priority}"} ${count}`
+  );
+}
+
 function gaugeLines(state: EngineState): string[] {
   const { scheduler } = state;
   return [
@@ -88,6 +97,9 @@
     `bronzemill_workersListed ${state.workers.size}`,
     `bronzemill_jobsAtLeader ${scheduler?.jobs.size ?? 0}`,
     `bronzemill_workersBorrowed ${scheduler?.loans.borrowed.size ?? 0}`,
+    `bronzemill_jobsPartlyStarted ${
+      scheduler === null ? 0 : partlyStartedCount(scheduler)
+    }`,
     `bronzemill_workersLent ${scheduler?.loans.lent.size ?? 0}`,
     `bronzemill_configurationVersion ${state.configuration?.version ?? -1}`,
     `bronzemill_configurationProofAgeMs ${proofAgeMs(state)}`,
