Settings: places of fields, calls and overlay pairs can be reused

Cause: the check of a configuration needs the file and line of fields that the schemas accept, the response of a call without printing it, and the overlay files that config apply reads. Change: loadSettings returns a function that locates a field; a call and the split of ZONE=FILE pairs are functions of their own. A missing field inside a section that only the overlay has is now located in the overlay.

--- a/src/cli/common.ts
+++ b/src/cli/common.ts
@@ -26,6 +26,13 @@
   },
 } as const;
 
+/** The argument that names the overlay files of several zones. */
+export const overlaysArg = {
+  type: "string",
+  default: "",
+  description: "Overlay files by availability zone, as ZONE=FILE,ZONE=FILE",
+} as const;
+
 /** Arguments of commands that call an instance. */
 export const callArgs = {
   address: {
@@ -74,8 +81,16 @@
   readonly headers?: Record<string, string>;
 }
 
-/** Calls an instance and prints its response; a failure sets the exit code. */
-export async function callAndPrint(call: InstanceCall): Promise<void> {
+/** An instance's response to a call. */
+export interface InstanceResponse {
+  readonly ok: boolean;
+  readonly body: unknown;
+}
+
+/** Calls an instance; if there is no response, prints the cause and is null. */
+export async function callInstance(
+  call: InstanceCall,
+): Promise<InstanceResponse | null> {
   const bearerKey = call.key ?? process.env["BRONZEMILL_KEY"] ?? "";
   try {
     const response = await fetch(`http://${call.address}${call.path}`, {
@@ -87,15 +102,33 @@
       },
       ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
     });
-    printJson(await response.json(), { json: call.json === true });
-    if (!response.ok) process.exitCode = EXIT_FAILURE;
+    return { ok: response.ok, body: await response.json() };
   } catch (error) {
     const cause = (error as { cause?: Error }).cause ?? (error as Error);
     process.stderr.write(`${call.address}: ${cause.message}\n`);
-    process.exitCode = EXIT_FAILURE;
+    return null;
   }
 }
 
+/** Calls an instance and prints its response; a failure sets the exit code. */
+export async function callAndPrint(call: InstanceCall): Promise<void> {
+  const response = await callInstance(call);
+  if (response !== null) {
+    printJson(response.body, { json: call.json === true });
+  }
+  if (response?.ok !== true) process.exitCode = EXIT_FAILURE;
+}
+
+/** Splits `ZONE=FILE,ZONE=FILE` into pairs; a missing file is undefined. */
+export function splitOverlays(
+  text: string,
+): { zone: string; overlay: string | undefined }[] {
+  return text.split(",").filter((pair) => pair !== "").map((pair) => {
+    const [zone = "", overlay] = pair.split("=");
+    return { zone, overlay };
+  });
+}
+
 /** Reads a file, or standard input if the name is `-`. */
 export function readInput(file: string): string {
   return readFileSync(file === "-" ? 0 : file, "utf8");
--- a/src/cli/config_commands.ts
+++ b/src/cli/config_commands.ts
@@ -8,8 +8,10 @@
   callArgs,
   EXIT_FAILURE,
   loadSettingsOrExit,
+  overlaysArg,
   printJson,
   settingsArgs,
+  splitOverlays,
 } from "./common.ts";
 
 const checkCommand = defineCommand({
@@ -68,8 +70,7 @@
   text: string,
 ): Record<string, JsonObject> {
   const overlays: Record<string, JsonObject> = {};
-  for (const pair of text.split(",").filter((pair) => pair !== "")) {
-    const [zone = "", overlay] = pair.split("=");
+  for (const { zone, overlay } of splitOverlays(text)) {
     const loaded = loadSettingsOrExit({ settings: base, overlay });
     overlays[zone] = loaded.overlayConfiguration;
   }
@@ -85,11 +86,7 @@
   args: {
     ...callArgs,
     settings: settingsArgs.settings,
-    overlays: {
-      type: "string",
-      default: "",
-      description: "Overlay files by availability zone, as ZONE=FILE,ZONE=FILE",
-    },
+    overlays: overlaysArg,
     version: {
       type: "string",
       required: true,
--- a/src/entry/merge_patch.ts
+++ b/src/entry/merge_patch.ts
@@ -2,7 +2,8 @@
 
 import type { Json, JsonObject } from "./schemas.ts";
 
-function isObject(value: Json | undefined): value is JsonObject {
+/** Whether a value is a JSON object, which a patch merges field by field. */
+export function isObject(value: Json | undefined): value is JsonObject {
   return typeof value === "object" && value !== null && !Array.isArray(value);
 }
 
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -9,10 +9,14 @@
 import { nearestName } from "./nearest.ts";
 import { type Settings, settingsSchema } from "./schema.ts";
 
-/** A problem in a settings file; line 0 means that the line is unknown. */
-export interface SettingsProblem {
+/** A place in a settings file; line 0 means that the line is unknown. */
+export interface FileLocation {
   readonly file: string;
   readonly line: number;
+}
+
+/** A problem in a settings file. */
+export interface SettingsProblem extends FileLocation {
   readonly field: string;
   readonly message: string;
 }
@@ -119,26 +123,35 @@
   });
 }
 
-/**
- * Creates a problem located in the file that sets the field. The overlay is
- * searched first because its values override those of the base.
- */
+/** Creates a problem located in the file that sets the field. */
 function createProblem(
   files: readonly ParsedFile[],
   path: readonly PropertyKey[],
   { message }: { message: string },
 ): SettingsProblem {
-  const field = path.map(String).join(".");
-  for (const parsed of [...files].reverse()) {
-    const isSetHere = path.length > 0 &&
-      parsed.document.hasIn(path as string[]);
-    if (isSetHere) {
-      return { file: parsed.file, line: lineOf(parsed, path), field, message };
+  return { ...locate(files, path), field: path.map(String).join("."), message };
+}
+
+/**
+ * Returns the place of a field, or of the deepest part of its path that a file
+ * contains. For the field itself the overlay is searched first because its
+ * values override those of the base.
+ */
+function locate(
+  files: readonly ParsedFile[],
+  path: readonly PropertyKey[],
+): FileLocation {
+  for (let length = path.length; length > 0; length -= 1) {
+    const part = path.slice(0, length);
+    const searched = length === path.length ? [...files].reverse() : files;
+    const found = searched.find(({ document }) =>
+      document.hasIn(part as string[])
+    );
+    if (found !== undefined) {
+      return { file: found.file, line: lineOf(found, part) };
     }
   }
-  const [base] = files;
-  const line = base === undefined ? 0 : lineOf(base, path);
-  return { file: base?.file ?? "", line, field, message };
+  return { file: files[0]?.file ?? "", line: 0 };
 }
 
 function unknownFieldMessage(key: string, known: readonly string[]): string {
@@ -188,6 +201,8 @@
   readonly baseConfiguration: JsonObject;
   /** The overlay's `configuration` section as written. */
   readonly overlayConfiguration: JsonObject;
+  /** Returns the place of a field, or of the deepest section that exists. */
+  readonly locate: (path: readonly PropertyKey[]) => FileLocation;
 }
 
 /**
@@ -232,6 +247,7 @@
     settings: parsed.data,
     baseConfiguration: configurationSection(files[0]),
     overlayConfiguration: configurationSection(files[1]),
+    locate: (path) => locate(files, path),
   };
 }
 
