--- a/src/cli/config_commands.ts
+++ b/src/cli/config_commands.ts
@@ -13,6 +13,7 @@
   settingsArgs,
   splitOverlays,
 } from "./common.ts";
+import { configCheckCommand } from "./config_check_command.ts";
 
 const checkCommand = defineCommand({
   meta: {
@@ -128,6 +129,7 @@
   meta: { name: "config", description: "Work with the configuration in force" },
   subCommands: {
     get: getCommand,
+    check: configCheckCommand,
     apply: applyCommand,
     history: historyCommand,
   },
