--- a/src/cli/config_commands.ts
+++ b/src/cli/config_commands.ts
@@ -8,9 +8,12 @@
   callArgs,
   EXIT_FAILURE,
   loadSettingsOrExit,
+  overlaysArg,
   printJson,
   settingsArgs,
+  splitOverlays,
 } from "./common.ts";
+import { configCheckCommand } from "./config_check_command.ts";
 
 const checkCommand = defineCommand({
   meta: {
@@ -68,8 +71,7 @@
   text: string,
 ): Record<string, JsonObject> {
   const overlays: Record<string, JsonObject> = {};
-  for (const pair of text.split(",").filter((pair) => pair !== "")) {
-    const [zone = "", overlay] = pair.split("=");
+  for (const { zone, overlay } of splitOverlays(text)) {
     const loaded = loadSettingsOrExit({ settings: base, overlay });
     overlays[zone] = loaded.overlayConfiguration;
   }
@@ -85,11 +87,7 @@
   args: {
     ...callArgs,
     settings: settingsArgs.settings,
-    overlays: {
-      type: "string",
-      default: "",
-      description: "Overlay files by availability zone, as ZONE=FILE,ZONE=FILE",
-    },
+    overlays: overlaysArg,
     version: {
       type: "string",
       required: true,
@@ -131,6 +129,7 @@
   meta: { name: "config", description: "Work with the configuration in force" },
   subCommands: {
     get: getCommand,
+    check: configCheckCommand,
     apply: applyCommand,
     history: historyCommand,
   },
