Configuration: names that every object has are no kinds, services or teams

Cause: queueOf looked a kind up in a plain object, so that a submission of the kind "constructor" got a queue without an objective, and one of the service "constructor" ended in an internal error. Any team's key allows such a request. Change: only own properties are looked up, also for teams in the administration. Result: three cases, red before.

--- a/src/admin/admin_listener.ts
+++ b/src/admin/admin_listener.ts
@@ -162,7 +162,10 @@
       warn(`rejected request for team ${team} from team ${identity.team}`);
       throw new RequestError("forbidden");
     }
-    const teamConfiguration = host.effectiveConfiguration()?.teams[team];
+    const teams = host.effectiveConfiguration()?.teams ?? {};
+    const teamConfiguration = Object.hasOwn(teams, team)
+      ? teams[team]
+      : undefined;
     if (teamConfiguration === undefined) throw new RequestError("notFound");
     const demands = state.scheduler?.queueDemands ?? new Map();
     const queues = [...demands].filter(([name]) => name.startsWith(`${team}/`))
--- a/src/entry/configuration.ts
+++ b/src/entry/configuration.ts
@@ -95,6 +95,22 @@
   };
 }
 
+/**
+ * Returns what is configured for a kind. Callers name services and kinds, so that
+ * a name that every object has, such as `constructor`, must not be found.
+ */
+function kindOf(
+  { services }: SiteConfiguration,
+  { service, kind }: Pick<Submission, "service" | "kind">,
+) {
+  const kinds = Object.hasOwn(services, service)
+    ? services[service]?.kinds
+    : undefined;
+  return kinds !== undefined && Object.hasOwn(kinds, kind)
+    ? kinds[kind]
+    : undefined;
+}
+
 /**
  * Returns the queue of a team's jobs of one kind, or null if the kind is not
  * configured. More urgent jobs have a shorter latency objective.
@@ -104,7 +120,7 @@
   team: string,
   { service, kind, urgency, deadlineMs }: Submission,
 ): QueueRule | null {
-  const kindConfiguration = configuration.services[service]?.kinds[kind];
+  const kindConfiguration = kindOf(configuration, { service, kind });
   if (kindConfiguration === undefined) return null;
   return {
     name: `${team}/${service}/${kind}`,
@@ -127,5 +143,5 @@
   configuration: SiteConfiguration,
   { service, kind }: Submission,
 ): number {
-  return configuration.services[service]?.kinds[kind]?.expectedMs ?? 0;
+  return kindOf(configuration, { service, kind })?.expectedMs ?? 0;
 }
--- a/src/entry/job_translation_test.ts
+++ b/src/entry/job_translation_test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import type { CallerReply } from "../engine/types.ts";
-import { queueOf } from "./configuration.ts";
+import { expectedMsOf, queueOf } from "./configuration.ts";
 import { Diagnostics, type Ran } from "./diagnostics.ts";
 import {
   correctReplyToRetry,
@@ -115,3 +115,19 @@
     otherRefusal,
   );
 });
+
+const inheritedNames = [
+  { service: "oficina", kind: "constructor" },
+  { service: "constructor", kind: "quote" },
+  { service: "__proto__", kind: "toString" },
+];
+
+// A caller may name any kind. One that every object has got a queue without an
+// objective, or ended the request with an internal error.
+for (const names of inheritedNames) {
+  test(`${names.service}/${names.kind} has no queue`, () => {
+    expect(queueOf(configuration, "benches", { ...submission, ...names }))
+      .toEqual(null);
+    expect(expectedMsOf(configuration, { ...submission, ...names })).toEqual(0);
+  });
+}
