Overload policy: less urgent jobs are refused early; cheaper look at whole jobs

Cause: 8 to 12% of the jobs of the middle priority waited for over a quarter of their objective and were refused then, since more urgent jobs arrived meanwhile.

Change: on arrival, twice the expected wait counts for a job in memory of a less urgent queue, which leaves half of its slack for more urgent arrivals. Later checks use the expected wait as it is. Whether a job fits whole is asked only if its first task may fit, and without an object for each worker.

--- a/bench/load_model_test.ts
+++ b/bench/load_model_test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { loadPatterns, simulateLoad } from "./load_model.ts";
+import { loadPatterns, mixPatterns, simulateLoad } from "./load_model.ts";
 
 /**
  * Lowest acceptable share of the worth earned, which is the stated target for a
@@ -8,6 +8,12 @@
  */
 const MIN_CREDIT = 0.99;
 
+/**
+ * Lowest acceptable share of the jobs of a kind that are done while kinds compete:
+ * half of what the mix at 1.40 of the cores could get if all kinds fared alike.
+ */
+const MIN_SERVED = 0.5 / 1.4;
+
 for (const name of ["steady", "high"]) {
   test(`load ${name}: nearly everything is in time`, async () => {
     const pattern = loadPatterns.find((candidate) => candidate.name === name);
@@ -36,3 +42,23 @@
   // A burst of one kind must not degrade the usual service of other kinds.
   expect((quote?.onTime ?? 0) >= 0.95 * (quote?.jobs ?? 1)).toEqual(true);
 });
+
+// Several kinds compete for workers that can do a part of their work. By the order
+// of objectives alone, the tenth of the least urgent kind with the most work was
+// served less than half as often as the kind (overlapping bursts).
+for (const name of ["mix 1.40", "mix 0.75 bursts"]) {
+  test(`load ${name}: no size of a kind is starved, nor the least urgent kind`, async () => {
+    const pattern = mixPatterns.find((candidate) => candidate.name === name);
+    if (pattern === undefined) throw new Error(name);
+    const { kinds, violations } = await simulateLoad(pattern, { seed: 1 });
+    expect(violations).toEqual([]);
+    for (const { kind, served } of kinds) {
+      const { all, ...sizes } = served;
+      const starved = Object.entries(sizes).filter(([, share]) =>
+        share < 0.5 * all
+      );
+      expect([kind, starved]).toEqual([kind, []]);
+      expect(all >= MIN_SERVED).toEqual(true);
+    }
+  });
+}
--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -41,20 +41,22 @@
   state: EngineState,
   job: Job,
   waitMs: number,
+  { isNew = false }: { isNew?: boolean } = {},
 ): JobOutcome | null {
   if (!hasQueuedTasks(job)) return null;
   if (job.record === null && isHeldBack(state, job)) {
     const retryAfterMs = HELD_BACK_RETRY_AFTER_MS;
     return { kind: "refused", reason: "overloaded", retryAfterMs };
   }
-  const { plannedRunMs, checksSuitability } = overloadPolicyOf(
+  const { plannedRunMs, plannedWaitMs, checksSuitability } = overloadPolicyOf(
     state,
     job.queue.service,
   );
   const mayCheck = checksSuitability && job.record === null;
   const isUnsuited = mayCheck &&
     !hasSuitedWorkers(state, job, { usable: false });
-  const endAtMs = state.nowMs + waitMs + plannedRunMs(job);
+  const plannedMs = isNew ? plannedWaitMs(state, job, waitMs) : waitMs;
+  const endAtMs = state.nowMs + plannedMs + plannedRunMs(job);
   if (!isUnsuited && endAtMs <= latestCompletionAtMs(job)) return null;
   const finiteWaitMs = Number.isFinite(waitMs) ? waitMs : 0;
   const isOverload = Number.isFinite(waitMs) &&
--- a/src/engine/overload/begin.ts
+++ b/src/engine/overload/begin.ts
@@ -3,11 +3,16 @@
  * others wait. Load: more work of less urgent queues than the workers can do.
  */
 
-import type { Configuration, Step } from "../schemas.ts";
+import type { Step } from "../schemas.ts";
 import { isReserved } from "../trials.ts";
-import type { EngineState, Job, OwnedWorker, Scheduler } from "../types.ts";
-import { tasksThatFit } from "../worker_loans.ts";
-import { overloadPolicyOf } from "./policies.ts";
+import type {
+  EngineState,
+  Job,
+  OwnedWorker,
+  Scheduler,
+  Task,
+} from "../types.ts";
+import { isMostUrgent, overloadPolicyOf } from "./policies.ts";
 
 /**
  * Number of jobs of each less urgent queue's priority that may be partly started.
@@ -21,32 +26,29 @@
 
 const anyMayBegin: BeginCheck = () => true;
 
-/** Returns the lowest `priority` value of a service's queues. */
-function mostUrgentPriority(
-  configuration: Configuration | null,
-  service: string,
-): number {
-  let lowest = Infinity;
-  for (const queue of configuration?.queues ?? []) {
-    if (queue.service === service) lowest = Math.min(lowest, queue.priority);
-  }
-  return lowest;
+function quotient(available: number, needed: number): number {
+  return needed === 0 ? Infinity : available / needed;
 }
 
 /** Returns how many more tasks with a demand fit on a worker now. */
 function placesLeft(
   state: EngineState,
   worker: OwnedWorker,
-  demand: Step,
+  { cpuMilli, memoryMb, accelerators, requiredLabel, maxPerWorker }: Step,
 ): number {
-  const { info, usedCpuMilli, usedMemoryMb, usedAccelerators } = worker;
-  if (isReserved(state, worker)) return 0;
-  return tasksThatFit({
-    ...info,
-    cpuMilli: info.cpuMilli - usedCpuMilli,
-    memoryMb: info.memoryMb - usedMemoryMb,
-    accelerators: info.accelerators - usedAccelerators,
-  }, { ...demand, service: info.service });
+  const { info } = worker;
+  const cpuPlaces = quotient(info.cpuMilli - worker.usedCpuMilli, cpuMilli);
+  if (cpuPlaces < 1 || isReserved(state, worker)) return 0;
+  if (requiredLabel !== undefined && !info.labels.includes(requiredLabel)) {
+    return 0;
+  }
+  const places = Math.min(
+    cpuPlaces,
+    quotient(info.memoryMb - worker.usedMemoryMb, memoryMb),
+    quotient(info.accelerators - worker.usedAccelerators, accelerators),
+    maxPerWorker ?? Infinity,
+  );
+  return Math.max(0, Math.floor(places));
 }
 
 /**
@@ -75,10 +77,15 @@
 export function createBeginCheck(
   state: EngineState,
   scheduler: Scheduler,
-  { service, workers }: { service: string; workers: readonly OwnedWorker[] },
+  { service, workers, mayFit }: {
+    service: string;
+    /** The workers that may get tasks now. */
+    workers: readonly OwnedWorker[];
+    /** Whether a task may fit on one of them. */
+    mayFit: (task: Task) => boolean;
+  },
 ): BeginCheck {
   if (!overloadPolicyOf(state, service).limitsPartlyStarted) return anyMayBegin;
-  const urgent = mostUrgentPriority(state.configuration, service);
   const partlyStarted = new Map<number, number>();
   for (
     const { isPartlyStarted, queue } of scheduler.waiting.get(service) ?? []
@@ -91,11 +98,11 @@
   }
   return (job) => {
     const { priority } = job.queue;
-    if (priority === urgent || job.mayHaveStarted) return true;
-    if (job.record !== null || job.tasks.some(({ runsAlone }) => runsAlone)) {
-      return true;
-    }
-    if (fitsWhole(state, workers, job)) return true;
+    if (isMostUrgent(state, job.queue) || job.mayHaveStarted) return true;
+    if (job.record !== null) return true;
+    const first = job.tasks.find((task) => task.state === "queued");
+    if (first === undefined || first.runsAlone) return true;
+    if (mayFit(first) && fitsWhole(state, workers, job)) return true;
     const count = partlyStarted.get(priority) ?? 0;
     if (count >= MAX_PARTLY_STARTED) return false;
     partlyStarted.set(priority, count + 1);
--- a/src/engine/overload/policies.ts
+++ b/src/engine/overload/policies.ts
@@ -4,7 +4,7 @@
  * kinds that overlap, and load above the capacity for seconds.
  */
 
-import type { Configuration } from "../schemas.ts";
+import type { Configuration, QueueRule } from "../schemas.ts";
 import type { EngineState, Job } from "../types.ts";
 import type { OverloadPolicyName } from "./types.ts";
 
@@ -23,6 +23,15 @@
   readonly checksSuitability: boolean;
   /** Whether few jobs of less urgent queues may be partly started at a time. */
   readonly limitsPartlyStarted: boolean;
+  /**
+   * Returns the wait that is planned for a job when it arrives, from the expected
+   * wait.
+   */
+  readonly plannedWaitMs: (
+    state: EngineState,
+    job: Job,
+    waitMs: number,
+  ) => number;
   /** Returns the time that is set aside for the run of a job on admission. */
   readonly plannedRunMs: (job: Job) => number;
 }
@@ -34,18 +43,30 @@
  */
 const RESERVED_SLACK_SHARE = 1 / 4;
 
+/**
+ * Factor by which the expected wait of a new job of a less urgent queue is
+ * multiplied: more urgent jobs that arrive while it waits go before it. It leaves
+ * a job half of its slack for them, so that fewer jobs wait and are refused later.
+ */
+const LESS_URGENT_WAIT_FACTOR = 2;
+
 /** The policies by name. */
 export const overloadPolicies: Record<OverloadPolicyName, OverloadPolicy> = {
   objective: {
     finishesStartedFirst: false,
     checksSuitability: false,
     limitsPartlyStarted: false,
+    plannedWaitMs: (_state, _job, waitMs) => waitMs,
     plannedRunMs: ({ criticalPathMs }) => criticalPathMs,
   },
   cost: {
     finishesStartedFirst: true,
     checksSuitability: true,
     limitsPartlyStarted: true,
+    plannedWaitMs(state, { queue, record }, waitMs) {
+      if (record !== null || isMostUrgent(state, queue)) return waitMs;
+      return LESS_URGENT_WAIT_FACTOR * waitMs;
+    },
     plannedRunMs({ criticalPathMs, queue, record }) {
       // A recorded job is refused only where it would be by its objective.
       if (record !== null) return criticalPathMs;
@@ -55,23 +76,46 @@
   },
 };
 
-/** Services of a configuration whose queues have different priorities. */
-const contendedServices = new WeakMap<Configuration, ReadonlySet<string>>();
+/** The priorities of the queues of a service. */
+interface ServicePriorities {
+  /** The lowest value, which comes first. */
+  mostUrgent: number;
+  leastUrgent: number;
+}
+
+/** The priorities by service, computed once for a configuration. */
+const knownPriorities = new WeakMap<
+  Configuration,
+  ReadonlyMap<string, ServicePriorities>
+>();
 
-function contendedServicesOf(
+function prioritiesOf(
   configuration: Configuration,
-): ReadonlySet<string> {
-  const known = contendedServices.get(configuration);
+): ReadonlyMap<string, ServicePriorities> {
+  const known = knownPriorities.get(configuration);
   if (known !== undefined) return known;
-  const priorityOf = new Map<string, number>();
-  const contended = new Set<string>();
+  const priorities = new Map<string, ServicePriorities>();
   for (const { service, priority } of configuration.queues) {
-    const other = priorityOf.get(service);
-    if (other !== undefined && other !== priority) contended.add(service);
-    priorityOf.set(service, priority);
+    const range = priorities.get(service);
+    if (range === undefined) {
+      priorities.set(service, { mostUrgent: priority, leastUrgent: priority });
+      continue;
+    }
+    range.mostUrgent = Math.min(range.mostUrgent, priority);
+    range.leastUrgent = Math.max(range.leastUrgent, priority);
   }
-  contendedServices.set(configuration, contended);
-  return contended;
+  knownPriorities.set(configuration, priorities);
+  return priorities;
+}
+
+/** Whether no queue of the service comes before the given one. */
+export function isMostUrgent(
+  { configuration }: EngineState,
+  { service, priority }: QueueRule,
+): boolean {
+  if (configuration === null) return true;
+  const range = prioritiesOf(configuration).get(service);
+  return range === undefined || priority <= range.mostUrgent;
 }
 
 /**
@@ -83,7 +127,10 @@
   service: string,
 ): OverloadPolicyName {
   if (!hasZoneCells || configuration === null) return "objective";
-  return contendedServicesOf(configuration).has(service) ? "cost" : "objective";
+  const range = prioritiesOf(configuration).get(service);
+  const isContended = range !== undefined &&
+    range.mostUrgent !== range.leastUrgent;
+  return isContended ? "cost" : "objective";
 }
 
 /** Returns the policy for a service. */
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -68,6 +68,7 @@
   const mayBegin = createBeginCheck(state, scheduler, {
     service,
     workers: ownWorkers,
+    mayFit: (task) => mayFit(state, ownCandidates, task),
   });
   const { finishesStartedFirst } = overloadPolicyOf(state, service);
   for (let at = 0; at < waiting.length;) {
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -191,7 +191,9 @@
   if (cameAfterDrop(state, message, job.receivedAtMs)) {
     return { kind: "refused", reason: "unknownQueue", retryAfterMs: 0 };
   }
-  if (job.record === null) return refusalOf(state, job, waitMs);
+  if (job.record === null) {
+    return refusalOf(state, job, waitMs, { isNew: true });
+  }
   if (!fitsRow(job, job.record)) {
     return { kind: "refused", reason: "tooLarge", retryAfterMs: 0 };
   }
