--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -80,9 +80,13 @@
       fallback: true,
       run: () => {
         const owned = job.record === null ? ownWorkers : workers;
-        const startable = startableWorkers(job, owned);
-        if (!mayBegin(job, startable)) return true;
-        placeJob(context, candidatesOf(startable), job);
+        const candidates = candidatesOf(startableWorkers(job, owned));
+        const isAdmitted = mayBegin(job, {
+          workers: candidates.workers,
+          mayFit: (task) => mayFit(state, candidates, task),
+        });
+        if (!isAdmitted) return true;
+        placeJob(context, candidates, job);
         if (!hasQueuedTasks(job)) return false;
         if (finishesStartedFirst && !job.isPartlyStarted && hasStarted(job)) {
           markPartlyStarted(state, scheduler, job);
