Evacuation: what is known is relied upon until 2 s before the bound

A new leader started tasks by a report of up to the whole bound before, although the rows of that read may have been a second old and a start takes time to reach its worker; only jobs that had begun had a margin for that. A leader whose bound is shorter than the time between two attempts to read stopped starting tasks in between.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -60,11 +60,11 @@
   mayUseZone: (nowMs, closesAtMs) => nowMs < closesAtMs,
   /**
    * What is known of evacuations is too old to start tasks by if one may have
-   * been written and its time have passed since, unless this leader has just
-   * tried to read the store.
+   * been written since, and its time may pass before a start reaches its worker,
+   * unless this leader has just tried to read the store.
    */
-  mayTrustEvacuations: (nowMs, { knownAtMs, attemptedAtMs, evacuateMs }) =>
-    nowMs - Math.max(knownAtMs, attemptedAtMs) < evacuateMs,
+  mayTrustEvacuations: (nowMs, { knownAtMs, attemptedAtMs, trustMs }) =>
+    nowMs - Math.max(knownAtMs, attemptedAtMs) < trustMs,
   /**
    * A report of evacuated zones may have been delayed on its way. It was sent
    * after its sender had heard this instance, whose clock was rounded. Otherwise
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1302,7 +1302,7 @@
     nowMs: number,
     evacuation: Pick<
       EvacuationState,
-      "knownAtMs" | "attemptedAtMs" | "evacuateMs"
+      "knownAtMs" | "attemptedAtMs" | "trustMs"
     >,
   ) => boolean;
   readonly provenSentAtMs: (
--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -21,11 +21,17 @@
  */
 const READ_INTERVAL_MS = 1_500;
 /**
- * Time before the bound of an evacuation from which on jobs that have started get
- * no worker of the zone either. It covers the time until a start reaches its
- * worker, and reads of the store that return rows of more than a second before.
+ * Time before the bound of an evacuation from which on no task starts by a read
+ * that may not have shown it. It covers the time until a start reaches its worker,
+ * and reads of the store that return rows of more than a second before.
  */
-const FINISH_MARGIN_MS = 2_000;
+const START_MARGIN_MS = 2_000;
+/**
+ * Lower bound of the time for which a read or an attempt is relied upon. Attempts
+ * of a leader follow each other within 2.4 s, so with less it would stop starting
+ * tasks between them.
+ */
+const MIN_TRUST_MS = 3_000;
 /** Delay before a failed read is repeated. */
 const RETRY_DELAY_MS = 250;
 /** Maximum number of log lines about zones in one event. */
@@ -44,6 +50,7 @@
   if (evacuateMs === undefined) return null;
   return {
     evacuateMs,
+    trustMs: Math.max(MIN_TRUST_MS, evacuateMs - START_MARGIN_MS),
     zones: new Map(),
     knownAtMs: -Infinity,
     attemptedAtMs: -Infinity,
@@ -226,7 +233,7 @@
   const before = evacuation.zones;
   // An evacuation that is new here was written after the read before this one.
   const closesAtMs = evacuation.knownAtMs + evacuation.evacuateMs -
-    FINISH_MARGIN_MS;
+    START_MARGIN_MS;
   const after = new Map(
     zones.map((zone) => [zone, before.get(zone) ?? closesAtMs]),
   );
--- a/src/engine/zones/evacuation_state.ts
+++ b/src/engine/zones/evacuation_state.ts
@@ -7,6 +7,8 @@
    * zone.
    */
   readonly evacuateMs: number;
+  /** Time after a read or an attempt for which a leader starts tasks by it. */
+  readonly trustMs: number;
   /**
    * The evacuated zones as last known, each with the time from which on also jobs
    * that have started get no worker there; empty while nothing is known.
--- a/src/engine/zones/evacuation_test.ts
+++ b/src/engine/zones/evacuation_test.ts
@@ -225,13 +225,42 @@
   expect(startsOf(instance)).toEqual(["w2"]);
 });
 
-test("a leader does not start tasks by what was known long before its term", () => {
-  const instance = createCandidate();
-  report(instance, { evacuation: { zones: [], ageMs: EVACUATE_MS } });
+/**
+ * Ages of what a new leader knows at its first job. The rows of that read may have
+ * been a second old, and a start takes time to reach its worker.
+ */
+const ages = [
+  { ageMs: 2_900, starts: ["w1", "w2"] },
+  { ageMs: 3_100, starts: [] },
+  { ageMs: EVACUATE_MS - 100, starts: [] },
+  { ageMs: EVACUATE_MS, starts: [] },
+];
+
+for (const { ageMs, starts } of ages) {
+  const verb = starts.length > 0 ? "starts" : "does not start";
+  test(`a new leader ${verb} tasks by what was known ${ageMs} ms before`, () => {
+    const instance = createCandidate();
+    report(instance, { evacuation: { zones: [], ageMs: 0 } });
+    const { nowMs: reportedAtMs } = instance.state;
+    lead(instance);
+    const { evacuation, nowMs } = instance.state;
+    if (evacuation === null) throw new Error("nothing is known");
+    expect(evacuation.knownAtMs).toEqual(reportedAtMs - 1);
+    evacuation.knownAtMs = nowMs - ageMs;
+    expect(startsOf(instance)).toEqual(starts);
+    answerRead(instance, null);
+    expect(workersOf(instance.tick()))
+      .toEqual(starts.length > 0 ? [] : ["w1", "w2"]);
+  });
+}
+
+// Attempts to read are up to 2.4 s apart: a shorter bound can't be kept.
+test("a leader whose bound is short starts tasks between its reads", () => {
+  const instance = createCandidate(1_000);
   lead(instance);
-  expect(startsOf(instance)).toEqual([]);
-  answerRead(instance, null);
-  expect(workersOf(instance.tick())).toEqual(["w1", "w2"]);
+  answerRead(instance, []);
+  instance.tick(1_400);
+  expect(startsOf(instance)).toEqual(["w1", "w2"]);
 });
 
 test("the failure of a read of an earlier term does not let a leader start tasks", () => {
