Evacuation: a report for a process on an earlier clock proves nothing

Peers tell when they last heard an instance by its clock. After its machine has restarted, that time may be still to come, and the report counted as sent when it arrived, however long it had been on its way.

--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -68,9 +68,12 @@
   /**
    * A report of evacuated zones may have been delayed on its way. It was sent
    * after its sender had heard this instance, whose clock was rounded. Otherwise
-   * instances that pass on an old report in turn would make it seem fresh.
+   * instances that pass on an old report in turn would make it seem fresh. A time
+   * that is still to come is one of an earlier process, on a clock that has
+   * restarted since, and proves nothing.
    */
-  provenSentAtMs: (_nowMs, heardAtMs) => (heardAtMs ?? -Infinity) - 1,
+  provenSentAtMs: (nowMs, heardAtMs = Infinity) =>
+    heardAtMs > nowMs + 1 ? -Infinity : heardAtMs - 1,
   /** Runs on lost workers occupy capacity until their leases have expired. */
   hasExpired: (nowMs, expiresAtMs) => nowMs >= expiresAtMs,
   /**
--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -214,7 +214,7 @@
   const sentAtMs = guards.provenSentAtMs(nowMs, heardAtMs);
   update(context, evacuation, {
     zones: report.zones,
-    knownAtMs: Math.min(nowMs, sentAtMs) - Math.max(0, report.ageMs),
+    knownAtMs: sentAtMs - Math.max(0, report.ageMs),
     source: from,
   });
 }
--- a/src/engine/zones/evacuation_test.ts
+++ b/src/engine/zones/evacuation_test.ts
@@ -303,6 +303,13 @@
     report: { zones: [], ageMs: 0 },
     known: ["poa"],
   },
+  {
+    // The machine has been restarted, and its monotonic clock with it.
+    name: "a report to this instance's process before is ignored",
+    heardMsAgo: -5_000,
+    report: { zones: [], ageMs: 0 },
+    known: ["poa"],
+  },
   { name: "an older release tells nothing", report: null, known: ["poa"] },
 ];
 
