Evacuation: what is known ages while the host is suspended

The monotonic clock stands still then. A leader that took over again after a suspension counted what it knew, and answers and reports from before, as fresh, and started tasks by it until its next read.

--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -26,7 +26,7 @@
 import { createRecordStoreState } from "./records.ts";
 import type { PeerMessageOf, WorkerInfo } from "./schemas.ts";
 import { createWorkerLoans } from "./worker_loans.ts";
-import { beginEvacuationReads } from "./zones/evacuation.ts";
+import { ageEvacuations, beginEvacuationReads } from "./zones/evacuation.ts";
 import type {
   EngineEventOf,
   EngineState,
@@ -424,6 +424,7 @@
       isLeader: state.scheduler !== null,
     },
   );
+  ageEvacuations(state, event.pausedMs);
   excuseSilence(state);
   stepDown(context, "process was paused");
 }
--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -56,10 +56,37 @@
     attemptedAtMs: -Infinity,
     pendingSinceMs: null,
     nextReadAtMs: 0,
+    suspension: { endedAtMs: -Infinity, forMs: 0 },
     isUnreadable: false,
   };
 }
 
+/**
+ * Ages what is known by a suspension of the host, for which the monotonic clock
+ * stood still; it went on during other pauses. To be called before the next tick.
+ */
+export function ageEvacuations(
+  { evacuation, nowMs, lastTickAtMs }: EngineState,
+  pausedMs: number,
+): void {
+  if (evacuation === null) return;
+  const forMs = pausedMs - (nowMs - lastTickAtMs);
+  if (forMs <= 0) return;
+  evacuation.suspension = { endedAtMs: nowMs, forMs };
+  evacuation.knownAtMs -= forMs;
+  evacuation.zones = new Map(
+    [...evacuation.zones].map(([zone, atMs]) => [zone, atMs - forMs]),
+  );
+}
+
+/** Returns a time by the monotonic clock as if it had shown the suspension. */
+function beforeSuspension(
+  { suspension: { endedAtMs, forMs } }: EvacuationState,
+  atMs: number,
+): number {
+  return atMs < endedAtMs ? atMs - forMs : atMs;
+}
+
 /** Whether a worker, or all workers of a zone, are known to be evacuated. */
 export function isEvacuated(
   { evacuation }: EngineState,
@@ -148,7 +175,7 @@
   if (endRead(evacuation, requestedAtMs)) evacuation.isUnreadable = false;
   update(context, evacuation, {
     zones: zones.filter((zone) => zone !== ""),
-    knownAtMs: requestedAtMs,
+    knownAtMs: beforeSuspension(evacuation, requestedAtMs),
     source: "store",
   });
 }
@@ -211,7 +238,10 @@
 ): void {
   const { evacuation, nowMs, guards } = context.state;
   if (evacuation === null || report === undefined) return;
-  const sentAtMs = guards.provenSentAtMs(nowMs, heardAtMs);
+  const sentAtMs = beforeSuspension(
+    evacuation,
+    guards.provenSentAtMs(nowMs, heardAtMs),
+  );
   update(context, evacuation, {
     zones: report.zones,
     knownAtMs: sentAtMs - Math.max(0, report.ageMs),
--- a/src/engine/zones/evacuation_state.ts
+++ b/src/engine/zones/evacuation_state.ts
@@ -28,6 +28,11 @@
   pendingSinceMs: number | null;
   /** Time from which on a leader asks the store again. */
   nextReadAtMs: number;
+  /**
+   * The latest suspension of the host, which the monotonic clock does not show:
+   * its end by this clock, and its duration.
+   */
+  suspension: { readonly endedAtMs: number; readonly forMs: number };
   /** The latest request failed. */
   isUnreadable: boolean;
 }
--- a/src/engine/zones/evacuation_test.ts
+++ b/src/engine/zones/evacuation_test.ts
@@ -254,6 +254,66 @@
   });
 }
 
+/**
+ * What reaches a leader that knew of no evacuation before its host was suspended
+ * for 10 s, which its clock does not show, and whether it then starts tasks.
+ */
+const resumptions = [
+  { name: "nothing", act: () => {}, startsTasks: false },
+  {
+    name: "the answer to a request before the suspension",
+    act: (instance: TestInstance, beforeMs: number) =>
+      instance.after(0, {
+        type: "evacuationsRead",
+        requestedAtMs: beforeMs,
+        zones: [],
+      }),
+    startsTasks: false,
+  },
+  {
+    name: "a report sent before the suspension",
+    act: (instance: TestInstance, beforeMs: number) =>
+      report(instance, {
+        heardAtMs: beforeMs,
+        evacuation: { zones: [], ageMs: 0 },
+      }),
+    startsTasks: false,
+  },
+  {
+    name: "a report sent after the suspension",
+    act: (instance: TestInstance) =>
+      report(instance, { evacuation: { zones: [], ageMs: 0 } }),
+    startsTasks: true,
+  },
+];
+
+for (const { name, act, startsTasks } of resumptions) {
+  const verb = startsTasks ? "starts" : "does not start";
+  test(`a leader whose host was suspended ${verb} tasks after ${name}`, () => {
+    const instance = createCandidate();
+    lead(instance);
+    answerRead(instance, []);
+    const { nowMs: beforeMs } = instance.state;
+    instance.tick(10);
+    instance.after(20, { type: "processPaused", pausedMs: 10_000 });
+    instance.tick(5);
+    act(instance, beforeMs);
+    lead(instance);
+    expect(startsOf(instance)).toEqual(startsTasks ? ["w1", "w2"] : []);
+  });
+}
+
+test("a pause that the clock shows is not counted twice", () => {
+  const instance = createCandidate();
+  lead(instance);
+  answerRead(instance, ["poa"]);
+  instance.tick(10);
+  const { evacuation } = instance.state;
+  const knownAtMs = evacuation?.knownAtMs;
+  instance.after(10_000, { type: "processPaused", pausedMs: 10_000 });
+  expect(evacuation?.knownAtMs).toEqual(knownAtMs);
+});
+
 // Attempts to read are up to 2.4 s apart: a shorter bound can't be kept.
 test("a leader whose bound is short starts tasks between its reads", () => {
   const instance = createCandidate(1_000);
