Evacuation: jobs that need evacuated workers are refused at once

In a fleet of one cell with an evacuated zone, a job with a label or a size that only workers of that zone have was admitted, waited until it was too late, and was refused as overloaded.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -20,7 +20,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
-import { isEvacuated } from "./zones/evacuation.ts";
+import { isEvacuated, needsEvacuatedWorkers } from "./zones/evacuation.ts";
 
 /** Expected wait reported to peers for a service without usable workers. */
 const NO_WORKERS_WAIT_MS = 600_000;
@@ -189,6 +189,7 @@
   capacity: ServiceCapacity,
   { ahead, job }: { ahead: QueuedLoad; job: Job },
 ): number {
+  if (needsEvacuatedWorkers(capacity.state, job)) return Infinity;
   if (capacity.cpuMilli === 0) {
     return mayBorrowWorkers(capacity.state, job) ? 0 : Infinity;
   }
--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -13,6 +13,7 @@
   OwnedWorker,
   ReduceContext,
 } from "../types.ts";
+import { tasksThatFit } from "../worker_loans.ts";
 import type { EvacuationState } from "./evacuation_state.ts";
 
 /**
@@ -95,6 +96,27 @@
   return evacuation !== null && evacuation.zones.has(availabilityZone);
 }
 
+/**
+ * Whether a job can't run because of evacuations: it has tasks that fit only on
+ * workers, of whichever cell, that are evacuated.
+ */
+export function needsEvacuatedWorkers(
+  state: EngineState,
+  { steps, queue: { service } }: Job,
+): boolean {
+  const { evacuation, workers } = state;
+  if (evacuation === null || evacuation.zones.size === 0) return false;
+  return steps.some((step) => {
+    let fits = false;
+    for (const info of workers.values()) {
+      if (tasksThatFit(info, { ...step, service, count: 1 }) === 0) continue;
+      if (!isEvacuated(state, info)) return false;
+      fits = true;
+    }
+    return fits;
+  });
+}
+
 /** Returns those of some workers on which tasks of a job may start now. */
 type StartableWorkers = (job: Job, workers: OwnedWorker[]) => OwnedWorker[];
 
--- a/src/engine/zones/evacuation_test.ts
+++ b/src/engine/zones/evacuation_test.ts
@@ -170,6 +170,61 @@
   });
 });
 
+/**
+ * Jobs at a leader of two zones of which `caxias` is evacuated, where the worker
+ * has a label and more memory. Such a job would wait until it is too late.
+ */
+const demands = [
+  { name: "a label of an evacuated worker", demand: { requiredLabel: "x" } },
+  { name: "the size of an evacuated worker", demand: { memoryMb: 1_500 } },
+  {
+    name: "such a label in a later step",
+    demand: {},
+    later: { requiredLabel: "x" },
+  },
+  { name: "a label that no worker has", demand: { requiredLabel: "y" } },
+  { name: "what another worker has, too", demand: {} },
+];
+const refusedDemands = demands.slice(0, 3);
+
+for (const { name, demand, later } of demands) {
+  const isRefused = refusedDemands.some((refused) => refused.name === name);
+  const verb = isRefused ? "is refused at once" : "is admitted";
+  test(`a job that needs ${name} ${verb}`, () => {
+    const instance = createCandidate();
+    const special = {
+      ...testWorker("w2"),
+      availabilityZone: "caxias",
+      memoryMb: 2_000,
+      labels: ["x"],
+    };
+    const list = [testWorker("w1"), special];
+    instance.after(0, { type: "workersRead", workers: list });
+    lead(instance);
+    answerRead(instance, ["caxias"]);
+    const [step] = testJob(1).steps;
+    const job = {
+      spec: "text",
+      steps: [
+        { ...step, ...demand },
+        ...(later === undefined ? [] : [{ ...step, ...later, after: [0] }]),
+      ],
+    } as JobSpec;
+    const effects = instance.receive(
+      "p",
+      testSubmission({ jobId: JOB_ID, job }),
+    );
+    const outcomes = messagesOf(effects, "jobEnded").map(({ outcome }) =>
+      outcome
+    );
+    expect(outcomes).toEqual(
+      isRefused
+        ? [{ kind: "refused", reason: "noWorker", retryAfterMs: 250 }]
+        : [],
+    );
+  });
+}
+
 test("a leader takes an evacuation back once the row is gone", () => {
   const instance = createCandidate();
   lead(instance);
