Evacuation: in one cell, too, a job that can't go on elsewhere may finish

A job that had started and whose next step needs a label that only evacuated workers have could neither be refused nor go on, and waited for its deadline.

--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -151,13 +151,12 @@
 
 /**
  * Whether a job in memory can't go on elsewhere: it may have started, so that it
- * is not refused, and its cell has workers of one zone only.
+ * is not refused, and its cell has workers of one zone only, or no other workers
+ * that suit it.
  */
-function mustFinishHere(
-  { hasZoneCells }: EngineState,
-  { record, mayHaveStarted }: Job,
-): boolean {
-  return hasZoneCells && record === null && mayHaveStarted;
+function mustFinishHere(state: EngineState, job: Job): boolean {
+  if (job.record !== null || !job.mayHaveStarted) return false;
+  return state.hasZoneCells || needsEvacuatedWorkers(state, job);
 }
 
 /** Reads the evacuated zones at once, since this instance became the leader. */
--- a/src/engine/zones/evacuation_test.ts
+++ b/src/engine/zones/evacuation_test.ts
@@ -498,6 +498,41 @@
   }
 });
 
+// It can't be refused either, and no other worker has the label.
+test("a job that has started in a fleet of one cell may finish on the only worker with a label", () => {
+  for (const isLate of [false, true]) {
+    const instance = createCandidate();
+    const special = {
+      ...testWorker("w2"),
+      availabilityZone: "caxias",
+      labels: ["x"],
+    };
+    const list = [testWorker("w1"), special];
+    instance.after(0, { type: "workersRead", workers: list });
+    lead(instance);
+    answerRead(instance, []);
+    const knownAtMs = instance.state.evacuation?.knownAtMs ?? 0;
+    const [first, second] = twoSteps.steps;
+    const job = {
+      spec: "text",
+      steps: [first, { ...second, requiredLabel: "x" }],
+    } as JobSpec;
+    const effects = instance.receive(
+      "p",
+      testSubmission({ jobId: JOB_ID, job }),
+    );
+    const [start] = effectsOf(effects, "startTask");
+    instance.acknowledgeStart(start as NonNullable<typeof start>);
+    instance.tick(1_500);
+    answerRead(instance, ["caxias"]);
+    const endMs = knownAtMs + EVACUATE_MS - 2_000 - (isLate ? 0 : 50);
+    instance.tick(endMs - instance.state.nowMs);
+    const finished: [string, "done"][] = [[`${JOB_ID}.0.0.0`, "done"]];
+    const started = instance.completePoll(start?.workerId ?? "", { finished });
+    expect(workersOf(started)).toEqual(isLate ? [] : ["w2"]);
+  }
+});
+
 test("a leader of an evacuated zone lends no workers", () => {
   const wanted = {
     type: "workersWanted" as const,
