Store client: a read of evacuated zones ends after 900 ms

With a long timeout of the store in the settings, a leader whose store hangs had no outcome of a read for that time, and started no task meanwhile.

--- a/src/host/store_client.ts
+++ b/src/host/store_client.ts
@@ -35,6 +35,11 @@
 } as const;
 /** Delay before each repeated read of the configuration row. */
 const CONFIGURATION_POLL_INTERVAL_MS = 400;
+/**
+ * Longest time for a read of evacuations. A leader starts no task while its last
+ * read is too old, so reads have to end, even if other calls may take longer.
+ */
+const EVACUATIONS_TIMEOUT_MS = 900;
 /** Maximum number of concurrent connections to the store. */
 const MAX_CONNECTIONS = 4;
 
@@ -63,7 +68,10 @@
   async function post<T>(
     path: string,
     body: unknown,
-    schema: z.ZodType<T>,
+    { schema, limitMs = timeoutMs }: {
+      schema: z.ZodType<T>;
+      limitMs?: number | undefined;
+    },
   ): Promise<T> {
     try {
       const response = await pool.request({
@@ -71,7 +79,7 @@
         path,
         headers: { "content-type": "application/json" },
         body: JSON.stringify(body),
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: AbortSignal.timeout(limitMs),
       });
       const content = await response.body.json();
       if (response.statusCode !== 200) {
@@ -85,8 +93,10 @@
 
   async function readRows(
     tablePart: { table: string; part: string },
+    limitMs?: number,
   ): Promise<StoreRow[]> {
-    return (await post("/rows/read", tablePart, rowsSchema)).rows;
+    const options = { schema: rowsSchema, limitMs };
+    return (await post("/rows/read", tablePart, options)).rows;
   }
 
   /** Reads the row of the configuration, unless it has the given version. */
@@ -125,7 +135,8 @@
     },
     async readEvacuations() {
       const { table, part, keyPrefix } = EVACUATION_ROWS;
-      const rows = await readRows({ table, part });
+      const limitMs = Math.min(timeoutMs, EVACUATIONS_TIMEOUT_MS);
+      const rows = await readRows({ table, part }, limitMs);
       return rows.filter(({ key }) => key.startsWith(keyPrefix))
         .map(({ key }) => key.slice(keyPrefix.length));
     },
@@ -135,7 +146,7 @@
     },
     // The field names of the transaction are wire names.
     transact: (transaction) =>
-      post("/rows/transact", transaction, transactionResultSchema),
+      post("/rows/transact", transaction, { schema: transactionResultSchema }),
     close: () => pool.close(),
   };
 }
--- a/src/host/store_client_test.ts
+++ b/src/host/store_client_test.ts
@@ -40,3 +40,26 @@
   expect(zones).toEqual(["poa"]);
   expect(outcome).toEqual("failed");
 });
+
+// A leader starts no task once its last outcome is too old, and none before the
+// first one.
+test(
+  "a read of evacuated zones fails long before a long timeout of the store",
+  { timeout: 10_000 },
+  async (context) => {
+    const server = createServer(() => {});
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    context.after(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    const { port } = server.address() as AddressInfo;
+    const store = createStoreClient(`127.0.0.1:${port}`, { timeoutMs: 60_000 });
+    const outcome = await store.readEvacuations()
+      .then(() => "answered", () => "failed");
+    await store.close();
+    expect(outcome).toEqual("failed");
+  },
+);
