--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1316,7 +1316,7 @@
     nowMs: number,
     evacuation: Pick<
       EvacuationState,
-      "knownAtMs" | "attemptedAtMs" | "evacuateMs"
+      "knownAtMs" | "attemptedAtMs" | "trustMs"
     >,
   ) => boolean;
   readonly provenSentAtMs: (
--- a/src/engine/zones/evacuation.ts
+++ b/src/engine/zones/evacuation.ts
@@ -13,6 +13,7 @@
   OwnedWorker,
   ReduceContext,
 } from "../types.ts";
+import { tasksThatFit } from "../worker_loans.ts";
 import type { EvacuationState } from "./evacuation_state.ts";
 
 /**
@@ -21,11 +22,17 @@
  */
 const READ_INTERVAL_MS = 1_500;
 /**
- * Time before the bound of an evacuation from which on jobs that have started get
- * no worker of the zone either. It covers the time until a start reaches its
- * worker, and reads of the store that return rows of more than a second before.
+ * Time before the bound of an evacuation from which on no task starts by a read
+ * that may not have shown it. It covers the time until a start reaches its worker,
+ * and reads of the store that return rows of more than a second before.
  */
-const FINISH_MARGIN_MS = 2_000;
+const START_MARGIN_MS = 2_000;
+/**
+ * Lower bound of the time for which a read or an attempt is relied upon. Attempts
+ * of a leader follow each other within 2.4 s, so with less it would stop starting
+ * tasks between them.
+ */
+const MIN_TRUST_MS = 3_000;
 /** Delay before a failed read is repeated. */
 const RETRY_DELAY_MS = 250;
 /** Maximum number of log lines about zones in one event. */
@@ -44,15 +51,43 @@
   if (evacuateMs === undefined) return null;
   return {
     evacuateMs,
+    trustMs: Math.max(MIN_TRUST_MS, evacuateMs - START_MARGIN_MS),
     zones: new Map(),
     knownAtMs: -Infinity,
     attemptedAtMs: -Infinity,
     pendingSinceMs: null,
     nextReadAtMs: 0,
+    suspension: { endedAtMs: -Infinity, forMs: 0 },
     isUnreadable: false,
   };
 }
 
+/**
+ * Ages what is known by a suspension of the host, for which the monotonic clock
+ * stood still; it went on during other pauses. To be called before the next tick.
+ */
+export function ageEvacuations(
+  { evacuation, nowMs, lastTickAtMs }: EngineState,
+  pausedMs: number,
+): void {
+  if (evacuation === null) return;
+  const forMs = pausedMs - (nowMs - lastTickAtMs);
+  if (forMs <= 0) return;
+  evacuation.suspension = { endedAtMs: nowMs, forMs };
+  evacuation.knownAtMs -= forMs;
+  evacuation.zones = new Map(
+    [...evacuation.zones].map(([zone, atMs]) => [zone, atMs - forMs]),
+  );
+}
+
+/** Returns a time by the monotonic clock as if it had shown the suspension. */
+function beforeSuspension(
+  { suspension: { endedAtMs, forMs } }: EvacuationState,
+  atMs: number,
+): number {
+  return atMs < endedAtMs ? atMs - forMs : atMs;
+}
+
 /** Whether a worker, or all workers of a zone, are known to be evacuated. */
 export function isEvacuated(
   { evacuation }: EngineState,
@@ -61,6 +96,27 @@
   return evacuation !== null && evacuation.zones.has(availabilityZone);
 }
 
+/**
+ * Whether a job can't run because of evacuations: it has tasks that fit only on
+ * workers, of whichever cell, that are evacuated.
+ */
+export function needsEvacuatedWorkers(
+  state: EngineState,
+  { steps, queue: { service } }: Job,
+): boolean {
+  const { evacuation, workers } = state;
+  if (evacuation === null || evacuation.zones.size === 0) return false;
+  return steps.some((step) => {
+    let fits = false;
+    for (const info of workers.values()) {
+      if (tasksThatFit(info, { ...step, service, count: 1 }) === 0) continue;
+      if (!isEvacuated(state, info)) return false;
+      fits = true;
+    }
+    return fits;
+  });
+}
+
 /** Returns those of some workers on which tasks of a job may start now. */
 type StartableWorkers = (job: Job, workers: OwnedWorker[]) => OwnedWorker[];
 
@@ -95,13 +151,12 @@
 
 /**
  * Whether a job in memory can't go on elsewhere: it may have started, so that it
- * is not refused, and its cell has workers of one zone only.
+ * is not refused, and its cell has workers of one zone only, or no other workers
+ * that suit it.
  */
-function mustFinishHere(
-  { hasZoneCells }: EngineState,
-  { record, mayHaveStarted }: Job,
-): boolean {
-  return hasZoneCells && record === null && mayHaveStarted;
+function mustFinishHere(state: EngineState, job: Job): boolean {
+  if (job.record !== null || !job.mayHaveStarted) return false;
+  return state.hasZoneCells || needsEvacuatedWorkers(state, job);
 }
 
 /** Reads the evacuated zones at once, since this instance became the leader. */
@@ -141,7 +196,7 @@
   if (endRead(evacuation, requestedAtMs)) evacuation.isUnreadable = false;
   update(context, evacuation, {
     zones: zones.filter((zone) => zone !== ""),
-    knownAtMs: requestedAtMs,
+    knownAtMs: beforeSuspension(evacuation, requestedAtMs),
     source: "store",
   });
 }
@@ -204,10 +259,13 @@
 ): void {
   const { evacuation, nowMs, guards } = context.state;
   if (evacuation === null || report === undefined) return;
-  const sentAtMs = guards.provenSentAtMs(nowMs, heardAtMs);
+  const sentAtMs = beforeSuspension(
+    evacuation,
+    guards.provenSentAtMs(nowMs, heardAtMs),
+  );
   update(context, evacuation, {
     zones: report.zones,
-    knownAtMs: Math.min(nowMs, sentAtMs) - Math.max(0, report.ageMs),
+    knownAtMs: sentAtMs - Math.max(0, report.ageMs),
     source: from,
   });
 }
@@ -226,7 +284,7 @@
   const before = evacuation.zones;
   // An evacuation that is new here was written after the read before this one.
   const closesAtMs = evacuation.knownAtMs + evacuation.evacuateMs -
-    FINISH_MARGIN_MS;
+    START_MARGIN_MS;
   const after = new Map(
     zones.map((zone) => [zone, before.get(zone) ?? closesAtMs]),
   );
--- a/src/engine/zones/evacuation_state.ts
+++ b/src/engine/zones/evacuation_state.ts
@@ -7,6 +7,8 @@
    * zone.
    */
   readonly evacuateMs: number;
+  /** Time after a read or an attempt for which a leader starts tasks by it. */
+  readonly trustMs: number;
   /**
    * The evacuated zones as last known, each with the time from which on also jobs
    * that have started get no worker there; empty while nothing is known.
@@ -26,6 +28,11 @@
   pendingSinceMs: number | null;
   /** Time from which on a leader asks the store again. */
   nextReadAtMs: number;
+  /**
+   * The latest suspension of the host, which the monotonic clock does not show:
+   * its end by this clock, and its duration.
+   */
+  suspension: { readonly endedAtMs: number; readonly forMs: number };
   /** The latest request failed. */
   isUnreadable: boolean;
 }
--- a/src/engine/zones/evacuation_test.ts
+++ b/src/engine/zones/evacuation_test.ts
@@ -170,6 +170,61 @@
   });
 });
 
+/**
+ * Jobs at a leader of two zones of which `caxias` is evacuated, where the worker
+ * has a label and more memory. Such a job would wait until it is too late.
+ */
+const demands = [
+  { name: "a label of an evacuated worker", demand: { requiredLabel: "x" } },
+  { name: "the size of an evacuated worker", demand: { memoryMb: 1_500 } },
+  {
+    name: "such a label in a later step",
+    demand: {},
+    later: { requiredLabel: "x" },
+  },
+  { name: "a label that no worker has", demand: { requiredLabel: "y" } },
+  { name: "what another worker has, too", demand: {} },
+];
+const refusedDemands = demands.slice(0, 3);
+
+for (const { name, demand, later } of demands) {
+  const isRefused = refusedDemands.some((refused) => refused.name === name);
+  const verb = isRefused ? "is refused at once" : "is admitted";
+  test(`a job that needs ${name} ${verb}`, () => {
+    const instance = createCandidate();
+    const special = {
+      ...testWorker("w2"),
+      availabilityZone: "caxias",
+      memoryMb: 2_000,
+      labels: ["x"],
+    };
+    const list = [testWorker("w1"), special];
+    instance.after(0, { type: "workersRead", workers: list });
+    lead(instance);
+    answerRead(instance, ["caxias"]);
+    const [step] = testJob(1).steps;
+    const job = {
+      spec: "text",
+      steps: [
+        { ...step, ...demand },
+        ...(later === undefined ? [] : [{ ...step, ...later, after: [0] }]),
+      ],
+    } as JobSpec;
+    const effects = instance.receive(
+      "p",
+      testSubmission({ jobId: JOB_ID, job }),
+    );
+    const outcomes = messagesOf(effects, "jobEnded").map(({ outcome }) =>
+      outcome
+    );
+    expect(outcomes).toEqual(
+      isRefused
+        ? [{ kind: "refused", reason: "noWorker", retryAfterMs: 250 }]
+        : [],
+    );
+  });
+}
+
 test("a leader takes an evacuation back once the row is gone", () => {
   const instance = createCandidate();
   lead(instance);
@@ -225,13 +280,102 @@
   expect(startsOf(instance)).toEqual(["w2"]);
 });
 
-test("a leader does not start tasks by what was known long before its term", () => {
+/**
+ * Ages of what a new leader knows at its first job. The rows of that read may have
+ * been a second old, and a start takes time to reach its worker.
+ */
+const ages = [
+  { ageMs: 2_900, starts: ["w1", "w2"] },
+  { ageMs: 3_100, starts: [] },
+  { ageMs: EVACUATE_MS - 100, starts: [] },
+  { ageMs: EVACUATE_MS, starts: [] },
+];
+
+for (const { ageMs, starts } of ages) {
+  const verb = starts.length > 0 ? "starts" : "does not start";
+  test(`a new leader ${verb} tasks by what was known ${ageMs} ms before`, () => {
+    const instance = createCandidate();
+    report(instance, { evacuation: { zones: [], ageMs: 0 } });
+    const { nowMs: reportedAtMs } = instance.state;
+    lead(instance);
+    const { evacuation, nowMs } = instance.state;
+    if (evacuation === null) throw new Error("nothing is known");
+    expect(evacuation.knownAtMs).toEqual(reportedAtMs - 1);
+    evacuation.knownAtMs = nowMs - ageMs;
+    expect(startsOf(instance)).toEqual(starts);
+    answerRead(instance, null);
+    expect(workersOf(instance.tick()))
+      .toEqual(starts.length > 0 ? [] : ["w1", "w2"]);
+  });
+}
+
+/**
+ * What reaches a leader that knew of no evacuation before its host was suspended
+ * for 10 s, which its clock does not show, and whether it then starts tasks.
+ */
+const resumptions = [
+  { name: "nothing", act: () => {}, startsTasks: false },
+  {
+    name: "the answer to a request before the suspension",
+    act: (instance: TestInstance, beforeMs: number) =>
+      instance.after(0, {
+        type: "evacuationsRead",
+        requestedAtMs: beforeMs,
+        zones: [],
+      }),
+    startsTasks: false,
+  },
+  {
+    name: "a report sent before the suspension",
+    act: (instance: TestInstance, beforeMs: number) =>
+      report(instance, {
+        heardAtMs: beforeMs,
+        evacuation: { zones: [], ageMs: 0 },
+      }),
+    startsTasks: false,
+  },
+  {
+    name: "a report sent after the suspension",
+    act: (instance: TestInstance) =>
+      report(instance, { evacuation: { zones: [], ageMs: 0 } }),
+    startsTasks: true,
+  },
+];
+
+for (const { name, act, startsTasks } of resumptions) {
+  const verb = startsTasks ? "starts" : "does not start";
+  test(`a leader whose host was suspended ${verb} tasks after ${name}`, () => {
+    const instance = createCandidate();
+    lead(instance);
+    answerRead(instance, []);
+    const { nowMs: beforeMs } = instance.state;
+    instance.tick(10);
+    instance.after(20, { type: "processPaused", pausedMs: 10_000 });
+    instance.tick(5);
+    act(instance, beforeMs);
+    lead(instance);
+    expect(startsOf(instance)).toEqual(startsTasks ? ["w1", "w2"] : []);
+  });
+}
+
+test("a pause that the clock shows is not counted twice", () => {
   const instance = createCandidate();
-  report(instance, { evacuation: { zones: [], ageMs: EVACUATE_MS } });
   lead(instance);
-  expect(startsOf(instance)).toEqual([]);
-  answerRead(instance, null);
-  expect(workersOf(instance.tick())).toEqual(["w1", "w2"]);
+  answerRead(instance, ["poa"]);
+  instance.tick(10);
+  const { evacuation } = instance.state;
+  const knownAtMs = evacuation?.knownAtMs;
+  instance.after(10_000, { type: "processPaused", pausedMs: 10_000 });
+  expect(evacuation?.knownAtMs).toEqual(knownAtMs);
+});
+
+// Attempts to read are up to 2.4 s apart: a shorter bound can't be kept.
+test("a leader whose bound is short starts tasks between its reads", () => {
+  const instance = createCandidate(1_000);
+  lead(instance);
+  answerRead(instance, []);
+  instance.tick(1_400);
+  expect(startsOf(instance)).toEqual(["w1", "w2"]);
 });
 
 test("the failure of a read of an earlier term does not let a leader start tasks", () => {
@@ -274,6 +418,13 @@
     report: { zones: [], ageMs: 0 },
     known: ["poa"],
   },
+  {
+    // The machine has been restarted, and its monotonic clock with it.
+    name: "a report to this instance's process before is ignored",
+    heardMsAgo: -5_000,
+    report: { zones: [], ageMs: 0 },
+    known: ["poa"],
+  },
   { name: "an older release tells nothing", report: null, known: ["poa"] },
 ];
 
@@ -347,6 +498,41 @@
   }
 });
 
+// It can't be refused either, and no other worker has the label.
+test("a job that has started in a fleet of one cell may finish on the only worker with a label", () => {
+  for (const isLate of [false, true]) {
+    const instance = createCandidate();
+    const special = {
+      ...testWorker("w2"),
+      availabilityZone: "caxias",
+      labels: ["x"],
+    };
+    const list = [testWorker("w1"), special];
+    instance.after(0, { type: "workersRead", workers: list });
+    lead(instance);
+    answerRead(instance, []);
+    const knownAtMs = instance.state.evacuation?.knownAtMs ?? 0;
+    const [first, second] = twoSteps.steps;
+    const job = {
+      spec: "text",
+      steps: [first, { ...second, requiredLabel: "x" }],
+    } as JobSpec;
+    const effects = instance.receive(
+      "p",
+      testSubmission({ jobId: JOB_ID, job }),
+    );
+    const [start] = effectsOf(effects, "startTask");
+    instance.acknowledgeStart(start as NonNullable<typeof start>);
+    instance.tick(1_500);
+    answerRead(instance, ["caxias"]);
+    const endMs = knownAtMs + EVACUATE_MS - 2_000 - (isLate ? 0 : 50);
+    instance.tick(endMs - instance.state.nowMs);
+    const finished: [string, "done"][] = [[`${JOB_ID}.0.0.0`, "done"]];
+    const started = instance.completePoll(start?.workerId ?? "", { finished });
+    expect(workersOf(started)).toEqual(isLate ? [] : ["w2"]);
+  }
+});
+
 test("a leader of an evacuated zone lends no workers", () => {
   const wanted = {
     type: "workersWanted" as const,
