Load model: fleets whose zones have a leader each

Cause: the load model had fleets of one cell only, so nothing showed what an uneven division of callers between zones costs. Existing patterns and runs draw the same numbers as before.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -764,8 +764,8 @@
 }
 
 /**
- * Submits jobs of a kind to random instances, at exponentially distributed
- * intervals.
+ * Submits jobs of a kind at exponentially distributed intervals, by default to
+ * random instances.
  */
 export function scheduleArrivals(
   world: World,
@@ -777,6 +777,7 @@
     leaveShare = 0,
     beginMs = LOAD_START_MS,
     endMs = LOAD_END_MS,
+    chooseEntry = () => pick(world, world.instances).instanceId,
   }: {
     load: number;
     cancelShare?: number;
@@ -784,16 +785,15 @@
     leaveShare?: number;
     beginMs?: number;
     endMs?: number;
+    /** Returns the instance that gets the next job; any one by default. */
+    chooseEntry?: () => string;
   },
 ): void {
   const gapMs = 1_000 / (kind.perSecond * load);
   const scheduleNext = (atMs: number): void => {
     if (atMs > endMs) return;
     world.queue.at(atMs, () => {
-      const record = world.submit(
-        pick(world, world.instances).instanceId,
-        kind,
-      );
+      const record = world.submit(chooseEntry(), kind);
       if (record !== null && kind.guarantee !== undefined) {
         if (cancelShare > 0) cancelWithChance(world, record, cancelShare);
         if (resubmitShare > 0 && world.random() < resubmitShare) {
--- a/bench/load_model.ts
+++ b/bench/load_model.ts
@@ -2,9 +2,10 @@
  * An offline load model: simulates the real engine with fake workers under
  * several load patterns. Prints, for each pattern, the mean share of worth
  * earned over the seeds from 1 to SEEDS, 3 by default, and the outcomes with
- * seed 1.
+ * seed 1. With `zones`, simulates the patterns of a fleet whose zones have a
+ * leader each instead, see `zone_load.ts`.
  *
- * Usage: load_model.js [SEEDS]
+ * Usage: load_model.js [SEEDS] [zones]
  */
 
 import {
@@ -17,6 +18,7 @@
   createWorld,
   type JobKind,
 } from "./engine_world.ts";
+import { printZonePatterns } from "./zone_load.ts";
 
 const LOAD_START_MS = 3_000;
 const LOAD_END_MS = 15_000;
@@ -158,6 +160,10 @@
 
 async function main(): Promise<void> {
   const seeds = Number(process.argv[2] ?? 3);
+  if (process.argv[3] === "zones") {
+    await printZonePatterns(seeds);
+    return;
+  }
   for (const pattern of loadPatterns) {
     let credit = 0;
     const lines: string[] = [];
