--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -9,11 +9,13 @@
   drawGrownRun,
   drawMomentRun,
   drawRecordedRun,
+  drawSharingRun,
   drawStepsRun,
   drawTakeoverRun,
   drawZonesRun,
   type EngineRun,
   GROWN_ROWS,
+  SHARING_ROWS,
   simulateRun,
   STEPS_FAULTS,
   TAKEOVER_ROWS,
@@ -69,6 +71,12 @@
   trustDistantZones: { mayHaveDistantRival: never },
 };
 
+/** The mutants that matter when zones hand jobs over. */
+export const sharingMutants: Record<string, Partial<Guards>> = {
+  handOverStarted: { mayHandOver: always },
+  startBesideHandOver: { mustFollowHandOver: never },
+};
+
 /** The mutants that runs of a large fleet show, which take longer. */
 export const grownMutants: Record<string, Partial<Guards>> = {
   keepTerm: { mustFollowAnew: never },
@@ -91,6 +99,7 @@
   ...takeoverMutants,
   ...ownershipMutants,
   ...zoneMutants,
+  ...sharingMutants,
   ...grownMutants,
   ...restartMutants,
 };
@@ -144,6 +153,8 @@
   leaseUnreported: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 3),
   waitForOwner: (seed) => drawZonesRun(ZONE_ROWS * seed + 1),
   trustDistantZones: (seed) => drawZonesRun(ZONE_ROWS * (seed + 17) + 2),
+  handOverStarted: drawSharingRun,
+  startBesideHandOver: (seed) => drawSharingRun(SHARING_ROWS * seed),
   restoreAtOnce: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 4),
 };
 
--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -349,6 +349,10 @@
   readonly addedWorkers?: number;
   /** Share of callers of jobs in memory that disconnect and come again. */
   readonly leaveShare?: number;
+  /** Weights of the zones by which callers choose an entry; all the same if undefined. */
+  readonly callerShares?: readonly number[];
+  /** Share of jobs in memory that are submitted to a second entry of the zone. */
+  readonly twiceShare?: number;
   readonly zones?: readonly string[];
   readonly instancesPerZone?: number;
   /** See {@linkcode WorldOptions.resendMs}. */
@@ -487,6 +491,56 @@
   };
 }
 
+/** The faults of which {@linkcode drawSharingRun} adds one row to each run. */
+const sharingRows: readonly (readonly FaultAfter<FaultName>[])[] = [
+  [],
+  [{ name: "zoneLeaderKilled", afterMs: 0, forMs: 0 }],
+  [{ name: "zonesApart", afterMs: 0, forMs: 2_500 }],
+  [
+    { name: "zoneReportsHeld", afterMs: 0, forMs: 1_400 },
+    { name: "zoneLeaderKilled", afterMs: 900, forMs: 0 },
+  ],
+  [
+    { name: "zoneLeaderPaused", afterMs: 0, forMs: 2_000 },
+    { name: "zoneReportsHeld", afterMs: 1_200, forMs: 1_200 },
+  ],
+  [
+    { name: "zoneWorkersDrain", afterMs: 0, forMs: 4_000 },
+    { name: "zoneLeaderKilled", afterMs: 1_500, forMs: 0 },
+  ],
+  [
+    { name: "zoneLeaderKilled", afterMs: 0, forMs: 0 },
+    { name: "zoneCut", afterMs: 600, forMs: 3_000 },
+  ],
+];
+/** Number of seeds after which the rows of faults beside hand-overs come again. */
+export const SHARING_ROWS = sharingRows.length;
+/** Weights of the zones by which the callers of these runs choose an entry. */
+const sharingSplits = [[1, 0, 0], [2, 1, 0], [3, 1, 1], [1, 1, 1]];
+
+/**
+ * Draws a run in which the callers of some zones bring more work than their cell
+ * can do, so that jobs are handed over, beside lost leaders, partitions and
+ * reports that arrive late. Without faults, some jobs have two entries.
+ */
+export function drawSharingRun(seed: number): EngineRun {
+  const { faults, load, ...run } = drawRun(seed);
+  const row = sharingRows[seed % SHARING_ROWS] ?? [];
+  const added = faultsOfRow(row, LOAD_START_MS + 2_000 + 190 * (seed % 30));
+  const callerShares = sharingSplits[seed % sharingSplits.length] ?? [];
+  const fleet = { ...cellsFleet(load), callerShares, keepsOrder: true };
+  if (row.length === 0) {
+    return { ...run, ...fleet, lateStartShare: 0, faults: [], twiceShare: 0.2 };
+  }
+  return {
+    ...run,
+    ...fleet,
+    faults: seed % 2 === 0 ? added : [...faults.slice(0, 1), ...added],
+    leaveShare: 0.05,
+    resendMs: RESEND_MS,
+  };
+}
+
 /** Returns the faults of a row, the first of them at the given time. */
 function faultsOfRow(
   row: readonly FaultAfter<FaultName>[],
@@ -704,8 +758,12 @@
 ): Promise<RunResult> {
   const damagesJobs = run.faults.some(({ name }) => name === "damageJob");
   const world = createWorld({ ...worldOptions(run), damagesJobs, ...options });
+  const { callerShares } = run;
+  const chooseEntry = callerShares === undefined
+    ? {}
+    : { chooseEntry: () => chooseEntryOf(world, callerShares) };
   for (const kind of run.kinds ?? referenceKinds) {
-    scheduleArrivals(world, kind, run);
+    scheduleArrivals(world, kind, { ...run, ...chooseEntry });
   }
   world.setListed(world.workers.slice(0, run.addedWorkers ?? 0), false);
   for (const { atMs, name, forMs } of run.faults) {
@@ -775,6 +833,7 @@
     cancelShare = 0,
     resubmitShare = 0,
     leaveShare = 0,
+    twiceShare = 0,
     beginMs = LOAD_START_MS,
     endMs = LOAD_END_MS,
     chooseEntry = () => pick(world, world.instances).instanceId,
@@ -783,6 +842,7 @@
     cancelShare?: number;
     resubmitShare?: number;
     leaveShare?: number;
+    twiceShare?: number;
     beginMs?: number;
     endMs?: number;
     /** Returns the instance that gets the next job; any one by default. */
@@ -804,6 +864,9 @@
         if (leaveShare > 0 && world.random() < leaveShare) {
           leaveLater(world, record);
         }
+        if (twiceShare > 0 && world.random() < twiceShare) {
+          submitTwice(world, record);
+        }
       }
       scheduleNext(atMs - gapMs * Math.log(1 - world.random()));
     });
@@ -827,6 +890,33 @@
   });
 }
 
+/** Schedules the submission of a job to a second entry, unless it is answered. */
+function submitTwice(world: World, record: CallerRecord): void {
+  const atMs = world.queue.nowMs() + MAX_CANCEL_DELAY_MS * world.random();
+  world.queue.at(atMs, () => {
+    if (record.outcome === null) world.submitBeside(record);
+  });
+}
+
+/**
+ * Chooses a running instance of a zone, which is drawn by the weights of the
+ * zones in the order of their names; any instance if none of the zone runs.
+ */
+export function chooseEntryOf(
+  world: World,
+  weights: readonly number[],
+): string {
+  const { instances } = world;
+  const zones = [...new Set(instances.map((one) => one.availabilityZone))];
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  let drawn = world.random() * total;
+  const index = weights.findIndex((weight) => (drawn -= weight) < 0);
+  const near = instances.filter(({ availabilityZone, state }) =>
+    availabilityZone === zones[index] && state !== null
+  );
+  return pick(world, near.length > 0 ? near : instances).instanceId;
+}
+
 /** Schedules the cancellation of a job with the given probability. */
 function cancelWithChance(
   world: World,
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -355,6 +355,11 @@
   readonly submit: (instanceId: string, kind: JobKind) => CallerRecord | null;
   /** Submits a job once more, to a random running instance. */
   readonly resubmit: (record: CallerRecord) => void;
+  /**
+   * Submits a job to another running instance of the zone of its entry, where the
+   * caller still waits.
+   */
+  readonly submitBeside: (record: CallerRecord) => void;
   /**
    * Closes the connection of a caller that waits for the end of its job. It
    * sends its request again after `resendMs`.
@@ -1688,6 +1693,16 @@
     random,
     submit,
     resubmit,
+    submitBeside(record) {
+      const { entryId, availabilityZone } = record;
+      const other = instances.find((instance) =>
+        instance.availabilityZone === availabilityZone &&
+        instance.instanceId !== entryId && instance.state !== null
+      );
+      if (other === undefined) return;
+      queryCount += 1;
+      dispatchSubmission(other, record, `${record.jobId}-${queryCount}`);
+    },
     disconnectCaller(record) {
       const { entryId, requestId } = record;
       const instance = instancesById.get(entryId) as SimulatedInstance;
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -15,6 +15,7 @@
   drawMomentRun,
   drawRecordedRun,
   drawRun,
+  drawSharingRun,
   drawStepsRun,
   drawTakeoverRun,
   drawZonesRun,
@@ -69,6 +70,7 @@
   moment: play(drawMomentRun),
   crossed: play(drawCrossedRun),
   zones: play(drawZonesRun),
+  sharing: play(drawSharingRun),
   configuration: playConfiguration,
 };
 let runs = 0;
--- a/bench/zone_faults.ts
+++ b/bench/zone_faults.ts
@@ -3,8 +3,10 @@
 import type { World } from "./engine_world.ts";
 import {
   draw,
+  during,
   type FaultHandler,
   partitionFor,
+  pick,
   shuffle,
 } from "./fault_tools.ts";
 
@@ -13,7 +15,11 @@
   | "recordsZoneRestarts"
   | "recordsZoneLost"
   | "recordsZoneCut"
-  | "lossesInTurn";
+  | "lossesInTurn"
+  | "zoneLeaderKilled"
+  | "zoneLeaderPaused"
+  | "zoneReportsHeld"
+  | "zoneWorkersDrain";
 
 /** Bounds of the time after which instances of a zone are back. */
 const DOWN_MS = { min: 400, max: 1_500 };
@@ -60,12 +66,53 @@
   });
 }
 
+/** Returns the leader of a random zone; undefined if none is there. */
+function drawLeader(world: World): string | undefined {
+  const leaders = world.leaders();
+  return leaders[Math.floor(world.random() * leaders.length)];
+}
+
+/** Delays the messages of a leader, so that its reports arrive late. */
+function holdReports(world: World, forMs: number): void {
+  const leader = drawLeader(world);
+  if (leader === undefined) return;
+  const zones = new Map(
+    world.instances.map((
+      { instanceId, availabilityZone },
+    ) => [instanceId, availabilityZone]),
+  );
+  const release = world.addHold((from, to) =>
+    from === leader && zones.get(from) !== zones.get(to)
+  );
+  world.queue.at(world.queue.nowMs() + forMs, release);
+}
+
 /** Injects each fault. */
 export const zoneFaultHandlers: Record<ZoneFaultName, FaultHandler> = {
   recordsZoneRestarts: (world) =>
     killRecordsZones(world, () => draw(world, DOWN_MS)),
   recordsZoneLost: (world) => killRecordsZones(world, () => LOST_MS),
   lossesInTurn: (world) => loseInTurn(world),
+  zoneLeaderKilled: (world) => {
+    const leader = drawLeader(world);
+    if (leader !== undefined) world.kill(leader, 1_000);
+  },
+  zoneLeaderPaused: (world, forMs) => {
+    const leader = drawLeader(world);
+    if (leader !== undefined) world.pause(leader, forMs);
+  },
+  zoneReportsHeld: holdReports,
+  // The leader lives, and no worker of its zone is usable.
+  zoneWorkersDrain: (world, forMs) => {
+    const zone = pick(world, world.instances).availabilityZone;
+    for (const worker of world.workers) {
+      if (worker.availabilityZone !== zone) continue;
+      during(world, forMs, {
+        begin: () => worker.draining = true,
+        end: () => worker.draining = false,
+      });
+    }
+  },
   // The zone is cut off from the other instances and workers and from the store.
   recordsZoneCut: (world, forMs) => {
     const zones = recordsZones(world);
--- a/bench/zone_load.ts
+++ b/bench/zone_load.ts
@@ -5,14 +5,17 @@
  * run in another zone than that of their callers.
  */
 
-import { referenceKinds, scheduleArrivals } from "./engine_runs.ts";
+import {
+  chooseEntryOf,
+  referenceKinds,
+  scheduleArrivals,
+} from "./engine_runs.ts";
 import {
   type CallerRecord,
   createWorld,
   type JobKind,
   type World,
 } from "./engine_world.ts";
-import { pick } from "./fault_tools.ts";
 
 const LOAD_START_MS = 3_000;
 const LOAD_END_MS = 12_000;
@@ -79,6 +82,7 @@
   { name: "1:1:1, 0.5", load: 0.5, split: even },
   { name: "1:1:1, 0.75", load: 0.75, split: even },
   { name: "1:1:1, 0.9", load: 0.9, split: even },
+  { name: "1:1:1, 0.95", load: 0.95, split: even },
   { name: "2:1:0, 0.5", load: 0.5, split: () => [2, 1, 0] },
   { name: "2:1:0, 0.75", load: 0.75, split: () => [2, 1, 0] },
   { name: "2:1:0, 0.95", load: 0.95, split: () => [2, 1, 0] },
@@ -136,7 +140,8 @@
   const scale = FULL_LOAD * workersPerZone / RATED_WORKERS_PER_ZONE;
   const span = { beginMs: LOAD_START_MS, endMs: LOAD_END_MS };
   for (const kind of zoneKinds) {
-    const chooseEntry = () => chooseEntryOf(world, pattern.split);
+    const chooseEntry = () =>
+      chooseEntryOf(world, pattern.split(world.queue.nowMs()));
     scheduleArrivals(world, kind, {
       load: pattern.load * scale,
       ...span,
@@ -147,7 +152,7 @@
       load: pattern.burst * scale,
       beginMs: 5_000,
       endMs: 7_000,
-      chooseEntry: () => chooseEntryOf(world, () => [1, 0, 0]),
+      chooseEntry: () => chooseEntryOf(world, [1, 0, 0]),
     });
   }
   if (pattern.losesLeader === true) {
@@ -172,18 +177,6 @@
   };
 }
 
-function chooseEntryOf(world: World, split: Split): string {
-  const weights = split(world.queue.nowMs());
-  const total = weights.reduce((sum, weight) => sum + weight, 0);
-  let drawn = world.random() * total;
-  const index = weights.findIndex((weight) => (drawn -= weight) < 0);
-  const zone = ZONES[index] ?? ZONES[0];
-  const near = world.instances.filter(({ availabilityZone, state }) =>
-    availabilityZone === zone && state !== null
-  );
-  return pick(world, near.length > 0 ? near : world.instances).instanceId;
-}
-
 function objectiveMsOf({ kind, idealMs }: CallerRecord): number {
   return kind.queue.stretch * idealMs + kind.queue.objectiveMs;
 }
--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -220,7 +220,7 @@
 }
 
 /** Returns the CPU that the queued tasks of a job need together. */
-function queuedCpuMilli(context: ReduceContext, job: Job): number {
+export function queuedCpuMilli(context: ReduceContext, job: Job): number {
   if (job.outcome !== null) return 0;
   return isolateJob(context, job, {
     stage: "admit",
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -8,11 +8,13 @@
 import {
   cellLeader,
   leaderFor,
+  leaderOfZone,
   type LeaderTerm,
   leastLoadedZone,
 } from "./leader_lookup.ts";
 import { previousListReport } from "./leader_lists.ts";
 import { heardFrom } from "./membership.ts";
+import { retriedRunsExpireAtMs } from "./previous_runs.ts";
 import { knownRule } from "./queue_rules.ts";
 import type { PeerMessageOf } from "./schemas.ts";
 import type {
@@ -24,7 +26,14 @@
   ReduceContext,
   Withdrawal,
 } from "./types.ts";
+import { chooseZone, MAX_HAND_OVERS } from "./zones/hand_over.ts";
+import { otherZones } from "./zones/other_zones.ts";
 
+/**
+ * Time without a known leader after which jobs that were never submitted are
+ * submitted to the leader of another zone.
+ */
+const LEAVE_ZONE_DELAY_MS = 100;
 /**
  * Time without a known leader after which a job that was never submitted is
  * refused.
@@ -73,6 +82,7 @@
     doneTasks: [],
     answerAt: event.answerAt,
     spilledToZone: null,
+    triedZones: [],
     leftCell: false,
     submittedWithZoneCells: state.hasZoneCells,
     leaderlessSinceMs: 0,
@@ -167,9 +177,19 @@
       : { kind: "unknown" },
     answerAt: callerJob.answerAt,
     doneTasks: [...callerJob.doneTasks],
+    ...triedZonesOf(state, callerJob),
   });
 }
 
+/** Tells a leader of a zone which zones have had a job in memory before. */
+function triedZonesOf(
+  { hasZoneCells }: EngineState,
+  { job, triedZones }: CallerJob,
+): { readonly triedZones?: string[] } {
+  if (!hasZoneCells || job.isRecorded === true) return {};
+  return { triedZones: [...triedZones] };
+}
+
 /**
  * Withdraws an unrecorded job from another instance that had it before as the
  * leader. If that instance still has the job, it stops the job's runs.
@@ -326,37 +346,74 @@
 }
 
 /**
- * Hands a job for which its own cell has no capacity to a cell that has some.
- * Applies only to unrecorded jobs of which no task can have run, and only once
- * per job. Returns whether the job was handed over.
+ * Submits a job that its leader has not started to the zone that the leader names.
+ * If it names none and has no capacity, the job goes to the least loaded zone, once.
+ * Applies only to unrecorded jobs of which no task can have run. Returns whether
+ * the job was submitted, or will be.
  */
 function spill(
   context: ReduceContext,
   callerJob: CallerJob,
-  { reason }: Extract<JobOutcome, { kind: "refused" }>,
+  { reason, elsewhere }: Extract<JobOutcome, { kind: "refused" }>,
 ): boolean {
   const { state } = context;
-  const { jobId, job, queue, submittedTo } = callerJob;
+  const { job, queue, triedZones, mayHaveStarted, spilledToZone } = callerJob;
+  if (mayHaveStarted || job.isRecorded === true) return false;
   const isFull = reason === "overloaded" || reason === "noWorker";
-  const { spilledToZone, mayHaveStarted } = callerJob;
-  if (!isFull || spilledToZone !== null || mayHaveStarted) return false;
-  if (job.isRecorded === true) return false;
+  const wasSpilled = spilledToZone !== null || triedZones.length > 0;
+  if (elsewhere === undefined && (!isFull || wasSpilled)) return false;
   if (mustDefer(state, callerJob)) {
-    // The job is submitted to its own cell once more.
-    callerJob.submittedTo = null;
+    returnToOwnCell(callerJob);
     return true;
   }
-  callerJob.spilledToZone = leastLoadedZone(state, queue.service);
-  const leader = leaderFor(state, callerJob);
-  const isOtherLeader = leader !== null && leader.instanceId !== submittedTo;
-  if (callerJob.spilledToZone === null || !isOtherLeader) return false;
+  const zone = elsewhere ?? leastLoadedZone(state, queue.service);
+  const fromZone = spilledToZone ?? state.self.availabilityZone;
+  if (zone === null || zone === fromZone || triedZones.includes(zone)) {
+    return false;
+  }
+  if (triedZones.length >= MAX_HAND_OVERS) return false;
+  if (submitElsewhere(context, callerJob, { fromZone, zone })) return true;
+  if (elsewhere === undefined) return false;
+  // The leader hears the other zone, and this instance does not.
+  state.counters.handOversFailed += 1;
+  triedZones.push(zone);
+  returnToOwnCell(callerJob);
+  logDecision(context, {
+    part: "zones",
+    text: "job not handed over: no leader of the other zone is heard",
+  }, { jobId: callerJob.jobId, fromZone, toZone: zone });
+  return true;
+}
+
+/** Lets a job that was refused be submitted to its own cell once more. */
+function returnToOwnCell(callerJob: CallerJob): void {
+  callerJob.submittedTo = null;
+  callerJob.spilledToZone = null;
+}
+
+/**
+ * Submits a job of which no task can have run to the leader of another zone.
+ * Returns whether such a leader is known.
+ */
+function submitElsewhere(
+  context: ReduceContext,
+  callerJob: CallerJob,
+  { fromZone, zone }: { fromZone: string; zone: string },
+): boolean {
+  const { state } = context;
+  const leader = leaderOfZone(state, zone);
+  if (leader === null) return false;
+  callerJob.triedZones.push(fromZone);
+  callerJob.spilledToZone = zone;
   callerJob.submittedTo = null;
   logDecision(
     context,
     { part: "callers", text: "job handed to another cell" },
     {
-      jobId,
+      jobId: callerJob.jobId,
       leaderId: leader.instanceId,
+      fromZone,
+      toZone: zone,
       waitedMs: Math.round(state.nowMs - callerJob.receivedAtMs),
     },
   );
@@ -364,6 +421,43 @@
   return true;
 }
 
+/**
+ * Submits a job that was never submitted to another zone while the own zone has
+ * no known leader. A caller's retry stays as long as runs of an earlier attempt
+ * may continue, which only the own zone's leader would see.
+ */
+function leaveZone(context: ReduceContext, callerJob: CallerJob): boolean {
+  const { state } = context;
+  const { jobId, job, queue, submissionCount, receivedAtMs } = callerJob;
+  if (!state.hasZoneCells || job.isRecorded === true) return false;
+  if (submissionCount > 0 || mustDefer(state, callerJob)) return false;
+  if (state.nowMs - state.leaderlessSinceMs < LEAVE_ZONE_DELAY_MS) return false;
+  const expiresAtMs = retriedRunsExpireAtMs(state, {
+    receivedAtMs,
+    termStartedAtMs: Infinity,
+  });
+  if (state.guards.mayRunElsewhere(state.nowMs, expiresAtMs)) return false;
+  const first = job.steps.filter(({ after }) => after.length === 0);
+  const chosen = chooseZone({
+    jobId,
+    neededMilli: first.reduce(
+      (sum, { count, cpuMilli }) => sum + count * cpuMilli,
+      0,
+    ),
+    runMs: Math.max(0, ...first.map(({ estimatedMs }) => estimatedMs)),
+    slackMs: 0,
+    waitMs: Infinity,
+    isExcess: false,
+    triedZones: callerJob.triedZones,
+  }, otherZones(state, queue.service));
+  if (chosen === null) return false;
+  const { zone: { zone } } = chosen;
+  const fromZone = state.self.availabilityZone;
+  if (!submitElsewhere(context, callerJob, { fromZone, zone })) return false;
+  state.counters.jobsSentWithoutLeader += 1;
+  return true;
+}
+
 /**
  * Replaces the refusal of a recorded job by an unknown outcome if the job was
  * submitted before: a previous leader may have persisted its record.
@@ -492,6 +586,7 @@
         leaderlessSinceMs,
       );
     }
+    if (leaveZone(context, callerJob)) continue;
     const outcome = leaderlessOutcome(state, callerJob);
     if (outcome !== null) answer(context, callerJob, outcome);
   }
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -75,6 +75,18 @@
     crashes >= (crashedAlone ? GIVE_UP_CRASHES : MAX_CRASHES),
   /** Only a job of which no task may have started is reported as refused. */
   mayRefuse: ({ mayHaveStarted }) => !mayHaveStarted,
+  /**
+   * Only a job of which no task can have run is submitted to the leader of another
+   * zone: it would not see the runs.
+   */
+  mayHandOver: (nowMs, { record, mayHaveStarted, previousRunsExpireAtMs }) =>
+    record === null && !mayHaveStarted && nowMs >= previousRunsExpireAtMs,
+  /**
+   * A job that was handed to another zone may run there while a second entry
+   * submits it here, so it follows.
+   */
+  mustFollowHandOver: (elsewhere, triedZones) =>
+    !triedZones.includes(elsewhere),
   /** A configuration is replaced only by one with a higher version. */
   isNewer: (version, currentVersion) => version > currentVersion,
   /**
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -72,6 +72,7 @@
     endedAtMs: 0,
     record: options.record,
     isSurplus: options.isSurplus,
+    triedZones: null,
   };
 }
 
--- a/src/engine/leader_lookup.ts
+++ b/src/engine/leader_lookup.ts
@@ -188,13 +188,21 @@
   const { submittedTo, spilledToZone } = callerJob;
   if (submittedTo === null || spilledToZone === null) return cellLeader(state);
   // A new leader of the other cell resumes the job.
+  return leaderOfZone(state, spilledToZone) ?? cellLeader(state);
+}
+
+/** The leader of another zone that is a cell; null if none is heard. */
+export function leaderOfZone(
+  state: EngineState,
+  zone: string,
+): LeaderTerm | null {
   for (const peer of state.peers.values()) {
-    const isInZone = peer.info.availabilityZone === spilledToZone;
+    const isInZone = peer.info.availabilityZone === zone;
     if (isInZone && peer.hasZoneCells && isActiveLeader(state, peer)) {
       return leaderTermOf(peer);
     }
   }
-  return cellLeader(state);
+  return null;
 }
 
 /**
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -33,6 +33,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
+import { createZoneSharing } from "./zones/zone_types.ts";
 
 /** Length of one step of the wall clock, from which terms are derived. */
 const TERM_STEP_MS = 100;
@@ -354,6 +355,7 @@
     rereadAtMs: -Infinity,
     rereadWanted: false,
     waitMsByService: new Map(),
+    sharing: createZoneSharing(),
     queueDemands: new Map(),
     demandsSampledAtMs: state.nowMs,
   };
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -16,6 +16,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
+import { onRoomReport, roomReport } from "./zones/report_exchange.ts";
 
 /**
  * Interval of heartbeats from a leader, to the sender's leader, to leaders of
@@ -218,6 +219,9 @@
     hasZoneCells: false,
     holdsRecords: false,
     waitMsByService: {},
+    roomByService: null,
+    usualUsed: new Map(),
+    reportFaultLoggedAtMs: -Infinity,
     term: 0,
     workersAgeMs: Infinity,
     listDigest: null,
@@ -380,6 +384,7 @@
   }
   peer.holdsRecords = message.holdsRecords;
   peer.waitMsByService = message.waitMsByService;
+  onRoomReport(context, peer, message.roomByService);
   // A peer that has lost the records to this instance may not know it yet.
   const ownsRecords = state.scheduler?.records.isOwner === true;
   if (message.holdsRecords && !ownsRecords) {
@@ -454,6 +459,7 @@
     hasZoneCells: state.hasZoneCells,
     holdsRecords: scheduler?.records.isOwner === true,
     waitMsByService: scheduler === null ? {} : waitsOf(scheduler),
+    ...roomReport(state, peer),
   });
 }
 
--- a/src/engine/previous_runs.ts
+++ b/src/engine/previous_runs.ts
@@ -52,7 +52,24 @@
   { resubmitted, ageMs }: PeerMessageOf<"submit">,
 ): number {
   if (resubmitted) return state.nowMs + maxLeaseMs(state);
-  const receivedAtMs = state.nowMs - ageMs;
+  return retriedRunsExpireAtMs(state, {
+    receivedAtMs: state.nowMs - ageMs,
+    termStartedAtMs: scheduler.startedAtMs,
+  });
+}
+
+/**
+ * Returns the time until which runs of a job that was never submitted here may
+ * continue: it may be a caller's retry after the loss of its entry. An entry that
+ * was lost since `termStartedAtMs` doesn't count.
+ */
+export function retriedRunsExpireAtMs(
+  state: EngineState,
+  { receivedAtMs, termStartedAtMs }: {
+    receivedAtMs: number;
+    termStartedAtMs: number;
+  },
+): number {
   // This instance does not know of entries lost before it started, and a caller
   // that comes again lost its entry some time ago.
   const unknownLossAtMs = Math.min(
@@ -64,7 +81,7 @@
     const lostAtMs = lossTimeMs(state, peer);
     // An entry lost in this term submitted its jobs to this leader, which thus
     // knows them.
-    if (lostAtMs === 0 || lostAtMs >= scheduler.startedAtMs) continue;
+    if (lostAtMs === 0 || lostAtMs >= termStartedAtMs) continue;
     if (receivedAtMs < lostAtMs + CALLER_RETRY_DELAY_MS) continue;
     expiresAtMs = Math.max(expiresAtMs, lostAtMs + maxRunOutlastMs(state));
   }
--- a/src/engine/queries.ts
+++ b/src/engine/queries.ts
@@ -18,6 +18,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
+import { wasHandedOver } from "./zones/sharing.ts";
 
 /**
  * Time after its receipt at which a query without a reply is answered as
@@ -183,6 +184,7 @@
   job: (context, scheduler, { query }) => {
     const job = scheduler.jobs.get(query.jobId);
     if (job === undefined) return unknownJobReply(context, scheduler);
+    if (wasHandedOver(job)) return { kind: "unavailable" };
     return isolateJob<Reply>(context, job, {
       stage: "query",
       fallback: { kind: "unavailable" },
@@ -195,7 +197,7 @@
     // The job may have been accepted, and its record not be read yet.
     const mayBeAccepted = job.record !== null && !job.record.mayExist &&
       !knowsAllRecords(context.state, scheduler);
-    if (mayBeAccepted) return { kind: "unavailable" };
+    if (mayBeAccepted || wasHandedOver(job)) return { kind: "unavailable" };
     return isolateJob<Reply | null>(context, job, {
       stage: "cancel",
       fallback: { kind: "ended", outcome: faultyJobOutcome },
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -103,6 +103,7 @@
   rereadWorkers,
   syncWorkers,
 } from "./workers.ts";
+import { handOverWaiting, updateRoom } from "./zones/sharing.ts";
 
 /** Options for creating the state of an engine. */
 export interface EngineOptions {
@@ -188,6 +189,10 @@
       jobFaults: 0,
       recordWrites: 0,
       callersGone: 0,
+      jobsHandedOver: 0,
+      jobsFromOtherZones: 0,
+      jobsSentWithoutLeader: 0,
+      handOversFailed: 0,
       tasksStarted: 0,
       tasksDone: 0,
       tasksFailed: 0,
@@ -395,7 +400,9 @@
     checkReports(context, scheduler);
     sampleDemands(scheduler, state.nowMs);
     updateWaitsByService(context, scheduler);
+    updateRoom(context, scheduler);
     applyTaskCompletions(context);
+    handOverWaiting(context, scheduler);
     checkJobs(context, scheduler);
     for (const service of scheduler.waiting.keys()) {
       placeQueuedTasks(context, service);
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -187,6 +187,12 @@
    * Expected queueing delay by service; empty unless the sender is a leader.
    */
   waitMsByService: z.record(z.string(), z.number()),
+  /**
+   * Free capacity of the sender's cell by service, as `ServiceRoom`; undefined
+   * unless the sender is a leader of another zone. It is checked apart, so that a
+   * report that can't be used doesn't invalidate the heartbeat.
+   */
+  roomByService: z.unknown().optional(),
 });
 
 const helloSchema = z.object({
@@ -235,6 +241,11 @@
   answerAt: z.enum(["ended", "accepted"]),
   /** Names of the tasks that a previous leader reported as done. */
   doneTasks: z.array(z.string()),
+  /**
+   * Zones that had the job before and have not started it; undefined if the
+   * sender can't submit the job to the zone that a refusal names.
+   */
+  triedZones: z.array(z.string()).optional(),
 });
 
 /** Why jobs are refused; `storeAway` means that the store is unavailable. */
@@ -269,6 +280,8 @@
     kind: z.literal("refused"),
     reason: z.enum(refusalReasons),
     retryAfterMs: z.number(),
+    /** Zone whose leader is to get the job instead, if any. */
+    elsewhere: z.string().optional(),
   }),
   /**
    * Tasks may have run, but the outcome is unknown. `storeAway` means that the
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -31,6 +31,12 @@
   Scheduler,
 } from "./types.ts";
 import { rereadWorkers } from "./workers.ts";
+import {
+  countOrigin,
+  handedOverOutcome,
+  handOverSubmitted,
+  joinTriedZones,
+} from "./zones/sharing.ts";
 
 /**
  * Duration of a store outage from which jobs that need a record are refused or,
@@ -64,6 +70,13 @@
     return;
   }
   const known = scheduler.jobs.get(message.jobId);
+  const followed = handedOverOutcome(state, known, message);
+  if (followed !== null) {
+    const { jobId, submissionId } = message;
+    const type = "jobEnded";
+    sendPeer(context, from, { type, jobId, submissionId, outcome: followed });
+    return;
+  }
   if (known !== undefined && !isNewAttempt(known, from, message)) {
     addSubmission(context, scheduler, { job: known, from, message });
     return;
@@ -72,6 +85,10 @@
   job.submissionIdByEntry.set(from, message.submissionId);
   scheduler.jobs.set(job.jobId, job);
   countArrival(scheduler, job);
+  countOrigin(state, scheduler, {
+    job,
+    availabilityZone: message.availabilityZone,
+  });
   isolateJob(context, job, {
     stage: "submit",
     fallback: undefined,
@@ -90,7 +107,8 @@
   logSubmission(context, scheduler, { job, message, waitMs });
   const refusal = job.mayHaveStarted
     ? null
-    : immediateRefusal(state, scheduler, { job, message, waitMs });
+    : handOverSubmitted(context, scheduler, job) ??
+      immediateRefusal(state, scheduler, { job, message, waitMs });
   if (refusal !== null) {
     finishJob(context, job, refusal);
     return;
@@ -141,6 +159,7 @@
     inheritProgress(job, known);
     inheritPreviousRuns(state, job, known);
   }
+  job.triedZones = message.triedZones ?? null;
   queueReadyTasks(job);
   return job;
 }
@@ -304,6 +323,7 @@
     return;
   }
   job.submissionIdByEntry.set(from, submissionId);
+  job.triedZones = joinTriedZones(job.triedZones, message.triedZones);
   if (record !== null) {
     if (!record.accepted) return;
     sendPeer(context, from, { type: "jobAccepted", jobId, submissionId });
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -29,6 +29,11 @@
   Step as JobStep,
   WorkerInfo,
 } from "./schemas.ts";
+import type {
+  RoomByService,
+  UsualRate,
+  ZoneSharing,
+} from "./zones/zone_types.ts";
 
 export type {
   FinishedRow,
@@ -437,6 +442,15 @@
   holdsRecords: boolean;
   /** Expected queueing delay by service; empty unless the peer is a leader. */
   waitMsByService: Readonly<Record<string, number>>;
+  /**
+   * Free capacity by service, as the peer's latest heartbeat reports it; null if
+   * it has no valid report.
+   */
+  roomByService: RoomByService | null;
+  /** CPU that its reports usually show as in use, by service. */
+  readonly usualUsed: Map<string, UsualRate>;
+  /** Time of the latest log line of an ignored report; -Infinity before. */
+  reportFaultLoggedAtMs: number;
   /** Age of the peer's list of workers at its latest heartbeat. */
   workersAgeMs: number;
   /** Digest of the workers of the peer's cell; null if it is not known. */
@@ -472,10 +486,15 @@
   doneTasks: readonly string[];
   answerAt: AnswerAt;
   /**
-   * Zone of the cell that got the job after this instance's cell refused it;
-   * null if there is none.
+   * Zone of the cell that got the job after another one had handed it over or
+   * refused it; null if there is none.
    */
   spilledToZone: string | null;
+  /**
+   * Zones whose leaders had the job before the present one and have not started
+   * it, or could not be reached.
+   */
+  readonly triedZones: string[];
   /** Tasks may have started on workers that its present leader does not own. */
   leftCell: boolean;
   /** Whether each zone had its own leader at the latest submission. */
@@ -647,6 +666,11 @@
   readonly record: RecordState | null;
   /** The job exceeded the usual demand of its queue during a flood. */
   readonly isSurplus: boolean;
+  /**
+   * Zones that had the job before; null if its entries can't take it to another
+   * zone.
+   */
+  triedZones: readonly string[] | null;
 }
 
 /** A run that occupies capacity of a worker. */
@@ -887,6 +911,7 @@
   rereadWanted: boolean;
   /** Expected queueing delay by service, as sent to peers. */
   readonly waitMsByService: Map<string, number>;
+  readonly sharing: ZoneSharing;
   /** Demand statistics by queue. */
   readonly queueDemands: Map<string, QueueDemand>;
   demandsSampledAtMs: number;
@@ -1126,6 +1151,14 @@
   jobFaults: number;
   recordWrites: number;
   callersGone: number;
+  /** Jobs that this leader has handed to other zones. */
+  jobsHandedOver: number;
+  /** New jobs that this leader got from entries of other zones. */
+  jobsFromOtherZones: number;
+  /** Jobs submitted to another zone because the own zone had no leader. */
+  jobsSentWithoutLeader: number;
+  /** Hand-overs that an entry could not carry out. */
+  handOversFailed: number;
   tasksStarted: number;
   tasksDone: number;
   tasksFailed: number;
@@ -1247,6 +1280,14 @@
     task: Pick<Task, "crashes" | "crashedAlone">,
   ) => boolean;
   readonly mayRefuse: (job: Job) => boolean;
+  readonly mayHandOver: (
+    nowMs: number,
+    job: Pick<Job, "record" | "mayHaveStarted" | "previousRunsExpireAtMs">,
+  ) => boolean;
+  readonly mustFollowHandOver: (
+    elsewhere: string,
+    triedZones: readonly string[],
+  ) => boolean;
   readonly isNewer: (version: number, currentVersion: number) => boolean;
   readonly hasOwnRule: (
     ownVersion: number,
--- /dev/null
+++ b/src/engine/zones/sharing.ts
@@ -0,0 +1,449 @@
+/**
+ * Sharing of work between zones that have a leader each. The leader of the home
+ * cell decides, since it knows its own queue and is the only one: it ends a job
+ * that has not started as refused, and names the zone that is to run it; the entry
+ * submits the job to the leader of that zone.
+ */
+
+import { queuedCpuMilli } from "../admission.ts";
+import { logDecision } from "../effects.ts";
+import { expectedTaskMs } from "../expected_run_times.ts";
+import { isPaused } from "../followers.ts";
+import { isolateJob } from "../job_faults.ts";
+import { finishJob } from "../jobs.ts";
+import { compareJobs, hasQueuedTasks } from "../queue.ts";
+import type { PeerMessageOf } from "../schemas.ts";
+import {
+  createServiceCapacity,
+  roomAfterMs,
+  type ServiceCapacity,
+} from "../service_capacity.ts";
+import { isHeldBack } from "../suspected_queues.ts";
+import type {
+  EngineState,
+  Job,
+  JobOutcome,
+  OwnedWorker,
+  ReduceContext,
+  Scheduler,
+} from "../types.ts";
+import {
+  chooseZone,
+  type HandOver,
+  isExcess,
+  MAX_REPORT_AGE_MS,
+  type MovableJob,
+  type OtherZone,
+} from "./hand_over.ts";
+import {
+  addWork,
+  createUsualRate,
+  rateAt,
+  shareToHandOver,
+} from "./load_balance.ts";
+import { otherZones } from "./other_zones.ts";
+import { meanTaskMilli, measureRoom } from "./room_reports.ts";
+import type { ServiceRoom, UsualRate } from "./zone_types.ts";
+
+/** Retry delay that callers get if the other zone cannot be reached. */
+const RETRY_AFTER_MS = 250;
+
+/**
+ * Measures the room and the waits that heartbeats report, for every service with
+ * usable workers, if the zones have a leader each.
+ */
+export function updateRoom(
+  context: ReduceContext,
+  scheduler: Scheduler,
+): void {
+  const { state } = context;
+  const { sharing, waiting, workers, waitMsByService } = scheduler;
+  if (!state.hasZoneCells) {
+    sharing.room = {};
+    return;
+  }
+  const services = new Set<string>();
+  for (const { info } of workers.values()) services.add(info.service);
+  const room: Record<string, ServiceRoom> = {};
+  for (const service of services) {
+    const capacity = createServiceCapacity(state, scheduler, service);
+    if (capacity.cpuMilli === 0) continue;
+    const views = capacity.workers.map((worker) => viewOf(state, worker));
+    let queuedMilli = 0;
+    let workMilliMs = 0;
+    for (const job of waiting.get(service) ?? []) {
+      const cpuMilli = queuedCpuMilli(context, job);
+      queuedMilli += cpuMilli;
+      workMilliMs += cpuMilli * job.criticalPathMs;
+    }
+    room[service] = measureRoom(views, queuedMilli);
+    const taskMilli = meanTaskMilli(views);
+    const waitMs = Math.max(
+      workMilliMs / capacity.cpuMilli,
+      roomAfterMs(capacity, {
+        neededMilli: queuedMilli + taskMilli,
+        taskMilli,
+      }),
+    );
+    waitMsByService.set(service, Math.round(waitMs));
+  }
+  sharing.room = room;
+}
+
+function viewOf(
+  { nowMs }: EngineState,
+  { info, usedCpuMilli, runs, phase, released, usableFromMs }: OwnedWorker,
+) {
+  return {
+    cpuMilli: info.cpuMilli,
+    usedCpuMilli,
+    runCount: runs.size,
+    isReady: phase === "ready" && !released && nowMs >= usableFromMs,
+  };
+}
+
+/** The queued tasks before a job. */
+interface LoadAhead {
+  cpuMilli: number;
+  workMilliMs: number;
+}
+
+/** Returns when all queued tasks of a job are expected to have started here. */
+function waitHereMs(
+  capacity: ServiceCapacity,
+  { ahead: { cpuMilli, workMilliMs }, job, ownMilli }: {
+    ahead: LoadAhead;
+    job: Job;
+    ownMilli: number;
+  },
+): number {
+  if (capacity.cpuMilli === 0) return Infinity;
+  const taskMilli = Math.max(1, job.tasks[0]?.demand.cpuMilli ?? 1);
+  const roomMs = roomAfterMs(capacity, {
+    neededMilli: cpuMilli + ownMilli,
+    taskMilli,
+  });
+  return Math.max(workMilliMs / capacity.cpuMilli, roomMs);
+}
+
+/** The zones of which listed workers have all labels that a job requires. */
+type SuitsZone = (zone: string) => boolean;
+
+/** Returns whether workers of a zone have the labels that a job requires. */
+function createSuitsZone(
+  { workers }: EngineState,
+  { steps, queue: { service } }: Job,
+): SuitsZone {
+  const wanted = steps.flatMap(({ requiredLabel }) => requiredLabel ?? []);
+  if (wanted.length === 0) return () => true;
+  return (zone) =>
+    wanted.every((label) =>
+      [...workers.values()].some((info) =>
+        info.availabilityZone === zone && info.service === service &&
+        !info.draining && info.labels.includes(label)
+      )
+    );
+}
+
+/** Whether a job may go to another zone, and its entries can take it there. */
+function isMovable(state: EngineState, job: Job): boolean {
+  if (!state.hasZoneCells || job.triedZones === null) return false;
+  if (!state.guards.mayHandOver(state.nowMs, job)) return false;
+  // Its tasks would crash workers of other zones, too.
+  if (isHeldBack(state, job)) return false;
+  return hasQueuedTasks(job) && !isPaused(state, job);
+}
+
+/** Returns the share of a service's arriving work to hand over. */
+function excessShare(
+  { nowMs, scheduler }: EngineState,
+  service: string,
+  zones: readonly OtherZone[],
+): number {
+  const room = scheduler?.sharing.room[service];
+  const offered = scheduler?.sharing.offered.get(service);
+  if (room === undefined || offered === undefined) return 0;
+  const { capacityMilli } = room;
+  const offeredMilli = rateAt(offered, nowMs);
+  const others = zones.map((other) => {
+    const sent = scheduler?.sharing.sent.get(sentKey(other.zone, service));
+    return {
+      capacityMilli: other.capacityMilli,
+      usedMilli: other.usualUsedMilli,
+      sentMilli: sent === undefined ? 0 : rateAt(sent, nowMs),
+    };
+  });
+  return shareToHandOver({ capacityMilli, offeredMilli }, others);
+}
+
+function sentKey(zone: string, service: string): string {
+  return `${zone} ${service}`;
+}
+
+/** CPU times expected run time of all tasks of a job. */
+function workMilliMsOf(state: EngineState, { steps, queue }: Job): number {
+  let workMilliMs = 0;
+  for (const { count, cpuMilli, estimatedMs } of steps) {
+    workMilliMs += count * cpuMilli *
+      expectedTaskMs(state, queue.name, estimatedMs);
+  }
+  return workMilliMs;
+}
+
+function movableJobOf(
+  context: ReduceContext,
+  capacity: ServiceCapacity,
+  { job, ahead, share, suitsZone }: {
+    job: Job;
+    ahead: LoadAhead;
+    share: number;
+    suitsZone: SuitsZone;
+  },
+): MovableJob {
+  const ownMilli = queuedCpuMilli(context, job);
+  const isSuited = suitsZone(context.state.self.availabilityZone);
+  return {
+    jobId: job.jobId,
+    neededMilli: ownMilli,
+    runMs: job.criticalPathMs,
+    slackMs: job.objectiveAtMs - context.state.nowMs - job.criticalPathMs,
+    waitMs: isSuited
+      ? waitHereMs(capacity, { ahead, job, ownMilli })
+      : Infinity,
+    isExcess: isExcess(job.jobId, share),
+    triedZones: job.triedZones ?? [],
+  };
+}
+
+/**
+ * Returns the outcome with which a submitted job is handed over; null if it stays
+ * here. At its submission a job is not in the queue yet.
+ */
+export function handOverSubmitted(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  job: Job,
+): JobOutcome | null {
+  const { state } = context;
+  if (!isMovable(state, job)) return null;
+  const { service } = job.queue;
+  const suitsZone = createSuitsZone(state, job);
+  const zones = otherZones(state, service).filter(({ zone }) =>
+    suitsZone(zone)
+  );
+  if (zones.length === 0) return null;
+  const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
+  for (const other of scheduler.waiting.get(service) ?? []) {
+    if (compareJobs(other, job) > 0) break;
+    addAhead(context, ahead, other);
+  }
+  const capacity = createServiceCapacity(state, scheduler, service);
+  const isFromHere = job.triedZones?.length === 0;
+  const share = isFromHere ? excessShare(state, service, zones) : 0;
+  const movable = movableJobOf(context, capacity, {
+    job,
+    ahead,
+    share,
+    suitsZone,
+  });
+  const handOver = chooseZone(movable, zones);
+  return handOver === null
+    ? null
+    : recordHandOver(context, scheduler, { job, movable, handOver });
+}
+
+function addAhead(context: ReduceContext, ahead: LoadAhead, job: Job): void {
+  const cpuMilli = queuedCpuMilli(context, job);
+  ahead.cpuMilli += cpuMilli;
+  ahead.workMilliMs += cpuMilli * job.criticalPathMs;
+}
+
+/**
+ * Hands over the waiting jobs that would wait too long here. Each service's queue
+ * is gone through once, in its order.
+ */
+export function handOverWaiting(
+  context: ReduceContext,
+  scheduler: Scheduler,
+): void {
+  const { state } = context;
+  forgetRecent(state, scheduler);
+  if (!state.hasZoneCells) return;
+  for (const [service, waiting] of scheduler.waiting) {
+    if (waiting.length === 0) continue;
+    let zones = otherZones(state, service);
+    if (zones.length === 0) continue;
+    const capacity = createServiceCapacity(state, scheduler, service);
+    const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
+    for (const job of [...waiting]) {
+      const isHandedOver = isolateJob(context, job, {
+        stage: "admit",
+        fallback: false,
+        run: () =>
+          handOverIfWorthwhile(context, scheduler, {
+            job,
+            capacity,
+            ahead,
+            zones,
+          }),
+      });
+      if (isHandedOver) zones = otherZones(state, service);
+      else addAhead(context, ahead, job);
+    }
+  }
+}
+
+/** Hands over a waiting job, unless it stays. Returns whether it was. */
+function handOverIfWorthwhile(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  { job, capacity, ahead, zones }: {
+    job: Job;
+    capacity: ServiceCapacity;
+    ahead: LoadAhead;
+    zones: readonly OtherZone[];
+  },
+): boolean {
+  const { state } = context;
+  if (!isMovable(state, job)) return false;
+  const suitsZone = createSuitsZone(state, job);
+  const suited = zones.filter(({ zone }) => suitsZone(zone));
+  const share = 0;
+  const movable = movableJobOf(context, capacity, {
+    job,
+    ahead,
+    share,
+    suitsZone,
+  });
+  const handOver = chooseZone(movable, suited);
+  if (handOver === null) return false;
+  finishJob(
+    context,
+    job,
+    recordHandOver(context, scheduler, { job, movable, handOver }),
+  );
+  return true;
+}
+
+/** Forgets hand-overs that every report in use includes. */
+function forgetRecent({ nowMs }: EngineState, { sharing }: Scheduler): void {
+  let count = 0;
+  for (const { atMs } of sharing.recent) {
+    if (nowMs - atMs <= MAX_REPORT_AGE_MS) break;
+    count += 1;
+  }
+  sharing.recent.splice(0, count);
+}
+
+/** Counts and logs a hand-over; returns the outcome of the job in this cell. */
+function recordHandOver(
+  context: ReduceContext,
+  { sharing }: Scheduler,
+  { job, movable, handOver }: {
+    job: Job;
+    movable: MovableJob;
+    handOver: HandOver;
+  },
+): JobOutcome {
+  const { state } = context;
+  const { zone, waitMs, hasRoom, reason } = handOver;
+  const { jobId, queue: { name, service } } = job;
+  const cpuMilli = movable.neededMilli;
+  sharing.recent.push({
+    zone: zone.zone,
+    service,
+    cpuMilli,
+    atMs: state.nowMs,
+  });
+  sharing.jobsByZone.set(
+    zone.zone,
+    (sharing.jobsByZone.get(zone.zone) ?? 0) + 1,
+  );
+  const key = sentKey(zone.zone, service);
+  addWorkTo(sharing.sent, key, workMilliMsOf(state, job), state.nowMs);
+  state.counters.jobsHandedOver += 1;
+  logDecision(context, { part: "zones", text: "job handed over" }, {
+    jobId,
+    queue: name,
+    fromZone: state.self.availabilityZone,
+    toZone: zone.zone,
+    reason,
+    expectedWaitMs: Number.isFinite(movable.waitMs)
+      ? Math.round(movable.waitMs)
+      : null,
+    slackMs: Math.round(movable.slackMs),
+    waitThereMs: Math.round(waitMs),
+    hasRoom,
+    idleMilli: Math.round(zone.idleMilli),
+    neededMilli: Math.round(cpuMilli),
+    reportAgeMs: Math.round(zone.ageMs),
+    waitedMs: Math.round(state.nowMs - job.receivedAtMs),
+  });
+  return {
+    kind: "refused",
+    reason: movable.waitMs === Infinity ? "noWorker" : "overloaded",
+    retryAfterMs: RETRY_AFTER_MS,
+    elsewhere: zone.zone,
+  };
+}
+
+function addWorkTo(
+  rates: Map<string, UsualRate>,
+  key: string,
+  workMilliMs: number,
+  nowMs: number,
+): void {
+  const rate = rates.get(key) ?? createUsualRate(0, nowMs);
+  addWork(rate, workMilliMs, nowMs);
+  rates.set(key, rate);
+}
+
+/** Counts a new job in memory and its work by the zone of its entry. */
+export function countOrigin(
+  state: EngineState,
+  { sharing }: Scheduler,
+  { job, availabilityZone }: { job: Job; availabilityZone: string },
+): void {
+  const { self, counters, nowMs, hasZoneCells } = state;
+  if (job.record !== null || !hasZoneCells) return;
+  if (availabilityZone !== self.availabilityZone) {
+    counters.jobsFromOtherZones += 1;
+    return;
+  }
+  sharing.ownJobs += 1;
+  const workMilliMs = workMilliMsOf(state, job);
+  addWorkTo(sharing.offered, job.queue.service, workMilliMs, nowMs);
+}
+
+/**
+ * Returns the outcome of a job that was handed over and comes again, maybe from
+ * another entry, if its submission has to follow it; else null.
+ */
+export function handedOverOutcome(
+  { guards }: EngineState,
+  known: Job | undefined,
+  { resubmitted, triedZones }: PeerMessageOf<"submit">,
+): JobOutcome | null {
+  const outcome = known?.outcome ?? null;
+  if (outcome?.kind !== "refused" || outcome.elsewhere === undefined) {
+    return null;
+  }
+  if (resubmitted || triedZones === undefined) return null;
+  return guards.mustFollowHandOver(outcome.elsewhere, triedZones)
+    ? outcome
+    : null;
+}
+
+/** Joins the zones that two entries have tried; null if one tells none. */
+export function joinTriedZones(
+  known: readonly string[] | null,
+  added: readonly string[] | undefined,
+): readonly string[] | null {
+  if (known === null || added === undefined) return null;
+  return [...new Set([...known, ...added])];
+}
+
+/** Whether a job has left this cell, so that its state isn't known here. */
+export function wasHandedOver({ outcome }: Job): boolean {
+  return outcome?.kind === "refused" && outcome.elsewhere !== undefined;
+}
--- /dev/null
+++ b/src/engine/zones/sharing_test.ts
@@ -0,0 +1,343 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  type PeerMessageOf,
+  peerMessageSchema,
+  type WorkerInfo,
+} from "../schemas.ts";
+import {
+  createTestInstance,
+  effectsOf,
+  messagesOf,
+  testHeartbeat,
+  type TestInstance,
+  testInstanceInfo,
+  testJob,
+  testQueue,
+  testSubmission,
+  testWorker,
+} from "../testing.ts";
+import type { Effect } from "../types.ts";
+
+const JOB_ID = "00000000000000aa";
+/** Leaders of other zones, each named like its zone with an `l` before it. */
+const OTHER_ZONES = ["caxias", "pelotas"];
+const IDLE = { s: { idleMilli: 1e6, capacityMilli: 2e6 } };
+
+function zoneWorkers(zone: string, count: number): WorkerInfo[] {
+  return Array.from({ length: count }, (_, index) => ({
+    ...testWorker(`${zone}-${index}`),
+    availabilityZone: zone,
+  }));
+}
+
+/** The leaders of some zones are heard from. */
+function hear(
+  instance: TestInstance,
+  zones: readonly string[],
+  fields: Partial<PeerMessageOf<"heartbeat">> = {},
+): void {
+  for (const zone of zones) {
+    const leaderId = `l${zone}`;
+    const heartbeat = testHeartbeat({
+      sentAtMs: instance.state.nowMs,
+      workersAgeMs: 1e6,
+      isLeader: true,
+      leaderId,
+      term: 9,
+      hasZoneCells: true,
+      waitMsByService: { s: 0 },
+      roomByService: IDLE,
+      ...fields,
+    });
+    instance.receive(leaderId, heartbeat);
+  }
+}
+
+/** An instance of the zone `poa`, which has two workers, before it leads it. */
+function createInstance(
+  { otherWorkers = 55 }: { otherWorkers?: number } = {},
+): TestInstance {
+  const instance = createTestInstance();
+  const instances = OTHER_ZONES.map((zone) => ({
+    ...testInstanceInfo(`l${zone}`),
+    availabilityZone: zone,
+  }));
+  instance.after(0, { type: "instancesRead", instances });
+  for (const { instanceId } of instances) {
+    instance.after(0, { type: "peerUp", instanceId });
+  }
+  const workers = [
+    ...zoneWorkers("poa", 2),
+    ...OTHER_ZONES.flatMap((zone) => zoneWorkers(zone, otherWorkers)),
+  ];
+  instance.after(0, { type: "workersRead", workers });
+  return instance;
+}
+
+/** Time after its start in which an instance may have missed lost entries. */
+const START_MS = 2_500;
+
+/** Lets the time pass after a start; workers answer polls. */
+function pass(instance: TestInstance): void {
+  for (let passedMs = 0; passedMs < START_MS; passedMs += 100) {
+    hear(instance, OTHER_ZONES);
+    for (const { workerId } of effectsOf(instance.tick(100), "hold")) {
+      instance.completePoll(workerId);
+    }
+  }
+}
+
+/** The leader of `poa`. */
+function createLeader(options?: { otherWorkers?: number }): TestInstance {
+  const leader = createInstance(options);
+  pass(leader);
+  hear(leader, OTHER_ZONES);
+  return leader;
+}
+
+/** Submits a job of `count` tasks; four fit on the workers of `poa`. */
+function submit(
+  leader: TestInstance,
+  jobId: string,
+  fields: Partial<PeerMessageOf<"submit">> = {},
+): Effect[] {
+  const job = testJob(4);
+  return leader.receive(
+    "p",
+    testSubmission({ jobId, job, triedZones: [], ...fields }),
+  );
+}
+
+function zonesOf(effects: readonly Effect[]): (string | undefined)[] {
+  return messagesOf(effects, "jobEnded").map(({ outcome }) =>
+    outcome.kind === "refused" ? outcome.elsewhere : undefined
+  );
+}
+
+test("a leader hands a job over that would wait too long", () => {
+  const leader = createLeader();
+  expect(effectsOf(submit(leader, "0a"), "startTask").length).toEqual(4);
+  const [zone] = zonesOf(submit(leader, "0b"));
+  expect(OTHER_ZONES.includes(zone ?? "")).toEqual(true);
+});
+
+const kept: {
+  name: string;
+  fields?: Partial<PeerMessageOf<"submit">>;
+  heard?: Partial<PeerMessageOf<"heartbeat">>;
+  silentMs?: number;
+}[] = [
+  // An entry of the previous release would tell its caller of a refusal.
+  { name: "its entry can't follow", fields: { triedZones: undefined } },
+  { name: "it may have started", fields: { resubmitted: true } },
+  { name: "it was handed over twice", fields: { triedZones: ["x", "y"] } },
+  {
+    name: "the reports can't be used",
+    heard: { roomByService: { s: { idleMilli: -1, capacityMilli: 1 } } },
+  },
+  { name: "the other leaders are not heard from", silentMs: 600 },
+];
+
+for (const { name, fields = {}, heard = {}, silentMs = 0 } of kept) {
+  test(`a leader keeps a job: ${name}`, () => {
+    const leader = createLeader();
+    submit(leader, "0a");
+    hear(leader, OTHER_ZONES, heard);
+    leader.after(silentMs, { type: "workersUnreadable" });
+    const effects = submit(leader, "0b", fields);
+    expect(zonesOf(effects).filter((zone) => zone !== undefined)).toEqual([]);
+  });
+}
+
+// All workers of the zone drain, and jobs wait there.
+test("waiting jobs are handed over when no worker is usable any more", () => {
+  const leader = createLeader();
+  submit(leader, "0a");
+  submit(leader, "0b", { triedZones: undefined });
+  submit(leader, "0c", { queue: { ...testQueue, objectiveMs: 1e6 } });
+  const drained = zoneWorkers("poa", 2).map((worker) => ({
+    ...worker,
+    draining: true,
+  }));
+  const others = OTHER_ZONES.flatMap((zone) => zoneWorkers(zone, 55));
+  leader.after(0, { type: "workersRead", workers: [...drained, ...others] });
+  hear(leader, OTHER_ZONES);
+  const zones = zonesOf(leader.tick()).filter((zone) => zone !== undefined);
+  expect(zones.length).toEqual(1);
+});
+
+// The job may run in the other zone for the first entry.
+test("a second entry is sent to the zone that has the job", () => {
+  const leader = createLeader();
+  submit(leader, "0a");
+  const [zone] = zonesOf(submit(leader, "0b"));
+  const again = leader.receive(
+    "q",
+    testSubmission({ jobId: "0b", submissionId: "q.1", triedZones: [] }),
+  );
+  expect(zonesOf(again)).toEqual([zone]);
+  expect(effectsOf(again, "startTask")).toEqual([]);
+});
+
+test("a fleet of one cell reports no room and hands nothing over", () => {
+  const leader = createLeader({ otherWorkers: 40 });
+  const heartbeats = messagesOf(leader.tick(500), "heartbeat");
+  const reported = heartbeats.filter((one) => one.roomByService !== undefined);
+  expect(leader.state.hasZoneCells).toEqual(false);
+  expect(reported).toEqual([]);
+  submit(leader, "0a");
+  expect(zonesOf(submit(leader, "0b")).filter((zone) => zone)).toEqual([]);
+});
+
+/** A caller submits a job at an instance. */
+function submitCaller(entry: TestInstance): Effect[] {
+  return entry.after(0, {
+    type: "callerSubmit",
+    requestId: "r",
+    jobId: JOB_ID,
+    queue: testQueue,
+    job: testJob(1),
+    timeoutMs: 6_000,
+    answerAt: "ended",
+  });
+}
+
+/** The home leader `lpoa` of an entry refuses its job and names a zone. */
+function refuse(
+  entry: TestInstance,
+  from: string,
+  elsewhere: string,
+): Effect[] {
+  const callerJob = entry.state.callerJobs.get(JOB_ID)!;
+  const submissionId =
+    `${callerJob.submissionPrefix}.${callerJob.submissionCount}`;
+  return entry.receive(from, {
+    type: "jobEnded",
+    jobId: JOB_ID,
+    submissionId,
+    outcome: {
+      kind: "refused",
+      reason: "overloaded",
+      retryAfterMs: 250,
+      elsewhere,
+    },
+  });
+}
+
+/** An entry of `poa` whose leader is another instance. */
+function createEntry(heard: readonly string[]): TestInstance {
+  const entry = createInstance();
+  const home = testInstanceInfo("lpoa");
+  entry.after(0, { type: "instancesRead", instances: [home] });
+  entry.after(0, { type: "peerUp", instanceId: "lpoa" });
+  hear(entry, ["poa", ...heard]);
+  entry.tick();
+  return entry;
+}
+
+function targetsOf(effects: readonly Effect[]): string[] {
+  return effectsOf(effects, "sendPeer")
+    .filter(({ message }) => message.type === "submit")
+    .map(({ instanceId }) => instanceId);
+}
+
+test("an entry follows two hand-overs, and then tells of the refusal", () => {
+  const entry = createEntry(OTHER_ZONES);
+  expect(targetsOf(submitCaller(entry))).toEqual(["lpoa"]);
+  expect(targetsOf(refuse(entry, "lpoa", "caxias"))).toEqual(["lcaxias"]);
+  expect(targetsOf(refuse(entry, "lcaxias", "pelotas"))).toEqual(["lpelotas"]);
+  const last = refuse(entry, "lpelotas", "poa");
+  expect(targetsOf(last)).toEqual([]);
+  expect(effectsOf(last, "answerCaller").length).toEqual(1);
+});
+
+// Its leader reaches the other zone, and the entry does not.
+test("an entry that does not hear the other zone's leader returns the job", () => {
+  const entry = createEntry([]);
+  submitCaller(entry);
+  refuse(entry, "lpoa", "caxias");
+  hear(entry, ["poa"]);
+  const [submitted] = messagesOf(entry.tick(), "submit");
+  expect(submitted?.resubmitted).toEqual(false);
+  expect(submitted?.triedZones).toEqual(["caxias"]);
+});
+
+/**
+ * An entry whose zone has just lost its leader, and another instance some time
+ * before. A third one is live and becomes the leader later.
+ */
+function createLeaderlessEntry(sinceLossMs: number): TestInstance {
+  const entry = createEntry(OTHER_ZONES);
+  entry.state.draining = true;
+  const instances = ["lost", "next"].map(testInstanceInfo);
+  entry.after(0, { type: "instancesRead", instances });
+  for (const { instanceId } of instances) {
+    entry.after(0, { type: "peerUp", instanceId });
+  }
+  const follower = {
+    isLeader: false,
+    leaderId: "lpoa",
+    roomByService: undefined,
+  };
+  const passMs = (ms: number, peers: readonly string[]): void => {
+    for (let passedMs = 0; passedMs < ms; passedMs += 100) {
+      hear(entry, ["poa", ...OTHER_ZONES]);
+      for (const peer of peers) {
+        const sentAtMs = entry.state.nowMs;
+        const fields = { sentAtMs, workersAgeMs: 1e6, term: 9, ...follower };
+        entry.receive(peer, testHeartbeat({ hasZoneCells: true, ...fields }));
+      }
+      entry.tick(100);
+    }
+  };
+  passMs(START_MS, ["lost", "next"]);
+  entry.after(0, { type: "peerDown", instanceId: "lost", refused: true });
+  passMs(sinceLossMs, ["next"]);
+  entry.after(0, { type: "peerDown", instanceId: "lpoa", refused: true });
+  expect(entry.state.leaderId).toEqual(null);
+  return entry;
+}
+
+test("without a leader, an entry sends jobs to another zone after 100 ms", () => {
+  const entry = createLeaderlessEntry(500);
+  submitCaller(entry);
+  expect(targetsOf(entry.tick(75))).toEqual([]);
+  const [target] = targetsOf(entry.tick(50));
+  expect(target === "lcaxias" || target === "lpelotas").toEqual(true);
+});
+
+// Runs of the earlier attempt may go on, and only the own zone's leader sees them.
+test("without a leader, a retry that may follow a lost entry stays", () => {
+  const entry = createLeaderlessEntry(1_300);
+  submitCaller(entry);
+  expect(targetsOf(entry.tick(75))).toEqual([]);
+  expect(targetsOf(entry.tick(50))).toEqual([]);
+});
+
+// The schemas drop fields that they don't name.
+test("messages keep the fields of hand-overs on the wire", () => {
+  const messages = [
+    testHeartbeat({ roomByService: IDLE }),
+    testSubmission({
+      jobId: JOB_ID,
+      previousList: { kind: "none" },
+      triedZones: ["poa"],
+    }),
+    {
+      type: "jobEnded",
+      jobId: JOB_ID,
+      submissionId: "p.1",
+      outcome: {
+        kind: "refused",
+        reason: "overloaded",
+        retryAfterMs: 250,
+        elsewhere: "poa",
+      },
+    },
+  ];
+  for (const message of messages) {
+    const received = JSON.parse(JSON.stringify(message));
+    expect<unknown>(peerMessageSchema.parse(received)).toEqual(received);
+  }
+});
