--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -37,6 +37,8 @@
       // Time since the peer was last heard from; null if it never was.
       silentMs: roundOrNull(state.nowMs - peer.lastHeardAtMs),
       configurationVersion: peer.configurationVersion,
+      // Free capacity by service, from the leader of another zone.
+      roomByService: peer.roomByService,
     })),
     // The state of this instance's leader term; null if it is not the leader.
     leading: scheduler === null ? null : dumpScheduler(state, scheduler),
@@ -53,6 +55,7 @@
     jobs: jobs.size,
     workersBorrowed: loans.borrowed.size,
     workersLent: loans.lent.size,
+    sharing: dumpSharing(scheduler),
     waiting: Object.fromEntries(
       [...waiting].map(([service, list]) => [service, list.length]),
     ),
@@ -82,6 +85,21 @@
   };
 }
 
+/** The free capacity that is reported to other zones, and the jobs they got. */
+function dumpSharing({ sharing }: Scheduler): object {
+  const { room, ownJobs, jobsByZone } = sharing;
+  return {
+    room,
+    // Jobs in memory of this zone's entries since the term started.
+    ownJobs,
+    elsewhere: [...jobsByZone].map(([availabilityZone, count]) => ({
+      availabilityZone,
+      jobs: count,
+      share: roundToHundredths(count / Math.max(1, ownJobs)),
+    })),
+  };
+}
+
 function dumpWorker(state: EngineState, worker: OwnedWorker): object {
   return {
     workerId: worker.info.workerId,
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -89,11 +89,20 @@
     `bronzemill_jobsAtLeader ${scheduler?.jobs.size ?? 0}`,
     `bronzemill_workersBorrowed ${scheduler?.loans.borrowed.size ?? 0}`,
     `bronzemill_workersLent ${scheduler?.loans.lent.size ?? 0}`,
+    `bronzemill_jobsElsewhereShare ${jobsElsewhereShare(state)}`,
     `bronzemill_configurationVersion ${state.configuration?.version ?? -1}`,
     `bronzemill_configurationProofAgeMs ${proofAgeMs(state)}`,
   ];
 }
 
+/** The share of its zone's jobs that this leader has handed to other zones. */
+function jobsElsewhereShare({ scheduler }: EngineState): number {
+  if (scheduler === null || scheduler.sharing.ownJobs === 0) return 0;
+  const { ownJobs, jobsByZone } = scheduler.sharing;
+  const count = [...jobsByZone.values()].reduce((sum, jobs) => sum + jobs, 0);
+  return Math.round(100 * count / ownJobs) / 100;
+}
+
 /**
  * Time since the configuration in effect was known to be the newest; -1 if it
  * has not been.
