--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -10,12 +10,14 @@
   drawGrownRun,
   drawMomentRun,
   drawRecordedRun,
+  drawSharingRun,
   drawStepsRun,
   drawTakeoverRun,
   drawZonesRun,
   type EngineRun,
   EVACUATION_ROWS,
   GROWN_ROWS,
+  SHARING_ROWS,
   simulateRun,
   STEPS_FAULTS,
   TAKEOVER_ROWS,
@@ -78,6 +80,12 @@
   trustReportAge: { provenSentAtMs: (nowMs) => nowMs },
 };
 
+/** The mutants that matter when zones hand jobs over. */
+export const sharingMutants: Record<string, Partial<Guards>> = {
+  handOverStarted: { mayHandOver: always },
+  startBesideHandOver: { mustFollowHandOver: never },
+};
+
 /** The mutants that runs of a large fleet show, which take longer. */
 export const grownMutants: Record<string, Partial<Guards>> = {
   keepTerm: { mustFollowAnew: never },
@@ -101,6 +109,7 @@
   ...ownershipMutants,
   ...zoneMutants,
   ...evacuationMutants,
+  ...sharingMutants,
   ...grownMutants,
   ...restartMutants,
 };
@@ -178,6 +187,8 @@
   startUnread: drawForgottenRun,
   // With slow instances, which pass reports on late.
   trustReportAge: (seed) => drawEvacuationRun(EVACUATION_ROWS * seed + 7),
+  handOverStarted: drawSharingRun,
+  startBesideHandOver: (seed) => drawSharingRun(SHARING_ROWS * seed),
   restoreAtOnce: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 4),
 };
 
--- a/bench/load_model.ts
+++ b/bench/load_model.ts
@@ -7,7 +7,9 @@
  *
  * Usage: load_model.js [SEEDS] [PATTERN]
  *
- * PATTERN is the begin of the names of the patterns to simulate.
+ * PATTERN is the begin of the names of the patterns to simulate. With `zones`,
+ * simulates the patterns of a fleet whose zones have a leader each instead, see
+ * `zone_load.ts`.
  */
 
 import {
@@ -23,6 +25,7 @@
   worthFactor,
 } from "./engine_world.ts";
 import { mixFleet, mixKinds, mixLoad, mixTailedKinds } from "./overload_mix.ts";
+import { printZonePatterns } from "./zone_load.ts";
 
 const LOAD_START_MS = 3_000;
 const LOAD_END_MS = 15_000;
@@ -313,6 +316,10 @@
 async function main(): Promise<void> {
   const seeds = Number(process.argv[2] ?? 3);
   const prefix = process.argv[3] ?? "";
+  if (prefix === "zones") {
+    await printZonePatterns(seeds);
+    return;
+  }
   for (const pattern of mixPatterns) {
     if (pattern.name.startsWith(prefix)) await printMix(pattern, seeds);
   }
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -16,6 +16,7 @@
   drawMomentRun,
   drawRecordedRun,
   drawRun,
+  drawSharingRun,
   drawStepsRun,
   drawTakeoverRun,
   drawZonesRun,
@@ -71,6 +72,7 @@
   crossed: play(drawCrossedRun),
   zones: play(drawZonesRun),
   evacuation: play(drawEvacuationRun),
+  sharing: play(drawSharingRun),
   configuration: playConfiguration,
 };
 let runs = 0;
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -34,6 +34,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
+import { createZoneSharing } from "./zones/zone_types.ts";
 
 /** Length of one step of the wall clock, from which terms are derived. */
 const TERM_STEP_MS = 100;
@@ -360,6 +361,7 @@
     waitMsByService: new Map(),
     overload: { policyByService: new Map() },
     callerTimes: new Map(),
+    sharing: createZoneSharing(),
     queueDemands: new Map(),
     demandsSampledAtMs: state.nowMs,
   };
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -111,6 +111,7 @@
   onEvacuationsRead,
   onEvacuationsUnreadable,
 } from "./zones/evacuation.ts";
+import { handOverWaiting, updateRoom } from "./zones/sharing.ts";
 
 /** Options for creating the state of an engine. */
 export interface EngineOptions {
@@ -203,6 +204,10 @@
       jobFaults: 0,
       recordWrites: 0,
       callersGone: 0,
+      jobsHandedOver: 0,
+      jobsFromOtherZones: 0,
+      jobsSentWithoutLeader: 0,
+      handOversFailed: 0,
       tasksStarted: 0,
       tasksDone: 0,
       tasksFailed: 0,
@@ -417,7 +422,9 @@
     sampleDemands(scheduler, state.nowMs);
     updateWaitsByService(context, scheduler);
     logPolicyChanges(context, scheduler);
+    updateRoom(context, scheduler);
     applyTaskCompletions(context);
+    handOverWaiting(context, scheduler);
     checkJobs(context, scheduler);
     for (const service of scheduler.waiting.keys()) {
       placeQueuedTasks(context, service);
