Tests of untrusted clients: specifications that the stand-ins can read

Cause: the clients' jobs had a specification that the stand-in of the workers can't parse. It answered each start with 400, so accepted stored jobs occupied the workers until their leases ended, and no ordinary job ran within 30 s, however well the instance had withstood the clients. Change: 4,000 bytes of JSON that the stand-in reads. Clients, counts and bounds stay as they were.

--- a/process_tests/untrusted_clients_test.ts
+++ b/process_tests/untrusted_clients_test.ts
@@ -49,7 +49,7 @@
 
 function post(path: string, fields: object): string {
   const body = JSON.stringify({
-    spec: "s".repeat(4_000),
+    spec: SPEC,
     steps: [{ count: 1, cpu: 100, est_ms: 20 }],
     ...fields,
   });
@@ -61,6 +61,10 @@
   return `${method} ${path} HTTP/1.1\r\n${host}\r\n`;
 }
 
+/** A specification of 4,000 bytes that the stand-ins of workers can read. */
+const SPEC = JSON.stringify({ runMs: 20, cpuMilli: 100, pad: "" })
+  .replace('""', `"${"s".repeat(4_000 - 36)}"`);
+
 interface Case {
   readonly name: string;
   readonly listener?: ListenerName;
