Every listener is guarded; bounds on a leader's jobs and an entry's queries

Cause: with the listeners of callers open to all, one set of 60 connections ended an instance, and a line without end ended it through the listener for peers. onCallerGone searched all jobs. Nothing bounded what an entry had at its leader. Change: callers, metrics, readiness and administration are guarded, on the platform and on our own interface. The output buffer of a peer holds all jobs of an entry (16 MB; above 4 MB an entry that resubmitted to a new leader was cut off each time). A leader refuses a job for which it has no memory before it keeps anything of it, unless the job may have run or have an unread record; an entry answers queries above its bound as unavailable. A caller that left names its job. Engine runs without these bounds by default. Counters, gauges, log lines of the part "clients".

--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -1689,11 +1689,12 @@
     submit,
     resubmit,
     disconnectCaller(record) {
-      const { entryId, requestId } = record;
+      const { entryId, requestId, jobId } = record;
       const instance = instancesById.get(entryId) as SimulatedInstance;
       const type = "callerGone";
       const nowMs = queue.nowMs();
-      dispatch(instance, instance.incarnation, { type, nowMs, requestId });
+      const event = { type, nowMs, requestId, jobId } as const;
+      dispatch(instance, instance.incarnation, event);
       resendLater(record, options.resendMs ?? 0);
     },
     resetConnections(instanceId) {
--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -266,15 +266,11 @@
   context: ReduceContext,
   event: EngineEventOf<"callerGone">,
 ): void {
-  const { state } = context;
-  for (const callerJob of state.callerJobs.values()) {
-    const index = callerJob.requestIds.indexOf(event.requestId);
-    if (index < 0) continue;
-    callerJob.requestIds.splice(index, 1);
-    if (callerJob.requestIds.length > 0) return;
-    withdraw(context, callerJob);
-    return;
-  }
+  const callerJob = context.state.callerJobs.get(event.jobId);
+  const index = callerJob?.requestIds.indexOf(event.requestId) ?? -1;
+  if (callerJob === undefined || index < 0) return;
+  callerJob.requestIds.splice(index, 1);
+  if (callerJob.requestIds.length === 0) withdraw(context, callerJob);
 }
 
 /**
--- a/src/engine/delayed_entry_test.ts
+++ b/src/engine/delayed_entry_test.ts
@@ -38,7 +38,7 @@
 }
 
 const leave = (entry: TestInstance): Effect[] =>
-  entry.after(0, { type: "callerGone", requestId: "r" });
+  entry.after(0, { type: "callerGone", requestId: "r", jobId: JOB_ID });
 
 /** An entry that follows the leader `a`; `z` is the leader of another cell. */
 function createEntry(): TestInstance {
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -10,6 +10,7 @@
 import { resubmitAll } from "./callers.ts";
 import { cellPeers, cellWorkers, isInOwnCell } from "./cells.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { createJobTable } from "./job_table.ts";
 import { suspectFollowers } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
 import { isActiveLeader } from "./leader_lookup.ts";
@@ -342,7 +343,7 @@
     startedAtMs: state.nowMs,
     provisional: !seesMajority(state),
     lastMinorityAtMs: -Infinity,
-    jobs: new Map(),
+    jobs: createJobTable(),
     waiting: new Map(),
     workers: new Map(),
     endedJobs: [],
--- /dev/null
+++ b/src/engine/load_limits.ts
@@ -0,0 +1,81 @@
+/**
+ * Bounds on what callers may have in flight, against clients that submit and ask
+ * more than the memory of an entry or of a leader can hold.
+ */
+
+import { logDecision } from "./effects.ts";
+import { jobBytes } from "./job_table.ts";
+import { knowsAllRecords } from "./records.ts";
+import type { JobOutcome, PeerMessageOf } from "./schemas.ts";
+import type {
+  EngineState,
+  LoadLimits,
+  ReduceContext,
+  Scheduler,
+} from "./types.ts";
+
+/** Share of a leader's bound that the jobs of one entry may use. */
+const ENTRY_SHARE = 0.6;
+/** Retry delay of a job that is refused for lack of memory. */
+const RETRY_AFTER_MS = 1_000;
+/** Cancellations of one job that wait until its outcome is persisted. */
+export const MAX_CANCEL_REQUESTS = 256;
+
+/** The limits of an engine whose callers are trusted. */
+export const unlimitedLoad: LoadLimits = {
+  maxJobBytesAtLeader: Infinity,
+  maxQueries: Infinity,
+};
+
+/**
+ * Returns the refusal of a job that the leader doesn't have and has no memory for;
+ * null if it is to be admitted, or if it may have run.
+ */
+export function refuseForMemory(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  { from, message }: { from: string; message: PeerMessageOf<"submit"> },
+): JobOutcome | null {
+  const { state } = context;
+  const { jobs } = scheduler;
+  const { maxJobBytesAtLeader } = state.limits;
+  if (maxJobBytesAtLeader === Infinity) return null;
+  if (message.resubmitted || mayHaveRecord(state, scheduler, message)) {
+    return null;
+  }
+  const bytes = jobBytes(message.job);
+  const fits = jobs.totalBytes + bytes <= maxJobBytesAtLeader &&
+    jobs.bytesOf(from) + bytes <= ENTRY_SHARE * maxJobBytesAtLeader;
+  if (fits) return null;
+  state.counters.jobsOverMemory += 1;
+  logDecision(context, {
+    level: "warn",
+    part: "admit",
+    text: "job refused: the leader has no memory for it",
+  }, {
+    jobId: message.jobId,
+    entryId: from,
+    jobs: jobs.size,
+    bytesHeld: jobs.totalBytes,
+    bytesOfEntry: jobs.bytesOf(from),
+  });
+  return {
+    kind: "refused",
+    reason: "overloaded",
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+}
+
+/** Whether a job may have a record that this leader has not read. */
+function mayHaveRecord(
+  state: EngineState,
+  scheduler: Scheduler,
+  { job }: PeerMessageOf<"submit">,
+): boolean {
+  return job.isRecorded === true && !knowsAllRecords(state, scheduler);
+}
+
+/** Whether a query of a caller is answered as unavailable at once. */
+export function hasTooManyQueries({ pendingQueries, limits }: EngineState) {
+  return pendingQueries.size >= limits.maxQueries;
+}
--- a/src/engine/lost_messages_test.ts
+++ b/src/engine/lost_messages_test.ts
@@ -46,7 +46,7 @@
 }
 
 const leave = (entry: TestInstance): Effect[] =>
-  entry.after(0, { type: "callerGone", requestId: "r" });
+  entry.after(0, { type: "callerGone", requestId: "r", jobId: JOB_ID });
 
 /** The connection to the leader `a` is lost and there again. */
 function reconnect(entry: TestInstance, downMs: number): Effect[] {
--- a/src/engine/queries.ts
+++ b/src/engine/queries.ts
@@ -8,6 +8,7 @@
 import { hasStarted } from "./job_state.ts";
 import { cancelJob } from "./jobs.ts";
 import { hearsRecordsOwner, recordsLeader } from "./leader_lookup.ts";
+import { hasTooManyQueries, MAX_CANCEL_REQUESTS } from "./load_limits.ts";
 import { knowsAllRecords } from "./records.ts";
 import type { JobQuery, PeerMessageOf, Reply } from "./schemas.ts";
 import type {
@@ -47,6 +48,12 @@
   context: ReduceContext,
   { requestId, query, nowMs }: EngineEventOf<"callerQuery">,
 ): void {
+  if (hasTooManyQueries(context.state)) {
+    context.state.counters.queriesOverLimit += 1;
+    const reply = { kind: "unavailable" } as const;
+    emit(context, { type: "answerQuery", requestId, reply });
+    return;
+  }
   addQuery(context, {
     requestId,
     query,
@@ -195,7 +202,9 @@
     // The job may have been accepted, and its record not be read yet.
     const mayBeAccepted = job.record !== null && !job.record.mayExist &&
       !knowsAllRecords(context.state, scheduler);
-    if (mayBeAccepted) return { kind: "unavailable" };
+    const waiting = job.record?.cancelRequests.length ?? 0;
+    const isFull = waiting >= MAX_CANCEL_REQUESTS;
+    if (mayBeAccepted || isFull) return { kind: "unavailable" };
     return isolateJob<Reply | null>(context, job, {
       stage: "cancel",
       fallback: { kind: "ended", outcome: faultyJobOutcome },
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -89,6 +89,7 @@
   EngineEventOf,
   EngineState,
   Guards,
+  LoadLimits,
   ReduceContext,
 } from "./types.ts";
 import {
@@ -97,6 +98,7 @@
   onWorkersRead,
   onWorkersUnreadable,
 } from "./worker_list.ts";
+import { unlimitedLoad } from "./load_limits.ts";
 import {
   checkWorkers,
   onPollCompleted,
@@ -115,6 +117,8 @@
   readonly wallMs: number;
   /** Guards to override, in runs that verify that each guard is needed. */
   readonly guards?: Partial<Guards>;
+  /** Bounds on what callers may have in flight; none by default. */
+  readonly limits?: LoadLimits | undefined;
 }
 
 /**
@@ -172,6 +176,7 @@
     recordsExist: true,
     faultyJobs: new Map(),
     guards: { ...defaultGuards, ...options.guards },
+    limits: options.limits ?? unlimitedLoad,
     runTimes: new Map(),
     scheduler: null,
     lastCallId: 0,
@@ -179,6 +184,8 @@
     lastWriteId: 0,
     counters: {
       jobsReceived: 0,
+      jobsOverMemory: 0,
+      queriesOverLimit: 0,
       jobsDone: 0,
       jobsFailed: 0,
       jobsRefused: 0,
--- a/src/engine/reviewed_lists_test.ts
+++ b/src/engine/reviewed_lists_test.ts
@@ -387,7 +387,8 @@
   const listed = [...workers, testWorker("w3")];
   fleet.apply("a", { type: "workersRead", workers: listed });
   // The other runs are not of interest any more.
-  fleet.apply("b", { type: "callerGone", requestId: "00000000000000bb" });
+  const jobId = "00000000000000bb";
+  fleet.apply("b", { type: "callerGone", requestId: jobId, jobId });
   fleet.pass(400);
   expect(fleet.starts).toEqual([{ by: "a", workerId: "w3" }]);
   fleet.pass(600);
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -13,6 +13,7 @@
 import { finishJob, startJob } from "./jobs.ts";
 import { maxLeaseMs } from "./leases.ts";
 import { submittedListReport } from "./leader_lists.ts";
+import { refuseForMemory } from "./load_limits.ts";
 import { previousRunsExpireAtMs } from "./previous_runs.ts";
 import { countArrival, isSurplus } from "./queue_demand.ts";
 import { cameAfterDrop, learnRule, newestRule } from "./queue_rules.ts";
@@ -68,6 +69,15 @@
     addSubmission(context, scheduler, { job: known, from, message });
     return;
   }
+  const refusal = known === undefined
+    ? refuseForMemory(context, scheduler, { from, message })
+    : null;
+  if (refusal !== null) {
+    const { jobId, submissionId } = message;
+    const type = "jobEnded";
+    sendPeer(context, from, { type, jobId, submissionId, outcome: refusal });
+    return;
+  }
   const job = createSubmittedJob(state, scheduler, { message, known });
   job.submissionIdByEntry.set(from, message.submissionId);
   scheduler.jobs.set(job.jobId, job);
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -183,7 +183,11 @@
       readonly answerAt: AnswerAt;
     }
     /** The connection of a caller closed before its request was answered. */
-    | { readonly type: "callerGone"; readonly requestId: string }
+    | {
+      readonly type: "callerGone";
+      readonly requestId: string;
+      readonly jobId: string;
+    }
     | {
       readonly type: "callerQuery";
       readonly requestId: string;
@@ -448,6 +452,21 @@
   nextHeartbeatAtMs: number;
 }
 
+/** The jobs of a leader by id, with their estimated sizes. */
+export interface JobTable extends Map<string, Job> {
+  readonly totalBytes: number;
+  /** Returns the size of the jobs that an entry submitted first. */
+  readonly bytesOf: (entryId: string) => number;
+}
+
+/** Bounds on what callers may have in flight. */
+export interface LoadLimits {
+  /** Bound on the estimated size of the jobs that a leader holds. */
+  readonly maxJobBytesAtLeader: number;
+  /** Queries that wait at their entry for a leader's reply. */
+  readonly maxQueries: number;
+}
+
 /** A job whose callers wait at this instance, its entry. */
 export interface CallerJob {
   readonly jobId: string;
@@ -864,7 +883,7 @@
   provisional: boolean;
   /** Latest time at which no majority of instances was heard. */
   lastMinorityAtMs: number;
-  readonly jobs: Map<string, Job>;
+  readonly jobs: JobTable;
   /** Jobs with queued tasks, by service, in the order in which they are served. */
   readonly waiting: Map<string, Job[]>;
   readonly workers: Map<string, OwnedWorker>;
@@ -1116,6 +1135,10 @@
 /** Counters for the metrics and the state dump, which use the same names. */
 export interface Counters {
   jobsReceived: number;
+  /** Jobs that a leader refused for lack of memory. */
+  jobsOverMemory: number;
+  /** Queries that an entry answered as unavailable since too many waited. */
+  queriesOverLimit: number;
   jobsDone: number;
   jobsFailed: number;
   jobsRefused: number;
@@ -1395,6 +1418,7 @@
   /** Time at which each job ended a leader by an internal error, by job id. */
   readonly faultyJobs: Map<string, number>;
   readonly guards: Guards;
+  readonly limits: LoadLimits;
   /** Run time estimates of tasks, by queue. */
   readonly runTimes: Map<string, RunEstimate>;
   /** The state of this instance as the leader; null if it is not the leader. */
--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -162,6 +162,7 @@
     const waitsForCompletion = url.searchParams.get("wait") !== "false";
     const jobId = jobIdOf(team, key);
     const isRecorded = key !== null || !waitsForCompletion;
+    if (response.destroyed) return;
     const notifyCallerGone = instance.submit({
       jobId,
       queue,
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -51,6 +51,7 @@
     sinceMs: Math.round(state.nowMs - scheduler.startedAtMs),
     provisional: scheduler.provisional,
     jobs: jobs.size,
+    jobBytes: jobs.totalBytes,
     workersBorrowed: loans.borrowed.size,
     workersLent: loans.lent.size,
     waiting: Object.fromEntries(
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -3,15 +3,22 @@
  * for callers and operators. The daemon in `src/cli/` is a thin wrapper.
  */
 
+import type { ServerResponse } from "node:http";
 import VError from "verror";
 import { createAdminListener } from "../admin/admin_listener.ts";
 import { isConfigured } from "../engine/configuration_sync.ts";
 import type { InstanceInfo } from "../engine/schemas.ts";
 import type { EngineState } from "../engine/types.ts";
+import {
+  type ClientLimits,
+  deriveClientLimits,
+} from "../host/client_limits.ts";
 import { createClock } from "../host/clock.ts";
 import type { ClockHost } from "../host/clock_host.ts";
+import { createClientBudget, guardServer } from "../host/guarded_server.ts";
 import { listen } from "../host/listen.ts";
-import { drainServer, trackRequests } from "../host/request_tracker.ts";
+import { readProcessResources } from "../host/process_resources.ts";
+import { drainServer } from "../host/request_tracker.ts";
 import { sleep } from "../host/sleep.ts";
 import { createStoreClient } from "../host/store_client.ts";
 import { createWorkerClient } from "../host/worker_client.ts";
@@ -25,7 +32,7 @@
   createEffectiveConfigurationView,
   toEngineConfiguration,
 } from "./configuration.ts";
-import { closeListener } from "./http.ts";
+import { closeListener, sendDiagnostic } from "./http.ts";
 import { createLog } from "./log.ts";
 import { startMetrics } from "./metrics.ts";
 
@@ -94,6 +101,8 @@
     });
   const self = toInstanceInfo(instanceSettings, clock.wallMs());
   const dialAddresses = dialAddressesOf(settings, slot);
+  const limits = clientLimitsOf(settings);
+  const budget = createClientBudget(limits);
   const instance = await startInstance({
     self,
     leaseMs: settings.workers.leaseMs,
@@ -105,6 +114,8 @@
     workers: options.workers ?? createWorkerClient(),
     store,
     log,
+    limits,
+    budget,
   });
   const { state } = instance;
   let onStopped = () => {};
@@ -121,7 +132,13 @@
     settings.admin.operatorKeysSha256,
     effectiveConfiguration,
   );
-  const callers = trackRequests(createCallerListener({
+  const guardOptions = {
+    budget,
+    log,
+    refuse: (response: ServerResponse) =>
+      sendDiagnostic(response, "overloaded"),
+  };
+  const callerListener = createCallerListener({
     instance,
     access,
     effectiveConfiguration,
@@ -130,8 +147,13 @@
       state.leaderId !== null,
     isDraining: () => draining,
     onError: (error) => logError("callers", error),
-  }, settings.entry));
-  const admin = trackRequests(createAdminListener({
+  }, settings.entry);
+  const callers = guardServer(callerListener, {
+    listener: "callers",
+    limits: limits.callers,
+    ...guardOptions,
+  });
+  const adminListener = createAdminListener({
     access,
     store,
     state,
@@ -144,10 +166,23 @@
     onConfigurationAccepted: (document) =>
       instance.applyConfiguration(toEngineConfiguration(document)),
     onDrainRequested: () => void drain(),
-    collectMeasures: () => collectMeasures(instance.peerBytes()),
+    collectMeasures: () => ({
+      ...collectMeasures(instance.peerBytes()),
+      clients: Object.fromEntries(
+        budget.values().map(([name, labels, value]) => [
+          labels === "" ? name : `${name}{${labels}}`,
+          value,
+        ]),
+      ),
+    }),
     log,
-  }, settings.entry));
-  const stopMetrics = startMetrics(settings.metrics, state);
+  }, settings.entry);
+  const admin = guardServer(adminListener, {
+    listener: "admin",
+    limits: limits.admin,
+    ...guardOptions,
+  });
+  const stopMetrics = startMetrics(settings.metrics, state, budget.values);
   await listen(admin.server, instanceSettings.adminAddress);
   await listen(
     callers.server,
@@ -201,6 +236,18 @@
   };
 }
 
+/** Returns the limits on clients, with the settings' number of connections. */
+function clientLimitsOf({ entry, process }: Settings): ClientLimits {
+  const derived = deriveClientLimits(readProcessResources({
+    maxFds: process.maxFds ?? null,
+    memoryMb: process.memoryMb ?? null,
+  }));
+  const maxConnections = process.maxFds === undefined
+    ? entry.maxConnections
+    : Math.min(entry.maxConnections, derived.callers.maxConnections);
+  return { ...derived, callers: { ...derived.callers, maxConnections } };
+}
+
 function toInstanceInfo(
   instanceSettings: InstanceSettings,
   startedAtWallMs: number,
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -9,6 +9,7 @@
 } from "node:http";
 import VError from "verror";
 import type { z } from "zod";
+import { GUARDED_SERVER_OPTIONS } from "../host/guarded_server.ts";
 import { readText } from "../host/http_body.ts";
 import {
   type DiagnosticName,
@@ -151,7 +152,11 @@
   },
 ): Server {
   const server = createServer(
-    { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: 30_000 },
+    {
+      ...GUARDED_SERVER_OPTIONS,
+      maxHeaderSize: maxHeaderBytes,
+      keepAliveTimeout: 30_000,
+    },
     (request, response) => {
       serve(routes, request, response).catch((error) => {
         if (error instanceof RequestError) {
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -21,7 +21,9 @@
   EngineEvent,
   EngineState,
 } from "../engine/types.ts";
+import type { ClientLimits } from "../host/client_limits.ts";
 import type { ClockHost } from "../host/clock_host.ts";
+import type { ClientBudget } from "../host/guarded_server.ts";
 import type { StoreHost, WorkerHost } from "./hosts.ts";
 import type { JsonLog } from "./json_log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
@@ -58,6 +60,9 @@
   readonly workers: WorkerHost;
   readonly store: StoreHost;
   readonly log: JsonLog;
+  /** Bounds on what clients and peers use; none by default. */
+  readonly limits?: ClientLimits;
+  readonly budget?: ClientBudget;
   /**
    * Called after an internal error that may have damaged the state; by default
    * the error is thrown from a timer, which ends the process.
@@ -123,6 +128,7 @@
     stopMs: options.stopMs,
     nowMs: clock.nowMs(),
     wallMs: clock.wallMs(),
+    limits: options.limits,
   });
   const metrics = createMetrics(state);
   const pendingSubmissions = new Map<string, PendingSubmission>();
@@ -303,6 +309,9 @@
   mesh = await createPeerMesh({
     self,
     dialAddress: options.dialAddress ?? (({ address }) => address),
+    limits: options.limits?.peers,
+    budget: options.budget,
+    log,
     handlers: {
       onMessage: (from, message) =>
         dispatch({ type: "peerMessage", nowMs: clock.nowMs(), from, message }),
@@ -357,7 +366,9 @@
       });
       return () => {
         if (!pendingSubmissions.delete(requestId)) return;
-        dispatch({ type: "callerGone", nowMs: clock.nowMs(), requestId });
+        const { jobId } = submission;
+        const nowMs = clock.nowMs();
+        dispatch({ type: "callerGone", nowMs, requestId, jobId });
       };
     },
     query(query) {
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from "node:http";
 import * as hdr from "hdr-histogram-js";
 import type { CallerReply, EngineState } from "../engine/types.ts";
+import { GUARDED_SERVER_OPTIONS } from "../host/guarded_server.ts";
 
 /** Latencies above this are recorded as this value. */
 const MAX_LATENCY_MS = 120_000;
@@ -14,10 +15,15 @@
   readonly observeAnswer: (outcome: CallerReply, tookMs: number) => void;
   /** Records how long the engine handled an event. */
   readonly observeEvent: (tookMs: number) => void;
+  /** Adds values that are read whenever the text is. */
+  readonly addValues: (read: () => readonly MetricValue[]) => void;
   /** Returns one line for each value: a name, labels, and the value. */
   readonly text: () => string;
 }
 
+/** A counter or a gauge; the labels may be empty. */
+export type MetricValue = [name: string, labels: string, value: number];
+
 /**
  * Creates the metrics of an instance.
  *
@@ -30,6 +36,7 @@
  */
 export function createMetrics(state: EngineState): Metrics {
   const latencies = new Map<CallerReply["kind"], hdr.Histogram>();
+  const sources: (() => readonly MetricValue[])[] = [];
   let longestEventMs = 0;
 
   function histogramOf(kind: CallerReply["kind"]): hdr.Histogram {
@@ -55,10 +62,12 @@
     observeEvent(tookMs) {
       longestEventMs = Math.max(longestEventMs, tookMs);
     },
+    addValues: (read) => void sources.push(read),
     text() {
       const lines = [
         ...counterLines(state),
         ...gaugeLines(state),
+        ...sources.flatMap((read) => read().map(lineOf)),
         `bronzemill_longestEventMs ${Math.round(longestEventMs)}`,
       ];
       for (const [kind, histogram] of latencies) {
@@ -75,6 +84,19 @@
   };
 }
 
+/** The bounds on callers, where there are some. */
+function limitLines({ limits }: EngineState): string[] {
+  if (!Number.isFinite(limits.maxQueries)) return [];
+  return [
+    `bronzemill_jobBytesLimit ${limits.maxJobBytesAtLeader}`,
+    `bronzemill_queriesLimit ${limits.maxQueries}`,
+  ];
+}
+
+function lineOf([name, labels, value]: MetricValue): string {
+  return `bronzemill_${name}${labels === "" ? "" : `{${labels}}`} ${value}`;
+}
+
 function counterLines({ counters }: EngineState): string[] {
   return Object.entries(counters)
     .map(([name, value]) => `bronzemill_${name} ${value}`);
@@ -83,10 +105,13 @@
 function gaugeLines(state: EngineState): string[] {
   const { scheduler } = state;
   return [
+    ...limitLines(state),
     `bronzemill_isLeader ${scheduler === null ? 0 : 1}`,
     `bronzemill_callerJobs ${state.callerJobs.size}`,
     `bronzemill_workersListed ${state.workers.size}`,
     `bronzemill_jobsAtLeader ${scheduler?.jobs.size ?? 0}`,
+    `bronzemill_jobBytesAtLeader ${scheduler?.jobs.totalBytes ?? 0}`,
+    `bronzemill_queriesWaiting ${state.pendingQueries.size}`,
     `bronzemill_workersBorrowed ${scheduler?.loans.borrowed.size ?? 0}`,
     `bronzemill_workersLent ${scheduler?.loans.lent.size ?? 0}`,
     `bronzemill_configurationVersion ${state.configuration?.version ?? -1}`,
@@ -105,7 +130,7 @@
 
 /** Creates an HTTP server that serves the metrics at `/metrics`. */
 export function createMetricsListener(metrics: Metrics): Server {
-  return createServer((request, response) => {
+  return createServer(GUARDED_SERVER_OPTIONS, (request, response) => {
     const found = request.url === "/metrics";
     const body = found ? metrics.text() : "";
     response.writeHead(found ? 200 : 404, {
--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -13,8 +13,11 @@
   peerMessageSchema,
 } from "../engine/schemas.ts";
 import { parseAddress } from "../host/address.ts";
+import type { PeerLimits } from "../host/client_limits.ts";
+import type { ClientBudget, ClientLog } from "../host/guarded_server.ts";
 import { parseJson } from "../host/json.ts";
 import { listen } from "../host/listen.ts";
+import { createLineReaders, type LineReader } from "./line_reader.ts";
 import { packMessage, unpackMessage } from "./message_packing.ts";
 
 /** The JSON-RPC method of notifications that carry messages. */
@@ -29,8 +32,13 @@
 const IDLE_TIMEOUT_MS = 1_400;
 /** Interval between checks for idle connections. */
 const IDLE_CHECK_INTERVAL_MS = 300;
-/** Maximum bytes buffered for a slow peer before its connection is closed. */
-const MAX_BUFFERED_BYTES = 4_194_304;
+/**
+ * Maximum bytes buffered for a slow peer before its connection is closed: more
+ * than all jobs of an entry, which it submits at once to a new leader.
+ */
+const MAX_BUFFERED_BYTES = 16_777_216;
+/** Malformed lines after which a connection without a valid one is closed. */
+const MAX_MALFORMED_LINES = 20;
 
 const deliverySchema = z.object({
   from: z.string(),
@@ -68,51 +76,169 @@
   closed: boolean;
 }
 
+/** A connection that was accepted. */
+interface Incoming {
+  readonly socket: Socket;
+  readonly reader: LineReader;
+  /** A valid line arrived, so the other side is an instance. */
+  isPeer: boolean;
+  malformedLines: number;
+  lastLineAtMs: number;
+}
+
+const defaultLimits: PeerLimits = {
+  maxConnections: Infinity,
+  maxIncompleteLength: Infinity,
+  silenceTimeoutMs: Infinity,
+};
+
 /** Starts listening for peers. Connections are opened by `setPeers`. */
 export async function createPeerMesh(
-  { self, handlers, dialAddress = ({ address }) => address }: {
+  {
+    self,
+    handlers,
+    dialAddress = ({ address }) => address,
+    limits = defaultLimits,
+    budget,
+    log,
+  }: {
     self: InstanceInfo;
     handlers: MeshHandlers;
     dialAddress?: (peer: InstanceInfo) => string;
+    limits?: PeerLimits | undefined;
+    budget?: ClientBudget | undefined;
+    log?: ClientLog | undefined;
   },
 ): Promise<PeerMesh> {
-  const incoming = new Set<Socket>();
+  const incoming = new Set<Incoming>();
+  const lineReaders = createLineReaders({
+    maxLength: limits.maxIncompleteLength,
+  });
   const links = new Map<string, Link>();
   let flushScheduled = false;
   const traffic = { sent: 0, received: 0 };
 
   const server = createServer((socket) => {
-    incoming.add(socket);
+    const connection: Incoming = {
+      socket,
+      reader: lineReaders.create((line) => receiveLine(line, connection)),
+      isPeer: false,
+      malformedLines: 0,
+      lastLineAtMs: performance.now(),
+    };
+    const { reader } = connection;
+    incoming.add(connection);
     socket.setNoDelay(true);
-    socket.on("close", () => incoming.delete(socket));
+    socket.on("close", () => {
+      incoming.delete(connection);
+      reader.close();
+    });
     socket.on("error", () => socket.destroy());
-    const splitLines = createLineSplitter(receiveLine);
     socket.setEncoding("utf8");
     socket.on("data", (chunk: string) => {
       traffic.received += chunk.length;
-      splitLines(chunk);
+      if (!reader.add(chunk)) makeRoomFor(connection, chunk);
     });
+    if (incoming.size > limits.maxConnections) evictFor(connection);
   });
+  budget?.addValues(() => {
+    const labels = 'listener="peers"';
+    let kept = 0;
+    for (const { reader } of incoming) kept += reader.incompleteLength();
+    return [
+      ["clientConnections", labels, incoming.size],
+      ["clientConnectionsLimit", labels, limits.maxConnections],
+      ["clientIncompleteLines", labels, kept],
+      ["clientIncompleteLinesLimit", labels, limits.maxIncompleteLength],
+    ];
+  });
+
+  function closeIncoming({ socket, isPeer }: Incoming, reason: string): void {
+    if (socket.destroyed) return;
+    const listener = "peers";
+    budget?.count("clientConnectionsClosed", { listener, reason });
+    log?.write("warn", {
+      part: "clients",
+      text: "connection of a client closed",
+      fields: { listener, reason, address: socket.remoteAddress, isPeer },
+    });
+    socket.destroy();
+  }
+
+  /**
+   * Takes a chunk for which too much is kept of incomplete lines. The longest of a
+   * connection that has not sent a valid line is given up, or else the connection's
+   * own.
+   */
+  function makeRoomFor(connection: Incoming, chunk: string): void {
+    let longest = connection;
+    for (const other of incoming) {
+      const isCandidate = !other.isPeer && !other.socket.destroyed;
+      if (!isCandidate) continue;
+      if (
+        longest.isPeer ||
+        other.reader.incompleteLength() > longest.reader.incompleteLength()
+      ) longest = other;
+    }
+    longest.reader.close();
+    closeIncoming(longest, "lineTooLong");
+    if (longest === connection || connection.reader.add(chunk)) return;
+    closeIncoming(connection, "lineTooLong");
+  }
+
+  /** Closes a connection that has sent no valid line, the newest if all have. */
+  function evictFor(newest: Incoming): void {
+    for (const connection of incoming) {
+      if (connection.isPeer || connection.socket.destroyed) continue;
+      closeIncoming(connection, "evicted");
+      return;
+    }
+    closeIncoming(newest, "listenerFull");
+  }
+
+  /** Closes connections on which no line arrived; an instance sends heartbeats. */
+  function closeSilent(): void {
+    const nowMs = performance.now();
+    for (const connection of incoming) {
+      if (nowMs - connection.lastLineAtMs < limits.silenceTimeoutMs) continue;
+      closeIncoming(connection, "silent");
+    }
+  }
+
   await listen(server, self.address);
-  const idleCheckTimer = setInterval(resetIdleLinks, IDLE_CHECK_INTERVAL_MS);
+  const idleCheckTimer = setInterval(() => {
+    resetIdleLinks();
+    closeSilent();
+  }, IDLE_CHECK_INTERVAL_MS);
+
+  function onMalformed(connection: Incoming, detail: string): void {
+    handlers.onMalformed(detail);
+    connection.malformedLines += 1;
+    const isTooMany = connection.malformedLines >= MAX_MALFORMED_LINES;
+    if (isTooMany && !connection.isPeer) closeIncoming(connection, "malformed");
+  }
 
-  function receiveLine(line: string): void {
+  function receiveLine(line: string, connection: Incoming): void {
+    if (connection.socket.destroyed) return;
     const content = parseJson(line);
     const isObject = typeof content === "object" && content !== null;
     if (
       !isObject || !isJSONRPCRequest(content) ||
       content.method !== DELIVER_METHOD
     ) {
-      handlers.onMalformed(
+      onMalformed(
+        connection,
         'not a JSON-RPC notification of the method "deliver"',
       );
       return;
     }
     const delivery = deliverySchema.safeParse(content.params);
     if (!delivery.success) {
-      handlers.onMalformed(delivery.error.message);
+      onMalformed(connection, delivery.error.message);
       return;
     }
+    connection.isPeer = true;
+    connection.lastLineAtMs = performance.now();
     const { from, messages } = delivery.data;
     const link = links.get(from);
     if (link !== undefined) link.lastReceivedAtMs = performance.now();
@@ -238,7 +364,7 @@
         if (link.timer !== null) clearTimeout(link.timer);
         link.socket?.destroySoon();
       }
-      for (const socket of incoming) socket.destroy();
+      for (const { socket } of incoming) socket.destroy();
       await new Promise<void>((resolve) => server.close(() => resolve()));
     },
   };
@@ -257,15 +383,3 @@
     closed: false,
   };
 }
-
-/** Returns a function that splits received chunks into lines. */
-function createLineSplitter(
-  onLine: (line: string) => void,
-): (chunk: string) => void {
-  let remainder = "";
-  return (chunk) => {
-    const lines = (remainder + chunk).split("\n");
-    remainder = lines.pop() ?? "";
-    for (const line of lines) onLine(line);
-  };
-}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -22,6 +22,13 @@
   drainDeadlineMs: z.int().positive().default(60_000),
 });
 
+const processSchema = z.strictObject({
+  /** Number of descriptors that the process may open. */
+  maxFds: z.int().min(300).optional(),
+  /** Memory of the process, in MB. */
+  memoryMb: z.int().positive().optional(),
+});
+
 const instanceSchema = z.strictObject({
   slot: z.string().regex(/^[a-z][a-z0-9-]{0,62}$/),
   availabilityZone: zoneSchema,
@@ -68,6 +75,7 @@
 /** The schema of a base settings file after its overlay is applied. */
 export const settingsSchema = z.strictObject({
   entry: entrySchema.prefault({}),
+  process: processSchema.prefault({}),
   instances: z.array(instanceSchema).min(1),
   platform: platformSchema,
   workers: workersSchema.prefault({}),
