--- a/process_tests/fleet.ts
+++ b/process_tests/fleet.ts
@@ -53,7 +53,7 @@
 }
 
 /** Returns ports that are free on all addresses. */
-async function findFreePorts(count: number): Promise<number[]> {
+export async function findFreePorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
   const ports: number[] = [];
   for (const server of servers) {
