--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -91,6 +91,7 @@
   EngineEventOf,
   EngineState,
   Guards,
+  LoadLimits,
   ReduceContext,
 } from "./types.ts";
 import {
@@ -99,6 +100,7 @@
   onWorkersRead,
   onWorkersUnreadable,
 } from "./worker_list.ts";
+import { unlimitedLoad } from "./load_limits.ts";
 import {
   checkWorkers,
   onPollCompleted,
@@ -129,6 +131,8 @@
   readonly wallMs: number;
   /** Guards to override, in runs that verify that each guard is needed. */
   readonly guards?: Partial<Guards>;
+  /** Bounds on what callers may have in flight; none by default. */
+  readonly limits?: LoadLimits | undefined;
 }
 
 /**
@@ -187,6 +191,7 @@
     recordsExist: true,
     faultyJobs: new Map(),
     guards: { ...defaultGuards, ...options.guards },
+    limits: options.limits ?? unlimitedLoad,
     runTimes: new Map(),
     scheduler: null,
     lastCallId: 0,
@@ -195,6 +200,8 @@
     refusals: new Map(),
     counters: {
       jobsReceived: 0,
+      jobsOverMemory: 0,
+      queriesOverLimit: 0,
       jobsDone: 0,
       jobsFailed: 0,
       jobsRefused: 0,
