Overload policy: tests of recorded jobs' waits and of draining workers

The case of the place that becomes free in a cell submitted a job that was refused on arrival, so that its result said nothing of the order; the job is now admitted, and the test says so. New cases: the expected wait of a recorded job doesn't grow with the jobs that go first, and a draining worker is no room for a job that has to fit whole.

--- a/src/engine/overload/overload_test.ts
+++ b/src/engine/overload/overload_test.ts
@@ -11,7 +11,8 @@
   testQueue,
   testSubmission,
 } from "../testing.ts";
-import type { Effect } from "../types.ts";
+import { expectedWaitMs } from "../admission.ts";
+import type { Effect, Job, ReduceContext } from "../types.ts";
 import {
   overloadPolicies,
   overloadPolicyName,
@@ -232,10 +233,10 @@
       queue: laterQueue,
       job: jobOf(2, { estimatedMs: 5_000 }),
     });
-    submit(leader, "c", {
-      queue: soonQueue,
-      job: jobOf(1, { estimatedMs: 2_000 }),
-    });
+    // Admitted although it may have to wait for the other.
+    const soon = { ...jobOf(1, { estimatedMs: 2_000 }), lateFactor: 10 };
+    const submitted = submit(leader, "c", { queue: soonQueue, job: soon });
+    expect(refusalReasons(submitted)).toEqual([]);
     const [ended] = busy;
     if (ended === undefined) throw new Error("no task started");
     const { workerId, taskName } = ended;
@@ -249,6 +250,52 @@
   });
 }
 
+// The expected wait of a recorded job decides whether it is refused, so that it must
+// not grow with the jobs that the policy puts first.
+test("a recorded job's expected wait leaves out that partly started jobs go first", () => {
+  const leader = createLeader({ isCell: true });
+  submit(leader, "a", { queue: urgentQueue, job: jobOf(3, {}) });
+  submit(leader, "b", {
+    queue: laterQueue,
+    job: jobOf(2, { estimatedMs: 5_000 }),
+  });
+  const job = { ...jobOf(1, { estimatedMs: 2_000 }), lateFactor: 10 };
+  submit(leader, "c", { queue: soonQueue, job });
+  const { state } = leader;
+  const { scheduler } = state;
+  const inMemory = scheduler?.jobs.get("c".padStart(16, "0"));
+  if (!scheduler || inMemory === undefined) throw new Error("no job");
+  const context = { state } as ReduceContext;
+  // The queued task of 14 cores and 5,000 ms, on 64 cores.
+  expect(expectedWaitMs(context, scheduler, inMemory) > 1_000).toEqual(true);
+  const recorded = { ...inMemory, record: {} } as Job;
+  expect(expectedWaitMs(context, scheduler, recorded) < 1_000).toEqual(true);
+});
+
+test("a worker that drains is no room for a job that has to fit whole", () => {
+  const cases = [
+    // The first job fits whole, and the second one collects workers.
+    {
+      isDraining: false,
+      started: ["b.0.0.0", "b.0.0.1", "b.0.0.2", "c.0.0.0"],
+    },
+    // The first job collects workers.
+    { isDraining: true, started: ["b.0.0.0", "b.0.0.1"] },
+  ];
+  for (const { isDraining, started } of cases) {
+    const leader = createLeader({ isCell: true });
+    const worker = leader.state.scheduler?.workers.get("w1");
+    if (worker === undefined) throw new Error("no worker");
+    worker.info = { ...worker.info, draining: isDraining };
+    const queue = laterQueue;
+    const effects = [
+      ...submit(leader, "b", { queue, job: jobOf(3, {}) }),
+      ...submit(leader, "c", { queue, job: jobOf(2, { cpuMilli: 16_000 }) }),
+    ];
+    expect(startedTasks(effects)).toEqual(started);
+  }
+});
+
 /**
  * Jobs that can't run on the workers as they are. A refusal as `overloaded` would
  * tell callers to come again soon.
