--- a/src/engine/zones/hand_over.ts
+++ b/src/engine/zones/hand_over.ts
@@ -76,7 +76,8 @@
   readonly hasRoom: boolean;
   /**
    * `noWorker`: no worker is usable here; `objective`: the job would miss its
-   * objective here, not there; `uneven`: its zone has more work than the others; `wait`: it would wait clearly longer here.
+   * objective here, not there; `uneven`: its zone has more work than the others;
+   * `wait`: it would wait clearly longer here.
    */
   readonly reason: "noWorker" | "objective" | "uneven" | "wait";
 }
--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -126,10 +126,10 @@
   return Math.max(workMilliMs / capacity.cpuMilli, roomMs);
 }
 
-/** The zones of which listed workers have all labels that a job requires. */
+/** Whether listed workers of a zone have all labels that a job requires. */
 type SuitsZone = (zone: string) => boolean;
 
-/** Returns whether workers of a zone have the labels that a job requires. */
+/** Returns a predicate of the zones that can run a job. */
 function createSuitsZone(
   { workers }: EngineState,
   { steps, queue: { service } }: Job,
