Entries leave the choice of a zone to leaders that report room

The home leader refused a job without naming a zone, its entry spilled it to another zone by itself, and a second entry submitted it to the home leader, which didn't know and started it. Ruled out: the guard `mustFollowHandOver`, which covers hand-overs that the leader has decided. Leaders send entries of their own zone an empty report. Conclusion: two entries of one zone can no longer run a job in two zones.

--- a/bench/zone_runs_test.ts
+++ b/bench/zone_runs_test.ts
@@ -1,7 +1,12 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { faultsOf } from "./crossed_runs.ts";
-import { drawRecordedRun, drawZonesRun, simulateRun } from "./engine_runs.ts";
+import {
+  drawRecordedRun,
+  drawSharingRun,
+  drawZonesRun,
+  simulateRun,
+} from "./engine_runs.ts";
 
 /**
  * Runs with faults of whole zones that violated a guarantee. The faults are
@@ -41,3 +46,7 @@
   const run = { ...drawRecordedRun(8), lostResponseShare: 0, faults };
   expect((await simulateRun(run)).violations).toEqual([]);
 });
+
+test("drawSharingRun 56: a second entry submitted a job that the first had spilled without the leader's knowledge", async () => {
+  expect((await simulateRun(drawSharingRun(56))).violations).toEqual([]);
+});
--- a/src/engine/leader_lookup.ts
+++ b/src/engine/leader_lookup.ts
@@ -205,9 +205,18 @@
   return null;
 }
 
+/** Whether the leader of this cell reports room, and so decides on hand-overs. */
+function decidesOnHandOvers({ scheduler, leaderId, peers }: EngineState) {
+  if (scheduler !== null) return true;
+  const leader = leaderId === null ? undefined : peers.get(leaderId);
+  return leader !== undefined && leader.roomByService !== null;
+}
+
 /**
  * The other zone whose leader reports the shortest expected wait for a service;
- * null if no wait is below `MAX_SPILL_WAIT_MS`, or if the zones are one cell.
+ * null if no wait is below `MAX_SPILL_WAIT_MS`, or if the zones are one cell. If
+ * this cell's leader decides on hand-overs, zones that report room don't count: it
+ * has not chosen them, and a second entry could not follow.
  */
 export function leastLoadedZone(
   state: EngineState,
@@ -216,8 +225,10 @@
   if (!state.hasZoneCells) return null;
   let best: Peer | null = null;
   let bestWaitMs = MAX_SPILL_WAIT_MS;
+  const isDecided = decidesOnHandOvers(state);
   for (const peer of state.peers.values()) {
     if (peer.info.availabilityZone === state.self.availabilityZone) continue;
+    if (isDecided && peer.roomByService !== null) continue;
     const waitMs = peer.waitMsByService[service];
     if (waitMs === undefined || waitMs >= bestWaitMs) continue;
     if (!isActiveLeader(state, peer)) continue;
--- a/src/engine/zones/report_exchange.ts
+++ b/src/engine/zones/report_exchange.ts
@@ -9,14 +9,17 @@
 /** Minimum time between two log lines of ignored reports of one peer. */
 const REPORT_LOG_INTERVAL_MS = 60_000;
 
-/** Returns the report for a peer: the room if it is in another zone, or nothing. */
+/**
+ * Returns the report for a peer: the room if it is in another zone. An empty report
+ * tells entries of this zone that their leader decides on hand-overs.
+ */
 export function roomReport(
   { scheduler, hasZoneCells, self }: EngineState,
   { info }: Peer,
 ): { readonly roomByService?: RoomByService } {
   const isNear = info.availabilityZone === self.availabilityZone;
-  if (scheduler === null || !hasZoneCells || isNear) return {};
-  return { roomByService: scheduler.sharing.room };
+  if (scheduler === null || !hasZoneCells) return {};
+  return { roomByService: isNear ? {} : scheduler.sharing.room };
 }
 
 /** Checks the report of a peer's latest heartbeat, and keeps it if it is valid. */
