Sharing: an entry that can't follow a hand-over starts no second run

A job that was handed to another zone may run there for another entry. A later submission that could not follow (its entry doesn't hear that zone, is of the previous release, or was sent back) was taken as a new attempt and started at once. Its outcome is unknown now, while another entry has followed.

--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -83,7 +83,7 @@
 /** The mutants that matter when zones hand jobs over. */
 export const sharingMutants: Record<string, Partial<Guards>> = {
   handOverStarted: { mayHandOver: always },
-  startBesideHandOver: { mustFollowHandOver: never },
+  startBesideHandOver: { afterHandOver: () => "start" },
 };
 
 /** The mutants that runs of a large fleet show, which take longer. */
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -103,11 +103,14 @@
   mayHandOver: (nowMs, { record, mayHaveStarted, previousRunsExpireAtMs }) =>
     record === null && !mayHaveStarted && nowMs >= previousRunsExpireAtMs,
   /**
-   * A job that was handed to another zone may run there while a second entry
-   * submits it here, so it follows.
-   */
-  mustFollowHandOver: (elsewhere, triedZones) =>
-    !triedZones.includes(elsewhere),
+   * A job that was handed to another zone may run there for another entry. One
+   * that submits it here follows, or, if it can't, gets no answer that allows a
+   * second run.
+   */
+  afterHandOver: (elsewhere, { triedZones, hasOtherEntries }) => {
+    if (triedZones?.includes(elsewhere) === false) return "follow";
+    return hasOtherEntries ? "unknown" : "start";
+  },
   /** A configuration is replaced only by one with a higher version. */
   isNewer: (version, currentVersion) => version > currentVersion,
   /**
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -71,7 +71,7 @@
     return;
   }
   const known = scheduler.jobs.get(message.jobId);
-  const followed = handedOverOutcome(state, known, message);
+  const followed = handedOverOutcome(state, known, { from, message });
   if (followed !== null) {
     const { jobId, submissionId } = message;
     const type = "jobEnded";
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1371,10 +1371,14 @@
     nowMs: number,
     job: Pick<Job, "record" | "mayHaveStarted" | "previousRunsExpireAtMs">,
   ) => boolean;
-  readonly mustFollowHandOver: (
+  readonly afterHandOver: (
     elsewhere: string,
-    triedZones: readonly string[],
-  ) => boolean;
+    submission: {
+      /** Undefined if its entry can't follow, or says that the job may have started. */
+      triedZones: readonly string[] | undefined;
+      hasOtherEntries: boolean;
+    },
+  ) => "follow" | "unknown" | "start";
   readonly isNewer: (version: number, currentVersion: number) => boolean;
   readonly hasOwnRule: (
     ownVersion: number,
--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -417,21 +417,28 @@
 
 /**
  * Returns the outcome of a job that was handed over and comes again, maybe from
- * another entry, if its submission has to follow it; else null.
+ * another entry: the hand-over if its submission has to follow it, or an unknown
+ * one if it can't follow and the job may run there for another entry. Returns
+ * null if the job may start here.
  */
 export function handedOverOutcome(
   { guards }: EngineState,
   known: Job | undefined,
-  { resubmitted, triedZones }: PeerMessageOf<"submit">,
+  { from, message }: { from: string; message: PeerMessageOf<"submit"> },
 ): JobOutcome | null {
   const outcome = known?.outcome ?? null;
-  if (outcome?.kind !== "refused" || outcome.elsewhere === undefined) {
-    return null;
-  }
-  if (resubmitted || triedZones === undefined) return null;
-  return guards.mustFollowHandOver(outcome.elsewhere, triedZones)
-    ? outcome
-    : null;
+  if (known === undefined || outcome?.kind !== "refused") return null;
+  if (outcome.elsewhere === undefined) return null;
+  const { submissionIdByEntry } = known;
+  submissionIdByEntry.delete(from);
+  const action = guards.afterHandOver(outcome.elsewhere, {
+    triedZones: message.resubmitted ? undefined : message.triedZones,
+    hasOtherEntries: submissionIdByEntry.size > 0,
+  });
+  if (action === "start") return null;
+  if (action === "unknown") return { kind: "unknown", reason: "leaderLost" };
+  submissionIdByEntry.set(from, message.submissionId);
+  return outcome;
 }
 
 /** Joins the zones that two entries have tried; null if one tells none. */
--- a/src/engine/zones/sharing_test.ts
+++ b/src/engine/zones/sharing_test.ts
@@ -180,6 +180,34 @@
   expect(effectsOf(again, "startTask")).toEqual([]);
 });
 
+// The job may run in the other zone for the first entry, which has followed.
+const unfollowed: {
+  name: string;
+  fields: Partial<PeerMessageOf<"submit">>;
+}[] = [
+  {
+    name: "its entry does not reach that zone",
+    fields: { triedZones: OTHER_ZONES },
+  },
+  { name: "its entry can't follow", fields: { triedZones: undefined } },
+  { name: "it may have started there", fields: { resubmitted: true } },
+];
+
+for (const { name, fields } of unfollowed) {
+  test(`a handed-over job that another entry has is not started: ${name}`, () => {
+    const leader = createLeader();
+    submit(leader, "0a");
+    submit(leader, "0b");
+    const again = testSubmission({ jobId: "0b", submissionId: "q.1" });
+    leader.receive("q", { ...again, triedZones: [] });
+    const effects = leader.receive("q", { ...again, ...fields });
+    const [ended] = messagesOf(effects, "jobEnded");
+    expect(ended?.outcome).toEqual({ kind: "unknown", reason: "leaderLost" });
+    const alone = submit(leader, "0b", { submissionId: "p.2", ...fields });
+    expect(messagesOf(alone, "jobEnded")).toEqual([]);
+  });
+}
+
 test("a fleet of one cell reports no room and hands nothing over", () => {
   const leader = createLeader({ otherWorkers: 40 });
   const heartbeats = messagesOf(leader.tick(500), "heartbeat");
