Sharing: a hand-over that an entry can't follow is no refusal

After two hand-overs the caller got the refusal of the leader that named a third zone, where the job may run for another entry. And an entry that could not follow the second hand-over told its home leader only of the zone that it could not reach: the home leader named the first zone again, and the caller was refused.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -377,6 +377,8 @@
   // The leader hears the other zone, and this instance does not.
   state.counters.handOversFailed += 1;
   triedZones.push(zone);
+  // The home leader would name the zone again that it handed the job to.
+  if (spilledToZone !== null) triedZones.push(spilledToZone);
   returnToOwnCell(callerJob);
   logDecision(context, {
     part: "zones",
@@ -459,16 +461,18 @@
 }
 
 /**
- * Replaces the refusal of a recorded job by an unknown outcome if the job was
- * submitted before: a previous leader may have persisted its record.
+ * Replaces a refusal that may be wrong by an unknown outcome. A previous leader
+ * may have persisted the record of a recorded job that was submitted before, and
+ * a job that was handed over may run elsewhere for another entry.
  */
 function reportableOutcome(
   { job, mayHaveStarted }: CallerJob,
   outcome: JobOutcome,
 ): JobOutcome {
+  if (outcome.kind !== "refused") return outcome;
   const mayBePersisted = job.isRecorded === true && mayHaveStarted;
-  if (outcome.kind !== "refused" || !mayBePersisted) return outcome;
-  return { kind: "unknown", reason: "leaderLost" };
+  const mayRun = mayBePersisted || outcome.elsewhere !== undefined;
+  return mayRun ? { kind: "unknown", reason: "leaderLost" } : outcome;
 }
 
 const outcomeCounters = {
