Sharing: jobs go only to zones that have workers of their size, with their labels

A hand-over looked at labels alone, and an entry without a leader at nothing: a job of larger tasks than the workers of a zone, or of another label, went there and waited until its objective was missed. The workers are now gone through once for each service and event instead of for each job with a label.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -27,7 +27,7 @@
   Withdrawal,
 } from "./types.ts";
 import { chooseZone, MAX_HAND_OVERS } from "./zones/hand_over.ts";
-import { otherZones } from "./zones/other_zones.ts";
+import { createSuitsZone, otherZones } from "./zones/other_zones.ts";
 
 /**
  * Time without a known leader after which jobs that were never submitted are
@@ -439,6 +439,9 @@
     termStartedAtMs: Infinity,
   });
   if (state.guards.mayRunElsewhere(state.nowMs, expiresAtMs)) return false;
+  const suitsZone = createSuitsZone(state, queue.service);
+  const zones = otherZones(state, queue.service)
+    .filter(({ zone }) => suitsZone(zone, job.steps));
   const first = job.steps.filter(({ after }) => after.length === 0);
   const chosen = chooseZone({
     jobId,
@@ -451,7 +454,7 @@
     waitMs: Infinity,
     isExcess: false,
     triedZones: callerJob.triedZones,
-  }, otherZones(state, queue.service));
+  }, zones);
   if (chosen === null) return false;
   const { zone: { zone } } = chosen;
   const fromZone = state.self.availabilityZone;
--- a/src/engine/zones/other_zones.ts
+++ b/src/engine/zones/other_zones.ts
@@ -1,7 +1,9 @@
-/** What this instance knows of the free capacity of other zones. */
+/** What this instance knows of the workers and the free capacity of zones. */
 
 import { isActiveLeader } from "../leader_lookup.ts";
+import type { Step, WorkerInfo } from "../schemas.ts";
 import type { EngineState } from "../types.ts";
+import { tasksThatFit } from "../worker_loans.ts";
 import { isEvacuated } from "./evacuation.ts";
 import { leftMilli, type OtherZone } from "./hand_over.ts";
 
@@ -35,3 +37,37 @@
   }
   return zones;
 }
+
+/**
+ * Whether each step of a job has a listed worker in a zone with the label and the
+ * size that it needs.
+ */
+export type SuitsZone = (zone: string, steps: readonly Step[]) => boolean;
+
+/** Returns the check for the jobs of a service in one event. */
+export function createSuitsZone(
+  { workers }: EngineState,
+  service: string,
+): SuitsZone {
+  let byZone: Map<string, WorkerInfo[]> | null = null;
+
+  function workersByZone(): Map<string, WorkerInfo[]> {
+    const infosByZone = new Map<string, WorkerInfo[]>();
+    for (const info of workers.values()) {
+      if (info.service !== service || info.draining) continue;
+      const known = infosByZone.get(info.availabilityZone);
+      if (known !== undefined) known.push(info);
+      else infosByZone.set(info.availabilityZone, [info]);
+    }
+    return infosByZone;
+  }
+
+  return (zone, steps) => {
+    byZone ??= workersByZone();
+    const infos = byZone.get(zone) ?? [];
+    return steps.every((step) => {
+      const demand = { ...step, service };
+      return infos.some((info) => tasksThatFit(info, demand) > 0);
+    });
+  };
+}
--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -41,7 +41,7 @@
   rateAt,
   shareToHandOver,
 } from "./load_balance.ts";
-import { otherZones } from "./other_zones.ts";
+import { createSuitsZone, otherZones, type SuitsZone } from "./other_zones.ts";
 import { meanTaskMilli, measureRoom } from "./room_reports.ts";
 import type { ServiceRoom, UsualRate } from "./zone_types.ts";
 
@@ -126,25 +126,6 @@
   return Math.max(workMilliMs / capacity.cpuMilli, roomMs);
 }
 
-/** The zones of which listed workers have all labels that a job requires. */
-type SuitsZone = (zone: string) => boolean;
-
-/** Returns whether workers of a zone have the labels that a job requires. */
-function createSuitsZone(
-  { workers }: EngineState,
-  { steps, queue: { service } }: Job,
-): SuitsZone {
-  const wanted = steps.flatMap(({ requiredLabel }) => requiredLabel ?? []);
-  if (wanted.length === 0) return () => true;
-  return (zone) =>
-    wanted.every((label) =>
-      [...workers.values()].some((info) =>
-        info.availabilityZone === zone && info.service === service &&
-        !info.draining && info.labels.includes(label)
-      )
-    );
-}
-
 /** Whether a job may go to another zone, and its entries can take it there. */
 function isMovable(state: EngineState, job: Job): boolean {
   if (!state.hasZoneCells || job.triedZones === null) return false;
@@ -201,7 +182,7 @@
   },
 ): MovableJob {
   const ownMilli = queuedCpuMilli(context, job);
-  const isSuited = suitsZone(context.state.self.availabilityZone);
+  const isSuited = suitsZone(context.state.self.availabilityZone, job.steps);
   return {
     jobId: job.jobId,
     neededMilli: ownMilli,
@@ -227,9 +208,9 @@
   const { state } = context;
   if (!isMovable(state, job)) return null;
   const { service } = job.queue;
-  const suitsZone = createSuitsZone(state, job);
+  const suitsZone = createSuitsZone(state, service);
   const zones = otherZones(state, service).filter(({ zone }) =>
-    suitsZone(zone)
+    suitsZone(zone, job.steps)
   );
   if (zones.length === 0) return null;
   const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
@@ -273,6 +254,7 @@
     if (waiting.length === 0) continue;
     let zones = otherZones(state, service);
     if (zones.length === 0) continue;
+    const suitsZone = createSuitsZone(state, service);
     const capacity = createServiceCapacity(state, scheduler, service);
     const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
     for (const job of [...waiting]) {
@@ -285,6 +267,7 @@
             capacity,
             ahead,
             zones,
+            suitsZone,
           }),
       });
       if (isHandedOver) zones = otherZones(state, service);
@@ -297,17 +280,17 @@
 function handOverIfWorthwhile(
   context: ReduceContext,
   scheduler: Scheduler,
-  { job, capacity, ahead, zones }: {
+  { job, capacity, ahead, zones, suitsZone }: {
     job: Job;
     capacity: ServiceCapacity;
     ahead: LoadAhead;
     zones: readonly OtherZone[];
+    suitsZone: SuitsZone;
   },
 ): boolean {
   const { state } = context;
   if (!isMovable(state, job)) return false;
-  const suitsZone = createSuitsZone(state, job);
-  const suited = zones.filter(({ zone }) => suitsZone(zone));
+  const suited = zones.filter(({ zone }) => suitsZone(zone, job.steps));
   const share = 0;
   const movable = movableJobOf(context, capacity, {
     job,
--- a/src/engine/zones/sharing_test.ts
+++ b/src/engine/zones/sharing_test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import {
+  type JobSpec,
   type PeerMessageOf,
   peerMessageSchema,
   type WorkerInfo,
@@ -54,9 +55,21 @@
   }
 }
 
-/** An instance of the zone `poa`, which has two workers, before it leads it. */
+/** A worker with a label that is larger than all others. */
+function largeWorker(zone: string): WorkerInfo {
+  const info = { ...testWorker(`${zone}-large`), availabilityZone: zone };
+  return { ...info, cpuMilli: 64_000, labels: ["large"] };
+}
+
+/**
+ * An instance of the zone `poa`, which has two workers, before it leads it. One of
+ * the zones may have a large worker.
+ */
 function createInstance(
-  { otherWorkers = 55 }: { otherWorkers?: number } = {},
+  { otherWorkers = 55, largeZone }: {
+    otherWorkers?: number;
+    largeZone?: string;
+  } = {},
 ): TestInstance {
   const instance = createTestInstance();
   const instances = OTHER_ZONES.map((zone) => ({
@@ -70,6 +83,7 @@
   const workers = [
     ...zoneWorkers("poa", 2),
     ...OTHER_ZONES.flatMap((zone) => zoneWorkers(zone, otherWorkers)),
+    ...(largeZone === undefined ? [] : [largeWorker(largeZone)]),
   ];
   instance.after(0, { type: "workersRead", workers });
   return instance;
@@ -89,7 +103,9 @@
 }
 
 /** The leader of `poa`. */
-function createLeader(options?: { otherWorkers?: number }): TestInstance {
+function createLeader(
+  options?: { otherWorkers?: number; largeZone?: string },
+): TestInstance {
   const leader = createInstance(options);
   pass(leader);
   hear(leader, OTHER_ZONES);
@@ -180,6 +196,31 @@
   expect(effectsOf(again, "startTask")).toEqual([]);
 });
 
+// A zone without such a worker would keep the job until its objective is missed.
+const demands: { name: string; step: Partial<JobSpec["steps"][0]> }[] = [
+  { name: "label", step: { requiredLabel: "large" } },
+  { name: "size", step: { cpuMilli: 40_000 } },
+];
+
+for (const { name, step } of demands) {
+  const job = { ...testJob(1) };
+  job.steps = job.steps.map((one) => ({ ...one, ...step }));
+  for (const largeZone of OTHER_ZONES) {
+    test(`a job goes to the zone with workers of its ${name}: ${largeZone}`, () => {
+      const leader = createLeader({ largeZone });
+      expect(zonesOf(submit(leader, "0a", { job }))).toEqual([largeZone]);
+      const entry = createLeaderlessEntry(500, { largeZone });
+      submitCaller(entry, job);
+      expect(targetsOf(entry.tick(125))).toEqual([`l${largeZone}`]);
+    });
+  }
+  test(`without a leader, a job of the only zone of its ${name} stays`, () => {
+    const entry = createLeaderlessEntry(500, { largeZone: "poa" });
+    submitCaller(entry, job);
+    expect(targetsOf(entry.tick(125))).toEqual([]);
+  });
+}
+
 // The job may run in the other zone for the first entry, which has followed.
 const unfollowed: {
   name: string;
@@ -219,13 +260,13 @@
 });
 
 /** A caller submits a job at an instance. */
-function submitCaller(entry: TestInstance): Effect[] {
+function submitCaller(entry: TestInstance, job = testJob(1)): Effect[] {
   return entry.after(0, {
     type: "callerSubmit",
     requestId: "r",
     jobId: JOB_ID,
     queue: testQueue,
-    job: testJob(1),
+    job,
     timeoutMs: 6_000,
     answerAt: "ended",
   });
@@ -254,8 +295,11 @@
 }
 
 /** An entry of `poa` whose leader is another instance. */
-function createEntry(heard: readonly string[]): TestInstance {
-  const entry = createInstance();
+function createEntry(
+  heard: readonly string[],
+  options?: { largeZone?: string | undefined },
+): TestInstance {
+  const entry = createInstance({ ...options });
   const home = testInstanceInfo("lpoa");
   entry.after(0, { type: "instancesRead", instances: [home] });
   entry.after(0, { type: "peerUp", instanceId: "lpoa" });
@@ -313,8 +357,11 @@
  * An entry whose zone has just lost its leader, and another instance some time
  * before. A third one is live and becomes the leader later.
  */
-function createLeaderlessEntry(sinceLossMs: number): TestInstance {
-  const entry = createEntry(OTHER_ZONES);
+function createLeaderlessEntry(
+  sinceLossMs: number,
+  options?: { largeZone: string },
+): TestInstance {
+  const entry = createEntry(OTHER_ZONES, options);
   entry.state.draining = true;
   const instances = ["lost", "next"].map(testInstanceInfo);
   entry.after(0, { type: "instancesRead", instances });
