Sharing: the home leader names the zone of a refused job, too

The leader now names the zone in each refusal, or null if there is none; entries choose only after refusals by leaders of earlier releases. A caller's retry that may have runs, and a job of a queue that crashes workers, stay.

An entry withdraws a job that was refused in the end from the leaders that handed it over.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -342,12 +342,32 @@
     submissionIdOf(callerJob) === submissionId;
   if (!isFinal && !isCurrent) return;
   if (outcome.kind === "refused" && spill(context, callerJob, outcome)) return;
-  answer(context, callerJob, reportableOutcome(callerJob, outcome));
+  const reported = reportableOutcome(callerJob, outcome);
+  if (reported.kind === "refused") leaveTriedZones(context, callerJob);
+  answer(context, callerJob, reported);
+}
+
+/**
+ * Tells the leaders that handed a refused job over that it is no longer elsewhere
+ * for this entry. They would send the caller's next attempt there again.
+ */
+function leaveTriedZones(
+  context: ReduceContext,
+  { jobId, triedZones }: CallerJob,
+): void {
+  const { state } = context;
+  for (const zone of triedZones) {
+    const isOwn = zone === state.self.availabilityZone;
+    const leader = isOwn ? cellLeader(state) : leaderOfZone(state, zone);
+    if (leader === null) continue;
+    sendPeer(context, leader.instanceId, { type: "withdraw", jobId });
+  }
 }
 
 /**
  * Submits a job that its leader has not started to the zone that the leader names.
- * If it names none and has no capacity, the job goes to the least loaded zone, once.
+ * If it is of an earlier release, which names none, and has no capacity, the job goes
+ * to the least loaded zone, once.
  * Applies only to unrecorded jobs of which no task can have run. Returns whether
  * the job was submitted, or will be.
  */
@@ -359,6 +379,7 @@
   const { state } = context;
   const { job, queue, triedZones, mayHaveStarted, spilledToZone } = callerJob;
   if (mayHaveStarted || job.isRecorded === true) return false;
+  if (elsewhere === null) return false;
   const isFull = reason === "overloaded" || reason === "noWorker";
   const wasSpilled = spilledToZone !== null || triedZones.length > 0;
   if (elsewhere === undefined && (!isFull || wasSpilled)) return false;
@@ -474,7 +495,7 @@
 ): JobOutcome {
   if (outcome.kind !== "refused") return outcome;
   const mayBePersisted = job.isRecorded === true && mayHaveStarted;
-  const mayRun = mayBePersisted || outcome.elsewhere !== undefined;
+  const mayRun = mayBePersisted || (outcome.elsewhere ?? null) !== null;
   return mayRun ? { kind: "unknown", reason: "leaderLost" } : outcome;
 }
 
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -107,7 +107,8 @@
    * that submits it here follows, or, if it can't, gets no answer that allows a
    * second run.
    */
-  afterHandOver: (elsewhere, { triedZones, hasOtherEntries }) => {
+  afterHandOver: (elsewhere, { triedZones, hasEntries, hasOtherEntries }) => {
+    if (!hasEntries) return "start";
     if (triedZones?.includes(elsewhere) === false) return "follow";
     return hasOtherEntries ? "unknown" : "start";
   },
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -25,6 +25,7 @@
   Scheduler,
   TaskCompletion,
 } from "./types.ts";
+import { withNextZone } from "./zones/movable_jobs.ts";
 
 /**
  * Starts a job: attaches its runs that were found on workers, and queues and
@@ -192,7 +193,7 @@
     assert(!job.mayHaveStarted, "refused_means_not_begun", job.jobId);
     countRefusal(state, job, outcome);
   }
-  job.outcome = outcome;
+  job.outcome = withNextZone(state, job, outcome);
   job.endedAtMs = state.nowMs;
   dequeue(scheduler, job);
   if (outcome.kind !== "done") stopJobRuns(context, scheduler, job);
@@ -200,7 +201,7 @@
   if (record === null || !record.mayExist) {
     discardUnwritable(state, job);
     scheduler.endedJobs.push(job);
-    reportOutcome(context, job, outcome);
+    reportOutcome(context, job, job.outcome);
     return;
   }
   record.endedAtMs = state.wallMs;
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -287,7 +287,7 @@
     reason: z.enum(refusalReasons),
     retryAfterMs: z.number(),
     /** Zone whose leader is to get the job instead, if any. */
-    elsewhere: z.string().optional(),
+    elsewhere: z.string().nullable().optional(),
   }),
   /**
    * Tasks may have run, but the outcome is unknown. `storeAway` means that the
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1376,6 +1376,9 @@
     submission: {
       /** Undefined if its entry can't follow, or says that the job may have started. */
       triedZones: readonly string[] | undefined;
+      /** Whether an entry may have the job that has not been refused elsewhere. */
+      hasEntries: boolean;
+      /** Whether one of these is another than the submitting one. */
       hasOtherEntries: boolean;
     },
   ) => "follow" | "unknown" | "start";
--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -8,17 +8,15 @@
 import { queuedCpuMilli } from "../admission.ts";
 import { logDecision } from "../effects.ts";
 import { expectedTaskMs } from "../expected_run_times.ts";
-import { isPaused } from "../followers.ts";
 import { isolateJob } from "../job_faults.ts";
 import { finishJob } from "../jobs.ts";
-import { compareJobs, hasQueuedTasks } from "../queue.ts";
+import { compareJobs } from "../queue.ts";
 import type { PeerMessageOf } from "../schemas.ts";
 import {
   createServiceCapacity,
   roomAfterMs,
   type ServiceCapacity,
 } from "../service_capacity.ts";
-import { isHeldBack } from "../suspected_queues.ts";
 import type {
   EngineState,
   Job,
@@ -41,6 +39,7 @@
   rateAt,
   shareToHandOver,
 } from "./load_balance.ts";
+import { isMovable } from "./movable_jobs.ts";
 import { createSuitsZone, otherZones, type SuitsZone } from "./other_zones.ts";
 import { meanTaskMilli, measureRoom } from "./room_reports.ts";
 import type { ServiceRoom, UsualRate } from "./zone_types.ts";
@@ -126,15 +125,6 @@
   return Math.max(workMilliMs / capacity.cpuMilli, roomMs);
 }
 
-/** Whether a job may go to another zone, and its entries can take it there. */
-function isMovable(state: EngineState, job: Job): boolean {
-  if (!state.hasZoneCells || job.triedZones === null) return false;
-  if (!state.guards.mayHandOver(state.nowMs, job)) return false;
-  // Its tasks would crash workers of other zones, too.
-  if (isHeldBack(state, job)) return false;
-  return hasQueuedTasks(job) && !isPaused(state, job);
-}
-
 /** Returns the share of a service's arriving work to hand over. */
 function excessShare(
   { nowMs, scheduler }: EngineState,
@@ -411,11 +401,14 @@
 ): JobOutcome | null {
   const outcome = known?.outcome ?? null;
   if (known === undefined || outcome?.kind !== "refused") return null;
-  if (outcome.elsewhere === undefined) return null;
+  const elsewhere = outcome.elsewhere ?? null;
+  if (elsewhere === null) return null;
   const { submissionIdByEntry } = known;
+  const hasEntries = submissionIdByEntry.size > 0;
   submissionIdByEntry.delete(from);
-  const action = guards.afterHandOver(outcome.elsewhere, {
+  const action = guards.afterHandOver(elsewhere, {
     triedZones: message.resubmitted ? undefined : message.triedZones,
+    hasEntries,
     hasOtherEntries: submissionIdByEntry.size > 0,
   });
   if (action === "start") return null;
@@ -435,5 +428,5 @@
 
 /** Whether a job has left this cell, so that its state isn't known here. */
 export function wasHandedOver({ outcome }: Job): boolean {
-  return outcome?.kind === "refused" && outcome.elsewhere !== undefined;
+  return outcome?.kind === "refused" && (outcome.elsewhere ?? null) !== null;
 }
--- a/src/engine/zones/sharing_test.ts
+++ b/src/engine/zones/sharing_test.ts
@@ -127,7 +127,7 @@
 
 function zonesOf(effects: readonly Effect[]): (string | undefined)[] {
   return messagesOf(effects, "jobEnded").map(({ outcome }) =>
-    outcome.kind === "refused" ? outcome.elsewhere : undefined
+    outcome.kind === "refused" ? outcome.elsewhere ?? undefined : undefined
   );
 }
 
@@ -249,6 +249,37 @@
   });
 }
 
+// Two entries that chose a zone by themselves made both zones start the job.
+test("the leader names the zone for a refused job of two entries", () => {
+  const leader = createLeader();
+  hear(leader, OTHER_ZONES, { roomByService: undefined });
+  submit(leader, "0a");
+  const queue = { ...testQueue, objectiveMs: 100 };
+  submit(leader, "0b", { queue });
+  const again = { jobId: "0b", submissionId: "q.1", queue, triedZones: [] };
+  leader.receive("q", testSubmission(again));
+  const zones: (string | undefined)[] = [];
+  for (let passedMs = 0; passedMs < 400 && zones.length === 0; passedMs += 25) {
+    hear(leader, OTHER_ZONES, { roomByService: undefined });
+    zones.push(...zonesOf(leader.tick()));
+  }
+  expect(zones.length).toEqual(2);
+  expect(zones[0]).toEqual(zones[1]);
+  expect(OTHER_ZONES.includes(zones[0] ?? "")).toEqual(true);
+});
+
+// Otherwise a caller's attempts go to the same full zone for seconds.
+test("an attempt after a refusal elsewhere is not handed over as the one before", () => {
+  const leader = createLeader();
+  submit(leader, "0a");
+  submit(leader, "0b");
+  leader.receive("p", { type: "withdraw", jobId: "0b" });
+  hear(leader, OTHER_ZONES, { roomByService: undefined });
+  const queue = { ...testQueue, objectiveMs: 1e6 };
+  const effects = submit(leader, "0b", { submissionId: "p.2", queue });
+  expect(messagesOf(effects, "jobEnded")).toEqual([]);
+});
+
 test("a fleet of one cell reports no room and hands nothing over", () => {
   const leader = createLeader({ otherWorkers: 40 });
   const heartbeats = messagesOf(leader.tick(500), "heartbeat");
@@ -276,7 +307,7 @@
 function refuse(
   entry: TestInstance,
   from: string,
-  elsewhere: string,
+  elsewhere: string | null,
 ): Effect[] {
   const callerJob = entry.state.callerJobs.get(JOB_ID)!;
   const submissionId =
@@ -339,6 +370,26 @@
   expect(submitted?.triedZones).toEqual(["caxias"]);
 });
 
+test("an entry tells the leaders before that a job was refused in the end", () => {
+  const entry = createEntry(OTHER_ZONES);
+  submitCaller(entry);
+  refuse(entry, "lpoa", "caxias");
+  const last = refuse(entry, "lcaxias", null);
+  const replies = effectsOf(last, "answerCaller").map(({ reply }) =>
+    reply.kind
+  );
+  expect(replies).toEqual(["refused"]);
+  const told = effectsOf(last, "sendPeer")
+    .filter(({ message }) => message.type === "withdraw");
+  expect(told.map(({ instanceId }) => instanceId)).toEqual(["lpoa"]);
+});
+
+test("an entry chooses no zone for a job for which its leader names none", () => {
+  const entry = createEntry(OTHER_ZONES);
+  submitCaller(entry);
+  expect(targetsOf(refuse(entry, "lpoa", null))).toEqual([]);
+});
+
 // Otherwise its home leader would name the first zone again, and the caller get a
 // refusal.
 test("an entry that can't follow a second hand-over names both zones at home", () => {
