Sharing: no wait is reported for a service without usable workers

The wait of a service that never had a queue stayed at its last value when all workers of the zone were draining or gone, so that refused jobs were sent there.

--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -87,6 +87,11 @@
     waitMsByService.set(service, Math.round(waitMs));
   }
   sharing.room = room;
+  for (const service of waitMsByService.keys()) {
+    // The wait of a service that has had a queue is reported without workers, too.
+    if (room[service] !== undefined || waiting.has(service)) continue;
+    waitMsByService.delete(service);
+  }
 }
 
 function viewOf(
--- a/src/engine/zones/sharing_test.ts
+++ b/src/engine/zones/sharing_test.ts
@@ -280,6 +280,24 @@
   expect(messagesOf(effects, "jobEnded")).toEqual([]);
 });
 
+// Entries that choose a zone by its wait would send refused jobs there.
+test("a leader whose workers all drain reports no wait that it measured before", () => {
+  const leader = createLeader();
+  const drained = zoneWorkers("poa", 2).map((worker) => ({
+    ...worker,
+    draining: true,
+  }));
+  const others = OTHER_ZONES.flatMap((zone) => zoneWorkers(zone, 55));
+  const waits = (): (number | undefined)[] =>
+    messagesOf(leader.tick(500), "heartbeat").map((one) =>
+      one.waitMsByService["s"]
+    );
+  expect(waits().includes(0)).toEqual(true);
+  leader.after(0, { type: "workersRead", workers: [...drained, ...others] });
+  leader.tick();
+  expect(waits().filter((waitMs) => waitMs !== undefined)).toEqual([]);
+});
+
 test("a fleet of one cell reports no room and hands nothing over", () => {
   const leader = createLeader({ otherWorkers: 40 });
   const heartbeats = messagesOf(leader.tick(500), "heartbeat");
