Overload: a job whose suited workers are lost holds back no other

The one partly started job of a priority, or the next one that would be, may wait for a worker that is lost or suspended. Until its deadline no other job of its priority began unless it fitted whole.

--- a/src/engine/overload/begin.ts
+++ b/src/engine/overload/begin.ts
@@ -13,6 +13,7 @@
   Task,
 } from "../types.ts";
 import { isMostUrgent, overloadPolicyOf } from "./policies.ts";
+import { hasSuitedWorkers } from "./suitability.ts";
 
 /**
  * Number of jobs of each less urgent queue's priority that may be partly started.
@@ -84,6 +85,15 @@
   });
 }
 
+/**
+ * Whether the workers that a job needs may become free one by one. One whose
+ * suited workers are lost or suspended would hold back the others of its priority
+ * for as long as it waits.
+ */
+function canCollect(state: EngineState, job: Job): boolean {
+  return hasSuitedWorkers(state, job, { usable: true });
+}
+
 /** Returns the check for the jobs of a service in one pass over its queue. */
 export function createBeginCheck(
   state: EngineState,
@@ -92,10 +102,10 @@
 ): BeginCheck {
   if (!overloadPolicyOf(state, service).limitsPartlyStarted) return anyMayBegin;
   const partlyStarted = new Map<number, number>();
-  for (
-    const { isPartlyStarted, queue } of scheduler.waiting.get(service) ?? []
-  ) {
-    if (!isPartlyStarted) continue;
+  for (const job of scheduler.waiting.get(service) ?? []) {
+    const { isPartlyStarted, queue } = job;
+    if (!isPartlyStarted || isMostUrgent(state, queue)) continue;
+    if (!canCollect(state, job)) continue;
     partlyStarted.set(
       queue.priority,
       (partlyStarted.get(queue.priority) ?? 0) + 1,
@@ -109,7 +119,7 @@
     if (first === undefined || first.runsAlone) return true;
     if (mayFit(first) && fitsWhole(state, workers, job)) return true;
     const count = partlyStarted.get(priority) ?? 0;
-    if (count >= MAX_PARTLY_STARTED) return false;
+    if (count >= MAX_PARTLY_STARTED || !canCollect(state, job)) return false;
     partlyStarted.set(priority, count + 1);
     return true;
   };
--- a/src/engine/overload/overload_test.ts
+++ b/src/engine/overload/overload_test.ts
@@ -212,6 +212,42 @@
   });
 }
 
+/**
+ * The only worker with a label is suspended. A job that can't collect its workers
+ * must not keep the others of its priority from beginning.
+ */
+const stuckCases: { name: string; steps: Partial<JobSpec["steps"][0]>[] }[] = [
+  { name: "has not started", steps: [{ requiredLabel: "gpu" }] },
+  { name: "is partly started", steps: [{}, { requiredLabel: "gpu" }] },
+];
+
+for (const { name, steps } of stuckCases) {
+  test(`a job that waits for a suspended worker and ${name} holds back no other`, () => {
+    const leader = createLeader({ isCell: true });
+    const worker = leader.state.scheduler?.workers.get("w1");
+    if (worker === undefined) throw new Error("no worker");
+    worker.info = { ...worker.info, labels: ["gpu"] };
+    const large = jobOf(1, { cpuMilli: 28_000, requiredLabel: "gpu" });
+    submit(leader, "0", { queue: urgentQueue, job: large });
+    if (steps.length === 1) {
+      submit(leader, "a", { queue: urgentQueue, job: jobOf(1, {}) });
+    }
+    const stuck: JobSpec = {
+      ...jobOf(1, {}),
+      steps: steps.flatMap((step) => jobOf(1, step).steps),
+      lateFactor: 10,
+    };
+    const started = startedTasks(
+      submit(leader, "b", { queue: laterQueue, job: stuck }),
+    );
+    expect(started.length).toEqual(steps.length - 1);
+    worker.suspendedUntilMs = leader.state.nowMs + 4_000;
+    const job = { ...jobOf(2, { estimatedMs: 2_000 }), lateFactor: 10 };
+    expect(startedTasks(submit(leader, "c", { queue: laterQueue, job })))
+      .toEqual(["c.0.0.0"]);
+  });
+}
+
 /**
  * Load: all places are taken, one of them by a job that waits for its second, and
  * a job of the same priority with an earlier objective arrives. Then a run ends.
