Admission: the wait of a job is found without a look at each worker and run

Workers without a place for the task are skipped together, and the ends of runs are searched by their sums.

--- a/src/engine/service_capacity.ts
+++ b/src/engine/service_capacity.ts
@@ -14,13 +14,16 @@
   readonly workers: readonly OwnedWorker[];
   /** Their capacity, including what running tasks occupy. */
   readonly cpuMilli: number;
+  /** The most CPU that is idle on one of the workers. */
+  readonly maxIdleMilli: number;
   /** When and by how much running tasks leave room; null until it is needed. */
   releases: Release[] | null;
 }
 
 interface Release {
   readonly afterMs: number;
-  readonly cpuMilli: number;
+  /** CPU of the tasks that have ended by then, together. */
+  readonly totalMilli: number;
 }
 
 /**
@@ -34,6 +37,7 @@
 ): ServiceCapacity {
   const workers: OwnedWorker[] = [];
   let cpuMilli = 0;
+  let maxIdleMilli = 0;
   for (const worker of scheduler.workers.values()) {
     const { info, phase, suspendedUntilMs } = worker;
     if (info.service !== service || info.draining) continue;
@@ -42,8 +46,9 @@
     if (phase === "lost" || suspendedUntilMs > state.nowMs) continue;
     workers.push(worker);
     cpuMilli += info.cpuMilli;
+    maxIdleMilli = Math.max(maxIdleMilli, info.cpuMilli - worker.usedCpuMilli);
   }
-  return { state, workers, cpuMilli, releases: null };
+  return { state, workers, cpuMilli, maxIdleMilli, releases: null };
 }
 
 /**
@@ -54,35 +59,58 @@
 export function roomAfterMs(
   capacity: ServiceCapacity,
   { neededMilli, taskMilli }: { neededMilli: number; taskMilli: number },
+): number {
+  const idleMilli = idlePlacesMilli(capacity, { neededMilli, taskMilli });
+  if (idleMilli >= neededMilli) return 0;
+  const releases = releasesOf(capacity);
+  let low = 0;
+  let high = releases.length - 1;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    const totalMilli = releases[middle]?.totalMilli ?? 0;
+    if (idleMilli + totalMilli >= neededMilli) high = middle;
+    else low = middle + 1;
+  }
+  return releases[low]?.afterMs ?? 0;
+}
+
+/**
+ * Returns the CPU of the places for tasks of one size that are idle now, at most
+ * until that is enough. Near overload, no worker has a place, which is known here
+ * without a look at each of them for each job.
+ */
+function idlePlacesMilli(
+  { workers, maxIdleMilli }: ServiceCapacity,
+  { neededMilli, taskMilli }: { neededMilli: number; taskMilli: number },
 ): number {
   let roomMilli = 0;
-  for (const { info, usedCpuMilli } of capacity.workers) {
+  if (maxIdleMilli < taskMilli) return roomMilli;
+  for (const { info, usedCpuMilli } of workers) {
     // What is left over beside whole tasks is of no use.
     const places = Math.floor((info.cpuMilli - usedCpuMilli) / taskMilli);
     roomMilli += Math.max(0, places) * taskMilli;
-    if (roomMilli >= neededMilli) return 0;
-  }
-  let lastMs = 0;
-  for (const { afterMs, cpuMilli } of releasesOf(capacity)) {
-    roomMilli += cpuMilli;
-    lastMs = afterMs;
     if (roomMilli >= neededMilli) break;
   }
-  return lastMs;
+  return roomMilli;
 }
 
 /** Returns the ends of all running tasks, the earliest first. */
 function releasesOf(capacity: ServiceCapacity): Release[] {
   if (capacity.releases !== null) return capacity.releases;
-  const releases: Release[] = [];
+  const ends: { readonly afterMs: number; readonly cpuMilli: number }[] = [];
   for (const worker of capacity.workers) {
     for (const run of worker.runs.values()) {
-      releases.push({
+      ends.push({
         afterMs: remainingMs(capacity.state, worker, run),
         cpuMilli: run.cpuMilli,
       });
     }
   }
-  capacity.releases = releases.sort((a, b) => a.afterMs - b.afterMs);
-  return releases;
+  ends.sort((a, b) => a.afterMs - b.afterMs);
+  let totalMilli = 0;
+  capacity.releases = ends.map(({ afterMs, cpuMilli }) => {
+    totalMilli += cpuMilli;
+    return { afterMs, totalMilli };
+  });
+  return capacity.releases;
 }
