--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -27,7 +27,7 @@
   Withdrawal,
 } from "./types.ts";
 import { chooseZone, MAX_HAND_OVERS } from "./zones/hand_over.ts";
-import { otherZones } from "./zones/other_zones.ts";
+import { createSuitsZone, otherZones } from "./zones/other_zones.ts";
 
 /**
  * Time without a known leader after which jobs that were never submitted are
@@ -338,12 +338,32 @@
     submissionIdOf(callerJob) === submissionId;
   if (!isFinal && !isCurrent) return;
   if (outcome.kind === "refused" && spill(context, callerJob, outcome)) return;
-  answer(context, callerJob, reportableOutcome(callerJob, outcome));
+  const reported = reportableOutcome(callerJob, outcome);
+  if (reported.kind === "refused") leaveTriedZones(context, callerJob);
+  answer(context, callerJob, reported);
+}
+
+/**
+ * Tells the leaders that handed a refused job over that it is no longer elsewhere
+ * for this entry. They would send the caller's next attempt there again.
+ */
+function leaveTriedZones(
+  context: ReduceContext,
+  { jobId, triedZones }: CallerJob,
+): void {
+  const { state } = context;
+  for (const zone of triedZones) {
+    const isOwn = zone === state.self.availabilityZone;
+    const leader = isOwn ? cellLeader(state) : leaderOfZone(state, zone);
+    if (leader === null) continue;
+    sendPeer(context, leader.instanceId, { type: "withdraw", jobId });
+  }
 }
 
 /**
  * Submits a job that its leader has not started to the zone that the leader names.
- * If it names none and has no capacity, the job goes to the least loaded zone, once.
+ * If it is of an earlier release, which names none, and has no capacity, the job goes
+ * to the least loaded zone, once.
  * Applies only to unrecorded jobs of which no task can have run. Returns whether
  * the job was submitted, or will be.
  */
@@ -355,6 +375,7 @@
   const { state } = context;
   const { job, queue, triedZones, mayHaveStarted, spilledToZone } = callerJob;
   if (mayHaveStarted || job.isRecorded === true) return false;
+  if (elsewhere === null) return false;
   const isFull = reason === "overloaded" || reason === "noWorker";
   const wasSpilled = spilledToZone !== null || triedZones.length > 0;
   if (elsewhere === undefined && (!isFull || wasSpilled)) return false;
@@ -373,6 +394,8 @@
   // The leader hears the other zone, and this instance does not.
   state.counters.handOversFailed += 1;
   triedZones.push(zone);
+  // The home leader would name the zone again that it handed the job to.
+  if (spilledToZone !== null) triedZones.push(spilledToZone);
   returnToOwnCell(callerJob);
   logDecision(context, {
     part: "zones",
@@ -433,6 +456,9 @@
     termStartedAtMs: Infinity,
   });
   if (state.guards.mayRunElsewhere(state.nowMs, expiresAtMs)) return false;
+  const suitsZone = createSuitsZone(state, queue.service);
+  const zones = otherZones(state, queue.service)
+    .filter(({ zone }) => suitsZone(zone, job.steps));
   const first = job.steps.filter(({ after }) => after.length === 0);
   const chosen = chooseZone({
     jobId,
@@ -445,7 +471,7 @@
     waitMs: Infinity,
     isExcess: false,
     triedZones: callerJob.triedZones,
-  }, otherZones(state, queue.service));
+  }, zones);
   if (chosen === null) return false;
   const { zone: { zone } } = chosen;
   const fromZone = state.self.availabilityZone;
@@ -455,16 +481,18 @@
 }
 
 /**
- * Replaces the refusal of a recorded job by an unknown outcome if the job was
- * submitted before: a previous leader may have persisted its record.
+ * Replaces a refusal that may be wrong by an unknown outcome. A previous leader
+ * may have persisted the record of a recorded job that was submitted before, and
+ * a job that was handed over may run elsewhere for another entry.
  */
 function reportableOutcome(
   { job, mayHaveStarted }: CallerJob,
   outcome: JobOutcome,
 ): JobOutcome {
+  if (outcome.kind !== "refused") return outcome;
   const mayBePersisted = job.isRecorded === true && mayHaveStarted;
-  if (outcome.kind !== "refused" || !mayBePersisted) return outcome;
-  return { kind: "unknown", reason: "leaderLost" };
+  const mayRun = mayBePersisted || (outcome.elsewhere ?? null) !== null;
+  return mayRun ? { kind: "unknown", reason: "leaderLost" } : outcome;
 }
 
 const outcomeCounters = {
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1394,10 +1394,17 @@
     nowMs: number,
     job: Pick<Job, "record" | "mayHaveStarted" | "previousRunsExpireAtMs">,
   ) => boolean;
-  readonly mustFollowHandOver: (
+  readonly afterHandOver: (
     elsewhere: string,
-    triedZones: readonly string[],
-  ) => boolean;
+    submission: {
+      /** Undefined if its entry can't follow, or says that the job may have started. */
+      triedZones: readonly string[] | undefined;
+      /** Whether an entry may have the job that has not been refused elsewhere. */
+      hasEntries: boolean;
+      /** Whether one of these is another than the submitting one. */
+      hasOtherEntries: boolean;
+    },
+  ) => "follow" | "unknown" | "start";
   readonly isNewer: (version: number, currentVersion: number) => boolean;
   readonly hasOwnRule: (
     ownVersion: number,
--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -8,17 +8,15 @@
 import { queuedCpuMilli } from "../admission.ts";
 import { logDecision } from "../effects.ts";
 import { expectedTaskMs } from "../expected_run_times.ts";
-import { isPaused } from "../followers.ts";
 import { isolateJob } from "../job_faults.ts";
 import { finishJob } from "../jobs.ts";
-import { compareJobs, hasQueuedTasks } from "../queue.ts";
+import { compareJobs } from "../queue.ts";
 import type { PeerMessageOf } from "../schemas.ts";
 import {
   createServiceCapacity,
   roomAfterMs,
   type ServiceCapacity,
 } from "../service_capacity.ts";
-import { isHeldBack } from "../suspected_queues.ts";
 import type {
   EngineState,
   Job,
@@ -41,7 +39,8 @@
   rateAt,
   shareToHandOver,
 } from "./load_balance.ts";
-import { otherZones } from "./other_zones.ts";
+import { isMovable } from "./movable_jobs.ts";
+import { createSuitsZone, otherZones, type SuitsZone } from "./other_zones.ts";
 import { meanTaskMilli, measureRoom } from "./room_reports.ts";
 import type { ServiceRoom, UsualRate } from "./zone_types.ts";
 
@@ -88,6 +87,11 @@
     waitMsByService.set(service, Math.round(waitMs));
   }
   sharing.room = room;
+  for (const service of waitMsByService.keys()) {
+    // The wait of a service that has had a queue is reported without workers, too.
+    if (room[service] !== undefined || waiting.has(service)) continue;
+    waitMsByService.delete(service);
+  }
 }
 
 function viewOf(
@@ -126,34 +130,6 @@
   return Math.max(workMilliMs / capacity.cpuMilli, roomMs);
 }
 
-/** Whether listed workers of a zone have all labels that a job requires. */
-type SuitsZone = (zone: string) => boolean;
-
-/** Returns a predicate of the zones that can run a job. */
-function createSuitsZone(
-  { workers }: EngineState,
-  { steps, queue: { service } }: Job,
-): SuitsZone {
-  const wanted = steps.flatMap(({ requiredLabel }) => requiredLabel ?? []);
-  if (wanted.length === 0) return () => true;
-  return (zone) =>
-    wanted.every((label) =>
-      [...workers.values()].some((info) =>
-        info.availabilityZone === zone && info.service === service &&
-        !info.draining && info.labels.includes(label)
-      )
-    );
-}
-
-/** Whether a job may go to another zone, and its entries can take it there. */
-function isMovable(state: EngineState, job: Job): boolean {
-  if (!state.hasZoneCells || job.triedZones === null) return false;
-  if (!state.guards.mayHandOver(state.nowMs, job)) return false;
-  // Its tasks would crash workers of other zones, too.
-  if (isHeldBack(state, job)) return false;
-  return hasQueuedTasks(job) && !isPaused(state, job);
-}
-
 /** Returns the share of a service's arriving work to hand over. */
 function excessShare(
   { nowMs, scheduler }: EngineState,
@@ -201,7 +177,7 @@
   },
 ): MovableJob {
   const ownMilli = queuedCpuMilli(context, job);
-  const isSuited = suitsZone(context.state.self.availabilityZone);
+  const isSuited = suitsZone(context.state.self.availabilityZone, job.steps);
   return {
     jobId: job.jobId,
     neededMilli: ownMilli,
@@ -227,9 +203,9 @@
   const { state } = context;
   if (!isMovable(state, job)) return null;
   const { service } = job.queue;
-  const suitsZone = createSuitsZone(state, job);
+  const suitsZone = createSuitsZone(state, service);
   const zones = otherZones(state, service).filter(({ zone }) =>
-    suitsZone(zone)
+    suitsZone(zone, job.steps)
   );
   if (zones.length === 0) return null;
   const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
@@ -273,6 +249,7 @@
     if (waiting.length === 0) continue;
     let zones = otherZones(state, service);
     if (zones.length === 0) continue;
+    const suitsZone = createSuitsZone(state, service);
     const capacity = createServiceCapacity(state, scheduler, service);
     const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
     for (const job of [...waiting]) {
@@ -285,6 +262,7 @@
             capacity,
             ahead,
             zones,
+            suitsZone,
           }),
       });
       if (isHandedOver) zones = otherZones(state, service);
@@ -297,17 +275,17 @@
 function handOverIfWorthwhile(
   context: ReduceContext,
   scheduler: Scheduler,
-  { job, capacity, ahead, zones }: {
+  { job, capacity, ahead, zones, suitsZone }: {
     job: Job;
     capacity: ServiceCapacity;
     ahead: LoadAhead;
     zones: readonly OtherZone[];
+    suitsZone: SuitsZone;
   },
 ): boolean {
   const { state } = context;
   if (!isMovable(state, job)) return false;
-  const suitsZone = createSuitsZone(state, job);
-  const suited = zones.filter(({ zone }) => suitsZone(zone));
+  const suited = zones.filter(({ zone }) => suitsZone(zone, job.steps));
   const share = 0;
   const movable = movableJobOf(context, capacity, {
     job,
@@ -417,21 +395,31 @@
 
 /**
  * Returns the outcome of a job that was handed over and comes again, maybe from
- * another entry, if its submission has to follow it; else null.
+ * another entry: the hand-over if its submission has to follow it, or an unknown
+ * one if it can't follow and the job may run there for another entry. Returns
+ * null if the job may start here.
  */
 export function handedOverOutcome(
   { guards }: EngineState,
   known: Job | undefined,
-  { resubmitted, triedZones }: PeerMessageOf<"submit">,
+  { from, message }: { from: string; message: PeerMessageOf<"submit"> },
 ): JobOutcome | null {
   const outcome = known?.outcome ?? null;
-  if (outcome?.kind !== "refused" || outcome.elsewhere === undefined) {
-    return null;
-  }
-  if (resubmitted || triedZones === undefined) return null;
-  return guards.mustFollowHandOver(outcome.elsewhere, triedZones)
-    ? outcome
-    : null;
+  if (known === undefined || outcome?.kind !== "refused") return null;
+  const elsewhere = outcome.elsewhere ?? null;
+  if (elsewhere === null) return null;
+  const { submissionIdByEntry } = known;
+  const hasEntries = submissionIdByEntry.size > 0;
+  submissionIdByEntry.delete(from);
+  const action = guards.afterHandOver(elsewhere, {
+    triedZones: message.resubmitted ? undefined : message.triedZones,
+    hasEntries,
+    hasOtherEntries: submissionIdByEntry.size > 0,
+  });
+  if (action === "start") return null;
+  if (action === "unknown") return { kind: "unknown", reason: "leaderLost" };
+  submissionIdByEntry.set(from, message.submissionId);
+  return outcome;
 }
 
 /** Joins the zones that two entries have tried; null if one tells none. */
@@ -445,5 +433,5 @@
 
 /** Whether a job has left this cell, so that its state isn't known here. */
 export function wasHandedOver({ outcome }: Job): boolean {
-  return outcome?.kind === "refused" && outcome.elsewhere !== undefined;
+  return outcome?.kind === "refused" && (outcome.elsewhere ?? null) !== null;
 }
