Overload: a job that waits for leases of an unknown leader is refused as noWorker

Cause: after a loss of all instances, 1,162 of 1,187 requests of two seconds were refused, by 429 with a retry delay of 250 ms, though the workers were idle and could not be used for up to 1.8 s. Change: by the policy cost, such a refusal is noWorker (503), with the end of the leases as the retry delay. Result: a test of both policies.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -6,7 +6,7 @@
 
 import { isPaused } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
-import { refusalPolicyOf } from "./overload/policies.ts";
+import { overloadPolicyOf, refusalPolicyOf } from "./overload/policies.ts";
 import { returningLimitAtMs } from "./overload/returning_callers.ts";
 import { hasSuitedWorkers } from "./overload/suitability.ts";
 import { compareJobs, compareUnstarted, hasQueuedTasks } from "./queue.ts";
@@ -60,15 +60,31 @@
     latestCompletionAtMs(job);
   if (!isUnsuited && endAtMs <= limitAtMs) return null;
   const finiteWaitMs = Number.isFinite(waitMs) ? waitMs : 0;
-  const isOverload = Number.isFinite(waitMs) &&
+  const leasesEndInMs = leasesEndAfterMs(state, job);
+  const isOverload = Number.isFinite(waitMs) && leasesEndInMs === 0 &&
     (!checksSuitability || hasSuitedWorkers(state, job, { usable: true }));
+  const retryAfterMs = Math.max(finiteWaitMs, leasesEndInMs);
   return {
     kind: "refused",
     reason: isOverload ? "overloaded" : "noWorker",
-    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(finiteWaitMs)),
+    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(retryAfterMs)),
   };
 }
 
+/**
+ * Returns the time until leases of an unknown leader have ended, for which no
+ * worker may be used for a job, however idle the workers are. Load: all instances
+ * have lost power.
+ */
+function leasesEndAfterMs(
+  state: EngineState,
+  { queue, record, previousRunsExpireAtMs }: Job,
+): number {
+  const { namesLeases } = overloadPolicyOf(state, queue.service);
+  if (!namesLeases || record !== null) return 0;
+  return Math.max(0, previousRunsExpireAtMs - state.nowMs);
+}
+
 /** Returns the latest expected completion time at which a job is admitted. */
 function latestCompletionAtMs(job: Job): number {
   const { receivedAtMs, objectiveAtMs, deadlineAtMs, spec } = job;
--- a/src/engine/overload/policies.ts
+++ b/src/engine/overload/policies.ts
@@ -21,6 +21,11 @@
    * for that reason.
    */
   readonly checksSuitability: boolean;
+  /**
+   * Whether a job that waits for leases of an unknown leader is refused as
+   * `noWorker`, with their end as its retry delay.
+   */
+  readonly namesLeases: boolean;
   /** Whether jobs of callers that come again give way; see `returning_callers.ts`. */
   readonly defersReturningCallers: boolean;
   /** Whether few jobs of less urgent queues may be partly started at a time. */
@@ -58,6 +63,7 @@
   objective: {
     finishesStartedFirst: false,
     checksSuitability: false,
+    namesLeases: false,
     defersReturningCallers: false,
     limitsPartlyStarted: false,
     plannedWaitMs: (_state, _job, waitMs) => waitMs,
@@ -66,6 +72,7 @@
   cost: {
     finishesStartedFirst: true,
     checksSuitability: true,
+    namesLeases: true,
     defersReturningCallers: true,
     limitsPartlyStarted: true,
     plannedWaitMs: (state, { queue }, waitMs) =>
--- a/src/engine/overload/returning_callers_test.ts
+++ b/src/engine/overload/returning_callers_test.ts
@@ -10,7 +10,7 @@
   testQueue,
   testSubmission,
 } from "../testing.ts";
-import type { Effect } from "../types.ts";
+import type { Effect, RefusalReason } from "../types.ts";
 
 const laterQueue = { ...testQueue, name: "later", priority: 2 };
 /** Time for which the callers of first attempts wait. */
@@ -110,3 +110,36 @@
     });
   });
 }
+
+const leaseCases: {
+  isCell: boolean;
+  refusal: { reason: RefusalReason; retryAfterMs: number };
+}[] = [
+  { isCell: true, refusal: { reason: "noWorker", retryAfterMs: 1_080 } },
+  { isCell: false, refusal: { reason: "overloaded", retryAfterMs: 250 } },
+];
+
+// After a loss of all instances, callers were told that others had the workers,
+// which were idle, and to come again before any could be used.
+for (const { isCell, refusal } of leaseCases) {
+  test(`a job that waits for leases of an unknown leader is refused as ${refusal.reason}`, () => {
+    const leader = createLeader({ isCell });
+    const job = testJob(1);
+    leader.receive(
+      "p",
+      testSubmission({
+        jobId: "j1",
+        job,
+        timeLeftMs: USUAL_MS,
+        previousList: { kind: "unknown" },
+      }),
+    );
+    const [held] = [...leader.state.scheduler?.jobs.values() ?? []].slice(-1);
+    if (held === undefined) throw new Error("no job");
+    held.previousRunsExpireAtMs = leader.state.nowMs + 1_080 + 200;
+    const effects = leader.tick(200);
+    const outcomes = messagesOf(effects, "jobEnded")
+      .map(({ outcome }) => outcome);
+    expect(outcomes).toEqual([{ kind: "refused", ...refusal }]);
+  });
+}
