--- a/src/instance/peer_mesh.ts
+++ b/src/instance/peer_mesh.ts
@@ -286,7 +286,8 @@
       openLink(link);
       return;
     }
-    // Its close event opens the next connection.
+    // The close event counts a failure and opens the next connection after as many
+    // steps of the delay, so at once.
     link.failures = -1;
     link.socket?.destroy();
   }
