--- a/src/engine/overload/policies.ts
+++ b/src/engine/overload/policies.ts
@@ -26,7 +26,7 @@
    * `noWorker`, with their end as its retry delay.
    */
   readonly namesLeases: boolean;
-  /** Whether jobs of callers that come again give way; see `returning_callers.ts`. */
+  /** Whether jobs of returning callers are served last; see `returning_callers.ts`. */
   readonly defersReturningCallers: boolean;
   /** Whether few jobs of less urgent queues may be partly started at a time. */
   readonly limitsPartlyStarted: boolean;
