Engine: one computation of queued load and of the wait behind it

Cause: admission, the hand-over between zones and the reports of room each added up queued load and took the longer of two waits; begin.ts had a copy of quotient; and where zones have a leader each, updateWaitsByService added up the queue at each tick for a wait that updateRoom replaced. Change: addLoadOf and waitBehindMs serve all three; quotient is imported; the sum is left out where it is replaced. Decisions stay the same.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -13,8 +13,9 @@
 import { isHeldBack } from "./suspected_queues.ts";
 import {
   createServiceCapacity,
-  roomAfterMs,
+  type QueuedLoad,
   type ServiceCapacity,
+  waitBehindMs,
 } from "./service_capacity.ts";
 import type {
   EngineState,
@@ -192,13 +193,6 @@
   return loads;
 }
 
-/** The queued tasks of some jobs. */
-interface QueuedLoad {
-  cpuMilli: number;
-  /** CPU times expected run time. */
-  workMilliMs: number;
-}
-
 /**
  * Adds the queued tasks of a job that come before others. A paused job starts
  * no tasks, and a job that a previous leader may have run may have to wait until
@@ -212,6 +206,15 @@
   if (isPaused(context.state, job) || mayHavePreviousRuns(context.state, job)) {
     return;
   }
+  addLoadOf(context, load, job);
+}
+
+/** Adds the queued tasks of a job, whether they can start now or not. */
+export function addLoadOf(
+  context: ReduceContext,
+  load: QueuedLoad,
+  job: Job,
+): void {
   const cpuMilli = queuedCpuMilli(context, job);
   load.cpuMilli += cpuMilli;
   load.workMilliMs += cpuMilli * job.criticalPathMs;
@@ -229,10 +232,7 @@
   const [task] = job.tasks;
   const taskMilli = Math.max(1, task?.demand.cpuMilli ?? 1);
   const neededMilli = ahead.cpuMilli + taskMilli;
-  return Math.max(
-    ahead.workMilliMs / capacity.cpuMilli,
-    roomAfterMs(capacity, { neededMilli, taskMilli }),
-  );
+  return waitBehindMs(capacity, ahead, { neededMilli, taskMilli });
 }
 
 /** Whether workers of other zones may run the tasks of a job. */
@@ -249,7 +249,8 @@
 
 /**
  * Updates the expected waits by service that heartbeats report to peers. All
- * queued tasks count here, also those of paused jobs.
+ * queued tasks count here, also those of paused jobs. Where zones have a leader
+ * each, `updateRoom` measures the waits of services with usable workers.
  */
 export function updateWaitsByService(
   context: ReduceContext,
@@ -257,15 +258,15 @@
 ): void {
   const { state } = context;
   for (const [service, jobs] of scheduler.waiting) {
-    let workMilliMs = 0;
-    for (const job of jobs) {
-      workMilliMs += queuedCpuMilli(context, job) * job.criticalPathMs;
+    const { cpuMilli } = createServiceCapacity(state, scheduler, service);
+    if (cpuMilli === 0) {
+      scheduler.waitMsByService.set(service, NO_WORKERS_WAIT_MS);
+      continue;
     }
-    const capacityMilli =
-      createServiceCapacity(state, scheduler, service).cpuMilli;
-    const waitMs = capacityMilli === 0
-      ? NO_WORKERS_WAIT_MS
-      : Math.round(workMilliMs / capacityMilli);
+    if (state.hasZoneCells) continue;
+    const load: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
+    for (const job of jobs) addLoadOf(context, load, job);
+    const waitMs = Math.round(load.workMilliMs / cpuMilli);
     scheduler.waitMsByService.set(service, waitMs);
   }
 }
--- a/src/engine/overload/begin.ts
+++ b/src/engine/overload/begin.ts
@@ -12,6 +12,7 @@
   Scheduler,
   Task,
 } from "../types.ts";
+import { quotient } from "../worker_loans.ts";
 import { isMostUrgent, overloadPolicyOf } from "./policies.ts";
 import { hasSuitedWorkers } from "./suitability.ts";
 
@@ -38,10 +39,6 @@
 
 const anyMayBegin: BeginCheck = () => true;
 
-function quotient(available: number, needed: number): number {
-  return needed === 0 ? Infinity : available / needed;
-}
-
 /** Returns how many more tasks with a demand fit on a worker now. */
 function placesLeft(
   state: EngineState,
--- a/src/engine/service_capacity.ts
+++ b/src/engine/service_capacity.ts
@@ -51,6 +51,29 @@
   return { state, workers, cpuMilli, maxIdleMilli, releases: null };
 }
 
+/** The queued tasks of some jobs. */
+export interface QueuedLoad {
+  cpuMilli: number;
+  /** CPU times expected run time. */
+  workMilliMs: number;
+}
+
+/**
+ * Returns how long tasks that need `neededMilli` together, those before them
+ * included, are expected to wait: until running tasks have left room for them, and
+ * at least as long as the tasks before them occupy all workers.
+ */
+export function waitBehindMs(
+  capacity: ServiceCapacity,
+  { workMilliMs }: Pick<QueuedLoad, "workMilliMs">,
+  room: { neededMilli: number; taskMilli: number },
+): number {
+  return Math.max(
+    workMilliMs / capacity.cpuMilli,
+    roomAfterMs(capacity, room),
+  );
+}
+
 /**
  * Returns the time after which the workers are expected to have room for tasks
  * of one size that need `neededMilli` together. If that is more than what all
--- a/src/engine/worker_loans.ts
+++ b/src/engine/worker_loans.ts
@@ -46,7 +46,8 @@
   ));
 }
 
-function quotient(available: number, needed: number): number {
+/** How often a need fits into what is available; Infinity if nothing is needed. */
+export function quotient(available: number, needed: number): number {
   return needed === 0 ? Infinity : available / needed;
 }
 
--- a/src/engine/zones/other_zones.ts
+++ b/src/engine/zones/other_zones.ts
@@ -22,12 +22,11 @@
     const handedThere = recent.filter((handOver) =>
       handOver.zone === zone && handOver.service === service
     );
-    const reportedAtMs = heartbeatAtMs;
     zones.push({
       zone,
       idleMilli: leftMilli(room.idleMilli, {
         recent: handedThere,
-        reportedAtMs,
+        reportedAtMs: heartbeatAtMs,
       }),
       capacityMilli: room.capacityMilli,
       usualUsedMilli: peer.usualUsed.get(service)?.value ?? 0,
--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -5,7 +5,7 @@
  * submits the job to the leader of that zone.
  */
 
-import { queuedCpuMilli } from "../admission.ts";
+import { addLoadOf, queuedCpuMilli } from "../admission.ts";
 import { logDecision } from "../effects.ts";
 import { expectedTaskMs } from "../expected_run_times.ts";
 import { isolateJob } from "../job_faults.ts";
@@ -14,8 +14,9 @@
 import type { PeerMessageOf } from "../schemas.ts";
 import {
   createServiceCapacity,
-  roomAfterMs,
+  type QueuedLoad,
   type ServiceCapacity,
+  waitBehindMs,
 } from "../service_capacity.ts";
 import type {
   EngineState,
@@ -68,22 +69,14 @@
     const capacity = createServiceCapacity(state, scheduler, service);
     if (capacity.cpuMilli === 0) continue;
     const views = capacity.workers.map((worker) => viewOf(state, worker));
-    let queuedMilli = 0;
-    let workMilliMs = 0;
+    const queued: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
     for (const job of waiting.get(service) ?? []) {
-      const cpuMilli = queuedCpuMilli(context, job);
-      queuedMilli += cpuMilli;
-      workMilliMs += cpuMilli * job.criticalPathMs;
+      addLoadOf(context, queued, job);
     }
-    room[service] = measureRoom(views, queuedMilli);
+    room[service] = measureRoom(views, queued.cpuMilli);
     const taskMilli = meanTaskMilli(views);
-    const waitMs = Math.max(
-      workMilliMs / capacity.cpuMilli,
-      roomAfterMs(capacity, {
-        neededMilli: queuedMilli + taskMilli,
-        taskMilli,
-      }),
-    );
+    const neededMilli = queued.cpuMilli + taskMilli;
+    const waitMs = waitBehindMs(capacity, queued, { neededMilli, taskMilli });
     waitMsByService.set(service, Math.round(waitMs));
   }
   sharing.room = room;
@@ -106,28 +99,19 @@
   };
 }
 
-/** The queued tasks before a job. */
-interface LoadAhead {
-  cpuMilli: number;
-  workMilliMs: number;
-}
-
 /** Returns when all queued tasks of a job are expected to have started here. */
 function waitHereMs(
   capacity: ServiceCapacity,
-  { ahead: { cpuMilli, workMilliMs }, job, ownMilli }: {
-    ahead: LoadAhead;
+  { ahead, job, ownMilli }: {
+    ahead: QueuedLoad;
     job: Job;
     ownMilli: number;
   },
 ): number {
   if (capacity.cpuMilli === 0) return Infinity;
   const taskMilli = Math.max(1, job.tasks[0]?.demand.cpuMilli ?? 1);
-  const roomMs = roomAfterMs(capacity, {
-    neededMilli: cpuMilli + ownMilli,
-    taskMilli,
-  });
-  return Math.max(workMilliMs / capacity.cpuMilli, roomMs);
+  const neededMilli = ahead.cpuMilli + ownMilli;
+  return waitBehindMs(capacity, ahead, { neededMilli, taskMilli });
 }
 
 /** Returns the share of a service's arriving work to hand over. */
@@ -171,7 +155,7 @@
   capacity: ServiceCapacity,
   { job, ahead, share, suitsZone }: {
     job: Job;
-    ahead: LoadAhead;
+    ahead: QueuedLoad;
     share: number;
     suitsZone: SuitsZone;
   },
@@ -208,10 +192,10 @@
     suitsZone(zone, job.steps)
   );
   if (zones.length === 0) return null;
-  const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
+  const ahead: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
   for (const other of scheduler.waiting.get(service) ?? []) {
     if (compareJobs(other, job) > 0) break;
-    addAhead(context, ahead, other);
+    addLoadOf(context, ahead, other);
   }
   const capacity = createServiceCapacity(state, scheduler, service);
   const isFromHere = job.triedZones?.length === 0;
@@ -228,12 +212,6 @@
     : recordHandOver(context, scheduler, { job, movable, handOver });
 }
 
-function addAhead(context: ReduceContext, ahead: LoadAhead, job: Job): void {
-  const cpuMilli = queuedCpuMilli(context, job);
-  ahead.cpuMilli += cpuMilli;
-  ahead.workMilliMs += cpuMilli * job.criticalPathMs;
-}
-
 /**
  * Hands over the waiting jobs that would wait too long here. Each service's queue
  * is gone through once, in its order.
@@ -251,7 +229,7 @@
     if (zones.length === 0) continue;
     const suitsZone = createSuitsZone(state, service);
     const capacity = createServiceCapacity(state, scheduler, service);
-    const ahead: LoadAhead = { cpuMilli: 0, workMilliMs: 0 };
+    const ahead: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
     for (const job of [...waiting]) {
       const isHandedOver = isolateJob(context, job, {
         stage: "admit",
@@ -266,7 +244,7 @@
           }),
       });
       if (isHandedOver) zones = otherZones(state, service);
-      else addAhead(context, ahead, job);
+      else addLoadOf(context, ahead, job);
     }
   }
 }
@@ -278,7 +256,7 @@
   { job, capacity, ahead, zones, suitsZone }: {
     job: Job;
     capacity: ServiceCapacity;
-    ahead: LoadAhead;
+    ahead: QueuedLoad;
     zones: readonly OtherZone[];
     suitsZone: SuitsZone;
   },
@@ -286,11 +264,10 @@
   const { state } = context;
   if (!isMovable(state, job)) return false;
   const suited = zones.filter(({ zone }) => suitsZone(zone, job.steps));
-  const share = 0;
   const movable = movableJobOf(context, capacity, {
     job,
     ahead,
-    share,
+    share: 0,
     suitsZone,
   });
   const handOver = chooseZone(movable, suited);
