Tests and load model: call encodeJob and queueOf instead of copies

Cause: the process tests wrote the body of a job by hand, with a name of the platform outside its folder, beside encodeJob; the overload mix had a copy of queueOf. Change: encodeJob and queueOf take the field in which the copies differed.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -64,9 +64,14 @@
 /** Upper bound on the time between a job's submission and its cancellation. */
 const MAX_CANCEL_DELAY_MS = 400;
 
-function queueOf(
+/** Returns a queue of the service that the workers of the runs have. */
+export function queueOf(
   name: string,
-  { priority, objectiveMs = 60 }: { priority: number; objectiveMs?: number },
+  { priority, objectiveMs = 60, timeoutMs = 6_000 }: {
+    priority: number;
+    objectiveMs?: number;
+    timeoutMs?: number;
+  },
 ): QueueRule {
   return {
     name,
@@ -77,7 +82,7 @@
     attempts: 3,
     stretch: 1.6,
     objectiveMs,
-    timeoutMs: 6_000,
+    timeoutMs,
   };
 }
 
--- a/bench/overload_mix.ts
+++ b/bench/overload_mix.ts
@@ -3,7 +3,7 @@
  * compete for the workers of a fleet with a leader in each zone.
  */
 
-import type { QueueRule } from "../src/engine/schemas.ts";
+import { queueOf } from "./engine_runs.ts";
 import type { JobKind, WorldOptions } from "./engine_world.ts";
 
 const zones = ["a", "b", "c", "d"];
@@ -25,19 +25,8 @@
   drawsJobsApart: true,
 };
 
-function queueOf(name: string, priority: number): QueueRule {
-  return {
-    name,
-    host: "h",
-    pathPrefix: `/${name}/`,
-    service: "s",
-    priority,
-    attempts: 3,
-    stretch: 1.6,
-    objectiveMs: 60,
-    timeoutMs: 60_000,
-  };
-}
+/** Time for which callers wait: longer than any run of the model. */
+const TIMEOUT_MS = 60_000;
 
 /** What the kinds of the mix have in common. */
 const common = {
@@ -51,7 +40,7 @@
 export const mixKinds: readonly JobKind[] = [
   {
     ...common,
-    queue: queueOf("small", 0),
+    queue: queueOf("small", { priority: 0, timeoutMs: TIMEOUT_MS }),
     perSecond: 206,
     taskMs: 60,
     width: 8,
@@ -60,7 +49,7 @@
   },
   {
     ...common,
-    queue: queueOf("long", 2),
+    queue: queueOf("long", { priority: 2, timeoutMs: TIMEOUT_MS }),
     perSecond: 37.5,
     taskMs: 900,
     width: 4,
@@ -69,7 +58,7 @@
   },
   {
     ...common,
-    queue: queueOf("middle", 1),
+    queue: queueOf("middle", { priority: 1, timeoutMs: TIMEOUT_MS }),
     perSecond: 600,
     taskMs: 200,
     width: 2,
--- a/process_tests/untrusted_clients_test.ts
+++ b/process_tests/untrusted_clients_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "earl";
 import { waitUntil } from "../bench/control.ts";
+import { encodeJob } from "../platform/soak/wire.ts";
 import { type ClientSet, startClients } from "./clients.ts";
 import {
   callOrdinary,
@@ -47,12 +48,12 @@
   };
 }
 
-function post(path: string, fields: object): string {
-  const body = JSON.stringify({
-    spec: SPEC,
-    steps: [{ count: 1, cpu: 100, est_ms: 20 }],
-    ...fields,
-  });
+function post(
+  path: string,
+  { isRecorded }: { isRecorded: boolean },
+): string {
+  const job = { spec: SPEC, tasks: 1, cpuMilli: 100, runMs: 20, isRecorded };
+  const body = JSON.stringify(encodeJob(job));
   return `POST ${path} HTTP/1.1\r\nHost: ${HOST}\r\n` +
     `Content-Length: ${body.length}\r\n\r\n${body}`;
 }
@@ -85,7 +86,7 @@
     clients: {
       connections: 8,
       writes: 10,
-      write: pipeline((path) => post(path, { best_effort: true })),
+      write: pipeline((path) => post(path, { isRecorded: false })),
     },
   },
   {
@@ -93,7 +94,7 @@
     clients: {
       connections: 8,
       writes: 10,
-      write: pipeline((path) => post(path, {})),
+      write: pipeline((path) => post(path, { isRecorded: true })),
     },
   },
   {
