--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -567,7 +567,7 @@
   // As above, for the rates of the workers' clocks.
   const clockGenerator = xoroshiro128plus(options.seed + 2);
   const clockRandom = (): number => uniformFloat64(clockGenerator);
-  // As above, for the reads of evacuations.
+  // Reads of evacuations have a generator, too, so that other draws don't change.
   const evacuationGenerator = xoroshiro128plus(options.seed + 3);
   const evacuationRandom = (): number => uniformFloat64(evacuationGenerator);
   const jobGenerator = xoroshiro128plus(options.seed + 4);
--- a/bench/load_model.ts
+++ b/bench/load_model.ts
@@ -30,7 +30,7 @@
 const LOAD_START_MS = 3_000;
 const LOAD_END_MS = 15_000;
 const RUN_END_MS = 21_000;
-/** The same of the patterns of the overload mix, which has more jobs. */
+/** End of the load in patterns of the overload mix, which has more jobs. */
 const MIX_LOAD_END_MS = 11_000;
 const MIX_RUN_END_MS = 17_000;
 
