Zones: leaders tell each other which jobs in memory they have

No process knew that a job was in work in two zones, and a leader didn't log the withdrawals that it got, so the hypotheses of docs/incidents/unnoticed-callers.md could not be told apart. Ruled out: more log lines alone; each cell's log shows an ordinary job. Change: a leader requests the claims of the leaders of other zones: all of them, then each new one. It logs 'job is in work in two zones' with both ages, counts jobsInTwoZones, and logs withdrawals. No decision depends on it yet.

--- a/src/engine/job_table.ts
+++ b/src/engine/job_table.ts
@@ -6,6 +6,11 @@
 import type { JobSpec } from "./schemas.ts";
 import type { Job, JobTable } from "./types.ts";
 
+/**
+ * Time for which an ended job without a written record is kept in memory, to
+ * answer a resubmission.
+ */
+export const ENDED_JOB_RETENTION_MS = 6_000;
 /** Size of a job without its specification and its tasks, about. */
 const JOB_BYTES = 2_048;
 /** Size of a task, about. */
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -12,6 +12,7 @@
 import { checkFollowers } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
 import { mustNotRestart } from "./job_state.ts";
+import { ENDED_JOB_RETENTION_MS } from "./job_table.ts";
 import { finishJob } from "./jobs.ts";
 import { mayHaveUnknownRuns, oldestListsReadAtMs } from "./placement.ts";
 import { ENTRY_DROP_TIMEOUT_MS } from "./previous_runs.ts";
@@ -26,11 +27,6 @@
   Scheduler,
 } from "./types.ts";
 
-/**
- * Time for which an ended job without a written record is kept in memory, to
- * answer a resubmission.
- */
-const ENDED_JOB_RETENTION_MS = 6_000;
 /**
  * Time for which a recorded outcome is retained; callers query it for 120 s.
  */
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -25,6 +25,7 @@
   Scheduler,
   TaskCompletion,
 } from "./types.ts";
+import { endClaim } from "./zones/job_claims.ts";
 import { withNextZone } from "./zones/movable_jobs.ts";
 
 /**
@@ -195,6 +196,7 @@
   }
   job.outcome = withNextZone(state, job, outcome);
   job.endedAtMs = state.nowMs;
+  endClaim(context, scheduler, job);
   dequeue(scheduler, job);
   if (outcome.kind !== "done") stopJobRuns(context, scheduler, job);
   const { record } = job;
@@ -339,7 +341,13 @@
   const job = context.state.scheduler?.jobs.get(message.jobId);
   if (job === undefined || job.record !== null) return;
   job.submissionIdByEntry.delete(from);
-  if (job.submissionIdByEntry.size > 0) return;
+  if (job.submissionIdByEntry.size > 0 || job.outcome !== null) return;
+  logDecision(context, { part: "jobs", text: "job withdrawn by its entry" }, {
+    jobId: job.jobId,
+    entryId: from,
+    heldMs: Math.round(context.state.nowMs - job.receivedAtMs),
+    hasRuns: hasStarted(job),
+  });
   finishJob(context, job, { kind: "unknown", reason: "deadline" });
 }
 
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -35,7 +35,7 @@
   ReduceContext,
   Scheduler,
 } from "./types.ts";
-import { createZoneSharing } from "./zones/zone_types.ts";
+import { createJobClaims, createZoneSharing } from "./zones/zone_types.ts";
 
 /** Length of one step of the wall clock, from which terms are derived. */
 const TERM_STEP_MS = 100;
@@ -363,6 +363,7 @@
     overload: { policyByService: new Map() },
     callerTimes: new Map(),
     sharing: createZoneSharing(),
+    claims: createJobClaims(),
     queueDemands: new Map(),
     demandsSampledAtMs: state.nowMs,
   };
--- a/src/engine/membership.ts
+++ b/src/engine/membership.ts
@@ -17,7 +17,11 @@
   Scheduler,
 } from "./types.ts";
 import { evacuationReport, onEvacuationReport } from "./zones/evacuation.ts";
-import { onRoomReport, roomReport } from "./zones/report_exchange.ts";
+import {
+  claimsReport,
+  onRoomReport,
+  roomReport,
+} from "./zones/report_exchange.ts";
 
 /**
  * Interval of heartbeats from a leader, to the sender's leader, to leaders of
@@ -222,6 +226,7 @@
     holdsRecords: false,
     waitMsByService: {},
     roomByService: null,
+    announcesClaims: false,
     usualUsed: new Map(),
     reportFaultLoggedAtMs: -Infinity,
     term: 0,
@@ -390,6 +395,7 @@
   peer.holdsRecords = message.holdsRecords;
   peer.waitMsByService = message.waitMsByService;
   onRoomReport(context, peer, message.roomByService);
+  peer.announcesClaims = message.announcesClaims === true;
   // A peer that has lost the records to this instance may not know it yet.
   const ownsRecords = state.scheduler?.records.isOwner === true;
   if (message.holdsRecords && !ownsRecords) {
@@ -467,6 +473,7 @@
     holdsRecords: scheduler?.records.isOwner === true,
     waitMsByService: scheduler === null ? {} : waitsOf(scheduler),
     ...roomReport(state, peer),
+    ...claimsReport(state, peer),
   });
 }
 
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -113,6 +113,12 @@
   onEvacuationsRead,
   onEvacuationsUnreadable,
 } from "./zones/evacuation.ts";
+import {
+  checkClaims,
+  onClaims,
+  onClaimsWanted,
+  resendClaims,
+} from "./zones/job_claims.ts";
 import { handOverWaiting, updateRoom } from "./zones/sharing.ts";
 
 /** Options for creating the state of an engine. */
@@ -215,6 +221,9 @@
       jobsFromOtherZones: 0,
       jobsSentWithoutLeader: 0,
       handOversFailed: 0,
+      jobClaimsSent: 0,
+      jobClaimsReceived: 0,
+      jobsInTwoZones: 0,
       tasksStarted: 0,
       tasksDone: 0,
       tasksFailed: 0,
@@ -284,6 +293,8 @@
   workersLent: onWorkersLent,
   runsWanted: onRunsWanted,
   runsGone: onRunsGone,
+  claimsWanted: onClaimsWanted,
+  claims: onClaims,
 };
 
 /** Withdraws the jobs of a peer if the message is the first since its restart. */
@@ -393,13 +404,14 @@
 
 /**
  * Sends a newly connected peer what it may have missed: recent withdrawals, the
- * caller jobs of this instance, if the peer is their leader, and the list of
- * workers, if this instance is the leader.
+ * caller jobs of this instance, if the peer is their leader, and, if this instance
+ * is the leader, its claims and the list of workers.
  */
 function resendToPeer(context: ReduceContext, instanceId: string): void {
   const { state } = context;
   resendWithdrawals(context, instanceId);
   resubmitAll(context, instanceId);
+  resendClaims(context, instanceId);
   if (state.scheduler === null || state.workers.size === 0) return;
   sendPeer(context, instanceId, {
     type: "workers",
@@ -431,6 +443,7 @@
     logPolicyChanges(context, scheduler);
     updateRoom(context, scheduler);
     applyTaskCompletions(context);
+    checkClaims(context, scheduler);
     handOverWaiting(context, scheduler);
     checkJobs(context, scheduler);
     for (const service of scheduler.waiting.keys()) {
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -199,6 +199,8 @@
    * report that can't be used doesn't invalidate the heartbeat.
    */
   roomByService: z.unknown().optional(),
+  /** The sender is the leader of a zone and answers `claimsWanted`. */
+  announcesClaims: z.boolean().optional(),
 });
 
 const helloSchema = z.object({
@@ -392,6 +394,14 @@
 /** The name of a task and the number of one of its runs. */
 const runNameSchema = z.object({ taskName: z.string(), run: z.number().int() });
 
+/** A leader's statement that it has a job in memory. */
+const jobClaimSchema = z.object({
+  /** Time for which the leader has the job or remembers its outcome. */
+  forMs: z.number(),
+  /** Time since the job's entry received it. */
+  heldMs: z.number(),
+});
+
 /** A message between instances. */
 export const peerMessageSchema = z.discriminatedUnion("type", [
   heartbeatSchema,
@@ -513,6 +523,22 @@
     workerId: z.string(),
     runs: z.array(runNameSchema),
   }),
+  /**
+   * Requests the recipient's claims, those that it has and those that it makes
+   * from then on. The sender and the recipient are leaders of two zones.
+   */
+  z.object({ type: z.literal("claimsWanted") }),
+  /** Tells the leader of another zone which jobs in memory the sender has. */
+  z.object({
+    type: z.literal("claims"),
+    term: z.number(),
+    /** These are all claims of the sender, not only new ones. */
+    isComplete: z.boolean(),
+    /** Claims by job id. */
+    claims: z.record(z.string(), jobClaimSchema),
+    /** Ids of jobs that the sender had, and that may start elsewhere. */
+    released: z.array(z.string()),
+  }),
 ]);
 
 /** See {@linkcode workerDemandSchema}. */
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -33,6 +33,7 @@
   Scheduler,
 } from "./types.ts";
 import { rereadWorkers } from "./workers.ts";
+import { claimJob } from "./zones/job_claims.ts";
 import {
   countOrigin,
   handedOverOutcome,
@@ -124,6 +125,7 @@
     finishJob(context, job, refusal);
     return;
   }
+  claimJob(context, scheduler, job);
   if (job.record !== null) {
     state.recordsExist = true;
     markDirty(scheduler, job);
@@ -358,7 +360,9 @@
       maxLeaseMs(context.state);
   }
   const deadlineAtMs = context.state.nowMs + message.timeLeftMs;
-  job.deadlineAtMs = Math.max(job.deadlineAtMs, deadlineAtMs);
+  if (deadlineAtMs <= job.deadlineAtMs) return;
+  job.deadlineAtMs = deadlineAtMs;
+  claimJob(context, scheduler, job);
 }
 
 /**
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -36,6 +36,7 @@
   WorkerInfo,
 } from "./schemas.ts";
 import type {
+  JobClaims,
   RoomByService,
   UsualRate,
   ZoneSharing,
@@ -497,6 +498,8 @@
    * it has no valid report.
    */
   roomByService: RoomByService | null;
+  /** The peer is the leader of a zone and tells which jobs it has. */
+  announcesClaims: boolean;
   /** CPU that its reports usually show as in use, by service. */
   readonly usualUsed: Map<string, UsualRate>;
   /** Time of the latest log line of an ignored report; -Infinity before. */
@@ -994,6 +997,7 @@
   readonly overload: OverloadState;
   readonly callerTimes: CallerTimes;
   readonly sharing: ZoneSharing;
+  readonly claims: JobClaims;
   /** Demand statistics by queue. */
   readonly queueDemands: Map<string, QueueDemand>;
   demandsSampledAtMs: number;
@@ -1254,6 +1258,11 @@
   jobsSentWithoutLeader: number;
   /** Hand-overs that an entry could not carry out. */
   handOversFailed: number;
+  /** Claims of jobs sent to leaders of other zones, and those received. */
+  jobClaimsSent: number;
+  jobClaimsReceived: number;
+  /** Jobs that this leader had while that of another zone claimed them. */
+  jobsInTwoZones: number;
   tasksStarted: number;
   tasksDone: number;
   tasksFailed: number;
--- /dev/null
+++ b/src/engine/zones/job_claims.ts
@@ -0,0 +1,296 @@
+/**
+ * Claims: the leaders of zones tell each other which jobs in memory they have. A
+ * caller may send its request to an entry of another zone while the first one
+ * has not learned that it has left; without claims, no leader would know that
+ * the job is in work elsewhere.
+ *
+ * A leader requests the claims of each other leader, and gets all of them, and
+ * from then on each new one. A claim is withdrawn (`released`) once the job may
+ * start elsewhere; otherwise it expires with the memory of the job's outcome.
+ */
+
+import { logDecision, sendPeer } from "../effects.ts";
+import { ENDED_JOB_RETENTION_MS } from "../job_table.ts";
+import { jobIdOf } from "../job_state.ts";
+import { isActiveLeader } from "../leader_lookup.ts";
+import type { PeerMessageOf } from "../schemas.ts";
+import type {
+  EngineState,
+  Job,
+  Peer,
+  ReduceContext,
+  Scheduler,
+} from "../types.ts";
+import type { JobClaim } from "./zone_types.ts";
+
+type ClaimsMessage = PeerMessageOf<"claims">;
+
+/** Interval at which claims are requested until they arrive. */
+const REQUEST_INTERVAL_MS = 300;
+/** Interval at which expired claims are removed. */
+const SWEEP_INTERVAL_MS = 1_000;
+/** Time without a heartbeat as a leader after which a subscriber is forgotten. */
+const SUBSCRIBER_TIMEOUT_MS = 1_000;
+/** Maximum number of claims of other leaders; the oldest ones are dropped. */
+const MAX_CLAIMS = 65_536;
+
+/**
+ * Tells the leaders of other zones that this one has a job, or has it for longer
+ * than it said before.
+ */
+export function claimJob(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  job: Job,
+): void {
+  scheduler.claims.ending.delete(job.jobId);
+  if (job.record !== null) return;
+  send(context, scheduler, {
+    claims: { [job.jobId]: claimOf(context.state, job) },
+  });
+}
+
+/**
+ * Handles the end of a job. One that was refused has no runs and may start
+ * elsewhere at once. One that is done or has failed stays claimed, so that a
+ * caller's retry finds its outcome.
+ */
+export function endClaim(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  job: Job,
+): void {
+  if (job.record !== null || scheduler.claims.subscribers.size === 0) return;
+  const kind = job.outcome?.kind;
+  if (kind === "done" || kind === "failed") return;
+  if (kind === "refused") {
+    send(context, scheduler, { released: [job.jobId] });
+  } else scheduler.claims.ending.add(job.jobId);
+}
+
+function claimOf(
+  { nowMs }: EngineState,
+  { receivedAtMs, deadlineAtMs, outcome, endedAtMs }: Job,
+): ClaimsMessage["claims"][string] {
+  const ownUntilMs = outcome === null ? deadlineAtMs : endedAtMs;
+  return {
+    forMs: Math.round(ownUntilMs + ENDED_JOB_RETENTION_MS - nowMs),
+    heldMs: Math.round(nowMs - receivedAtMs),
+  };
+}
+
+function send(
+  context: ReduceContext,
+  { term, claims: { subscribers } }: Scheduler,
+  { claims = {}, released = [] }: Partial<ClaimsMessage>,
+): void {
+  const { counters } = context.state;
+  for (const instanceId of subscribers.keys()) {
+    counters.jobClaimsSent += Object.keys(claims).length;
+    sendPeer(context, instanceId, {
+      type: "claims",
+      term,
+      isComplete: false,
+      claims,
+      released,
+    });
+  }
+}
+
+/** Handles another leader's request for the claims of this one. */
+export function onClaimsWanted(context: ReduceContext, from: string): void {
+  const { scheduler, nowMs } = context.state;
+  if (scheduler === null) return;
+  scheduler.claims.subscribers.set(from, nowMs);
+  sendAll(context, scheduler, from);
+}
+
+/** Sends all claims to a leader whose connection may have lost some. */
+export function resendClaims(context: ReduceContext, instanceId: string): void {
+  const { scheduler } = context.state;
+  if (scheduler?.claims.subscribers.has(instanceId) !== true) return;
+  sendAll(context, scheduler, instanceId);
+}
+
+function sendAll(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  instanceId: string,
+): void {
+  const { state } = context;
+  const claims: ClaimsMessage["claims"] = {};
+  for (const job of scheduler.jobs.values()) {
+    if (!isClaimed(scheduler, job)) continue;
+    claims[job.jobId] = claimOf(state, job);
+  }
+  state.counters.jobClaimsSent += Object.keys(claims).length;
+  sendPeer(context, instanceId, {
+    type: "claims",
+    term: scheduler.term,
+    isComplete: true,
+    claims,
+    released: [],
+  });
+}
+
+/** Whether this leader claims a job that it has or had. */
+function isClaimed({ claims }: Scheduler, { jobId, record, outcome }: Job) {
+  if (record !== null) return false;
+  const mayAnswer = outcome === null || outcome.kind === "done" ||
+    outcome.kind === "failed";
+  return mayAnswer || claims.ending.has(jobId);
+}
+
+/** Handles claims of the leader of another zone. */
+export function onClaims(
+  context: ReduceContext,
+  from: string,
+  message: ClaimsMessage,
+): void {
+  const { state } = context;
+  const { scheduler } = state;
+  const peer = state.peers.get(from);
+  if (scheduler === null || peer === undefined) return;
+  const zone = peer.info.availabilityZone;
+  if (!state.hasZoneCells || zone === state.self.availabilityZone) return;
+  const { byJob, sources } = scheduler.claims;
+  const { term, isComplete, claims, released } = message;
+  if (isComplete) {
+    const source = sources.get(from);
+    if (source?.term === term) source.isAnswered = true;
+    for (const [jobId, { leaderId }] of byJob) {
+      if (leaderId === from && !(jobId in claims)) byJob.delete(jobId);
+    }
+  }
+  for (const jobId of released) {
+    if (byJob.get(jobId)?.leaderId === from) byJob.delete(jobId);
+  }
+  for (const [jobId, { forMs, heldMs }] of Object.entries(claims)) {
+    const claim = {
+      zone,
+      leaderId: from,
+      term,
+      receivedAtMs: state.nowMs - heldMs,
+      expiresAtMs: state.nowMs + forMs,
+    };
+    storeClaim(byJob, jobId, claim);
+    state.counters.jobClaimsReceived += 1;
+    reportConflict(context, { jobId, claim });
+  }
+}
+
+function storeClaim(
+  byJob: Map<string, JobClaim>,
+  jobId: string,
+  claim: JobClaim,
+): void {
+  // Sets the claim as the newest one in the order of the map.
+  byJob.delete(jobId);
+  byJob.set(jobId, claim);
+  if (byJob.size <= MAX_CLAIMS) return;
+  const [oldest] = byJob.keys();
+  if (oldest !== undefined) byJob.delete(oldest);
+}
+
+/** Logs that this leader has a job that the leader of another zone has, too. */
+function reportConflict(
+  context: ReduceContext,
+  { jobId, claim }: { jobId: string; claim: JobClaim },
+): void {
+  const { state } = context;
+  const job = state.scheduler?.jobs.get(jobId);
+  if (job === undefined || job.record !== null || job.outcome !== null) return;
+  // The leader of that zone has handed the job over, which it says later.
+  if (job.triedZones?.includes(claim.zone) === true) return;
+  state.counters.jobsInTwoZones += 1;
+  logDecision(context, {
+    level: "warn",
+    part: "zones",
+    text: "job is in work in two zones",
+  }, {
+    jobId,
+    otherZone: claim.zone,
+    otherLeaderId: claim.leaderId,
+    heldMs: Math.round(state.nowMs - job.receivedAtMs),
+    heldThereMs: Math.round(state.nowMs - claim.receivedAtMs),
+    entryIds: [...job.submissionIdByEntry.keys()],
+  });
+}
+
+/** Exchanges claims with the leaders of other zones, if zones have leaders. */
+export function checkClaims(
+  context: ReduceContext,
+  scheduler: Scheduler,
+): void {
+  const { state } = context;
+  const { claims } = scheduler;
+  if (!state.hasZoneCells) {
+    claims.byJob.clear();
+    claims.sources.clear();
+    claims.subscribers.clear();
+    claims.ending.clear();
+    return;
+  }
+  requestClaims(context, scheduler);
+  forgetSubscribers(state, scheduler);
+  releaseEnded(context, scheduler);
+  if (state.nowMs - claims.sweptAtMs < SWEEP_INTERVAL_MS) return;
+  claims.sweptAtMs = state.nowMs;
+  for (const [jobId, { expiresAtMs }] of claims.byJob) {
+    if (state.nowMs >= expiresAtMs) claims.byJob.delete(jobId);
+  }
+}
+
+/** The leaders of other zones that tell which jobs they have. */
+function otherLeaders(state: EngineState): Peer[] {
+  return [...state.peers.values()].filter((peer) =>
+    peer.announcesClaims && peer.hasZoneCells && isActiveLeader(state, peer) &&
+    peer.info.availabilityZone !== state.self.availabilityZone
+  );
+}
+
+function requestClaims(
+  context: ReduceContext,
+  { claims: { sources } }: Scheduler,
+): void {
+  const { state } = context;
+  for (const { info: { instanceId }, term } of otherLeaders(state)) {
+    let source = sources.get(instanceId);
+    if (source?.term !== term) {
+      source = { term, requestedAtMs: -Infinity, isAnswered: false };
+      sources.set(instanceId, source);
+    }
+    if (source.isAnswered) continue;
+    if (state.nowMs - source.requestedAtMs < REQUEST_INTERVAL_MS) continue;
+    source.requestedAtMs = state.nowMs;
+    sendPeer(context, instanceId, { type: "claimsWanted" });
+  }
+}
+
+/** Forgets subscribers that lead no more; they request the claims again if so. */
+function forgetSubscribers(
+  { peers, nowMs }: EngineState,
+  { claims: { subscribers } }: Scheduler,
+): void {
+  for (const [instanceId, subscribedAtMs] of subscribers) {
+    const peer = peers.get(instanceId);
+    const isGone = peer === undefined || !peer.isLeader;
+    if (isGone && nowMs - subscribedAtMs >= SUBSCRIBER_TIMEOUT_MS) {
+      subscribers.delete(instanceId);
+    }
+  }
+}
+
+/** Releases the jobs that have ended and have no runs on workers any more. */
+function releaseEnded(context: ReduceContext, scheduler: Scheduler): void {
+  const { ending } = scheduler.claims;
+  if (ending.size === 0) return;
+  const running = new Set<string>();
+  for (const { runs } of scheduler.workers.values()) {
+    for (const { taskName } of runs.values()) running.add(jobIdOf(taskName));
+  }
+  const released = [...ending].filter((jobId) => !running.has(jobId));
+  if (released.length === 0) return;
+  for (const jobId of released) ending.delete(jobId);
+  send(context, scheduler, { released });
+}
--- a/src/engine/zones/report_exchange.ts
+++ b/src/engine/zones/report_exchange.ts
@@ -22,6 +22,16 @@
   return { roomByService: isNear ? {} : scheduler.sharing.room };
 }
 
+/** Tells a peer of another zone that this leader answers `claimsWanted`. */
+export function claimsReport(
+  { scheduler, hasZoneCells, self }: EngineState,
+  { info }: Peer,
+): { readonly announcesClaims?: true } {
+  const isNear = info.availabilityZone === self.availabilityZone;
+  if (scheduler === null || !hasZoneCells || isNear) return {};
+  return { announcesClaims: true };
+}
+
 /** Checks the report of a peer's latest heartbeat, and keeps it if it is valid. */
 export function onRoomReport(
   context: ReduceContext,
--- a/src/engine/zones/zone_types.ts
+++ b/src/engine/zones/zone_types.ts
@@ -56,3 +56,46 @@
     jobsByZone: new Map(),
   };
 }
+
+/** What a leader knows of a job in memory that the leader of another zone has. */
+export interface JobClaim {
+  readonly zone: string;
+  readonly leaderId: string;
+  readonly term: number;
+  /** Time at which the entry of that leader received the job. */
+  readonly receivedAtMs: number;
+  /** Time up to which that leader has the job or remembers its outcome. */
+  readonly expiresAtMs: number;
+}
+
+/** The leader of another zone whose claims were requested. */
+export interface ClaimSource {
+  readonly term: number;
+  requestedAtMs: number;
+  isAnswered: boolean;
+}
+
+/** The claims that a leader exchanges with those of other zones. */
+export interface JobClaims {
+  /** Claims of other leaders, by job id. */
+  readonly byJob: Map<string, JobClaim>;
+  /** The leaders whose claims were requested, by instance id. */
+  readonly sources: Map<string, ClaimSource>;
+  /** Leaders to which claims are sent, each with the time of its request. */
+  readonly subscribers: Map<string, number>;
+  /** Ids of ended jobs, which are released once their runs are gone. */
+  readonly ending: Set<string>;
+  /** Time of the latest removal of expired claims. */
+  sweptAtMs: number;
+}
+
+/** Returns the state of a leader that has exchanged no claims. */
+export function createJobClaims(): JobClaims {
+  return {
+    byJob: new Map(),
+    sources: new Map(),
+    subscribers: new Map(),
+    ending: new Set(),
+    sweptAtMs: -Infinity,
+  };
+}
--- a/src/entry/dump.ts
+++ b/src/entry/dump.ts
@@ -77,6 +77,7 @@
       refusals: [...state.refusals.values()],
     },
     sharing: dumpSharing(scheduler),
+    claims: dumpClaims(scheduler),
     waiting: Object.fromEntries(
       [...waiting].map(([service, list]) => [service, list.length]),
     ),
@@ -121,6 +122,17 @@
   };
 }
 
+/** The jobs of other zones that are known here, and the exchange of claims. */
+function dumpClaims({ claims: { byJob, sources, subscribers } }: Scheduler) {
+  return {
+    claimedElsewhere: byJob.size,
+    claimsSentTo: [...subscribers.keys()],
+    claimsReceivedFrom: [...sources]
+      .filter(([, { isAnswered }]) => isAnswered)
+      .map(([instanceId]) => instanceId),
+  };
+}
+
 function dumpWorker(state: EngineState, worker: OwnedWorker): object {
   return {
     workerId: worker.info.workerId,
--- a/src/instance/metrics.ts
+++ b/src/instance/metrics.ts
@@ -120,6 +120,7 @@
     `bronzemill_workersListed ${state.workers.size}`,
     `bronzemill_jobsAtLeader ${scheduler?.jobs.size ?? 0}`,
     `bronzemill_jobBytesAtLeader ${scheduler?.jobs.totalBytes ?? 0}`,
+    `bronzemill_jobsClaimedElsewhere ${scheduler?.claims.byJob.size ?? 0}`,
     `bronzemill_queriesWaiting ${state.pendingQueries.size}`,
     `bronzemill_workersBorrowed ${scheduler?.loans.borrowed.size ?? 0}`,
     `bronzemill_jobsPartlyStarted ${
