--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -341,6 +341,25 @@
   "storeAway",
 ];
 
+/**
+ * Callers that leave so that their entry learns of it late or never, and send
+ * their requests again to any instance.
+ */
+export interface LeavingCallers {
+  /** Share of callers that leave; of those that came again, too. */
+  readonly share: number;
+  /** Bound on the time after which the entry learns of it. */
+  readonly maxNoticeMs: number;
+  /** Share of those that leave of which the entry never learns. */
+  readonly unnoticedShare: number;
+  /** Times after which callers come again, drawn with equal weights. */
+  readonly resendMs: readonly number[];
+  /** Share of callers that also send their request to another zone. */
+  readonly elsewhereShare: number;
+  /** Time after the first request from which on they do. */
+  readonly minElsewhereMs: number;
+}
+
 /** A run: its seed, load and faults. */
 export interface EngineRun {
   readonly seed: number;
@@ -365,6 +384,8 @@
   readonly callerShares?: readonly number[];
   /** Share of jobs in memory that are submitted to a second entry of the zone. */
   readonly twiceShare?: number;
+  /** How callers of jobs in memory leave without a notice to their entry. */
+  readonly leaving?: LeavingCallers;
   readonly zones?: readonly string[];
   readonly instancesPerZone?: number;
   /** See {@linkcode WorldOptions.resendMs}. */
@@ -878,6 +899,7 @@
     resubmitShare = 0,
     leaveShare = 0,
     twiceShare = 0,
+    leaving,
     beginMs = LOAD_START_MS,
     endMs = LOAD_END_MS,
     chooseEntry = () =>
@@ -888,6 +910,7 @@
     resubmitShare?: number;
     leaveShare?: number;
     twiceShare?: number;
+    leaving?: LeavingCallers;
     beginMs?: number;
     endMs?: number;
     /** Returns the instance that gets the next job; any one by default. */
@@ -912,6 +935,7 @@
         if (twiceShare > 0 && world.random() < twiceShare) {
           submitTwice(world, record);
         }
+        if (leaving !== undefined) leaveUnnoticed(world, record, leaving);
       }
       scheduleNext(atMs - gapMs * Math.log(1 - world.jobRandom()));
     });
@@ -935,6 +959,41 @@
   });
 }
 
+/** Schedules that the caller of a job leaves, or sends its request twice. */
+function leaveUnnoticed(
+  world: World,
+  record: CallerRecord,
+  leaving: LeavingCallers,
+): void {
+  const { random, queue } = world;
+  const {
+    share,
+    maxNoticeMs,
+    unnoticedShare,
+    elsewhereShare,
+    minElsewhereMs,
+  } = leaving;
+  if (random() < elsewhereShare) {
+    const atMs = queue.nowMs() + minElsewhereMs +
+      MAX_CANCEL_DELAY_MS * random();
+    queue.at(atMs, () => {
+      if (record.outcome === null) world.submitElsewhere(record);
+    });
+    return;
+  }
+  if (random() >= share) return;
+  queue.at(queue.nowMs() + MAX_CANCEL_DELAY_MS * random(), () => {
+    if (record.outcome !== null) return;
+    const isUnnoticed = random() < unnoticedShare;
+    const noticedAfterMs = isUnnoticed ? Infinity : maxNoticeMs * random();
+    const resendMs = pick(world, leaving.resendMs);
+    world.disconnectCaller(record, { noticedAfterMs, resendMs });
+    queue.at(queue.nowMs() + resendMs, () => {
+      if (record.outcome === null) leaveUnnoticed(world, record, leaving);
+    });
+  });
+}
+
 /** Schedules the submission of a job to a second entry, unless it is answered. */
 function submitTwice(world: World, record: CallerRecord): void {
   const atMs = world.queue.nowMs() + MAX_CANCEL_DELAY_MS * world.random();
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -396,6 +396,17 @@
   answeredAtMs: number;
 }
 
+/** Options of `World.disconnectCaller`. */
+export interface DisconnectOptions {
+  /**
+   * Time after which the entry learns that the caller has left; Infinity if it
+   * never does. 0 by default.
+   */
+  readonly noticedAfterMs?: number;
+  /** Overrides {@linkcode WorldOptions.resendMs}. */
+  readonly resendMs?: number;
+}
+
 /** A simulated world. */
 export interface World {
   readonly queue: EventQueue;
@@ -419,11 +430,19 @@
    * caller still waits.
    */
   readonly submitBeside: (record: CallerRecord) => void;
+  /**
+   * Submits a job to a running instance of another zone than that of its entry,
+   * where the caller still waits.
+   */
+  readonly submitElsewhere: (record: CallerRecord) => void;
   /**
    * Closes the connection of a caller that waits for the end of its job. It
    * sends its request again after `resendMs`.
    */
-  readonly disconnectCaller: (record: CallerRecord) => void;
+  readonly disconnectCaller: (
+    record: CallerRecord,
+    options?: DisconnectOptions,
+  ) => void;
   /**
    * Resets the connections of an instance to its peers; messages that have not
    * arrived are lost.
@@ -591,6 +610,8 @@
     { cpuMilli: number; untilMs: number }
   >();
   const latestStarts = new Map<string, LatestStart>();
+  /** Requests whose callers have left, which get no answer any more. */
+  const abandonedRequests = new Set<string>();
   /** The instance of which a worker carries out a start at present. */
   let starterId = "";
   const zoneById = new Map<string, string>();
@@ -989,8 +1010,9 @@
       effect: EffectOf<T>,
     ) => void;
   } = {
-    answerCaller: (_instance, _incarnation, { jobId, reply }) =>
-      handleReply(jobId, reply),
+    answerCaller: (_instance, _incarnation, { requestId, jobId, reply }) => {
+      if (!abandonedRequests.has(requestId)) handleReply(jobId, reply);
+    },
     answerQuery: (_instance, _incarnation, { requestId, reply }) => {
       replyHandlers.get(requestId)?.(reply);
       replyHandlers.delete(requestId);
@@ -1931,14 +1953,31 @@
       queryCount += 1;
       dispatchSubmission(other, record, `${record.jobId}-${queryCount}`);
     },
-    disconnectCaller(record) {
+    submitElsewhere(record) {
+      const { entryId } = record;
+      const zone = instancesById.get(entryId)?.availabilityZone;
+      const others = instances.filter(({ availabilityZone, state }) =>
+        availabilityZone !== zone && state !== null
+      );
+      const other = others[Math.floor(random() * others.length)];
+      if (other === undefined) return;
+      queryCount += 1;
+      dispatchSubmission(other, record, `${record.jobId}-${queryCount}`);
+    },
+    disconnectCaller(record, { noticedAfterMs = 0, resendMs } = {}) {
       const { entryId, requestId, jobId } = record;
       const instance = instancesById.get(entryId) as SimulatedInstance;
-      const type = "callerGone";
-      const nowMs = queue.nowMs();
-      const event = { type, nowMs, requestId, jobId } as const;
-      dispatch(instance, instance.incarnation, event);
-      resendLater(record, options.resendMs ?? 0);
+      const { incarnation } = instance;
+      if (noticedAfterMs > 0) abandonedRequests.add(requestId);
+      const notice = (): void => {
+        const type = "callerGone";
+        const nowMs = queue.nowMs();
+        const event = { type, nowMs, requestId, jobId } as const;
+        dispatch(instance, incarnation, event);
+      };
+      if (noticedAfterMs === 0) notice();
+      else if (noticedAfterMs !== Infinity) runAfter(noticedAfterMs, notice);
+      resendLater(record, resendMs ?? options.resendMs ?? 0);
     },
     resetConnections(instanceId) {
       const instance = instancesById.get(instanceId) as SimulatedInstance;
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -23,6 +23,7 @@
   type EngineRun,
   simulateRun,
 } from "./engine_runs.ts";
+import { drawLeavingRun } from "./leaving_runs.ts";
 
 const first = Number(process.argv[2] ?? 1);
 const last = Number(process.argv[3] ?? first + 59);
@@ -73,6 +74,7 @@
   zones: play(drawZonesRun),
   evacuation: play(drawEvacuationRun),
   sharing: play(drawSharingRun),
+  leaving: play(drawLeavingRun),
   configuration: playConfiguration,
 };
 let runs = 0;
