Zones: a job that another zone has goes there instead of starting

Cause: nothing but the withdrawal stood between the two runs. Each way in which it is late or missing gave a pair; a paused connection, a silent one and a slow link are three of them. Ruled out: noticing sooner alone (silence can't be noticed); asking a leader chosen by the job's id before each first start (a round trip between zones for every request, and a third of all jobs wait while one leader is frozen); waiting by time (a run lasts until its job's deadline). Change: a leader starts no task of a job in memory while the leader of another zone claims it (guard mayRunInOtherZone). The entry is sent there and gets the outcome of the run that goes on; if it can't go there, it answers as unknown at once. A claim of a lost leader holds as long as its runs may go on. If two leaders got the job before their claims met, the younger ends it (mustGiveWay). A new leader waits up to 300 ms for the others' claims (mayMissClaims). A first request waits for no message.

--- a/src/engine/callers.ts
+++ b/src/engine/callers.ts
@@ -338,6 +338,7 @@
     submissionIdOf(callerJob) === submissionId;
   if (!isFinal && !isCurrent) return;
   if (outcome.kind === "refused" && spill(context, callerJob, outcome)) return;
+  if (outcome.kind === "unknown" && follow(context, callerJob, outcome)) return;
   const reported = reportableOutcome(callerJob, outcome);
   if (reported.kind === "refused") leaveTriedZones(context, callerJob);
   answer(context, callerJob, reported);
@@ -370,7 +371,10 @@
 function spill(
   context: ReduceContext,
   callerJob: CallerJob,
-  { reason, elsewhere }: Extract<JobOutcome, { kind: "refused" }>,
+  { reason, elsewhere, isHeldElsewhere }: Extract<
+    JobOutcome,
+    { kind: "refused" }
+  >,
 ): boolean {
   const { state } = context;
   const { job, queue, triedZones, mayHaveStarted, spilledToZone } = callerJob;
@@ -390,7 +394,8 @@
   }
   if (triedZones.length >= MAX_HAND_OVERS) return false;
   if (submitElsewhere(context, callerJob, { fromZone, zone })) return true;
-  if (elsewhere === undefined) return false;
+  // The job may run in the other zone.
+  if (elsewhere === undefined || isHeldElsewhere === true) return false;
   // The leader hears the other zone, and this instance does not.
   state.counters.handOversFailed += 1;
   triedZones.push(zone);
@@ -404,6 +409,26 @@
   return true;
 }
 
+/**
+ * Submits a job that its leader has ended to the zone that has the job, too, where
+ * it counts as one that may have started. Returns whether it was submitted.
+ */
+function follow(
+  context: ReduceContext,
+  callerJob: CallerJob,
+  { elsewhere }: Extract<JobOutcome, { kind: "unknown" }>,
+): boolean {
+  const { state } = context;
+  const { job, triedZones, spilledToZone } = callerJob;
+  if (elsewhere === undefined || job.isRecorded === true) return false;
+  if (mustDefer(state, callerJob)) return false;
+  const fromZone = spilledToZone ?? state.self.availabilityZone;
+  if (elsewhere === fromZone || triedZones.includes(elsewhere)) return false;
+  if (triedZones.length >= MAX_HAND_OVERS) return false;
+  callerJob.mayHaveStarted = true;
+  return submitElsewhere(context, callerJob, { fromZone, zone: elsewhere });
+}
+
 /** Lets a job that was refused be submitted to its own cell once more. */
 function returnToOwnCell(callerJob: CallerJob): void {
   callerJob.submittedTo = null;
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -22,6 +22,11 @@
  */
 const UNREAD_ENDS_TIMEOUT_MS = 50;
 
+/** Difference of the ages of a job from which on two leaders agree on it. */
+const CROSSING_CLAIMS_MS = 100;
+/** Time for which a new leader waits for the claims of others. */
+const CLAIMS_TIMEOUT_MS = 300;
+
 /** The conditions that apply in production. */
 export const defaultGuards: Guards = {
   /** A recorded job starts only after its record has been persisted. */
@@ -86,6 +91,22 @@
     (cause === "reassigned" && !wasFenced),
   /** Runs of a previous leader may continue until their leases have expired. */
   mayRunElsewhere: (nowMs, expiresAtMs) => nowMs < expiresAtMs,
+  /** No task of a job in memory starts while the leader of another zone has it. */
+  mayRunInOtherZone: (claim) => claim !== null,
+  /**
+   * Of two leaders with the same job, one ends it: the one that got it clearly
+   * later. If their claims have crossed, the order of the zones decides, since
+   * the two may see their ages differently.
+   */
+  mustGiveWay: (own, other) => {
+    const isCrossing = Math.abs(own.heldMs - other.heldMs) < CROSSING_CLAIMS_MS;
+    return isCrossing ? other.zone < own.zone : own.heldMs < other.heldMs;
+  },
+  /**
+   * A new leader does not know yet which jobs the leaders of other zones have. It
+   * waits for their claims, but not for one that doesn't answer.
+   */
+  mayMissClaims: (leadingMs) => leadingMs < CLAIMS_TIMEOUT_MS,
   /**
    * The runs of a previous leader are known once the lists of all its workers
    * have been read, which are those of this leader only if both list the same.
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -28,6 +28,7 @@
   WorkerRoom,
 } from "./types.ts";
 import { createStartableWorkers } from "./zones/evacuation.ts";
+import { isHeldElsewhere } from "./zones/job_claims.ts";
 
 /**
  * Workers whose slowness rounds to the same multiple of this value count as
@@ -70,6 +71,7 @@
     const job = waiting[at] as Job;
     if (
       job.outcome !== null || isPaused(state, job) ||
+      isHeldElsewhere(state, scheduler, job) ||
       mayHaveUnknownRuns(state, { job, listsReadAtMs })
     ) {
       at += 1;
--- a/src/engine/reduce.ts
+++ b/src/engine/reduce.ts
@@ -113,9 +113,9 @@
   onEvacuationsRead,
   onEvacuationsUnreadable,
 } from "./zones/evacuation.ts";
+import { onClaims } from "./zones/claim_conflicts.ts";
 import {
   checkClaims,
-  onClaims,
   onClaimsWanted,
   resendClaims,
 } from "./zones/job_claims.ts";
@@ -224,6 +224,7 @@
       jobClaimsSent: 0,
       jobClaimsReceived: 0,
       jobsInTwoZones: 0,
+      jobsFollowed: 0,
       tasksStarted: 0,
       tasksDone: 0,
       tasksFailed: 0,
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -290,6 +290,8 @@
     retryAfterMs: z.number(),
     /** Zone whose leader is to get the job instead, if any. */
     elsewhere: z.string().nullable().optional(),
+    /** That leader has the job; otherwise it gets a job that waits too long. */
+    isHeldElsewhere: z.boolean().optional(),
   }),
   /**
    * Tasks may have run, but the outcome is unknown. `storeAway` means that the
@@ -304,6 +306,8 @@
       "storeAway",
       "internalError",
     ]),
+    /** Zone whose leader has the job, and is to get it from this entry, too. */
+    elsewhere: z.string().optional(),
   }),
 ]);
 
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -33,7 +33,7 @@
   Scheduler,
 } from "./types.ts";
 import { rereadWorkers } from "./workers.ts";
-import { claimJob } from "./zones/job_claims.ts";
+import { claimJob, outcomeElsewhere } from "./zones/job_claims.ts";
 import {
   countOrigin,
   handedOverOutcome,
@@ -84,9 +84,10 @@
     addSubmission(context, scheduler, { job: known, from, message });
     return;
   }
-  const refusal = known === undefined
-    ? refuseForMemory(context, scheduler, { from, message })
-    : null;
+  const refusal = outcomeElsewhere(context, scheduler, { message, known }) ??
+    (known === undefined
+      ? refuseForMemory(context, scheduler, { from, message })
+      : null);
   if (refusal !== null) {
     const { jobId, submissionId } = message;
     const type = "jobEnded";
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -36,6 +36,8 @@
   WorkerInfo,
 } from "./schemas.ts";
 import type {
+  HeldJob,
+  JobClaim,
   JobClaims,
   RoomByService,
   UsualRate,
@@ -1263,6 +1265,8 @@
   jobClaimsReceived: number;
   /** Jobs that this leader had while that of another zone claimed them. */
   jobsInTwoZones: number;
+  /** Submissions whose entries were sent to the zone that has the job. */
+  jobsFollowed: number;
   tasksStarted: number;
   tasksDone: number;
   tasksFailed: number;
@@ -1394,6 +1398,9 @@
     cause: AcquisitionCause,
   ) => boolean;
   readonly mayRunElsewhere: (nowMs: number, expiresAtMs: number) => boolean;
+  readonly mayRunInOtherZone: (claim: JobClaim | null) => boolean;
+  readonly mustGiveWay: (own: HeldJob, other: HeldJob) => boolean;
+  readonly mayMissClaims: (leadingMs: number) => boolean;
   readonly mayHaveUnlistedRuns: (listsSameWorkers: boolean) => boolean;
   readonly mustGiveUp: (
     task: Pick<Task, "crashes" | "crashedAlone">,
--- a/src/engine/zones/job_claims.ts
+++ b/src/engine/zones/job_claims.ts
@@ -7,13 +7,19 @@
  * A leader requests the claims of each other leader, and gets all of them, and
  * from then on each new one. A claim is withdrawn (`released`) once the job may
  * start elsewhere; otherwise it expires with the memory of the job's outcome.
+ *
+ * An entry that submits a job that another zone has is sent there and gets the
+ * same outcome as the first one. Messages about a job may cross: then one of the
+ * two leaders ends the job, see `claim_conflicts.ts`.
  */
 
 import { logDecision, sendPeer } from "../effects.ts";
 import { ENDED_JOB_RETENTION_MS } from "../job_table.ts";
 import { jobIdOf } from "../job_state.ts";
-import { isActiveLeader } from "../leader_lookup.ts";
-import type { PeerMessageOf } from "../schemas.ts";
+import { isActiveLeader, leaderOfZone } from "../leader_lookup.ts";
+import { isLive } from "../membership.ts";
+import { maxRunOutlastMs } from "../previous_runs.ts";
+import type { JobOutcome, PeerMessageOf } from "../schemas.ts";
 import type {
   EngineState,
   Job,
@@ -31,6 +37,8 @@
 const SWEEP_INTERVAL_MS = 1_000;
 /** Time without a heartbeat as a leader after which a subscriber is forgotten. */
 const SUBSCRIBER_TIMEOUT_MS = 1_000;
+/** Retry delay that callers get if the other zone cannot be reached. */
+const RETRY_AFTER_MS = 250;
 /** Maximum number of claims of other leaders; the oldest ones are dropped. */
 const MAX_CLAIMS = 65_536;
 
@@ -141,20 +149,20 @@
   return mayAnswer || claims.ending.has(jobId);
 }
 
-/** Handles claims of the leader of another zone. */
-export function onClaims(
-  context: ReduceContext,
+/**
+ * Handles claims of the leader of another zone. Returns the ids of the claimed
+ * jobs.
+ */
+export function storeClaims(
+  { state }: ReduceContext,
   from: string,
-  message: ClaimsMessage,
-): void {
-  const { state } = context;
-  const { scheduler } = state;
-  const peer = state.peers.get(from);
-  if (scheduler === null || peer === undefined) return;
-  const zone = peer.info.availabilityZone;
-  if (!state.hasZoneCells || zone === state.self.availabilityZone) return;
+  { term, isComplete, claims, released }: ClaimsMessage,
+): string[] {
+  const { scheduler, nowMs } = state;
+  const zone = state.peers.get(from)?.info.availabilityZone;
+  if (scheduler === null || zone === undefined) return [];
+  if (!state.hasZoneCells || zone === state.self.availabilityZone) return [];
   const { byJob, sources } = scheduler.claims;
-  const { term, isComplete, claims, released } = message;
   if (isComplete) {
     const source = sources.get(from);
     if (source?.term === term) source.isAnswered = true;
@@ -166,17 +174,16 @@
     if (byJob.get(jobId)?.leaderId === from) byJob.delete(jobId);
   }
   for (const [jobId, { forMs, heldMs }] of Object.entries(claims)) {
-    const claim = {
+    storeClaim(byJob, jobId, {
       zone,
       leaderId: from,
       term,
-      receivedAtMs: state.nowMs - heldMs,
-      expiresAtMs: state.nowMs + forMs,
-    };
-    storeClaim(byJob, jobId, claim);
+      receivedAtMs: nowMs - heldMs,
+      expiresAtMs: nowMs + forMs,
+    });
     state.counters.jobClaimsReceived += 1;
-    reportConflict(context, { jobId, claim });
   }
+  return Object.keys(claims);
 }
 
 function storeClaim(
@@ -192,29 +199,105 @@
   if (oldest !== undefined) byJob.delete(oldest);
 }
 
-/** Logs that this leader has a job that the leader of another zone has, too. */
-function reportConflict(
+/**
+ * Returns the claim of a job by the leader of another zone, or null if no run of
+ * that leader can go on.
+ */
+export function claimElsewhere(
+  state: EngineState,
+  { claims }: Scheduler,
+  jobId: string,
+): JobClaim | null {
+  const claim = claims.byJob.get(jobId);
+  if (claim === undefined || state.nowMs >= claim.expiresAtMs) return null;
+  const { zone, leaderId, expiresAtMs } = claim;
+  if (leaderOfZone(state, zone) !== null) return claim;
+  // A leader that is cut off with its zone has the job until its deadline.
+  const untilMs = hasLiveInstance(state, zone)
+    ? (state.peers.get(leaderId)?.lastMessageAtMs ?? -Infinity) +
+      maxRunOutlastMs(state)
+    : expiresAtMs - ENDED_JOB_RETENTION_MS;
+  return state.nowMs < untilMs ? claim : null;
+}
+
+function hasLiveInstance(state: EngineState, zone: string): boolean {
+  return [...state.peers.values()].some((peer) =>
+    peer.info.availabilityZone === zone && isLive(state, peer)
+  );
+}
+
+/**
+ * Whether no task of a job starts, since the leader of another zone has the job,
+ * or may have it.
+ */
+export function isHeldElsewhere(
+  state: EngineState,
+  scheduler: Scheduler,
+  { jobId, record }: Job,
+): boolean {
+  if (record !== null || !state.hasZoneCells) return false;
+  const { guards, nowMs } = state;
+  const claim = claimElsewhere(state, scheduler, jobId);
+  if (guards.mayRunInOtherZone(claim)) return true;
+  return guards.mayMissClaims(nowMs - scheduler.startedAtMs) &&
+    awaitsClaims(state, scheduler);
+}
+
+/** Whether another leader has not sent its claims yet. */
+function awaitsClaims(state: EngineState, { claims }: Scheduler): boolean {
+  return otherLeaders(state).some(({ info, term }) => {
+    const source = claims.sources.get(info.instanceId);
+    return source?.term !== term || !source.isAnswered;
+  });
+}
+
+/**
+ * Returns the outcome that sends an entry to the zone that has its job; null if
+ * there is none, or if the entry can't submit the job there.
+ */
+export function outcomeElsewhere(
   context: ReduceContext,
-  { jobId, claim }: { jobId: string; claim: JobClaim },
-): void {
+  scheduler: Scheduler,
+  { message, known }: {
+    message: PeerMessageOf<"submit">;
+    known: Job | undefined;
+  },
+): JobOutcome | null {
   const { state } = context;
-  const job = state.scheduler?.jobs.get(jobId);
-  if (job === undefined || job.record !== null || job.outcome !== null) return;
-  // The leader of that zone has handed the job over, which it says later.
-  if (job.triedZones?.includes(claim.zone) === true) return;
-  state.counters.jobsInTwoZones += 1;
+  const { jobId, job, triedZones, resubmitted } = message;
+  if (job.isRecorded === true || !state.hasZoneCells) return null;
+  const claim = claimElsewhere(state, scheduler, jobId);
+  if (!state.guards.mayRunInOtherZone(claim) || claim === null) return null;
+  const { zone, leaderId, term } = claim;
+  const leader = leaderOfZone(state, zone);
+  if (leader === null || triedZones?.includes(zone) !== false) return null;
+  state.counters.jobsFollowed += 1;
   logDecision(context, {
-    level: "warn",
     part: "zones",
-    text: "job is in work in two zones",
-  }, {
-    jobId,
-    otherZone: claim.zone,
-    otherLeaderId: claim.leaderId,
-    heldMs: Math.round(state.nowMs - job.receivedAtMs),
-    heldThereMs: Math.round(state.nowMs - claim.receivedAtMs),
-    entryIds: [...job.submissionIdByEntry.keys()],
-  });
+    text: "job is in work in another zone; its entry is sent there",
+  }, { jobId, toZone: zone, otherLeaderId: leaderId, resubmitted });
+  // The next leader of that zone has to look for runs of the one before.
+  const isSameTerm = leader.instanceId === leaderId && leader.term === term;
+  const mayHaveStarted = resubmitted || known?.mayHaveStarted === true ||
+    !isSameTerm;
+  return elsewhereOutcome(zone, { mayHaveStarted });
+}
+
+/** Returns the outcome that sends the entries of a job to the zone that has it. */
+export function elsewhereOutcome(
+  zone: string,
+  { mayHaveStarted }: { mayHaveStarted: boolean },
+): JobOutcome {
+  if (mayHaveStarted) {
+    return { kind: "unknown", reason: "leaderLost", elsewhere: zone };
+  }
+  return {
+    kind: "refused",
+    reason: "overloaded",
+    retryAfterMs: RETRY_AFTER_MS,
+    elsewhere: zone,
+    isHeldElsewhere: true,
+  };
 }
 
 /** Exchanges claims with the leaders of other zones, if zones have leaders. */
--- a/src/engine/zones/movable_jobs.ts
+++ b/src/engine/zones/movable_jobs.ts
@@ -5,6 +5,7 @@
 import { hasQueuedTasks } from "../queue.ts";
 import { isHeldBack } from "../suspected_queues.ts";
 import type { EngineState, Job, JobOutcome } from "../types.ts";
+import { isHeldElsewhere } from "./job_claims.ts";
 
 /** Whether a job may go to another zone, and its entries can take it there. */
 export function isMovable(state: EngineState, job: Job): boolean {
@@ -12,6 +13,10 @@
   if (!state.guards.mayHandOver(state.nowMs, job)) return false;
   // Its tasks would crash workers of other zones, too.
   if (isHeldBack(state, job)) return false;
+  const { scheduler } = state;
+  if (scheduler !== null && isHeldElsewhere(state, scheduler, job)) {
+    return false;
+  }
   return hasQueuedTasks(job) && !isPaused(state, job);
 }
 
--- a/src/engine/zones/sharing_test.ts
+++ b/src/engine/zones/sharing_test.ts
@@ -19,17 +19,19 @@
 import {
   createEntry,
   createLeader,
+  endJob,
   hear,
   IDLE,
+  JOB_ID,
   OTHER_ZONES,
   START_MS,
   submit,
+  submitCaller,
+  targetsOf,
   zonesOf,
   zoneWorkers,
 } from "./testing.ts";
 
-const JOB_ID = "00000000000000aa";
-
 test("a leader hands a job over that would wait too long", () => {
   const leader = createLeader();
   expect(effectsOf(submit(leader, "0a"), "startTask").length).toEqual(4);
@@ -207,47 +209,20 @@
   expect(zonesOf(submit(leader, "0b")).filter((zone) => zone)).toEqual([]);
 });
 
-/** A caller submits a job at an instance. */
-function submitCaller(entry: TestInstance, job = testJob(1)): Effect[] {
-  return entry.after(0, {
-    type: "callerSubmit",
-    requestId: "r",
-    jobId: JOB_ID,
-    queue: testQueue,
-    job,
-    timeoutMs: 6_000,
-    answerAt: "ended",
-  });
-}
-
-/** The home leader `lpoa` of an entry refuses its job and names a zone. */
+/** A leader refuses the job of an entry and names a zone. */
 function refuse(
   entry: TestInstance,
   from: string,
   elsewhere: string | null,
 ): Effect[] {
-  const callerJob = entry.state.callerJobs.get(JOB_ID)!;
-  const submissionId =
-    `${callerJob.submissionPrefix}.${callerJob.submissionCount}`;
-  return entry.receive(from, {
-    type: "jobEnded",
-    jobId: JOB_ID,
-    submissionId,
-    outcome: {
-      kind: "refused",
-      reason: "overloaded",
-      retryAfterMs: 250,
-      elsewhere,
-    },
+  return endJob(entry, from, {
+    kind: "refused",
+    reason: "overloaded",
+    retryAfterMs: 250,
+    elsewhere,
   });
 }
 
-function targetsOf(effects: readonly Effect[]): string[] {
-  return effectsOf(effects, "sendPeer")
-    .filter(({ message }) => message.type === "submit")
-    .map(({ instanceId }) => instanceId);
-}
-
 // Another entry may have followed the last hand-over: the job may run there.
 test("an entry follows two hand-overs, and doesn't tell of the third as a refusal", () => {
   const entry = createEntry(OTHER_ZONES);
--- a/src/engine/zones/testing.ts
+++ b/src/engine/zones/testing.ts
@@ -1,6 +1,6 @@
 /** Helpers for tests of zones with a leader each: instances of the zone `poa`. */
 
-import type { PeerMessageOf, WorkerInfo } from "../schemas.ts";
+import type { JobOutcome, PeerMessageOf, WorkerInfo } from "../schemas.ts";
 import {
   createTestInstance,
   effectsOf,
@@ -9,11 +9,14 @@
   type TestInstance,
   testInstanceInfo,
   testJob,
+  testQueue,
   testSubmission,
   testWorker,
 } from "../testing.ts";
 import type { Effect } from "../types.ts";
 
+/** The job of {@linkcode submitCaller}. */
+export const JOB_ID = "00000000000000aa";
 /** Leaders of other zones, each named like its zone with an `l` before it. */
 export const OTHER_ZONES = ["caxias", "pelotas"];
 /** A report of room for any job. */
@@ -59,7 +62,7 @@
  * An instance of the zone `poa`, which has two workers, before it leads it. One of
  * the zones may have a large worker.
  */
-function createInstance(
+export function createInstance(
   { otherWorkers = 55, largeZone }: {
     otherWorkers?: number;
     largeZone?: string;
@@ -139,3 +142,40 @@
     outcome.kind === "refused" ? outcome.elsewhere ?? undefined : undefined
   );
 }
+
+/** A caller submits a job at an instance. */
+export function submitCaller(entry: TestInstance, job = testJob(1)): Effect[] {
+  return entry.after(0, {
+    type: "callerSubmit",
+    requestId: "r",
+    jobId: JOB_ID,
+    queue: testQueue,
+    job,
+    timeoutMs: 6_000,
+    answerAt: "ended",
+  });
+}
+
+/** A leader reports the outcome of the latest submission of {@linkcode JOB_ID}. */
+export function endJob(
+  entry: TestInstance,
+  from: string,
+  outcome: JobOutcome,
+): Effect[] {
+  const callerJob = entry.state.callerJobs.get(JOB_ID)!;
+  const submissionId =
+    `${callerJob.submissionPrefix}.${callerJob.submissionCount}`;
+  return entry.receive(from, {
+    type: "jobEnded",
+    jobId: JOB_ID,
+    submissionId,
+    outcome,
+  });
+}
+
+/** Returns the instances to which jobs are submitted by some effects. */
+export function targetsOf(effects: readonly Effect[]): string[] {
+  return effectsOf(effects, "sendPeer")
+    .filter(({ message }) => message.type === "submit")
+    .map(({ instanceId }) => instanceId);
+}
--- a/src/engine/zones/zone_types.ts
+++ b/src/engine/zones/zone_types.ts
@@ -68,6 +68,13 @@
   readonly expiresAtMs: number;
 }
 
+/** A job in memory that one of two leaders has. */
+export interface HeldJob {
+  readonly zone: string;
+  /** Time since its entry received it. */
+  readonly heldMs: number;
+}
+
 /** The leader of another zone whose claims were requested. */
 export interface ClaimSource {
   readonly term: number;
