HTTP bodies: one growing buffer instead of each chunk

Cause: readText kept each chunk as a Buffer of its own until the end. Ruled out: a limit on the chunks of a body, which a client within the limits can meet. Change: chunks are copied into one buffer that doubles up to the longest body. A body that is too long leaves its connection open for the 413, which closes it.

--- a/process_tests/own_interface_test.ts
+++ b/process_tests/own_interface_test.ts
@@ -40,7 +40,35 @@
   return head("POST", path, TEAM_KEY, body.length) + body;
 }
 
-const cases = [
+/** The head of a request whose body has an unknown length. */
+function chunkedHead(method: string, path: string, key: string): string {
+  return head(method, path, key)
+    .replace("Content-Length: 0", "Transfer-Encoding: chunked");
+}
+
+const ONE_BYTE_CHUNK = "1\r\nc\r\n";
+
+const cases: {
+  name: string;
+  text: string;
+  writes: number;
+  /** What each connection sends first; nothing by default. */
+  first?: string;
+  isAdmin?: boolean;
+}[] = [
+  {
+    name: "chunked jobs of one byte a chunk, short of their end",
+    first: chunkedHead("POST", "/v1/jobs", TEAM_KEY),
+    text: ONE_BYTE_CHUNK,
+    writes: 1_000,
+  },
+  {
+    name: "chunked configurations of one byte a chunk, short of their end",
+    first: chunkedHead("PUT", "/v1/configuration", OPERATOR_KEY),
+    text: ONE_BYTE_CHUNK,
+    writes: 1_000,
+    isAdmin: true,
+  },
   { name: "pipelined jobs", text: submission(), writes: 10 },
   {
     name: "pipelined jobs to be stored",
@@ -151,14 +179,14 @@
 }
 
 // As untrusted_clients_test.ts, for callers and operators of our own interface.
-for (const { name, text, writes, isAdmin = false } of cases) {
+for (const { name, text, writes, first = "", isAdmin = false } of cases) {
   test(`an instance of our own interface withstands ${name}`, async () => {
     const { instance, adminPort, stop } = await startInstance();
     const { ip, ports: { callers } } = instance;
     const clients = startClients({ ip, port: isAdmin ? adminPort : callers }, {
       connections: 8,
       writes,
-      write: () => text.repeat(200),
+      write: (_, write) => (write === 0 ? first : "") + text.repeat(200),
     });
     const readJobs = async () => {
       const { sizes } = await callControl<{ sizes: { callerJobs: number } }>(
--- a/process_tests/untrusted_clients_test.ts
+++ b/process_tests/untrusted_clients_test.ts
@@ -62,6 +62,12 @@
   return `${method} ${path} HTTP/1.1\r\n${host}\r\n`;
 }
 
+/** The head of a job whose body has an unknown length. */
+function chunkedHead(connection: number): string {
+  return `POST ${jobPath(connection, 0)} HTTP/1.1\r\nHost: ${HOST}\r\n` +
+    "Transfer-Encoding: chunked\r\n\r\n";
+}
+
 /** A specification of 4,000 bytes that the stand-ins of workers can read. */
 const SPEC = JSON.stringify({ runMs: 20, cpuMilli: 100, pad: "" })
   .replace('""', `"${"s".repeat(4_000 - 36)}"`);
@@ -155,6 +161,34 @@
           : `4000\r\n${"c".repeat(16_384)}\r\n`,
     },
   },
+  {
+    name: "chunked bodies of one byte a chunk, short of their end",
+    clients: {
+      connections: 40,
+      writes: 60,
+      write: (connection, write) =>
+        write === 0 ? chunkedHead(connection) : "1\r\nc\r\n".repeat(1_000),
+    },
+  },
+  {
+    name: "chunked bodies of large chunks, short of their end",
+    clients: {
+      connections: 200,
+      writes: 5,
+      write: (connection, write) =>
+        write === 0
+          ? chunkedHead(connection)
+          : `ea60\r\n${"c".repeat(60_000)}\r\n`,
+    },
+  },
+  {
+    name: "pipelined GETs of unknown jobs on many connections",
+    clients: {
+      connections: 240,
+      writes: 20,
+      write: pipeline((path) => plain("GET", path)),
+    },
+  },
   {
     name: "upgrade requests",
     clients: {
--- a/src/host/http_body.ts
+++ b/src/host/http_body.ts
@@ -2,17 +2,70 @@
 
 import type { IncomingMessage } from "node:http";
 
-/** Reads a whole body as UTF-8; resolves with null if it exceeds `maxBytes`. */
-export async function readText(
+/** Size of the first buffer of a body that arrives in several chunks. */
+const MIN_CAPACITY_BYTES = 1_024;
+
+/**
+ * Reads a whole body as UTF-8; resolves with null, and reads no further, if it
+ * exceeds `maxBytes`. Chunks are copied into one buffer at once, since a chunk of
+ * one byte takes hundreds of bytes as long as it is kept.
+ *
+ * @throws {Error} if the connection ends before the body does.
+ *
+ * @example
+ * ```ts
+ * const text = await readText(request, 262_144);
+ * ```
+ */
+export function readText(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<string | null> {
-  const chunks: Buffer[] = [];
+  return new Promise((resolve, reject) => {
+    const body = createBodyBuffer(maxBytes);
+    const onData = (chunk: Buffer): void => {
+      if (body.add(chunk)) return;
+      request.off("data", onData);
+      request.pause();
+      resolve(null);
+    };
+    request.on("data", onData);
+    request.once("end", () => resolve(body.text()));
+    request.once("error", reject);
+    request.once("close", () => {
+      if (!request.complete) reject(new Error("request body is incomplete"));
+    });
+  });
+}
+
+/** A buffer that grows with what is added to it. */
+interface BodyBuffer {
+  /** Returns whether the chunk was added; false if the body is too large. */
+  readonly add: (chunk: Buffer) => boolean;
+  readonly text: () => string;
+}
+
+function createBodyBuffer(maxBytes: number): BodyBuffer {
+  let buffer = Buffer.alloc(0);
   let length = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > maxBytes) return null;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString("utf8");
+  return {
+    add(chunk) {
+      const neededBytes = length + chunk.length;
+      if (neededBytes > maxBytes) return false;
+      if (neededBytes > buffer.length) {
+        const capacityBytes = Math.max(
+          neededBytes,
+          Math.min(maxBytes, 2 * buffer.length),
+          Math.min(maxBytes, MIN_CAPACITY_BYTES),
+        );
+        const larger = Buffer.allocUnsafeSlow(capacityBytes);
+        buffer.copy(larger, 0, 0, length);
+        buffer = larger;
+      }
+      chunk.copy(buffer, length);
+      length = neededBytes;
+      return true;
+    },
+    text: () => buffer.toString("utf8", 0, length),
+  };
 }
