Guarded listeners: bound the requests of one turn of the event loop

Cause: what one chunk brings is parsed whole before its connection is paused or closed, and a closed connection gives its memory back only after the turn of the event loop. The chunks of 300 connections in one turn are above the heap, whatever is decided about their requests. Ruled out: a lower limit of requests for a connection, which a chunk exceeds before the limit counts; a stream of our own between socket and parser, which each request pays for. Change: after 512 requests in a turn, the other connections are not read until the turn ends.

--- a/src/host/client_limits.ts
+++ b/src/host/client_limits.ts
@@ -43,6 +43,11 @@
   readonly maxRunning: number;
   /** Requests of one connection that were read and have no read answer. */
   readonly maxOpen: number;
+  /**
+   * Requests of all connections in one turn of the event loop after which no
+   * other connection is read in that turn.
+   */
+  readonly maxRequestsPerTurn: number;
   /** Time for which a client may leave a new connection without a request. */
   readonly firstRequestTimeoutMs: number;
   /** Time within which the header of a request has to be complete. */
@@ -233,6 +238,7 @@
     ),
     maxRunning: 32,
     maxOpen: 512,
+    maxRequestsPerTurn: 512,
     // A client leaves a connection idle for at most 15,000 ms, and completes its
     // header within 3,000 ms.
     firstRequestTimeoutMs: 15_000,
--- a/src/host/client_limits_test.ts
+++ b/src/host/client_limits_test.ts
@@ -166,6 +166,29 @@
   expect(heap).toSatisfy((sum) => sum < 0.9 * 160 * MB);
 });
 
+/** A chunk that Node reads at a time, and the shortest request that counts. */
+const CHUNK_BYTES = 65_536;
+const MIN_REQUEST_BYTES = "GET / HTTP/1.1\r\nHost:\r\n\r\n".length;
+const MIN_REQUEST_COST_BYTES = costOfRequest({
+  contentLength: 0,
+  isChunked: false,
+  receivedBytes: 0,
+});
+
+for (const connections of [1, 8, 60, 300, callers.maxConnections]) {
+  test(`client limits: ${connections} connections that send ahead fit the heap`, () => {
+    const { peers, maxCostBytes, maxJobBytesAtLeader } = smallest;
+    const perChunk = Math.floor(CHUNK_BYTES / MIN_REQUEST_BYTES);
+    const inTurn = Math.min(
+      connections * perChunk,
+      callers.maxRequestsPerTurn + perChunk,
+    );
+    const heap = 1.25 * maxCostBytes + inTurn * MIN_REQUEST_COST_BYTES +
+      maxJobBytesAtLeader + peers.maxIncompleteLength;
+    expect(heap).toSatisfy((sum) => sum < 160 * MB);
+  });
+}
+
 test("client limits: an announcement of any length leaves most of the budget", () => {
   const costBytes = costOfRequest({
     contentLength: 1e15,
--- a/src/host/guarded_server.ts
+++ b/src/host/guarded_server.ts
@@ -101,6 +101,8 @@
   seenBytes: number;
   served: number;
   isPaused: boolean;
+  /** It is not read in this turn of the event loop, see `holdOthers`. */
+  isHeld: boolean;
   isClosed: boolean;
   checkScheduled: boolean;
   /** Time since which a sweep has seen the connection stalled; 0 if it isn't. */
@@ -168,6 +170,9 @@
   const connections = new Map<Socket, Connection>();
   const connectionsByAddress = new Map<string, number>();
   let openCount = 0;
+  let requestsInTurn = 0;
+  /** Connections that are not read in this turn of the event loop. */
+  const held: Connection[] = [];
   const handlers = server.listeners("request") as ((
     request: IncomingMessage,
     response: ServerResponse,
@@ -224,6 +229,7 @@
       seenBytes: 0,
       served: 0,
       isPaused: false,
+      isHeld: false,
       isClosed: false,
       checkScheduled: false,
       stalledSinceMs: 0,
@@ -236,7 +242,7 @@
     socket.once("close", () => forget(connection));
     // Node resumes a connection after each request and to read a body.
     socket.on("resume", () => {
-      if (connection.isPaused) stopReading(socket);
+      if (connection.isPaused || connection.isHeld) stopReading(socket);
     });
     const counts = { connections: connections.size, ofAddress };
     const excess = excessOf(counts, limits);
@@ -330,7 +336,39 @@
     if (pauses) {
       if (!isPaused) budget.count("clientConnectionsPaused", { listener });
       stopReading(socket);
-    } else if (isPaused) socket.resume();
+    } else if (isPaused && !connection.isHeld) socket.resume();
+  }
+
+  /**
+   * Counts a request of this turn of the event loop. A connection that is closed
+   * gives its memory back after the turn, so that the chunks of many connections
+   * in one turn would exhaust it, whatever is decided about their requests.
+   */
+  function countInTurn(connection: Connection): void {
+    if (requestsInTurn === 0) setImmediate(endTurn);
+    requestsInTurn += 1;
+    if (requestsInTurn === limits.maxRequestsPerTurn) holdOthers(connection);
+  }
+
+  /** Reads nothing from other connections until the turn ends. */
+  function holdOthers(reading: Connection): void {
+    budget.count("clientReadsDelayed", { listener });
+    for (const connection of connections.values()) {
+      const { isPaused, isClosed, socket } = connection;
+      if (connection === reading || isPaused || isClosed) continue;
+      connection.isHeld = true;
+      held.push(connection);
+      stopReading(socket);
+    }
+  }
+
+  function endTurn(): void {
+    requestsInTurn = 0;
+    for (const connection of held.splice(0)) {
+      connection.isHeld = false;
+      const { isPaused, isClosed, socket } = connection;
+      if (!isPaused && !isClosed) socket.resume();
+    }
   }
 
   function receive(
@@ -339,7 +377,9 @@
     handle: (open: OpenRequest) => void,
   ): void {
     const connection = connections.get(request.socket);
-    if (connection === undefined || connection.isClosed) return;
+    if (connection === undefined) return;
+    countInTurn(connection);
+    if (connection.isClosed) return;
     const { socket, address } = connection;
     const receivedBytes = socket.bytesRead - connection.seenBytes;
     connection.seenBytes += receivedBytes;
--- a/src/host/guarded_server_test.ts
+++ b/src/host/guarded_server_test.ts
@@ -131,6 +131,33 @@
   close();
 });
 
+// What the chunks of many connections brought in one turn of the event loop was
+// above the heap, and closed connections kept their memory until its end.
+test("the requests of one turn of the event loop are bounded", async () => {
+  const limits = { maxRequestsPerTurn: 30 };
+  const { tracked, handled, open, close, budget } = await setUp({ limits });
+  let inTurn = 0;
+  let maxInTurn = 0;
+  tracked.server.prependListener("request", () => {
+    if (inTurn === 0) setImmediate(() => inTurn = 0);
+    inTurn += 1;
+    maxInTurn = Math.max(maxInTurn, inTurn);
+  });
+  const sockets: Socket[] = [];
+  for (let index = 0; index < 12; index += 1) sockets.push(await open());
+  for (const socket of sockets) {
+    socket.resume();
+    socket.write(GET.repeat(20));
+  }
+  for (let answered = 0; answered < 12 * 20; answered += 1) {
+    await waitFor(() => handled.length > 0);
+    handled.shift()?.end("x");
+  }
+  expect(maxInTurn).toSatisfy((count) => count < 30 + 20);
+  expect(valueOf(budget, "clientReadsDelayed")).toSatisfy((count) => count > 0);
+  close();
+});
+
 // Node answers a request that expects something unknown without a listener.
 for (const extra of ["", "expect: x\r\n"]) {
   test(`too many parsed requests ${extra.trim()} end their connection, with one line`, async () => {
