--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -24,6 +24,7 @@
   unequalCoresOf,
   ZONE_ROWS,
 } from "./engine_runs.ts";
+import { drawLeavingRun } from "./leaving_runs.ts";
 
 const always = (): boolean => true;
 const never = (): boolean => false;
@@ -86,6 +87,12 @@
   startBesideHandOver: { afterHandOver: () => "start" },
 };
 
+/** The mutants that matter when callers come again in another zone. */
+export const leavingMutants: Record<string, Partial<Guards>> = {
+  startBesideClaim: { mayRunInOtherZone: never },
+  startBeforeClaims: { mayMissClaims: never },
+};
+
 /** The mutants that runs of a large fleet show, which take longer. */
 export const grownMutants: Record<string, Partial<Guards>> = {
   keepTerm: { mustFollowAnew: never },
@@ -110,6 +117,7 @@
   ...zoneMutants,
   ...evacuationMutants,
   ...sharingMutants,
+  ...leavingMutants,
   ...grownMutants,
   ...restartMutants,
 };
@@ -189,6 +197,10 @@
   trustReportAge: (seed) => drawEvacuationRun(EVACUATION_ROWS * seed + 7),
   handOverStarted: drawSharingRun,
   startBesideHandOver: (seed) => drawSharingRun(SHARING_ROWS * seed),
+  // Nothing is violated in these runs without a mutant.
+  startBesideClaim: (seed) => drawLeavingRun(2 + seed),
+  // A zone has a new leader while callers come again.
+  startBeforeClaims: (seed) => drawLeavingRun(87 + seed),
   restoreAtOnce: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 4),
 };
 
