Zones: claims outlast a change of the cells and a new connection

Cause: a leader whose list lapsed forgot its subscribers and ignored claims, while the others believed that they got its new ones; a claim of a third leader replaced that of the second; and a leader of all zones started a job that the leader of one zone had started before it stepped down. Change: the exchange doesn't depend on the layout of the cells; claims are kept by leader, and requested again on a new connection; a leader of all zones takes a job that another one has claimed as one that may have started.

--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -199,7 +199,7 @@
    * report that can't be used doesn't invalidate the heartbeat.
    */
   roomByService: z.unknown().optional(),
-  /** The sender is the leader of a zone and answers `claimsWanted`. */
+  /** The sender is a leader in another zone and answers `claimsWanted`. */
   announcesClaims: z.boolean().optional(),
 });
 
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -33,7 +33,7 @@
   Scheduler,
 } from "./types.ts";
 import { rereadWorkers } from "./workers.ts";
-import { claimJob, outcomeElsewhere } from "./zones/job_claims.ts";
+import { claimJob, outcomeElsewhere, wasClaimed } from "./zones/job_claims.ts";
 import {
   countOrigin,
   handedOverOutcome,
@@ -63,8 +63,12 @@
   onFollowerSubmission(state, from, received);
   learnRule(state, received);
   updatePeerVersion(state, from, received.configurationVersion);
-  const resubmitted = !state.guards.mayBeNew(received, scheduler.term);
-  const previousList = submittedListReport(state, received);
+  const hasOtherRuns = wasClaimed(state, scheduler, received);
+  const resubmitted = hasOtherRuns ||
+    !state.guards.mayBeNew(received, scheduler.term);
+  const previousList = hasOtherRuns
+    ? { kind: "unknown" as const }
+    : submittedListReport(state, received);
   const message = { ...received, resubmitted, previousList };
   if (isFaultyJob(state, message.jobId)) {
     const { jobId, submissionId } = message;
--- a/src/engine/zones/claim_conflicts.ts
+++ b/src/engine/zones/claim_conflicts.ts
@@ -18,12 +18,16 @@
   from: string,
   message: PeerMessageOf<"claims">,
 ): void {
-  const { scheduler } = context.state;
+  const { scheduler, peers, hasZoneCells } = context.state;
+  const areCells = hasZoneCells && peers.get(from)?.hasZoneCells === true;
   for (const jobId of storeClaims(context, from, message)) {
     const job = scheduler?.jobs.get(jobId);
-    const claim = scheduler?.claims.byJob.get(jobId);
+    const claim = scheduler?.claims.byJob.get(jobId)
+      ?.find(({ leaderId }) => leaderId === from);
     if (job === undefined || claim === undefined) continue;
     if (job.record !== null || job.outcome !== null) continue;
+    // One of two leaders of all zones steps down, and their entries know which.
+    if (!areCells) continue;
     // The leader of that zone has handed the job over, which it says later.
     if (job.triedZones?.includes(claim.zone) === true) continue;
     resolveConflict(context, { job, claim });
--- a/src/engine/zones/job_claims.ts
+++ b/src/engine/zones/job_claims.ts
@@ -27,7 +27,7 @@
   ReduceContext,
   Scheduler,
 } from "../types.ts";
-import type { JobClaim } from "./zone_types.ts";
+import type { JobClaim, JobClaims } from "./zone_types.ts";
 
 type ClaimsMessage = PeerMessageOf<"claims">;
 
@@ -39,8 +39,8 @@
 const SUBSCRIBER_TIMEOUT_MS = 1_000;
 /** Retry delay that callers get if the other zone cannot be reached. */
 const RETRY_AFTER_MS = 250;
-/** Maximum number of claims of other leaders; the oldest ones are dropped. */
-const MAX_CLAIMS = 65_536;
+/** Maximum number of jobs that others claim; the oldest ones are dropped. */
+const MAX_CLAIMED_JOBS = 65_536;
 
 /**
  * Tells the leaders of other zones that this one has a job, or has it for longer
@@ -113,11 +113,16 @@
   sendAll(context, scheduler, from);
 }
 
-/** Sends all claims to a leader whose connection may have lost some. */
+/**
+ * Handles a new connection to a peer. The one before may have lost claims in both
+ * directions.
+ */
 export function resendClaims(context: ReduceContext, instanceId: string): void {
   const { scheduler } = context.state;
-  if (scheduler?.claims.subscribers.has(instanceId) !== true) return;
-  sendAll(context, scheduler, instanceId);
+  if (scheduler === null) return;
+  const { sources, subscribers } = scheduler.claims;
+  sources.delete(instanceId);
+  if (subscribers.has(instanceId)) sendAll(context, scheduler, instanceId);
 }
 
 function sendAll(
@@ -161,18 +166,16 @@
   const { scheduler, nowMs } = state;
   const zone = state.peers.get(from)?.info.availabilityZone;
   if (scheduler === null || zone === undefined) return [];
-  if (!state.hasZoneCells || zone === state.self.availabilityZone) return [];
+  if (zone === state.self.availabilityZone) return [];
   const { byJob, sources } = scheduler.claims;
   if (isComplete) {
     const source = sources.get(from);
     if (source?.term === term) source.isAnswered = true;
-    for (const [jobId, { leaderId }] of byJob) {
-      if (leaderId === from && !(jobId in claims)) byJob.delete(jobId);
+    for (const jobId of byJob.keys()) {
+      if (!(jobId in claims)) removeClaim(byJob, jobId, from);
     }
   }
-  for (const jobId of released) {
-    if (byJob.get(jobId)?.leaderId === from) byJob.delete(jobId);
-  }
+  for (const jobId of released) removeClaim(byJob, jobId, from);
   for (const [jobId, { forMs, heldMs }] of Object.entries(claims)) {
     storeClaim(byJob, jobId, {
       zone,
@@ -186,15 +189,33 @@
   return Object.keys(claims);
 }
 
-function storeClaim(
-  byJob: Map<string, JobClaim>,
+type ClaimsByJob = JobClaims["byJob"];
+
+function claimsOfOthers(
+  byJob: ClaimsByJob,
+  jobId: string,
+  leaderId: string,
+): JobClaim[] {
+  const known = byJob.get(jobId) ?? [];
+  return known.filter((claim) => claim.leaderId !== leaderId);
+}
+
+function removeClaim(
+  byJob: ClaimsByJob,
   jobId: string,
-  claim: JobClaim,
+  leaderId: string,
 ): void {
-  // Sets the claim as the newest one in the order of the map.
+  const left = claimsOfOthers(byJob, jobId, leaderId);
+  if (left.length === 0) byJob.delete(jobId);
+  else byJob.set(jobId, left);
+}
+
+function storeClaim(byJob: ClaimsByJob, jobId: string, claim: JobClaim): void {
+  const claims = [...claimsOfOthers(byJob, jobId, claim.leaderId), claim];
+  // Sets the job as the newest one in the order of the map.
   byJob.delete(jobId);
-  byJob.set(jobId, claim);
-  if (byJob.size <= MAX_CLAIMS) return;
+  byJob.set(jobId, claims);
+  if (byJob.size <= MAX_CLAIMED_JOBS) return;
   const [oldest] = byJob.keys();
   if (oldest !== undefined) byJob.delete(oldest);
 }
@@ -208,16 +229,23 @@
   { claims }: Scheduler,
   jobId: string,
 ): JobClaim | null {
-  const claim = claims.byJob.get(jobId);
-  if (claim === undefined || state.nowMs >= claim.expiresAtMs) return null;
-  const { zone, leaderId, expiresAtMs } = claim;
-  if (leaderOfZone(state, zone) !== null) return claim;
+  const found = claims.byJob.get(jobId)
+    ?.find((claim) => state.nowMs < claimEndsAtMs(state, claim));
+  return found ?? null;
+}
+
+/** Time up to which the leader of a claim has the job, or its runs go on. */
+function claimEndsAtMs(
+  state: EngineState,
+  { zone, leaderId, expiresAtMs }: JobClaim,
+): number {
+  if (leaderOfZone(state, zone) !== null) return expiresAtMs;
   // A leader that is cut off with its zone has the job until its deadline.
-  const untilMs = hasLiveInstance(state, zone)
-    ? (state.peers.get(leaderId)?.lastMessageAtMs ?? -Infinity) +
-      maxRunOutlastMs(state)
-    : expiresAtMs - ENDED_JOB_RETENTION_MS;
-  return state.nowMs < untilMs ? claim : null;
+  if (!hasLiveInstance(state, zone)) {
+    return expiresAtMs - ENDED_JOB_RETENTION_MS;
+  }
+  const lastHeardMs = state.peers.get(leaderId)?.lastMessageAtMs ?? -Infinity;
+  return Math.min(expiresAtMs, lastHeardMs + maxRunOutlastMs(state));
 }
 
 function hasLiveInstance(state: EngineState, zone: string): boolean {
@@ -226,6 +254,20 @@
   );
 }
 
+/**
+ * Whether the leader of a zone had a job before this one became the leader of all
+ * zones, and may have started it.
+ */
+export function wasClaimed(
+  { hasZoneCells, nowMs }: EngineState,
+  { claims }: Scheduler,
+  { jobId, job }: PeerMessageOf<"submit">,
+): boolean {
+  if (hasZoneCells || job.isRecorded === true) return false;
+  return claims.byJob.get(jobId)
+    ?.some(({ expiresAtMs }) => nowMs < expiresAtMs) === true;
+}
+
 /**
  * Whether no task of a job starts, since the leader of another zone has the job,
  * or may have it.
@@ -300,34 +342,31 @@
   };
 }
 
-/** Exchanges claims with the leaders of other zones, if zones have leaders. */
+/**
+ * Exchanges claims with the leaders of other zones. They may see zones as cells
+ * while this one does not, as its list of workers is another one.
+ */
 export function checkClaims(
   context: ReduceContext,
   scheduler: Scheduler,
 ): void {
   const { state } = context;
   const { claims } = scheduler;
-  if (!state.hasZoneCells) {
-    claims.byJob.clear();
-    claims.sources.clear();
-    claims.subscribers.clear();
-    claims.ending.clear();
-    return;
-  }
   requestClaims(context, scheduler);
   forgetSubscribers(state, scheduler);
   releaseEnded(context, scheduler);
   if (state.nowMs - claims.sweptAtMs < SWEEP_INTERVAL_MS) return;
   claims.sweptAtMs = state.nowMs;
-  for (const [jobId, { expiresAtMs }] of claims.byJob) {
-    if (state.nowMs >= expiresAtMs) claims.byJob.delete(jobId);
+  for (const [jobId, known] of claims.byJob) {
+    const isOver = known.every(({ expiresAtMs }) => state.nowMs >= expiresAtMs);
+    if (isOver) claims.byJob.delete(jobId);
   }
 }
 
 /** The leaders of other zones that tell which jobs they have. */
 function otherLeaders(state: EngineState): Peer[] {
   return [...state.peers.values()].filter((peer) =>
-    peer.announcesClaims && peer.hasZoneCells && isActiveLeader(state, peer) &&
+    peer.announcesClaims && isActiveLeader(state, peer) &&
     peer.info.availabilityZone !== state.self.availabilityZone
   );
 }
--- a/src/engine/zones/job_claims_test.ts
+++ b/src/engine/zones/job_claims_test.ts
@@ -21,6 +21,7 @@
   submit,
   submitCaller,
   targetsOf,
+  zoneWorkers,
 } from "./testing.ts";
 
 const OTHER_LEADER = "lcaxias";
@@ -167,6 +168,27 @@
   });
 }
 
+// After a change of the cells, three leaders may have a job of three entries.
+test("a job that two other zones have waits for both", () => {
+  const leader = createClaimingLeader();
+  const message: PeerMessageOf<"claims"> = {
+    type: "claims",
+    term: 9,
+    isComplete: false,
+    claims: { "0a": { forMs: 7_000, heldMs: 1 } },
+    released: [],
+  };
+  for (const zone of OTHER_ZONES) leader.receive(`l${zone}`, message);
+  submit(leader, "0a", { triedZones: undefined });
+  const release = { ...message, claims: {}, released: ["0a"] };
+  const startCounts = OTHER_ZONES.map((zone) => {
+    leader.receive(`l${zone}`, release);
+    hear(leader, OTHER_ZONES);
+    return effectsOf(leader.tick(), "startTask").length;
+  });
+  expect(startCounts).toEqual([0, 4]);
+});
+
 test("claims are bounded; the oldest ones are dropped", () => {
   const leader = createClaimingLeader();
   const claims = Object.fromEntries(
@@ -249,6 +271,19 @@
   });
 }
 
+// The zones have just become one cell, whose leader had another zone before.
+test("a job that a zone had before the cells changed waits for its runs", () => {
+  const leader = createClaimingLeader();
+  receiveClaims(leader, { claims: { "0a": CLAIM } });
+  const workers = OTHER_ZONES.concat("poa")
+    .flatMap((zone) => zoneWorkers(zone, zone === "poa" ? 2 : 20));
+  leader.after(0, { type: "workersRead", workers });
+  expect(leader.state.hasZoneCells).toEqual(false);
+  const queue = { ...testQueue, objectiveMs: 1e6 };
+  expect(startsOf(submit(leader, "0a", { queue }))).toEqual(0);
+  expect(leader.state.scheduler?.jobs.get("0a")?.mayHaveStarted).toEqual(true);
+});
+
 test("a job that another zone has released starts", () => {
   const leader = createClaimingLeader();
   receiveClaims(leader, { claims: { "0a": CLAIM } });
--- a/src/engine/zones/report_exchange.ts
+++ b/src/engine/zones/report_exchange.ts
@@ -24,11 +24,11 @@
 
 /** Tells a peer of another zone that this leader answers `claimsWanted`. */
 export function claimsReport(
-  { scheduler, hasZoneCells, self }: EngineState,
+  { scheduler, self }: EngineState,
   { info }: Peer,
 ): { readonly announcesClaims?: true } {
   const isNear = info.availabilityZone === self.availabilityZone;
-  if (scheduler === null || !hasZoneCells || isNear) return {};
+  if (scheduler === null || isNear) return {};
   return { announcesClaims: true };
 }
 
--- a/src/engine/zones/zone_types.ts
+++ b/src/engine/zones/zone_types.ts
@@ -84,8 +84,8 @@
 
 /** The claims that a leader exchanges with those of other zones. */
 export interface JobClaims {
-  /** Claims of other leaders, by job id. */
-  readonly byJob: Map<string, JobClaim>;
+  /** Claims of other leaders, by job id; at most one of each leader. */
+  readonly byJob: Map<string, readonly JobClaim[]>;
   /** The leaders whose claims were requested, by instance id. */
   readonly sources: Map<string, ClaimSource>;
   /** Leaders to which claims are sent, each with the time of its request. */
