Guarded listeners: small chunks of many connections are read in turn

Cause: each chunk takes a call and some microseconds; one turn of the event loop read 64 KB of each connection, some 10,000 chunks. The bodies of refused requests were received to be discarded, too. Ruled out: a limit on chunks, which a client within the limits can meet. Change: after 4,096 chunks in a turn, connections with incomplete chunked bodies are read one at a time with a pause of 50 ms. A refused chunked request ends its connection. Unit tests: of 18,000 chunks of six connections at most 3,000 are read before an ordinary request.

--- a/src/host/client_limits.ts
+++ b/src/host/client_limits.ts
@@ -48,6 +48,13 @@
    * other connection is read in that turn.
    */
   readonly maxRequestsPerTurn: number;
+  /**
+   * Chunks of bodies in one turn of the event loop after which the connections
+   * with incomplete chunked bodies are read one after the other, with a pause.
+   */
+  readonly maxChunksPerTurn: number;
+  /** Pause between two of these reads. */
+  readonly slowReadIntervalMs: number;
   /** Time for which a client may leave a new connection without a request. */
   readonly firstRequestTimeoutMs: number;
   /** Time within which the header of a request has to be complete. */
@@ -239,6 +246,8 @@
     maxRunning: 32,
     maxOpen: 512,
     maxRequestsPerTurn: 512,
+    maxChunksPerTurn: 4_096,
+    slowReadIntervalMs: 50,
     // A client leaves a connection idle for at most 15,000 ms, and completes its
     // header within 3,000 ms.
     firstRequestTimeoutMs: 15_000,
--- a/src/host/guarded_server.ts
+++ b/src/host/guarded_server.ts
@@ -15,6 +15,7 @@
   mustPause,
   stallOf,
 } from "./client_limits.ts";
+import { chunkListeners } from "./http_body.ts";
 import type { TrackedServer } from "./request_tracker.ts";
 
 /** Options of the servers that are guarded: how often Node checks time-outs. */
@@ -103,6 +104,8 @@
   isPaused: boolean;
   /** It is not read in this turn of the event loop, see `holdOthers`. */
   isHeld: boolean;
+  /** It waits in the queue of slow reads, see `slowDown`. */
+  isSlowed: boolean;
   isClosed: boolean;
   checkScheduled: boolean;
   /** Time since which a sweep has seen the connection stalled; 0 if it isn't. */
@@ -117,6 +120,20 @@
   return running.size + waiting.length;
 }
 
+function mayRead({ isPaused, isHeld, isSlowed, isClosed }: Connection) {
+  return !isPaused && !isHeld && !isSlowed && !isClosed;
+}
+
+function hasIncompleteChunkedBody({ running }: Connection): boolean {
+  return [...running].some(({ request }) =>
+    !request.complete && hasChunkedBody(request)
+  );
+}
+
+function hasChunkedBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined;
+}
+
 /** Options of {@linkcode guardServer}. */
 export interface GuardOptions {
   /** Name of the listener in metrics and log lines. */
@@ -171,8 +188,11 @@
   const connectionsByAddress = new Map<string, number>();
   let openCount = 0;
   let requestsInTurn = 0;
+  let chunksInTurn = 0;
   /** Connections that are not read in this turn of the event loop. */
   const held: Connection[] = [];
+  /** Connections that are read one after the other, the next one first. */
+  const slowed: Connection[] = [];
   const handlers = server.listeners("request") as ((
     request: IncomingMessage,
     response: ServerResponse,
@@ -230,6 +250,7 @@
       served: 0,
       isPaused: false,
       isHeld: false,
+      isSlowed: false,
       isClosed: false,
       checkScheduled: false,
       stalledSinceMs: 0,
@@ -242,8 +263,9 @@
     socket.once("close", () => forget(connection));
     // Node resumes a connection after each request and to read a body.
     socket.on("resume", () => {
-      if (connection.isPaused || connection.isHeld) stopReading(socket);
+      if (!mayRead(connection)) stopReading(socket);
     });
+    chunkListeners.set(socket, () => countChunk(connection));
     const counts = { connections: connections.size, ofAddress };
     const excess = excessOf(counts, limits);
     if (excess === "address" || (excess !== null && !evictIdle(connection))) {
@@ -336,7 +358,7 @@
     if (pauses) {
       if (!isPaused) budget.count("clientConnectionsPaused", { listener });
       stopReading(socket);
-    } else if (isPaused && !connection.isHeld) socket.resume();
+    } else if (isPaused && mayRead(connection)) socket.resume();
   }
 
   /**
@@ -345,7 +367,7 @@
    * in one turn would exhaust it, whatever is decided about their requests.
    */
   function countInTurn(connection: Connection): void {
-    if (requestsInTurn === 0) setImmediate(endTurn);
+    if (requestsInTurn === 0 && chunksInTurn === 0) setImmediate(endTurn);
     requestsInTurn += 1;
     if (requestsInTurn === limits.maxRequestsPerTurn) holdOthers(connection);
   }
@@ -364,13 +386,53 @@
 
   function endTurn(): void {
     requestsInTurn = 0;
+    chunksInTurn = 0;
     for (const connection of held.splice(0)) {
       connection.isHeld = false;
-      const { isPaused, isClosed, socket } = connection;
-      if (!isPaused && !isClosed) socket.resume();
+      if (mayRead(connection)) connection.socket.resume();
     }
   }
 
+  /**
+   * Counts a chunk of a body. Each takes time whatever its size: many connections
+   * that send chunks of one byte would leave none for other callers.
+   */
+  function countChunk(connection: Connection): void {
+    if (requestsInTurn === 0 && chunksInTurn === 0) setImmediate(endTurn);
+    chunksInTurn += 1;
+    if (chunksInTurn !== limits.maxChunksPerTurn) return;
+    holdOthers(connection);
+    for (const other of connections.values()) {
+      if (hasIncompleteChunkedBody(other)) slowDown(other);
+    }
+  }
+
+  /** Lets a connection wait until others like it have been read once. */
+  function slowDown(connection: Connection): void {
+    const { isSlowed, isClosed, socket } = connection;
+    if (isSlowed || isClosed) return;
+    connection.isSlowed = true;
+    slowed.push(connection);
+    if (slowed.length === 1) scheduleSlowRead();
+    // Not before the end of the chunk: Node resumes the connection while it
+    // hands over a body.
+    process.nextTick(() => {
+      if (connection.isSlowed) stopReading(socket);
+    });
+  }
+
+  function scheduleSlowRead(): void {
+    setTimeout(readSlowed, limits.slowReadIntervalMs).unref();
+  }
+
+  function readSlowed(): void {
+    const connection = slowed.shift();
+    if (connection === undefined) return;
+    connection.isSlowed = false;
+    if (mayRead(connection)) connection.socket.resume();
+    if (slowed.length > 0) scheduleSlowRead();
+  }
+
   function receive(
     request: IncomingMessage,
     response: ServerResponse,
@@ -384,10 +446,10 @@
     const receivedBytes = socket.bytesRead - connection.seenBytes;
     connection.seenBytes += receivedBytes;
     connection.served += 1;
-    const { headers } = request;
+    const isChunked = hasChunkedBody(request);
     const costBytes = costOfRequest({
-      contentLength: Number(headers["content-length"] ?? 0),
-      isChunked: headers["transfer-encoding"] !== undefined,
+      contentLength: Number(request.headers["content-length"] ?? 0),
+      isChunked,
       receivedBytes,
     });
     const open: OpenRequest = { request, response, handle, costBytes };
@@ -407,6 +469,8 @@
     else if (decision === "refuse") {
       budget.count("clientRequestsRefused", { listener, reason: "budget" });
       report(connection, "request of a client refused", "budget");
+      // Node would receive the rest of the body to discard it.
+      if (isChunked) response.setHeader("connection", "close");
       run(connection, open, () => refuse(response));
     } else {
       connection.waiting.push(open);
--- a/src/host/guarded_server_test.ts
+++ b/src/host/guarded_server_test.ts
@@ -11,6 +11,7 @@
   GUARDED_SERVER_OPTIONS,
   guardServer,
 } from "./guarded_server.ts";
+import { readText } from "./http_body.ts";
 import { drainServer, type TrackedServer } from "./request_tracker.ts";
 
 const { callers } = deriveClientLimits({
@@ -158,6 +159,52 @@
   close();
 });
 
+// Connections that sent chunks of one byte left no time for other callers.
+for (const slowReadIntervalMs of [1, 1e6]) {
+  const pace = slowReadIntervalMs > 1 ? "not before a pause" : "in turn";
+  test(`bodies of many small chunks are read ${pace}, others at once`, async () => {
+    const limits = { maxChunksPerTurn: 100, slowReadIntervalMs };
+    const { tracked, handled, open, close } = await setUp({ limits });
+    let chunkCount = 0;
+    tracked.server.prependListener("request", (request) => {
+      readText(request, 1e6).catch(() => {});
+      request.on("data", () => chunkCount += 1);
+    });
+    const sockets: Socket[] = [];
+    for (let index = 0; index < 6; index += 1) {
+      const socket = await open();
+      sockets.push(socket);
+      socket.write(
+        "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n",
+      );
+    }
+    await waitFor(() => handled.length === 6);
+    for (const socket of sockets) socket.write("1\r\nc\r\n".repeat(3_000));
+    await waitFor(() => chunkCount > 0);
+    const ordinary = await open();
+    ordinary.write(GET);
+    await waitFor(() => handled.length === 7);
+    if (slowReadIntervalMs > 1) {
+      expect(chunkCount).toSatisfy((count) => count <= 3_000);
+    } else await waitFor(() => chunkCount === 6 * 3_000);
+    close();
+  });
+}
+
+test("a refused request with a chunked body ends its connection", async () => {
+  const { open, close } = await setUp({ maxCostBytes: 10_000 });
+  const socket = await open();
+  socket.write(
+    "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n1\r\n",
+  );
+  const [answer] = await once(socket, "data");
+  expect(String(answer)).toSatisfy((text) =>
+    String(text).startsWith("HTTP/1.1 503")
+  );
+  await once(socket, "close");
+  close();
+});
+
 // Node answers a request that expects something unknown without a listener.
 for (const extra of ["", "expect: x\r\n"]) {
   test(`too many parsed requests ${extra.trim()} end their connection, with one line`, async () => {
--- a/src/host/http_body.ts
+++ b/src/host/http_body.ts
@@ -1,6 +1,10 @@
 /** Reads HTTP request bodies. */
 
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+
+/** Called for each chunk that is read of a body on a connection. */
+export const chunkListeners = new WeakMap<Socket, () => void>();
 
 /** Size of the first buffer of a body that arrives in several chunks. */
 const MIN_CAPACITY_BYTES = 1_024;
@@ -23,7 +27,9 @@
 ): Promise<string | null> {
   return new Promise((resolve, reject) => {
     const body = createBodyBuffer(maxBytes);
+    const onChunk = chunkListeners.get(request.socket);
     const onData = (chunk: Buffer): void => {
+      onChunk?.();
       if (body.add(chunk)) return;
       request.off("data", onData);
       request.pause();
