Zones: a leader that keeps a job which another one claims says so

Found by reading: a leader whose entry can't follow to the zone that has its job waits for that zone's claim to end, and claims the job itself. The leader that has it starts no further task of it while that claim is there: each waits for the other until the deadline. Change: the leader that keeps the job repeats its claim once, and the other ends the job. Result: unit test: the claim is repeated once (not before the change).

--- a/src/engine/zones/claim_conflicts.ts
+++ b/src/engine/zones/claim_conflicts.ts
@@ -8,9 +8,13 @@
 import { hasStarted } from "../job_state.ts";
 import { finishJob } from "../jobs.ts";
 import type { PeerMessageOf } from "../schemas.ts";
-import type { Job, ReduceContext } from "../types.ts";
-import { elsewhereOutcome, storeClaims } from "./job_claims.ts";
-import type { JobClaim } from "./zone_types.ts";
+import type { Job, ReduceContext, Scheduler } from "../types.ts";
+import {
+  elsewhereOutcome,
+  type ReceivedClaim,
+  repeatClaim,
+  storeClaims,
+} from "./job_claims.ts";
 
 /** Handles claims of the leader of another zone. */
 export function onClaims(
@@ -20,25 +24,26 @@
 ): void {
   const { scheduler, peers, hasZoneCells } = context.state;
   const areCells = hasZoneCells && peers.get(from)?.hasZoneCells === true;
-  for (const jobId of storeClaims(context, from, message)) {
+  for (const received of storeClaims(context, from, message)) {
+    const { jobId, claim } = received;
     const job = scheduler?.jobs.get(jobId);
-    const claim = scheduler?.claims.byJob.get(jobId)
-      ?.find(({ leaderId }) => leaderId === from);
-    if (job === undefined || claim === undefined) continue;
+    if (scheduler === null || job === undefined) continue;
     if (job.record !== null || job.outcome !== null) continue;
     // One of two leaders of all zones steps down, and their entries know which.
     if (!areCells) continue;
     // The leader of that zone has handed the job over, which it says later.
     if (job.triedZones?.includes(claim.zone) === true) continue;
-    resolveConflict(context, { job, claim });
+    resolveConflict(context, scheduler, { job, received });
   }
 }
 
 function resolveConflict(
   context: ReduceContext,
-  { job, claim }: { job: Job; claim: JobClaim },
+  scheduler: Scheduler,
+  { job, received }: { job: Job; received: ReceivedClaim },
 ): void {
   const { state } = context;
+  const { claim, wasKnown } = received;
   const { zone, leaderId } = claim;
   const heldMs = state.nowMs - job.receivedAtMs;
   const heldThereMs = state.nowMs - claim.receivedAtMs;
@@ -60,7 +65,11 @@
     entryIds: [...job.submissionIdByEntry.keys()],
     givesWay,
   });
-  if (!givesWay) return;
+  if (!givesWay) {
+    // It may wait for this leader's claim to end while this one waits for its own.
+    if (!wasKnown) repeatClaim(context, scheduler, { job, leaderId });
+    return;
+  }
   const mayHaveStarted = job.mayHaveStarted || hasStarted(job);
   finishJob(context, job, elsewhereOutcome(zone, { mayHaveStarted }));
 }
--- a/src/engine/zones/job_claims.ts
+++ b/src/engine/zones/job_claims.ts
@@ -154,15 +154,36 @@
   return mayAnswer || claims.ending.has(jobId);
 }
 
-/**
- * Handles claims of the leader of another zone. Returns the ids of the claimed
- * jobs.
- */
+/** Tells a leader that claims a job which this one keeps that it keeps it. */
+export function repeatClaim(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  { job, leaderId }: { job: Job; leaderId: string },
+): void {
+  context.state.counters.jobClaimsSent += 1;
+  sendPeer(context, leaderId, {
+    type: "claims",
+    term: scheduler.term,
+    isComplete: false,
+    claims: { [job.jobId]: claimOf(context.state, job) },
+    released: [],
+  });
+}
+
+/** A claim that a leader has sent. */
+export interface ReceivedClaim {
+  readonly jobId: string;
+  readonly claim: JobClaim;
+  /** The leader had claimed the job before. */
+  readonly wasKnown: boolean;
+}
+
+/** Handles claims of the leader of another zone, and returns the new ones. */
 export function storeClaims(
   { state }: ReduceContext,
   from: string,
   { term, isComplete, claims, released }: ClaimsMessage,
-): string[] {
+): ReceivedClaim[] {
   const { scheduler, nowMs } = state;
   const zone = state.peers.get(from)?.info.availabilityZone;
   if (scheduler === null || zone === undefined) return [];
@@ -172,21 +193,25 @@
     const source = sources.get(from);
     if (source?.term === term) source.isAnswered = true;
     for (const jobId of byJob.keys()) {
-      if (!(jobId in claims)) removeClaim(byJob, jobId, from);
+      if (!Object.hasOwn(claims, jobId)) removeClaim(byJob, jobId, from);
     }
   }
   for (const jobId of released) removeClaim(byJob, jobId, from);
-  for (const [jobId, { forMs, heldMs }] of Object.entries(claims)) {
-    storeClaim(byJob, jobId, {
+  return Object.entries(claims).map(([jobId, { forMs, heldMs }]) => {
+    const claim: JobClaim = {
       zone,
       leaderId: from,
       term,
       receivedAtMs: nowMs - heldMs,
       expiresAtMs: nowMs + forMs,
-    });
+    };
+    const wasKnown = byJob.get(jobId)?.some(({ leaderId }) =>
+      leaderId === from
+    ) === true;
+    storeClaim(byJob, jobId, claim);
     state.counters.jobClaimsReceived += 1;
-  }
-  return Object.keys(claims);
+    return { jobId, claim, wasKnown };
+  });
 }
 
 type ClaimsByJob = JobClaims["byJob"];
--- a/src/engine/zones/job_claims_test.ts
+++ b/src/engine/zones/job_claims_test.ts
@@ -347,12 +347,15 @@
   isStarted: boolean;
   heldThereMs: number;
   outcomes: JobOutcome[];
+  /** Jobs that are claimed once more. */
+  repeats?: string[];
 }[] = [
   {
-    name: "keeps it if it is older",
+    name: "keeps it if it is older, and says so once",
     isStarted: true,
     heldThereMs: 0,
     outcomes: [],
+    repeats: ["0a"],
   },
   {
     name: "ends it if it is younger, as one that has started",
@@ -381,9 +384,9 @@
   },
 ];
 
-for (
-  const { name, fields = {}, isStarted, heldThereMs, outcomes } of meetings
-) {
+for (const meeting of meetings) {
+  const { name, fields = {}, isStarted, heldThereMs, outcomes, repeats = [] } =
+    meeting;
   test(`a leader with a job that another one claims ${name}`, () => {
     const leader = createClaimingLeader();
     const queue = { ...testQueue, objectiveMs: 1e6 };
@@ -392,6 +395,9 @@
     const claims = { "0a": { forMs: 7_000, heldMs: heldThereMs } };
     const effects = receiveClaims(leader, { claims });
     expect(outcomesOf(effects)).toEqual(outcomes);
+    // Otherwise each of the two would wait for the claim of the other to end.
+    expect(claimsOf(effects)).toEqual(repeats);
+    expect(claimsOf(receiveClaims(leader, { claims }))).toEqual([]);
   });
 }
 
