--- a/bench/leaving_runs.ts
+++ b/bench/leaving_runs.ts
@@ -13,12 +13,10 @@
   referenceKinds,
 } from "./engine_runs.ts";
 
-/** Number of seeds after which the kinds of leaving callers come again. */
-export const LEAVING_ROWS = 4;
-
-/** The shortest time that callers wait before they come again. */
+/** Times after which callers come again. */
 const RESEND_MS = [0, 30, 300, 1_300];
 
+/** The ways in which callers leave, in turn. */
 const leavingRows: readonly LeavingCallers[] = [
   // The entry learns late that its caller has left, or not at all.
   {
@@ -66,9 +64,6 @@
   drawCrossedRun,
 ];
 
-/** Number of seeds after which the kinds of runs come again. */
-export const LEAVING_BASES = drawBase.length;
-
 /**
  * Draws a run in which callers leave unnoticed, a third of them without faults.
  *
@@ -78,9 +73,9 @@
  * ```
  */
 export function drawLeavingRun(seed: number): EngineRun {
-  const draw = drawBase[seed % LEAVING_BASES] ?? drawSharingRun;
+  const draw = drawBase[seed % drawBase.length] ?? drawSharingRun;
   const { leaveShare: _, twiceShare: __, ...run } = draw(seed);
-  const leaving = leavingRows[seed % LEAVING_ROWS];
+  const leaving = leavingRows[seed % leavingRows.length];
   const faults = seed % 3 === 0 ? [] : run.faults;
   return { ...run, faults, ...(leaving === undefined ? {} : { leaving }) };
 }
