--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -573,21 +573,40 @@
   return last;
 }
 
+/** Number of broken rules that a case prints. */
+const MAX_PRINTED = 10;
+/** Time after which a case ends all that it started. */
+const MAX_CASE_MS = 114_000;
+
 /** Runs a case: exits with 1 if the rule was broken, 0 if not, 2 if it can't run. */
 export async function runCase(play) {
   let fleet;
+  const finish = async (code) => {
+    await fleet?.stop();
+    process.exit(code);
+  };
+  const limit = setTimeout(() => {
+    console.log("the case took too long");
+    void finish(2);
+  }, MAX_CASE_MS);
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => void finish(2));
+  }
   let code = 2;
-  const limit = setTimeout(() => process.exit(2), 115_000);
-  const options = { hasTrouble: process.env.TROUBLE !== "0" };
   try {
     const broken = await play({
-      ...options,
-      startFleet: async (fleetOptions) => {
-        fleet = await startFleet(fleetOptions);
+      hasTrouble: process.env.TROUBLE !== "0",
+      startFleet: async (options) => {
+        fleet = await startFleet(options);
         return fleet;
       },
     });
-    for (const line of broken) console.log(`BROKEN: ${line}`);
+    for (const line of broken.slice(0, MAX_PRINTED)) {
+      console.log(`BROKEN: ${line}`);
+    }
+    if (broken.length > MAX_PRINTED) {
+      console.log(`and ${broken.length - MAX_PRINTED} more like these`);
+    }
     console.log(broken.length > 0 ? "the rule was broken" : "the rule held");
     code = broken.length > 0 ? 1 : 0;
   } catch (error) {
@@ -596,7 +615,6 @@
   if (process.env.SHOW_LOGS) {
     for (const line of fleet?.logs ?? []) console.log(line);
   }
-  await fleet?.stop();
   clearTimeout(limit);
-  process.exit(code);
+  await finish(code);
 }
