--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,85 +1,124 @@
 /**
- * A client that isn't controlled hands in one job within the limits of the
- * configuration, and again after each broken connection. No process may end.
+ * A client that isn't controlled hands in one stored job of many tasks, within the
+ * limits of the configuration. Ordinary stored jobs that were accepted have to go
+ * on.
  */
 
 import { fileURLToPath } from "node:url";
-import { ask, BOUNDS, newId, nowMs, runCase, sleep } from "../lib-3/fleet.mjs";
+import {
+  BOUNDS,
+  call,
+  newId,
+  nowMs,
+  runCase,
+  sleep,
+  submit,
+} from "../lib-3/fleet.mjs";
+import { readHistory } from "../lib-3/history.mjs";
 
 const recordFile = fileURLToPath(new URL("record.txt", import.meta.url));
-const MAX_BODY_BYTES = 262_144;
-const PLAY_MS = 30_000;
 const QUIET_MS = 5_000;
-
-/** A job whose second step waits for the first one, named as often as fits. */
-function longJob() {
-  const job = (after) =>
-    JSON.stringify({
-      spec: "{}",
-      best_effort: true,
-      steps: [{ count: 1, cpu: 1_000 }, { count: 1, cpu: 1_000, after }],
-    });
-  const spare = MAX_BODY_BYTES - job([]).length;
-  return job(Array(Math.floor(spare / 2)).fill(0));
-}
-
-/** An ordinary request, sent once, and how it was answered. */
-async function askOrdinary(fleet, machine, counts) {
-  const { status } = await ask(fleet, machine, {
-    method: "POST",
-    path: `/lohu930/${newId()}`,
-    body: {
-      spec: JSON.stringify({ ms: 60 }),
-      best_effort: true,
-      steps: [{ count: 8, cpu: 14_000, mem_mb: 64, est_ms: 60 }],
-    },
-    timeoutMs: 1_500,
-  });
-  counts.set(status, (counts.get(status) ?? 0) + 1);
-}
+const PLAY_MS = 40_000;
+const INTERVAL_MS = 100;
+const FINISH_MS = 1_000 * BOUNDS.finish_s;
+const GAP_MS = 3_000;
+const TASKS = 60_000;
+const TASKS_EACH = 2;
 
 await runCase(async ({ startFleet, hasTrouble }) => {
   const fleet = await startFleet({
     recordFile,
-    routes: [{ name: "cotacao", prefix: "/lohu930/" }],
+    routes: [{ name: "frete-ponteira", prefix: "/pule252/" }],
   });
   const { machines } = fleet;
-  const counts = new Map();
   await sleep(QUIET_MS);
+  const jobs = [];
   const endMs = nowMs() + PLAY_MS;
+  const open = [];
   const ordinary = (async () => {
-    const open = [];
     for (let nth = 0; nowMs() < endMs; nth += 1) {
-      open.push(askOrdinary(fleet, machines[nth % machines.length], counts));
-      await sleep(250);
+      const id = newId();
+      open.push((async () => {
+        const accepted = await submit(fleet, {
+          path: `/pule252/${id}`,
+          body: {
+            spec: JSON.stringify({ ms: 200 }),
+            steps: [{
+              count: TASKS_EACH,
+              cpu: 14_000,
+              mem_mb: 64,
+              est_ms: 200,
+            }],
+          },
+          first: nth,
+          forMs: 10_000,
+        });
+        jobs.push({ id, acceptedAtMs: accepted?.atMs ?? null });
+      })());
+      await sleep(INTERVAL_MS);
     }
-    await Promise.all(open);
   })();
+  /** The longest time for which a machine didn't answer the readiness probe. */
+  let silentMs = 0;
+  const probes = machines.map(async ({ ready }) => {
+    while (nowMs() < endMs) {
+      const sentAtMs = nowMs();
+      await call(ready, "GET", "/bronzemill/readyz", { timeoutMs: 20_000 });
+      silentMs = Math.max(silentMs, nowMs() - sentAtMs);
+      await sleep(1_000);
+    }
+  });
   const uncontrolled = (async () => {
     if (!hasTrouble) return;
-    const text = longJob();
-    const path = `/lohu930/${newId()}`;
-    for (let nth = 0; nowMs() < endMs; nth += 1) {
-      const { status } = await ask(fleet, machines[nth % machines.length], {
-        method: "POST",
-        path,
-        text,
-        timeoutMs: 1_500,
-        label: `uncontrolled, ${text.length} bytes`,
-      });
-      if (status !== 0 && status !== 502 && status !== 504) return;
-      await sleep(BOUNDS.resend_ms);
-    }
+    await sleep(2_000);
+    await submit(fleet, {
+      path: `/pule252/${newId()}`,
+      body: { spec: "{}", steps: [{ count: TASKS }] },
+    });
   })();
-  await Promise.all([ordinary, uncontrolled]);
-  console.log("ordinary requests by status (0: no answer):", [...counts]);
+  await Promise.all([ordinary, uncontrolled, ...probes]);
+  await Promise.all(open);
+  await sleep(FINISH_MS);
+  const askedAtMs = nowMs();
+  const history = readHistory(fleet.events);
+  const broken = [];
+  let unaccepted = 0;
+  let unfinished = 0;
+  for (const { id, acceptedAtMs } of jobs) {
+    if (acceptedAtMs === null) {
+      unaccepted += 1;
+      continue;
+    }
+    const running = new Set();
+    const done = new Set();
+    let idleSinceMs = acceptedAtMs;
+    for (const { what, how, atMs, task } of history) {
+      if (!task.startsWith(id)) continue;
+      if (what === "start") running.add(task);
+      if (what !== "end") continue;
+      running.delete(task);
+      idleSinceMs = atMs;
+      if (how === "done") done.add(task);
+    }
+    if (done.size === TASKS_EACH) continue;
+    unfinished += 1;
+    const idleMs = Math.round(askedAtMs - idleSinceMs);
+    if (running.size === 0 && idleMs > GAP_MS) {
+      broken.push(`job ${id} has nothing running for ${idleMs} ms`);
+    }
+  }
+  console.log(`ordinary jobs: ${jobs.length}, never accepted: ${unaccepted}`);
+  console.log(`accepted, not run to the end: ${unfinished}`);
+  console.log(`longest wait for a readiness probe: ${Math.round(silentMs)} ms`);
   for (const { name, ends } of machines) {
-    console.log(`${name} ended by itself ${ends} times`);
+    if (ends > 0) console.log(`${name} ended by itself ${ends} times`);
   }
   // Fault: on a tenth of the machines in use (two at least), three times.
   const often = machines.filter(({ ends }) => ends >= 3);
-  const isFault = often.length >= Math.max(2, machines.length / 10);
-  return isFault
-    ? [`on ${often.length} machines processes ended by themselves three times`]
-    : [];
+  if (often.length >= Math.max(2, machines.length / 10)) {
+    broken.push(
+      `on ${often.length} machines processes ended by themselves three times`,
+    );
+  }
+  return broken;
 });
