--- a/review/lib-3/common.mjs
+++ b/review/lib-3/common.mjs
@@ -47,7 +47,8 @@
       response.destroy();
     }
   });
-  server.keepAliveTimeout = 60_000;
+  // Idle connections stay open.
+  server.keepAliveTimeout = 0;
   server.requestTimeout = 0;
   await new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/review/lib-3/executors.mjs
+++ b/review/lib-3/executors.mjs
@@ -7,12 +7,12 @@
  * The port before the first one takes the commands of the test: to crash and come
  * back, to lose answers, and to carry orders out late without an answer.
  *
- * Usage: executors.mjs HOST FIRST_PORT COUNT PREFIX
+ * Usage: executors.mjs HOST FIRST_PORT COUNT PREFIX [CLOCK_RATE]
  */
 
 import { nowMs, sendJson, serve, sleep } from "./common.mjs";
 
-const [host, firstPort, count, prefix] = process.argv.slice(2);
+const [host, firstPort, count, prefix, clockRate = 1] = process.argv.slice(2);
 const MAX_LEASE_MS = 1_000;
 const MAX_WAIT_MS = 2_000;
 const MAX_LISTED = 500;
@@ -39,7 +39,7 @@
   let ends = [];
   const waiters = new Set();
 
-  const clockMs = () => Math.floor(nowMs() - bornAtMs);
+  const clockMs = () => Math.floor(Number(clockRate) * (nowMs() - bornAtMs));
 
   function noteLapse() {
     if (clockMs() < leaseEndMs) return;
--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -20,6 +20,7 @@
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 import { nowMs, sleep } from "./common.mjs";
+import { startLink } from "./proxy.mjs";
 
 export { nowMs, sleep };
 
@@ -125,6 +126,8 @@
   readMs = 4,
   restarts = true,
   cpuMilli = CPU_MILLI,
+  clockRate = 1,
+  linkedExecutors = [],
 }) {
   const directory = mkdtempSync(join(tmpdir(), "bronzemill-review-"));
   const children = new Set();
@@ -200,7 +203,7 @@
       const firstPort = 21_000;
       await standIn(
         "executors.mjs",
-        [host, firstPort, executorsPerZone, `${zone}-x`],
+        [host, firstPort, executorsPerZone, `${zone}-x`, clockRate],
         (line) => {
           const { atMs, ...event } = JSON.parse(line);
           record({ atMs, by: "executor", ...event });
@@ -216,6 +219,15 @@
         });
       }
     }
+    /** Links to executors that the test can cut, by id. */
+    const links = new Map();
+    for (const executor of executors) {
+      if (!linkedExecutors.includes(executor.id)) continue;
+      const host = `${net}.120`;
+      const port = 22_000 + links.size;
+      links.set(executor.id, await startLink(host, port, executor.addr));
+      executor.addr = `${host}:${port}`;
+    }
     const list = async (executor, changes = {}) => {
       const { id, zone, addr } = executor;
       executor.entry = { ...executor.entry, ...changes };
@@ -432,6 +444,7 @@
       isReady,
       lastWriter,
       put,
+      links,
       list,
       unlist,
       troubleStore,
