--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -59,6 +59,10 @@
  * complete by the end.
  */
 const MAX_RECORDED_LOAD = 1.1;
+/** Fraction by which the clocks of workers run slow at most. */
+const MAX_CLOCK_DRIFT = 0.02;
+/** Shortest time without load in runs of idle workers. */
+const MIN_IDLE_MS = 60_000;
 /** Upper bound on the time between a job's submission and a further one. */
 const MAX_RESUBMIT_DELAY_MS = 4_000;
 /** Upper bound on the time between a job's submission and its cancellation. */
@@ -300,6 +304,11 @@
   deadlyShare: 0.03,
 }));
 
+/** Jobs of which the tasks outlast a lease that ends late. */
+const longKinds: readonly JobKind[] = referenceKinds
+  .filter(({ taskMs }) => taskMs >= 900)
+  .map((kind) => ({ ...kind, perSecond: 10 }));
+
 /** Jobs of several steps, one after the other, beside those of one step. */
 export const chainKinds: readonly JobKind[] = [
   {
@@ -402,6 +411,8 @@
   readonly keepsOrder?: boolean;
   /** See {@linkcode WorldOptions.evacuateMs}. */
   readonly evacuateMs?: number;
+  /** Time without any load or fault before those of the run; 0 by default. */
+  readonly idleMs?: number;
 }
 
 /** The result of a run: violated guarantees and numbers of jobs by outcome. */
@@ -465,6 +476,21 @@
   };
 }
 
+/**
+ * Draws a run in which nothing happens for a minute or more; then the first
+ * starts on idle workers, whose clocks run slow, are held up by cuts.
+ */
+export function drawIdleRun(seed: number): EngineRun {
+  return {
+    seed,
+    load: 1,
+    kinds: longKinds,
+    faults: [{ atMs: LOAD_START_MS, name: "startsHeldByCut", forMs: 3_000 }],
+    idleMs: MIN_IDLE_MS * (1 + seed % 3),
+    maxClockDrift: MAX_CLOCK_DRIFT,
+  };
+}
+
 /** Draws a run with enough workers for each zone to have its own leader. */
 export function drawCellsRun(seed: number): EngineRun {
   const { load, ...run } = seed % 2 === 0
@@ -702,8 +728,6 @@
 
 /** Number of seeds after which the rows of faults that meet come again. */
 export const MOMENT_ROWS = momentRows.length;
-/** Fraction by which the clocks of workers run slow at most. */
-const MAX_CLOCK_DRIFT = 0.02;
 
 /**
  * Draws a run of a large fleet in which faults meet around the leaders: they
@@ -823,18 +847,23 @@
 ): Promise<RunResult> {
   const damagesJobs = run.faults.some(({ name }) => name === "damageJob");
   const world = createWorld({ ...worldOptions(run), damagesJobs, ...options });
-  const { callerShares } = run;
+  const { callerShares, idleMs = 0 } = run;
   const chooseEntry = callerShares === undefined
     ? {}
     : { chooseEntry: () => chooseEntryOf(world, callerShares) };
   for (const kind of run.kinds ?? referenceKinds) {
-    scheduleArrivals(world, kind, { ...run, ...chooseEntry });
+    scheduleArrivals(world, kind, {
+      ...run,
+      ...chooseEntry,
+      beginMs: LOAD_START_MS + idleMs,
+      endMs: LOAD_END_MS + idleMs,
+    });
   }
   world.setListed(world.workers.slice(0, run.addedWorkers ?? 0), false);
   for (const { atMs, name, forMs } of run.faults) {
-    world.queue.at(atMs, () => faultHandlers[name](world, forMs));
+    world.queue.at(atMs + idleMs, () => faultHandlers[name](world, forMs));
   }
-  await world.run(RUN_END_MS);
+  await world.run(RUN_END_MS + idleMs);
   await checkAcceptedJobs(world);
   if (run.resendMs !== undefined) checkAnswers(world);
   if (!run.faults.some(({ name }) => name === "workerFailsAll")) {
--- a/bench/moment_faults.ts
+++ b/bench/moment_faults.ts
@@ -41,6 +41,7 @@
   | "discoveryLags"
   | "grantsLate"
   | "callsDelayed"
+  | "startsHeldByCut"
   | "promptLeave"
   | "promptCancel";
 
@@ -186,6 +187,19 @@
   world.queue.at(world.queue.nowMs() + forMs, end);
 }
 
+/**
+ * Cuts workers off from all instances as starts are sent to them; the starts
+ * arrive late, some of them after the cut.
+ */
+function holdStartsByCuts(world: World, forMs: number): void {
+  const end = world.addCallFault(({ kind, workerId }) => {
+    if (kind !== "start" || world.random() >= CALL_SHARE) return "answered";
+    cutWorker(world, workerId, () => true);
+    return "delayed";
+  });
+  world.queue.at(world.queue.nowMs() + forMs, end);
+}
+
 /** Calls `act` for a share of the jobs, moments after their first start. */
 function leaveAtFirstStart(
   world: World,
@@ -320,6 +334,7 @@
       fate: "delayed",
       kinds: ["poll", "start", "stop"],
     }),
+  startsHeldByCut: holdStartsByCuts,
   promptLeave: (world, forMs) =>
     leaveAtFirstStart(world, forMs, {
       mayLeave: ({ kind }) => kind.guarantee === undefined,
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -13,6 +13,7 @@
   drawDeadlyRun,
   drawEvacuationRun,
   drawGrownRun,
+  drawIdleRun,
   drawMomentRun,
   drawRecordedRun,
   drawRun,
@@ -75,6 +76,7 @@
   evacuation: play(drawEvacuationRun),
   sharing: play(drawSharingRun),
   leaving: play(drawLeavingRun),
+  idle: play(drawIdleRun),
   configuration: playConfiguration,
 };
 let runs = 0;
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -9,11 +9,12 @@
 import { awaitsEvidence } from "./crashes.ts";
 import { isPaused } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
-import { hasStarted, jobIdOf } from "./job_state.ts";
+import { hasStarted } from "./job_state.ts";
 import { listsSameWorkers } from "./leader_lists.ts";
-import { mayGrantLease } from "./leases.ts";
+import { knowsClock } from "./leases.ts";
 import { createBeginCheck } from "./overload/begin.ts";
 import { overloadPolicyOf } from "./overload/policies.ts";
+import { readClocks } from "./clock_reads.ts";
 import { hasQueuedTasks, markPartlyStarted } from "./queue.ts";
 import { startRun } from "./runs.ts";
 import { isHeldBack, isMixed, isSuspectedQueue } from "./suspected_queues.ts";
@@ -27,6 +28,7 @@
   Task,
   WorkerRoom,
 } from "./types.ts";
+import { isLargeEnough, isUsable, meetsRequirements } from "./task_fit.ts";
 import { createStartableWorkers } from "./zones/evacuation.ts";
 import { isHeldElsewhere } from "./zones/job_claims.ts";
 
@@ -42,16 +44,28 @@
  */
 const MIXED_COST = 1e8;
 
-/** Starts the queued tasks of one service that fit on its workers. */
+/**
+ * Starts the queued tasks of one service that fit on its workers. For those that
+ * remain, reads the clocks of workers that can get no task before.
+ */
 export function placeQueuedTasks(
   context: ReduceContext,
   service: string,
 ): void {
-  const { state } = context;
-  const { scheduler } = state;
+  const { scheduler } = context.state;
   const waiting = scheduler?.waiting.get(service);
   if (scheduler === null || waiting === undefined) return;
   if (waiting.length === 0) return;
+  placeWaitingJobs(context, scheduler, { service, waiting });
+  if (waiting.length > 0) readClocks(context, scheduler, { service, waiting });
+}
+
+function placeWaitingJobs(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  { service, waiting }: { service: string; waiting: Job[] },
+): void {
+  const { state } = context;
   const workers = [...scheduler.workers.values()].filter((worker) =>
     worker.info.service === service && acceptsTasks(state, worker)
   );
@@ -272,25 +286,9 @@
   else startRun(context, worker, { job, task });
 }
 
-/** Whether a task fits on a worker once that is empty. */
-function isLargeEnough({ info }: OwnedWorker, { demand }: Task): boolean {
-  return demand.cpuMilli <= info.cpuMilli &&
-    demand.memoryMb <= info.memoryMb &&
-    demand.accelerators <= info.accelerators;
-}
-
 /** Whether a task may start on a worker now, if it fits. */
 function acceptsTasks(state: EngineState, worker: OwnedWorker): boolean {
-  if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
-  if (worker.unsizedRunCount > 0 || worker.trialCount > 0) return false;
-  if (!mayGrantLease(state, worker)) return false;
-  // Runs that a previous owner stopped may occupy capacity until this time,
-  // although the worker no longer lists them.
-  if (state.nowMs < worker.usableFromMs) return false;
-  if (worker.suspendedUntilMs > state.nowMs) return false;
-  // After a suspension the worker gets one task at a time until one succeeds.
-  const probing = worker.suspendedUntilMs > 0;
-  return !probing || worker.runs.size === 0;
+  return isUsable(state, worker) && knowsClock(state, worker);
 }
 
 /** Returns the worker with the lowest cost for a task, or null if none fits. */
@@ -314,25 +312,6 @@
   return best;
 }
 
-/** Whether a worker meets the label and the per-worker limit of a task's step. */
-function meetsRequirements(
-  worker: OwnedWorker,
-  { demand, stepIndex, name }: Task,
-): boolean {
-  const { requiredLabel, maxPerWorker } = demand;
-  const { labels } = worker.info;
-  if (requiredLabel !== undefined && !labels.includes(requiredLabel)) {
-    return false;
-  }
-  if (maxPerWorker === undefined) return true;
-  const jobId = jobIdOf(name);
-  let present = 0;
-  for (const run of worker.runs.values()) {
-    if (run.taskName.startsWith(`${jobId}.0.${stepIndex}.`)) present += 1;
-  }
-  return present < maxPerWorker;
-}
-
 /**
  * Returns the cost of placing a task on a worker; the lowest cost is the best.
  * In order of weight: a run of the task failed there, the worker is not in the
--- a/src/engine/repeated_starts_test.ts
+++ b/src/engine/repeated_starts_test.ts
@@ -103,17 +103,20 @@
 });
 
 // The offset of the worker's clock is as old as its latest answer. A worker
-// shortens a longer lease to the maximum, counted from when the call arrives.
+// shortens a longer lease to the maximum, counted from when the call arrives. After
+// a long idle time the start follows the answer of a poll, which tells the clock.
 for (const idleMs of [1_000, 10_000, 60_000]) {
   test(`a lease on a worker that was idle for ${idleMs} ms ends in time if its clock is slow`, () => {
     const leader = createTestLeader();
     const readAtMs = leader.state.nowMs;
     for (let ms = 0; ms < idleMs; ms += 500) leader.tick(500);
-    const { nowMs } = leader.state;
-    const [start] = startsOf(
-      leader.receive("p", testSubmission({ jobId: JOB_ID })),
-    );
-    const clockMs = readAtMs + (nowMs - readAtMs) * MIN_CLOCK_RATE;
+    const lagMs = () => (leader.state.nowMs - readAtMs) * (1 - MIN_CLOCK_RATE);
+    const effects = leader.receive("p", testSubmission({ jobId: JOB_ID }));
+    for (const { workerId } of effectsOf(effects, "hold")) {
+      effects.push(...leader.completePoll(workerId, { delayMs: lagMs() }));
+    }
+    const [start] = startsOf(effects);
+    const clockMs = leader.state.nowMs - lagMs();
     const endsInMs = Math.min(
       (start!.leaseEndsMs - clockMs) / MIN_CLOCK_RATE,
       CALL_TIMEOUT_MS + LEASE_MS / MIN_CLOCK_RATE,
--- a/src/engine/replaced_attempt_test.ts
+++ b/src/engine/replaced_attempt_test.ts
@@ -112,7 +112,10 @@
     prepare: (leader) => {
       refuseAtDeadline(leader);
       confirmWrites(leader, leader.tick(50));
-      return leader.tick(RETENTION_MS);
+      const removal = leader.tick(RETENTION_MS);
+      // No task starts on a worker whose clock was read so long ago.
+      for (const workerId of ["w1", "w2"]) leader.completePoll(workerId);
+      return removal;
     },
     outcome: unanswered,
   },
--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -93,8 +93,8 @@
   if (reason === "fenced" && fence === worker.fence) {
     relinquishWorker(context, worker);
   }
-  // The worker's runs may differ from those tracked here; read its lists.
-  if (reason === "replaced" || reason === "room") {
+  // The worker's runs or its clock may differ from what is known here.
+  if (reason === "replaced" || reason === "room" || reason === "late") {
     raiseFence(context, worker, "startRefused");
   }
 }
--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -326,6 +326,16 @@
   );
 }
 
+/** Completes the polls among the effects; returns the effects that follow. */
+export function answerPolls(
+  leader: TestInstance,
+  effects: readonly Effect[],
+): Effect[] {
+  return effectsOf(effects, "hold").flatMap(({ workerId }) =>
+    leader.completePoll(workerId)
+  );
+}
+
 /** Returns the effects of one type. */
 export function effectsOf<T extends Effect["type"]>(
   effects: readonly Effect[],
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -874,8 +874,13 @@
    * if it is not known.
    */
   startedAtMs: number | null;
-  /** The worker's clock minus this instance's clock. */
+  /** The worker's clock minus this instance's clock at `clockReadAtMs`. */
   clockOffsetMs: number;
+  /**
+   * Time at which an answer last told the worker's clock; -Infinity before the
+   * first one.
+   */
+  clockReadAtMs: number;
   /** Sequence number of the latest completion that was processed. */
   processedSequence: number;
   /**
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -200,6 +200,7 @@
     fence: firstFenceOf(state, scheduler, info.workerId),
     startedAtMs: null,
     clockOffsetMs: 0,
+    clockReadAtMs: -Infinity,
     processedSequence: 0,
     retainedSequences: new Set(),
     orphanCompletions: [],
@@ -305,6 +306,14 @@
   });
 }
 
+/** Polls a worker without runs, whose clock must be read before a task starts. */
+export function pollForClock(
+  context: ReduceContext,
+  worker: OwnedWorker,
+): void {
+  sendPoll(context, worker, { waitMs: 0, renews: false });
+}
+
 /**
  * Returns the sequence number up to which the worker may discard all
  * completions.
@@ -371,6 +380,7 @@
   worker.pollFailures = 0;
   worker.listsReadAtMs = worker.pollSentAtMs;
   worker.clockOffsetMs = outcome.clockMs - state.nowMs;
+  worker.clockReadAtMs = state.nowMs;
   const hasRestarted = updateIncarnation(context, worker, outcome.bornMs);
   // A start under the present token may arrive at the new incarnation after
   // this list; under a raised token, the next one shows it or it is refused.
