--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -6,6 +6,7 @@
 
 import { isPaused } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
+import { queuedTasks } from "./job_state.ts";
 import { overloadPolicyOf, refusalPolicyOf } from "./overload/policies.ts";
 import { returningLimitAtMs } from "./overload/returning_callers.ts";
 import { hasSuitedWorkers } from "./overload/suitability.ts";
@@ -279,9 +280,7 @@
     fallback: 0,
     run: () => {
       let cpuMilli = 0;
-      for (const task of job.tasks) {
-        if (task.state === "queued") cpuMilli += task.demand.cpuMilli;
-      }
+      for (const task of queuedTasks(job)) cpuMilli += task.demand.cpuMilli;
       return cpuMilli;
     },
   });
--- a/src/engine/clock_reads.ts
+++ b/src/engine/clock_reads.ts
@@ -5,6 +5,7 @@
  */
 
 import { isolateJob } from "./job_faults.ts";
+import { queuedTasks } from "./job_state.ts";
 import { knowsClock } from "./leases.ts";
 import { isLargeEnough, isUsable, meetsRequirements } from "./task_fit.ts";
 import type {
@@ -57,8 +58,10 @@
   unread: Set<OwnedWorker>,
   { job, limit }: { job: Job; limit: number },
 ): number {
-  const tasks = job.tasks.filter(({ state }) => state === "queued")
-    .slice(0, limit);
+  const tasks: Task[] = [];
+  for (const task of queuedTasks(job)) {
+    if (tasks.push(task) === limit) break;
+  }
   let reads = 0;
   for (const task of [...tasks, ...tasks.slice(0, SPARE_READS)]) {
     const worker = findSuited(unread, task);
--- a/src/engine/crashes.ts
+++ b/src/engine/crashes.ts
@@ -11,6 +11,7 @@
  */
 
 import { logDecision } from "./effects.ts";
+import { noteFailedOn } from "./job_state.ts";
 import { markDirty } from "./records.ts";
 import type { WorkerInfo } from "./schemas.ts";
 import { blamedQueue, blameQueue } from "./suspected_queues.ts";
@@ -293,7 +294,7 @@
   task.crashedAlone ||= lost?.isTrial === true;
   task.runsAlone ||= lost?.isSuspect === true ||
     task.crashes >= GIVE_UP_CRASHES;
-  task.failedOn.add(workerId);
+  noteFailedOn(task, workerId);
   if (job.record !== null && state.scheduler !== null) {
     markDirty(state.scheduler, job);
   }
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -2,7 +2,16 @@
 
 import { expectedCriticalPathMs } from "./expected_run_times.ts";
 import type { JobSpec, PreviousListReport, QueueRule } from "./schemas.ts";
-import type { EngineState, Job, RecordState, Task } from "./types.ts";
+import type {
+  EngineState,
+  Job,
+  RecordState,
+  Task,
+  TaskState,
+} from "./types.ts";
+
+/** Shared by all tasks that no run has failed. */
+const NO_WORKERS: ReadonlySet<string> = new Set();
 
 /** The parameters of {@linkcode createJob}. */
 export interface JobOptions {
@@ -62,7 +71,12 @@
       queue.objectiveMs - waitedBeforeMs,
     criticalPathMs,
     tasks,
+    firstTaskIndexes: firstTaskIndexesOf(spec),
     unfinished: tasks.filter((task) => task.state !== "done").length,
+    unfinishedByStep: countUnfinished(spec, tasks),
+    queuedCount: 0,
+    placedCount: 0,
+    firstQueuedIndex: tasks.length,
     mayHaveStarted: options.isResumed,
     previousRunsExpireAtMs: options.previousRunsExpireAtMs,
     resumedAtMs: options.isResumed ? state.nowMs : -Infinity,
@@ -99,7 +113,7 @@
         failures: 0,
         stoppedAfterMs: 0,
         workerId: null,
-        failedOn: new Set(),
+        failedOn: NO_WORKERS,
         crashes: 0,
         crashedAlone: false,
         unresolvedLosses: 0,
@@ -111,22 +125,84 @@
   return tasks;
 }
 
+function firstTaskIndexesOf({ steps }: JobSpec): number[] {
+  const indexes: number[] = [];
+  let next = 0;
+  for (const { count } of steps) {
+    indexes.push(next);
+    next += count;
+  }
+  return indexes;
+}
+
+function countUnfinished({ steps }: JobSpec, tasks: readonly Task[]): number[] {
+  const counts = steps.map(() => 0);
+  for (const { state, stepIndex } of tasks) {
+    if (state !== "done") counts[stepIndex] = (counts[stepIndex] ?? 0) + 1;
+  }
+  return counts;
+}
+
+/** Returns the task of a job with the given name, if there is one. */
+export function findTaskByName(job: Job, taskName: string): Task | undefined {
+  const [, , stepIndex, index] = taskName.split(".");
+  const firstIndex = job.firstTaskIndexes[Number(stepIndex)] ?? NaN;
+  const task = job.tasks[firstIndex + Number(index)];
+  return task?.name === taskName ? task : undefined;
+}
+
+/** Changes the state of a task, and what its job counts of such tasks. */
+export function setTaskState(job: Job, task: Task, state: TaskState): void {
+  if (task.state === state) return;
+  if (task.state === "queued") job.queuedCount -= 1;
+  if (state === "queued") {
+    job.queuedCount += 1;
+    job.firstQueuedIndex = Math.min(job.firstQueuedIndex, task.index);
+  }
+  job.placedCount += Number(state === "placed") -
+    Number(task.state === "placed");
+  const change = Number(task.state === "done") - Number(state === "done");
+  job.unfinished += change;
+  job.unfinishedByStep[task.stepIndex] =
+    (job.unfinishedByStep[task.stepIndex] ?? 0) + change;
+  task.state = state;
+}
+
+/**
+ * Returns the queued tasks of a job in order. Tasks may leave the queue while the
+ * caller goes through them.
+ */
+export function* queuedTasks(job: Job): Generator<Task> {
+  let left = job.queuedCount;
+  for (let at = job.firstQueuedIndex; left > 0 && at < job.tasks.length;) {
+    const task = job.tasks[at] as Task;
+    const isFirst = at === job.firstQueuedIndex;
+    at += 1;
+    if (task.state === "queued") {
+      left -= 1;
+      yield task;
+    } else if (isFirst) job.firstQueuedIndex = at;
+  }
+}
+
+/** Whether all steps that precede a step are done. */
+export function isStepReady(job: Job, stepIndex: number): boolean {
+  const after = job.steps[stepIndex]?.after ?? [];
+  return after.every((earlier) => job.unfinishedByStep[earlier] === 0);
+}
+
 /** Queues the waiting tasks of each step whose preceding steps are all done. */
 export function queueReadyTasks(job: Job): void {
-  const doneSteps = job.steps.map((_, stepIndex) => isStepDone(job, stepIndex));
+  const areReady = job.steps.map((_, index) => isStepReady(job, index));
   for (const task of job.tasks) {
-    if (task.state !== "waiting") continue;
-    const after = job.steps[task.stepIndex]?.after ?? [];
-    if (after.every((stepIndex) => doneSteps[stepIndex] === true)) {
-      task.state = "queued";
-    }
+    const isReady = areReady[task.stepIndex] === true;
+    if (isReady && task.state === "waiting") setTaskState(job, task, "queued");
   }
 }
 
-function isStepDone(job: Job, stepIndex: number): boolean {
-  return job.tasks.every((task) =>
-    task.stepIndex !== stepIndex || task.state === "done"
-  );
+/** Notes that a run of a task failed, hung or crashed on a worker. */
+export function noteFailedOn(task: Task, workerId: string): void {
+  task.failedOn = new Set([...task.failedOn, workerId]);
 }
 
 /** Copies the progress of an earlier attempt at a job to a new attempt. */
@@ -142,9 +218,7 @@
     task.crashedAlone = before.crashedAlone;
     task.runsAlone = before.runsAlone;
     task.result = before.result;
-    if (before.state !== "done" || task.state === "done") continue;
-    task.state = "done";
-    job.unfinished -= 1;
+    if (before.state === "done") setTaskState(job, task, "done");
   }
 }
 
--- a/src/engine/job_watch.ts
+++ b/src/engine/job_watch.ts
@@ -11,7 +11,7 @@
 import { logDecision } from "./effects.ts";
 import { checkFollowers } from "./followers.ts";
 import { isolateJob } from "./job_faults.ts";
-import { mustNotRestart } from "./job_state.ts";
+import { mustNotRestart, queuedTasks } from "./job_state.ts";
 import { ENDED_JOB_RETENTION_MS } from "./job_table.ts";
 import { finishJob } from "./jobs.ts";
 import { mayHaveUnknownRuns, oldestListsReadAtMs } from "./placement.ts";
@@ -128,8 +128,9 @@
   scheduler: Scheduler,
   job: Job,
 ): JobOutcome | null {
-  const hasUnrunnableTask = job.tasks.some((task) =>
-    task.state === "queued" && mustNotRestart(job, task)
+  if (!hasQueuedTasks(job) || job.spec.isAtMostOnce !== true) return null;
+  const hasUnrunnableTask = [...queuedTasks(job)].some((task) =>
+    mustNotRestart(job, task)
   );
   if (!hasUnrunnableTask) return null;
   const listsReadAtMs = () => oldestListsReadAtMs(state, scheduler);
--- a/src/engine/jobs.ts
+++ b/src/engine/jobs.ts
@@ -9,7 +9,13 @@
   faultyJobOutcome,
   isolateJob,
 } from "./job_faults.ts";
-import { hasStarted, queueReadyTasks } from "./job_state.ts";
+import {
+  hasStarted,
+  isStepReady,
+  noteFailedOn,
+  queueReadyTasks,
+  setTaskState,
+} from "./job_state.ts";
 import { countRefusal } from "./overload/reports.ts";
 import { placeQueuedTasks } from "./placement.ts";
 import { dequeue, enqueue } from "./queue.ts";
@@ -87,16 +93,15 @@
 ): void {
   // If an earlier run was done, the latest one has no use any more.
   if (task.workerId !== null) stopTaskRuns(context, task.workerId, task);
-  task.state = "done";
+  setTaskState(job, task, "done");
   task.workerId = null;
   task.result = result ?? null;
-  job.unfinished -= 1;
   context.state.counters.tasksDone += 1;
   if (job.unfinished === 0) {
     finishJob(context, job, doneOutcome(job));
     return;
   }
-  if (job.steps.length > 1) {
+  if (job.steps.length > 1 && job.unfinishedByStep[task.stepIndex] === 0) {
     queueReadyTasks(job);
     enqueue(context.state, job);
   }
@@ -118,13 +123,13 @@
   { state }: ReduceContext,
   { job, task, workerId, kind }: TaskCompletion,
 ): void {
-  task.state = "waiting";
-  queueReadyTasks(job);
+  const isReady = isStepReady(job, task.stepIndex);
+  setTaskState(job, task, isReady ? "queued" : "waiting");
   task.workerId = null;
   if (kind === "notStarted") task.mayHaveStarted = false;
   if (kind !== "failed") return;
   task.failures += 1;
-  task.failedOn.add(workerId);
+  noteFailedOn(task, workerId);
   state.counters.tasksFailed += 1;
 }
 
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -353,6 +353,7 @@
     workers: new Map(),
     endedJobs: [],
     lostRuns: [],
+    startsInFlight: new Set(),
     queueCrashesAtMs: new Map(),
     records: createRecordStoreState(term),
     loans: createWorkerLoans(),
--- a/src/engine/load_limits.ts
+++ b/src/engine/load_limits.ts
@@ -18,6 +18,20 @@
 const ENTRY_SHARE = 0.6;
 /** Retry delay of a job that is refused for lack of memory. */
 const RETRY_AFTER_MS = 1_000;
+/**
+ * Factor of a leader's bound up to which it takes jobs that it must not refuse,
+ * since they may have run.
+ */
+const HARD_LIMIT_FACTOR = 1.5;
+/**
+ * Starts without an outcome at a time. Each holds a call, which takes far more
+ * memory than its task.
+ */
+const MAX_STARTS_IN_FLIGHT = 256;
+/** Runs on one worker, which lists all of them in each answer to a poll. */
+export const MAX_RUNS_PER_WORKER = 128;
+/** Calls to stop runs that are sent to one worker within the resend interval. */
+export const MAX_STOPS_IN_FLIGHT = 16;
 /** Cancellations of one job that wait until its outcome is persisted. */
 export const MAX_CANCEL_REQUESTS = 256;
 
@@ -27,9 +41,16 @@
   maxQueries: Infinity,
 };
 
+/** Whether a leader may start further tasks before earlier starts are answered. */
+export function mayStartMore({ scheduler }: EngineState): boolean {
+  return scheduler !== null &&
+    scheduler.startsInFlight.size < MAX_STARTS_IN_FLIGHT;
+}
+
 /**
- * Returns the refusal of a job that the leader doesn't have and has no memory for;
- * null if it is to be admitted, or if it may have run.
+ * Returns the outcome of a job that the leader doesn't have and has no memory for;
+ * null if it is to be admitted. A job that may have run is not refused: beyond a
+ * higher bound its outcome is unknown.
  */
 export function refuseForMemory(
   context: ReduceContext,
@@ -40,12 +61,12 @@
   const { jobs } = scheduler;
   const { maxJobBytesAtLeader } = state.limits;
   if (maxJobBytesAtLeader === Infinity) return null;
-  if (message.resubmitted || mayHaveRecord(state, scheduler, message)) {
-    return null;
-  }
+  const mayHaveRun = message.resubmitted ||
+    mayHaveRecord(state, scheduler, message);
+  const limitBytes = maxJobBytesAtLeader * (mayHaveRun ? HARD_LIMIT_FACTOR : 1);
   const bytes = jobBytes(message.job);
-  const fits = jobs.totalBytes + bytes <= maxJobBytesAtLeader &&
-    jobs.bytesOf(from) + bytes <= ENTRY_SHARE * maxJobBytesAtLeader;
+  const fits = jobs.totalBytes + bytes <= limitBytes &&
+    (mayHaveRun || jobs.bytesOf(from) + bytes <= ENTRY_SHARE * limitBytes);
   if (fits) return null;
   state.counters.jobsOverMemory += 1;
   logDecision(context, {
@@ -53,12 +74,14 @@
     part: "admit",
     text: "job refused: the leader has no memory for it",
   }, {
+    mayHaveRun,
     jobId: message.jobId,
     entryId: from,
     jobs: jobs.size,
     bytesHeld: jobs.totalBytes,
     bytesOfEntry: jobs.bytesOf(from),
   });
+  if (mayHaveRun) return { kind: "unknown", reason: "leaderLost" };
   return {
     kind: "refused",
     reason: "overloaded",
--- a/src/engine/loan_requests.ts
+++ b/src/engine/loan_requests.ts
@@ -7,7 +7,7 @@
 import { awaitsEvidence } from "./crashes.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import { isolateJob } from "./job_faults.ts";
-import { mustNotRestart } from "./job_state.ts";
+import { mustNotRestart, queuedTasks } from "./job_state.ts";
 import { isActiveLeader, zonesWithoutInstances } from "./leader_lookup.ts";
 import { createListsReadAt, mayHaveUnknownRuns } from "./placement.ts";
 import type { PeerMessageOf, WorkerDemand } from "./schemas.ts";
@@ -109,7 +109,9 @@
       const tasks = isolateJob(context, job, {
         stage: "place",
         fallback: [],
-        run: () => job.tasks.filter((task) => mayStart(job, task)),
+        run: () =>
+          [...queuedTasks(job)].filter((task) => mayStart(job, task))
+            .slice(0, MAX_DEMANDED_TASKS - taskCount),
       });
       taskCount += tasks.length;
       for (const task of tasks) addDemand(demands, { service, task });
@@ -132,8 +134,7 @@
 }
 
 function mayStart(job: Job, task: Task): boolean {
-  return task.state === "queued" && !mustNotRestart(job, task) &&
-    !awaitsEvidence(task);
+  return !mustNotRestart(job, task) && !awaitsEvidence(task);
 }
 
 function addDemand(
--- /dev/null
+++ b/src/engine/many_tasks_test.ts
@@ -0,0 +1,140 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { jobBounds } from "./job_bounds.ts";
+import {
+  answerPolls,
+  createTestLeader,
+  effectsOf,
+  messagesOf,
+  type TestInstance,
+  testJob,
+  testSubmission,
+  testWorker,
+} from "./testing.ts";
+import type { Effect } from "./types.ts";
+
+const JOB_ID = "00000000000000aa";
+/** Starts that a leader sends before earlier ones are answered. */
+const MAX_STARTS = 256;
+const MAX_RUNS_PER_WORKER = 128;
+const MAX_STOPS_PER_WORKER = 16;
+/** Tasks that need nothing, so that all of them fit on one worker. */
+const step = { ...testJob(1).steps[0]!, cpuMilli: 0, memoryMb: 0 };
+
+function submitTasks(leader: TestInstance, count: number): Effect[] {
+  const job = { spec: "", steps: [{ ...step, count }] };
+  return leader.receive("p", testSubmission({ jobId: JOB_ID, job }));
+}
+
+function startsOf(effects: readonly Effect[]) {
+  return effectsOf(effects, "startTask");
+}
+
+/** A leader that has as many runs of a job as its workers take. */
+function createFullLeader(): { leader: TestInstance; started: number } {
+  const leader = createTestLeader();
+  leader.tick(2_000);
+  const effects = submitTasks(leader, 2_000);
+  let started = 0;
+  for (let starts = startsOf(effects); starts.length > 0;) {
+    started += starts.length;
+    starts = startsOf(
+      starts.flatMap((start) => leader.acknowledgeStart(start)),
+    );
+  }
+  return { leader, started };
+}
+
+// Each call for a start takes several kilobytes; all 60,000 in one event exhausted
+// the heap of each leader that the record of the job reached.
+test("a leader starts the tasks of a large job in slices", () => {
+  const { leader, started } = createFullLeader();
+  expect(started).toEqual(2 * MAX_RUNS_PER_WORKER);
+  for (const { runs } of leader.state.scheduler!.workers.values()) {
+    expect(runs.size).toEqual(MAX_RUNS_PER_WORKER);
+  }
+});
+
+const counts = [1, MAX_STARTS, MAX_STARTS + 1, 60_000, jobBounds.tasks];
+
+for (const count of counts) {
+  test(`a leader sends a bounded number of starts for ${count} tasks at a time`, () => {
+    const leader = createTestLeader();
+    const workers = ["w1", "w2", "w3", "w4"].map(testWorker);
+    leader.after(0, { type: "workersRead", workers });
+    for (const { workerId } of workers) leader.completePoll(workerId);
+    leader.tick(2_000);
+    const started = startsOf(submitTasks(leader, count)).length;
+    expect(started).toEqual(Math.min(count, MAX_STARTS));
+    expect(startsOf(leader.tick()).length).toEqual(0);
+  });
+}
+
+test("a leader stops the runs of a large job in slices, all of them", () => {
+  const { leader } = createFullLeader();
+  const stopped = new Set<string>();
+  const first = leader.receive("p", { type: "withdraw", jobId: JOB_ID });
+  expect(effectsOf(first, "stopTask").length)
+    .toEqual(2 * MAX_STOPS_PER_WORKER);
+  let effects = first;
+  for (let round = 0; round < 400; round += 1) {
+    for (const stop of effectsOf(effects, "stopTask")) {
+      stopped.add(stop.taskName);
+      leader.completePoll(stop.workerId, {
+        finished: [[stop.taskName, "stopped"]],
+      });
+    }
+    effects = leader.tick();
+  }
+  expect(stopped.size).toEqual(2 * MAX_RUNS_PER_WORKER);
+});
+
+const ends = [
+  { name: "its only step", steps: [{ ...step, count: 3 }], queued: [0, 0] },
+  {
+    name: "a step that others wait for",
+    steps: [{ ...step, count: 2 }, { ...step, count: 3, after: [0] }],
+    queued: [0, 3],
+  },
+];
+
+for (const { name, steps, queued: [before, after] } of ends) {
+  test(`the tasks of later steps start with the last task of ${name}`, () => {
+    const leader = createTestLeader();
+    leader.tick(2_000);
+    const job = { spec: "", steps };
+    const starts = startsOf(
+      leader.receive("p", testSubmission({ jobId: JOB_ID, job })),
+    );
+    const later = starts.map(({ workerId, taskName }) =>
+      startsOf(leader.completePoll(workerId, {
+        finished: [[taskName, "done"]],
+      })).length
+    );
+    expect(later.slice(0, -1).every((count) => count === before))
+      .toEqual(true);
+    expect(later.at(-1)).toEqual(after);
+  });
+}
+
+// A new leader has not read the records, and may not refuse what may have run.
+test("a leader without memory tells no untruth of a job that may have run", () => {
+  const leader = createTestLeader();
+  Object.assign(leader.state, {
+    limits: { ...leader.state.limits, maxJobBytesAtLeader: 1e6 },
+  });
+  const submit = (index: number) =>
+    leader.receive(
+      "p",
+      testSubmission({
+        jobId: `00000000000000${10 + index}`,
+        job: { spec: "", steps: [{ ...step, count: 1_000 }], isRecorded: true },
+      }),
+    );
+  const outcomes = [0, 1, 2].flatMap((index) =>
+    messagesOf(submit(index), "jobEnded").map(({ outcome }) => outcome)
+  );
+  expect(outcomes).toEqual([{ kind: "unknown", reason: "leaderLost" }]);
+  answerPolls(leader, leader.tick());
+  expect(leader.state.scheduler?.jobs.size).toEqual(2);
+});
--- a/src/engine/overload/begin.ts
+++ b/src/engine/overload/begin.ts
@@ -3,6 +3,7 @@
  * others wait. Load: more work of less urgent queues than the workers can do.
  */
 
+import { queuedTasks } from "../job_state.ts";
 import type { Step } from "../schemas.ts";
 import { isReserved } from "../trials.ts";
 import type {
@@ -67,13 +68,14 @@
 function fitsWhole(
   state: EngineState,
   workers: readonly OwnedWorker[],
-  { tasks, steps }: Job,
+  job: Job,
 ): boolean {
-  return steps.every((demand, stepIndex) => {
-    let left = 0;
-    for (const task of tasks) {
-      if (task.stepIndex === stepIndex && task.state === "queued") left += 1;
-    }
+  const queuedByStep = job.steps.map(() => 0);
+  for (const { stepIndex } of queuedTasks(job)) {
+    queuedByStep[stepIndex] = (queuedByStep[stepIndex] ?? 0) + 1;
+  }
+  return job.steps.every((demand, stepIndex) => {
+    let left = queuedByStep[stepIndex] ?? 0;
     for (const worker of workers) {
       if (left <= 0) break;
       left -= placesLeft(state, worker, demand);
@@ -112,7 +114,7 @@
     const { priority } = job.queue;
     if (isMostUrgent(state, job.queue) || job.mayHaveStarted) return true;
     if (job.record !== null) return true;
-    const first = job.tasks.find((task) => task.state === "queued");
+    const [first] = queuedTasks(job);
     if (first === undefined || first.runsAlone) return true;
     if (mayFit(first) && fitsWhole(state, workers, job)) return true;
     const count = partlyStarted.get(priority) ?? 0;
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -8,13 +8,15 @@
 import { cellWorkers, hasVanishedWorkers } from "./cells.ts";
 import { awaitsEvidence } from "./crashes.ts";
 import { isPaused } from "./followers.ts";
+import { mayStartMore } from "./load_limits.ts";
 import { isolateJob } from "./job_faults.ts";
-import { hasStarted } from "./job_state.ts";
+import { hasStarted, queuedTasks } from "./job_state.ts";
 import { listsSameWorkers } from "./leader_lists.ts";
 import { knowsClock } from "./leases.ts";
 import { createBeginCheck } from "./overload/begin.ts";
 import { overloadPolicyOf } from "./overload/policies.ts";
 import { readClocks } from "./clock_reads.ts";
+import { hasRoomForCounts, isPlacedEnough } from "./record_content.ts";
 import { hasQueuedTasks, markPartlyStarted } from "./queue.ts";
 import { startRun } from "./runs.ts";
 import { isHeldBack, isMixed, isSuspectedQueue } from "./suspected_queues.ts";
@@ -81,7 +83,7 @@
   const candidatesOf = createCandidatesCache();
   const mayBegin = createBeginCheck(state, scheduler, service);
   const { finishesStartedFirst } = overloadPolicyOf(state, service);
-  for (let at = 0; at < waiting.length;) {
+  for (let at = 0; at < waiting.length && mayStartMore(state);) {
     const job = waiting[at] as Job;
     if (
       job.outcome !== null || isPaused(state, job) ||
@@ -244,8 +246,9 @@
 ): void {
   const isSuspected = isSuspectedQueue(context.state, job.queue.name);
   if (isSuspected && isHeldBack(context.state, job)) return;
-  for (const task of job.tasks) {
-    if (task.state !== "queued") continue;
+  for (const task of queuedTasks(job)) {
+    if (!mayStartMore(context.state) || isPlacedEnough(job)) return;
+    if (!hasRoomForCounts(job, task)) continue;
     if (task.mayHaveStarted && !context.state.guards.mayRunAgain(job, "lost")) {
       continue;
     }
--- a/src/engine/queue.ts
+++ b/src/engine/queue.ts
@@ -8,7 +8,7 @@
 
 /** Whether a job has tasks that wait only for a worker. */
 export function hasQueuedTasks(job: Job): boolean {
-  return job.tasks.some((task) => task.state === "queued");
+  return job.queuedCount > 0;
 }
 
 /**
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -22,10 +22,10 @@
 import {
   createRecordState,
   mayHaveOtherOwner,
-  mergeRecord,
   OWNERSHIP_CONFIRM_TIMEOUT_MS,
   partOf,
 } from "./records.ts";
+import { mergeRecord } from "./record_content.ts";
 import { forgetHolder } from "./records_holder.ts";
 import { attachRuns, processOrphanCompletions } from "./runs.ts";
 import type {
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -22,7 +22,7 @@
 } from "./leader_lookup.ts";
 import { nextTerm } from "./leadership.ts";
 import { seesQuorum } from "./membership.ts";
-import { dequeue } from "./queue.ts";
+import { dequeue, enqueue } from "./queue.ts";
 import { finishConfirmedOpening } from "./record_opening.ts";
 import {
   forgetHolder,
@@ -35,7 +35,6 @@
   markDirty,
   mayHaveOtherOwner,
   mayHaveTwoOwners,
-  mergeRecord,
   OWNERSHIP_CONFIRM_INTERVAL_MS,
   OWNERSHIP_CONFIRM_TIMEOUT_MS,
   RECORD_PART_NUMBERS,
@@ -45,6 +44,7 @@
   WRITE_RETRY_DELAY_MS,
   writeRows,
 } from "./records.ts";
+import { mergeRecord } from "./record_content.ts";
 import type {
   EngineEventOf,
   EngineState,
@@ -292,13 +292,17 @@
       });
     }
   },
-  changed: (_context, { scheduler, batch }, { records: rows }) => {
+  changed: ({ state }, { scheduler, batch }, { records: rows }) => {
     markConfirmed(scheduler.records, batch);
     for (const job of batch.jobs) {
       if (job.record === null) continue;
       const row = rows.find(({ record }) => record.jobId === job.jobId);
       if (row === undefined) job.record.version = 0;
-      else applyStoredRecord(job, job.record, row);
+      else {
+        applyStoredRecord(job, job.record, row);
+        queueReadyTasks(job);
+        enqueue(state, job);
+      }
       requeueCompletions(job.record);
       markDirty(scheduler, job);
     }
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -10,6 +10,7 @@
 import { isolateJob } from "./job_faults.ts";
 import { hasSilentZone } from "./leader_lookup.ts";
 import { hasLostPeers, mayHaveRival } from "./membership.ts";
+import { countTroubled, recordBytes, recordOf } from "./record_content.ts";
 import type { JobRecord } from "./schemas.ts";
 import type {
   EngineState,
@@ -45,15 +46,10 @@
  */
 const MAX_BATCH_RECORDS = 40;
 /**
- * Maximum length of a record's JSON text, in UTF-16 code units; below the
- * store's limit for a row.
+ * Total size of records beyond which a transaction takes no further record. The
+ * store accepts 1 MB of base64, with a record more.
  */
-const MAX_RECORD_LENGTH = 44_000;
-/**
- * Total length of records, in UTF-16 code units, beyond which a transaction
- * takes no further record; below the store's limit for a transaction.
- */
-const BATCH_LENGTH_THRESHOLD = 600_000;
+const BATCH_BYTES_THRESHOLD = 600_000;
 /**
  * Time without a confirmation from the store after which another leader may own
  * the records. An owner that can't rule this out relinquishes them.
@@ -120,6 +116,7 @@
     acceptedAtMs,
     endedAtMs: 0,
     isRestored: false,
+    troubledCount: 0,
     cancelRequests: [],
   };
 }
@@ -167,70 +164,6 @@
   return hashText(jobId) % RECORD_PARTS;
 }
 
-/** Returns the record to store for a job in its present state. */
-export function recordOf(job: Job, record: RecordState): JobRecord {
-  const failures: Record<string, number> = {};
-  const crashes: Record<string, number> = {};
-  const unresolvedLosses: Record<string, number> = {};
-  const results: Record<string, string> = {};
-  const done: number[] = [];
-  for (const task of job.tasks) {
-    if (task.state === "done") done.push(task.index);
-    if (task.failures > 0) failures[task.index] = task.failures;
-    if (task.crashes > 0) crashes[task.index] = task.crashes;
-    if (task.unresolvedLosses > 0) {
-      unresolvedLosses[task.index] = task.unresolvedLosses;
-    }
-    if (task.result !== null) results[task.index] = task.result;
-  }
-  return {
-    jobId: job.jobId,
-    queue: job.queue,
-    job: job.spec,
-    acceptedAtMs: record.acceptedAtMs,
-    outcome: job.outcome,
-    endedAtMs: record.endedAtMs,
-    done,
-    failures,
-    ...(isEmpty(crashes) ? {} : { crashes }),
-    ...(isEmpty(unresolvedLosses) ? {} : { unresolvedLosses }),
-    results,
-  };
-}
-
-function isEmpty(counts: Record<string, number>): boolean {
-  return Object.keys(counts).length === 0;
-}
-
-/** Whether the record of a job fits in a row of the store. */
-export function fitsRow(job: Job, record: RecordState): boolean {
-  return JSON.stringify(recordOf(job, record)).length <= MAX_RECORD_LENGTH;
-}
-
-/** Merges the progress and the outcome in a stored record into its job. */
-export function mergeRecord(job: Job, stored: JobRecord): void {
-  const { record } = job;
-  if (record === null) return;
-  const done = new Set(stored.done);
-  for (const task of job.tasks) {
-    task.failures = Math.max(task.failures, stored.failures[task.index] ?? 0);
-    task.result ??= stored.results[task.index] ?? null;
-    // Which workers these losses concern is not known any more, so nothing will
-    // show whether they crashed. One more crash gives the task up.
-    const crashes = (stored.crashes?.[task.index] ?? 0) +
-      (stored.unresolvedLosses?.[task.index] ?? 0);
-    task.crashes = Math.max(task.crashes, crashes);
-    task.runsAlone = task.crashes > 0;
-    if (!done.has(task.index) || task.state === "done") continue;
-    task.state = "done";
-    job.unfinished -= 1;
-  }
-  if (stored.outcome === null) return;
-  job.outcome ??= stored.outcome;
-  record.storedOutcome = stored.outcome;
-  record.endedAtMs = stored.endedAtMs;
-}
-
 /** Marks a job's record to be included in a following write of its part. */
 export function markDirty(scheduler: Scheduler, job: Job): void {
   const { dirty } = scheduler.records;
@@ -279,14 +212,15 @@
   }
 }
 
-/** Returns the new content of a job's row, and its length. */
+/** Returns the new content of a job's row, and its size. */
 function contentOf(
   job: Job,
   record: RecordState,
-): { record: JobRecord | null; length: number } {
-  if (record.removing) return { record: null, length: 0 };
+): { record: JobRecord | null; bytes: number } {
+  if (record.removing) return { record: null, bytes: 0 };
   const content = recordOf(job, record);
-  return { record: content, length: JSON.stringify(content).length };
+  record.troubledCount = countTroubled(content);
+  return { record: content, bytes: recordBytes(content) };
 }
 
 function writePart(
@@ -296,11 +230,11 @@
 ): void {
   const batchJobs: Job[] = [];
   const rows: RecordWrite[] = [];
-  let batchLength = 0;
+  let batchBytes = 0;
   for (const job of jobs) {
     const { record } = job;
     if (
-      rows.length >= MAX_BATCH_RECORDS || batchLength > BATCH_LENGTH_THRESHOLD
+      rows.length >= MAX_BATCH_RECORDS || batchBytes > BATCH_BYTES_THRESHOLD
     ) break;
     jobs.delete(job);
     if (record === null || !mayWrite(context.state, job)) continue;
@@ -310,7 +244,7 @@
       run: () => contentOf(job, record),
     });
     if (content === undefined) continue;
-    batchLength += content.length;
+    batchBytes += content.bytes;
     record.mayExist = true;
     record.inFlightCompletions = record.pendingCompletions;
     record.pendingCompletions = [];
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -9,9 +9,16 @@
   runEstimateOf,
 } from "./expected_run_times.ts";
 import { isolateJob } from "./job_faults.ts";
-import { jobIdOf, mustNotRestart } from "./job_state.ts";
+import {
+  findTaskByName,
+  jobIdOf,
+  mustNotRestart,
+  noteFailedOn,
+  setTaskState,
+} from "./job_state.ts";
 import { knowsRecordsZone, recordsLeader } from "./leader_lookup.ts";
 import { leaseEndsOnWorkerMs, maxLeaseMs } from "./leases.ts";
+import { MAX_STOPS_IN_FLIGHT } from "./load_limits.ts";
 import { retainCompletion } from "./records.ts";
 import {
   hasProgressed,
@@ -67,6 +74,13 @@
   return `${taskName}#${run}`;
 }
 
+/** Returns the key of a start in `Scheduler.startsInFlight`. */
+export function startKey(
+  { taskName, run, fence }: { taskName: string; run: number; fence: number },
+): string {
+  return `${runKey(taskName, run)}#${fence}`;
+}
+
 /** Adds a run to a worker and reserves its capacity. */
 function addRun(worker: OwnedWorker, run: WorkerRun): void {
   worker.runs.set(runKey(run.taskName, run.run), run);
@@ -94,15 +108,17 @@
   { job, task }: { job: Job; task: Task },
 ): void {
   const { state } = context;
+  const { scheduler } = state;
   const { demand } = task;
   const { workerId, address, cpuMilli, memoryMb } = worker.info;
+  if (scheduler === null) return;
   const isPersisted = job.record === null || job.record.accepted;
   assert(isPersisted, "recorded_before_begun", job.jobId);
   assert(!mustNotRestart(job, task), "at_most_once", task.name);
   assert(!worker.info.draining, "leaving_worker_gets_nothing", workerId);
   task.run += 1;
   task.mayHaveStarted = true;
-  task.state = "placed";
+  setTaskState(job, task, "placed");
   task.workerId = workerId;
   job.mayHaveStarted = true;
   state.counters.tasksStarted += 1;
@@ -138,6 +154,9 @@
     usedCpuMilli: worker.usedCpuMilli,
     waitedMs: Math.round(state.nowMs - job.receivedAtMs),
   });
+  scheduler.startsInFlight.add(
+    startKey({ taskName: task.name, run: task.run, fence: worker.fence }),
+  );
   emit(context, {
     type: "startTask",
     workerId,
@@ -196,8 +215,21 @@
   dropRun(context, worker, { run, kind });
 }
 
+/** Number of calls to stop runs that were sent within the resend interval. */
+function countRecentStops(
+  { nowMs }: EngineState,
+  { runs }: OwnedWorker,
+): number {
+  let count = 0;
+  for (const { stopSentAtMs } of runs.values()) {
+    if (nowMs - stopSentAtMs < RESEND_STOP_INTERVAL_MS) count += 1;
+  }
+  return count;
+}
+
 /**
- * Sends a call to stop a run, unless one was sent within the resend interval.
+ * Sends a call to stop a run, unless one was sent within the resend interval. If
+ * many were sent for other runs of the worker, `checkRuns` sends it later.
  */
 export function stopRun(
   context: ReduceContext,
@@ -206,9 +238,12 @@
 ): void {
   const { state } = context;
   if (state.nowMs - run.stopSentAtMs < RESEND_STOP_INTERVAL_MS) return;
+  const isDelayed = countRecentStops(state, worker) >= MAX_STOPS_IN_FLIGHT;
+  if (isDelayed && run.state === "stopping") return;
   run.state = "stopping";
-  run.stopSentAtMs = state.nowMs;
   run.ackedAtMs = Infinity;
+  if (isDelayed) return;
+  run.stopSentAtMs = state.nowMs;
   state.counters.tasksStopped += 1;
   emit(context, {
     type: "stopTask",
@@ -429,7 +464,7 @@
   const task = isolateJob(context, job, {
     stage: "complete",
     fallback: undefined,
-    run: () => job.tasks.find(({ name }) => name === taskName),
+    run: () => findTaskByName(job, taskName),
   });
   return task === undefined ? null : { job, task };
 }
@@ -582,7 +617,7 @@
   };
   addRun(worker, run);
   if (canAttach) {
-    found.task.state = "placed";
+    setTaskState(found.job, found.task, "placed");
     found.task.run = Math.max(found.task.run, row.run);
     found.task.mayHaveStarted = true;
     found.task.workerId = worker.info.workerId;
@@ -632,12 +667,12 @@
   worker: OwnedWorker,
   { run, job }: { run: WorkerRun; job: Job },
 ): void {
-  const task = job.tasks.find(({ name }) => name === run.taskName);
+  const task = findTaskByName(job, run.taskName);
   if (task === undefined || !context.state.guards.mayAttachRun(task)) return;
   resizeRun(worker, run, task);
   run.job = job;
   run.task = task;
-  task.state = "placed";
+  setTaskState(job, task, "placed");
   task.run = run.run;
   task.mayHaveStarted = true;
   task.workerId = worker.info.workerId;
@@ -720,7 +755,7 @@
     ranMs: Math.round(ranMs),
   });
   task.stoppedAfterMs = Math.max(task.stoppedAfterMs, stalledMs(progress));
-  task.failedOn.add(workerId);
+  noteFailedOn(task, workerId);
   // The run would have taken longer than this.
   runEstimateOf(state, job.queue.name, ranMs).runTimesMs.observe(ranMs);
   countFailures(state, worker, { run, count: FAILURES_PER_HUNG_RUN });
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -1,6 +1,7 @@
 /** Schemas, and their types, of the data that crosses the engine's boundary. */
 
 import { z } from "zod";
+import { hasBoundedTasks, jobBounds } from "./job_bounds.ts";
 
 /** One instance: its id, location, address for peers, and start time. */
 export const instanceInfoSchema = z.object({
@@ -103,7 +104,7 @@
 
 /** One step of a job: a number of identical tasks. */
 export const stepSchema = jobTaskSchema.extend({
-  count: z.number().int().positive(),
+  count: z.number().int().positive().max(jobBounds.tasks),
   /** Indexes of the steps that must be done before this one starts. */
   after: z.array(z.number().int().nonnegative()),
   /** Input of the step's tasks; defaults to the `spec` of the job. */
@@ -120,7 +121,8 @@
 export const jobSpecSchema = z.object({
   /** Input of the tasks of steps without a `payload`. */
   spec: z.string(),
-  steps: z.array(stepSchema).min(1),
+  steps: z.array(stepSchema).min(1).max(jobBounds.steps)
+    .refine(hasBoundedTasks, { error: "too many tasks in all steps" }),
   /**
    * The job is persisted in the store and survives the loss of all instances.
    */
@@ -321,8 +323,13 @@
   outcome: jobOutcomeSchema.nullable(),
   /** Time at which the job ended, in Unix milliseconds; 0 if it has not. */
   endedAtMs: z.number(),
-  /** Indexes of the tasks that are done. */
+  /** Indexes of the tasks that are done, unless `doneBits` has them. */
   done: z.array(z.number().int()),
+  /**
+   * Base64 of a bit for each task, the lowest bit of each byte first, which is
+   * set if the task is done.
+   */
+  doneBits: z.string().optional(),
   /** Number of failed runs, by task index. */
   failures: z.record(z.string(), z.number().int()),
   /** Number of workers that crashed under a run, by task index. */
--- a/src/engine/starts.ts
+++ b/src/engine/starts.ts
@@ -2,7 +2,7 @@
 
 import { logDecision } from "./effects.ts";
 import { createProgress } from "./run_progress.ts";
-import { dropRun, runKey } from "./runs.ts";
+import { dropRun, runKey, startKey } from "./runs.ts";
 import type {
   EngineEventOf,
   OwnedWorker,
@@ -109,7 +109,9 @@
   context: ReduceContext,
   event: EngineEventOf<"startCompleted">,
 ): OwnedWorker | null {
-  const worker = context.state.scheduler?.workers.get(event.workerId);
+  const { scheduler } = context.state;
+  scheduler?.startsInFlight.delete(startKey(event));
+  const worker = scheduler?.workers.get(event.workerId);
   const run = worker?.runs.get(runKey(event.taskName, event.run));
   if (worker === undefined || run === undefined) return null;
   if (!context.state.guards.isOutcomeOf(run, event.fence)) return null;
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -18,12 +18,8 @@
 import { previousRunsExpireAtMs } from "./previous_runs.ts";
 import { countArrival, isSurplus } from "./queue_demand.ts";
 import { cameAfterDrop, learnRule, newestRule } from "./queue_rules.ts";
-import {
-  createRecordState,
-  fitsRow,
-  knowsAllRecords,
-  markDirty,
-} from "./records.ts";
+import { createRecordState, knowsAllRecords, markDirty } from "./records.ts";
+import { fitsRow } from "./record_content.ts";
 import type { JobOutcome, PeerMessageOf } from "./schemas.ts";
 import type {
   EngineState,
--- a/src/engine/task_fit.ts
+++ b/src/engine/task_fit.ts
@@ -2,6 +2,7 @@
 
 import { jobIdOf } from "./job_state.ts";
 import { mayGrantLease } from "./leases.ts";
+import { MAX_RUNS_PER_WORKER } from "./load_limits.ts";
 import type { EngineState, OwnedWorker, Task } from "./types.ts";
 
 /**
@@ -10,6 +11,7 @@
  */
 export function isUsable(state: EngineState, worker: OwnedWorker): boolean {
   if (worker.phase !== "ready" || !state.guards.mayServe(worker)) return false;
+  if (worker.runs.size >= MAX_RUNS_PER_WORKER) return false;
   if (worker.unsizedRunCount > 0 || worker.trialCount > 0) return false;
   if (!mayGrantLease(state, worker)) return false;
   // Runs that a previous owner stopped may occupy capacity until this time,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -631,7 +631,7 @@
   /** Id of the worker that runs the task; null unless the task is placed. */
   workerId: string | null;
   /** Ids of the workers on which a run of the task failed, hung or crashed. */
-  readonly failedOn: Set<string>;
+  failedOn: ReadonlySet<string>;
   /** Number of workers that crashed while they had a run of the task. */
   crashes: number;
   /** Number of lost runs of which it is not known yet whether a crash did it. */
@@ -678,6 +678,8 @@
   endedAtMs: number;
   /** The record was read when this leader took over the records. */
   isRestored: boolean;
+  /** Number of tasks whose failures or losses the record had when last written. */
+  troubledCount: number;
   /** Cancel requests that are answered once the outcome is persisted. */
   readonly cancelRequests: {
     readonly from: string;
@@ -704,8 +706,18 @@
   /** Expected run time of the longest chain of dependent tasks. */
   readonly criticalPathMs: number;
   readonly tasks: Task[];
+  /** Index of the first task of each step. */
+  readonly firstTaskIndexes: readonly number[];
   /** Number of tasks that are not done. */
   unfinished: number;
+  /** Number of tasks of each step that are not done. */
+  readonly unfinishedByStep: number[];
+  /** Number of queued tasks. */
+  queuedCount: number;
+  /** Number of placed tasks. */
+  placedCount: number;
+  /** No queued task has a lower index. */
+  firstQueuedIndex: number;
   /**
    * Tasks were, or may have been, sent to workers here or by another leader.
    */
@@ -986,6 +998,8 @@
   readonly endedJobs: Job[];
   /** Lost runs of recorded jobs, the earliest loss first. */
   lostRuns: LostRun[];
+  /** Keys of the starts without an outcome. */
+  readonly startsInFlight: Set<string>;
   /** Times of the recent crashes that each queue is blamed for. */
   readonly queueCrashesAtMs: Map<string, number[]>;
   records: RecordStoreState;
