--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -27,8 +27,11 @@
 } from "./types.ts";
 import { isEvacuated, needsEvacuatedWorkers } from "./zones/evacuation.ts";
 
-/** Expected wait reported to peers for a service without usable workers. */
-const NO_WORKERS_WAIT_MS = 600_000;
+/**
+ * Expected wait reported to peers for a service without usable workers, and the
+ * longest wait that peers and callers are told.
+ */
+const MAX_REPORTED_WAIT_MS = 600_000;
 /**
  * Retry delay of a job whose queue crashes workers: about the time in which a
  * crashed worker is back.
@@ -69,7 +72,7 @@
   return {
     kind: "refused",
     reason: isOverload ? "overloaded" : "noWorker",
-    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.round(retryAfterMs)),
+    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, reportedWaitMs(retryAfterMs)),
   };
 }
 
@@ -261,17 +264,27 @@
   for (const [service, jobs] of scheduler.waiting) {
     const { cpuMilli } = createServiceCapacity(state, scheduler, service);
     if (cpuMilli === 0) {
-      scheduler.waitMsByService.set(service, NO_WORKERS_WAIT_MS);
+      scheduler.waitMsByService.set(service, MAX_REPORTED_WAIT_MS);
       continue;
     }
     if (state.hasZoneCells) continue;
     const load: QueuedLoad = { cpuMilli: 0, workMilliMs: 0 };
     for (const job of jobs) addLoadOf(context, load, job);
-    const waitMs = Math.round(load.workMilliMs / cpuMilli);
-    scheduler.waitMsByService.set(service, waitMs);
+    const waitMs = load.workMilliMs / cpuMilli;
+    scheduler.waitMsByService.set(service, reportedWaitMs(waitMs));
   }
 }
 
+/**
+ * Returns an expected wait as peers and callers are told of it. Peers ignore a heartbeat with
+ * a number that JSON has no form for, and take its sender for lost.
+ */
+export function reportedWaitMs(waitMs: number): number {
+  return waitMs < MAX_REPORTED_WAIT_MS
+    ? Math.round(waitMs)
+    : MAX_REPORTED_WAIT_MS;
+}
+
 /** Returns the CPU that the queued tasks of a job need together. */
 export function queuedCpuMilli(context: ReduceContext, job: Job): number {
   if (job.outcome !== null) return 0;
--- a/src/engine/job_bounds.ts
+++ b/src/engine/job_bounds.ts
@@ -12,6 +12,17 @@
   tasks: 65_536,
   /** Steps, which also bound a task's list of earlier steps. */
   steps: 1_024,
+  /**
+   * Resources of one task, above those of any worker. Sums over all tasks that a
+   * leader keeps stay finite and, for whole numbers, exact.
+   */
+  cpuMilli: 1e9,
+  memoryMb: 1e9,
+  accelerators: 1e6,
+  /** Declared run time of a task: one day. */
+  estimatedMs: 86_400_000,
+  /** Length of a label, in UTF-16 code units. */
+  labelLength: 1_024,
 } as const;
 
 /**
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -95,11 +95,11 @@
 
 /** The resources and the run time that each task of a step needs. */
 export const jobTaskSchema = z.object({
-  cpuMilli: z.number().nonnegative(),
-  memoryMb: z.number().nonnegative(),
-  accelerators: z.number().nonnegative(),
+  cpuMilli: z.number().nonnegative().max(jobBounds.cpuMilli),
+  memoryMb: z.number().nonnegative().max(jobBounds.memoryMb),
+  accelerators: z.number().nonnegative().max(jobBounds.accelerators),
   /** Run time declared by the caller; 0 if none was declared. */
-  estimatedMs: z.number().nonnegative(),
+  estimatedMs: z.number().nonnegative().max(jobBounds.estimatedMs),
 });
 
 /** One step of a job: a number of identical tasks. */
@@ -110,9 +110,9 @@
   /** Input of the step's tasks; defaults to the `spec` of the job. */
   payload: z.string().optional(),
   /** Label that a worker must have to run tasks of the step. */
-  requiredLabel: z.string().optional(),
+  requiredLabel: z.string().max(jobBounds.labelLength).optional(),
   /** The rack that holds the step's data; tasks run slower on other racks. */
-  nearRack: z.string().optional(),
+  nearRack: z.string().max(jobBounds.labelLength).optional(),
   /** Maximum number of the step's tasks on one worker at a time. */
   maxPerWorker: z.number().int().positive().optional(),
 });
--- a/src/engine/zones/sharing.ts
+++ b/src/engine/zones/sharing.ts
@@ -5,7 +5,7 @@
  * submits the job to the leader of that zone.
  */
 
-import { addLoadOf, queuedCpuMilli } from "../admission.ts";
+import { addLoadOf, queuedCpuMilli, reportedWaitMs } from "../admission.ts";
 import { logDecision } from "../effects.ts";
 import { expectedTaskMs } from "../expected_run_times.ts";
 import { isolateJob } from "../job_faults.ts";
@@ -77,7 +77,7 @@
     const taskMilli = meanTaskMilli(views);
     const neededMilli = queued.cpuMilli + taskMilli;
     const waitMs = waitBehindMs(capacity, queued, { neededMilli, taskMilli });
-    waitMsByService.set(service, Math.round(waitMs));
+    waitMsByService.set(service, reportedWaitMs(waitMs));
   }
   sharing.room = room;
   for (const service of waitMsByService.keys()) {
