--- a/src/engine/expected_run_times.ts
+++ b/src/engine/expected_run_times.ts
@@ -57,13 +57,15 @@
   { queue, job }: { queue: QueueRule; job: JobSpec },
 ): number {
   const completionTimesMs: number[] = [];
+  let criticalPathMs = 0;
   for (const step of job.steps) {
-    const startMs = Math.max(
-      0,
-      ...step.after.map((stepIndex) => completionTimesMs[stepIndex] ?? 0),
-    );
+    let startMs = 0;
+    for (const stepIndex of step.after) {
+      startMs = Math.max(startMs, completionTimesMs[stepIndex] ?? 0);
+    }
     const taskMs = expectedTaskMs(state, queue.name, step.estimatedMs);
     completionTimesMs.push(startMs + taskMs);
+    criticalPathMs = Math.max(criticalPathMs, startMs + taskMs);
   }
-  return Math.max(...completionTimesMs);
+  return criticalPathMs;
 }
--- a/src/engine/job_faults.ts
+++ b/src/engine/job_faults.ts
@@ -83,9 +83,29 @@
   }
 }
 
+/**
+ * Runs an action that creates the job with an id. If it throws, the job counts as
+ * one that ended a leader, so that it is not created again for a while; returns
+ * null then.
+ */
+export function isolateCreation(
+  context: ReduceContext,
+  jobId: string,
+  run: () => Job,
+): Job | null {
+  try {
+    return run();
+  } catch (error) {
+    context.state.counters.jobFaults += 1;
+    logFault(context, { jobId }, { stage: "create", error });
+    rememberFaultyJob(context.state, jobId);
+    return null;
+  }
+}
+
 function logFault(
   context: ReduceContext,
-  { jobId }: Job,
+  { jobId }: Pick<Job, "jobId">,
   { stage, error }: { stage: JobStage; error: unknown },
 ): void {
   const cause = error instanceof Error ? error : new Error(String(error));
--- a/src/engine/record_opening.ts
+++ b/src/engine/record_opening.ts
@@ -6,7 +6,12 @@
  */
 
 import { emit, logDecision, sendPeer } from "./effects.ts";
-import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
+import {
+  faultyJobOutcome,
+  isFaultyJob,
+  isolateCreation,
+  isolateJob,
+} from "./job_faults.ts";
 import { createJob, queueReadyTasks } from "./job_state.ts";
 import {
   applyTaskCompletions,
@@ -136,7 +141,7 @@
   const { records } = scheduler;
   const { restoration } = records;
   if (restoration !== null) {
-    restoreNextJobs(context.state, restoration, records);
+    restoreNextJobs(context, restoration, records);
     if (isRestored(restoration) && mayFinishOpening(context.state, records)) {
       finishOpening(context, scheduler, restoration);
     }
@@ -177,16 +182,21 @@
 }
 
 function restoreNextJobs(
-  state: EngineState,
+  context: ReduceContext,
   { records, jobs }: RecordRestoration,
   { previousConfirmedAtMs }: RecordStoreState,
 ): void {
+  const { state } = context;
   let taskCount = 0;
   while (jobs.length < records.length && state.guards.fitsEvent(taskCount)) {
     const stored = records[jobs.length] as StoredRecord;
-    const job = createJobFromRecord(state, stored, previousConfirmedAtMs);
+    const job = isolateCreation(
+      context,
+      stored.record.jobId,
+      () => createJobFromRecord(state, stored, previousConfirmedAtMs),
+    );
     jobs.push(job);
-    taskCount += job.tasks.length;
+    taskCount += job?.tasks.length ?? 1;
   }
 }
 
@@ -208,6 +218,7 @@
     records: restoration.records.length,
   });
   for (const [index, job] of restoration.jobs.entries()) {
+    if (job === null) continue;
     const stored = restoration.records[index] as StoredRecord;
     adoptJob(context, scheduler, { job, stored });
   }
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -353,7 +353,9 @@
   if (record === null) return;
   const { records } = scheduler;
   if (mayHaveTwoOwners(context.state, records)) {
-    records.delayedCompletions.push(...record.inFlightCompletions);
+    for (const completion of record.inFlightCompletions) {
+      records.delayedCompletions.push(completion);
+    }
     record.inFlightCompletions = [];
   } else releaseCompletions(record.inFlightCompletions);
   record.version = version;
--- a/src/engine/schemas.ts
+++ b/src/engine/schemas.ts
@@ -106,7 +106,7 @@
 export const stepSchema = jobTaskSchema.extend({
   count: z.number().int().positive().max(jobBounds.tasks),
   /** Indexes of the steps that must be done before this one starts. */
-  after: z.array(z.number().int().nonnegative()),
+  after: z.array(z.number().int().nonnegative()).max(jobBounds.steps),
   /** Input of the step's tasks; defaults to the `spec` of the job. */
   payload: z.string().optional(),
   /** Label that a worker must have to run tasks of the step. */
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -8,7 +8,12 @@
 import { updatePeerVersion } from "./configuration.ts";
 import { logDecision, sendPeer } from "./effects.ts";
 import { isPaused, onFollowerSubmission } from "./followers.ts";
-import { faultyJobOutcome, isFaultyJob, isolateJob } from "./job_faults.ts";
+import {
+  faultyJobOutcome,
+  isFaultyJob,
+  isolateCreation,
+  isolateJob,
+} from "./job_faults.ts";
 import { createJob, inheritProgress, queueReadyTasks } from "./job_state.ts";
 import { finishJob, startJob } from "./jobs.ts";
 import { maxLeaseMs } from "./leases.ts";
@@ -67,17 +72,13 @@
     : submittedListReport(state, received);
   const message = { ...received, resubmitted, previousList };
   if (isFaultyJob(state, message.jobId)) {
-    const { jobId, submissionId } = message;
-    const outcome = faultyJobOutcome;
-    sendPeer(context, from, { type: "jobEnded", jobId, submissionId, outcome });
+    endSubmission(context, from, { message, outcome: faultyJobOutcome });
     return;
   }
   const known = scheduler.jobs.get(message.jobId);
   const followed = handedOverOutcome(state, known, { from, message });
   if (followed !== null) {
-    const { jobId, submissionId } = message;
-    const type = "jobEnded";
-    sendPeer(context, from, { type, jobId, submissionId, outcome: followed });
+    endSubmission(context, from, { message, outcome: followed });
     return;
   }
   if (known !== undefined && !isNewAttempt(known, from, message)) {
@@ -89,12 +90,18 @@
       ? refuseForMemory(context, scheduler, { from, message })
       : null);
   if (refusal !== null) {
-    const { jobId, submissionId } = message;
-    const type = "jobEnded";
-    sendPeer(context, from, { type, jobId, submissionId, outcome: refusal });
+    endSubmission(context, from, { message, outcome: refusal });
+    return;
+  }
+  const job = isolateCreation(
+    context,
+    message.jobId,
+    () => createSubmittedJob(state, scheduler, { message, known }),
+  );
+  if (job === null) {
+    endSubmission(context, from, { message, outcome: faultyJobOutcome });
     return;
   }
-  const job = createSubmittedJob(state, scheduler, { message, known });
   job.submissionIdByEntry.set(from, message.submissionId);
   scheduler.jobs.set(job.jobId, job);
   countArrival(scheduler, job);
@@ -109,6 +116,18 @@
   });
 }
 
+/** Tells an entry the outcome of a job for which nothing is kept here. */
+function endSubmission(
+  context: ReduceContext,
+  from: string,
+  { message: { jobId, submissionId }, outcome }: {
+    message: Submit;
+    outcome: JobOutcome;
+  },
+): void {
+  sendPeer(context, from, { type: "jobEnded", jobId, submissionId, outcome });
+}
+
 /** Refuses a submitted job, or admits it and starts it if it may start. */
 function admitJob(
   context: ReduceContext,
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1241,8 +1241,11 @@
 /** Progress of the restoration of jobs from the records that were read. */
 export interface RecordRestoration {
   readonly records: readonly StoredRecord[];
-  /** The jobs of the first records, in their order. */
-  readonly jobs: Job[];
+  /**
+   * The jobs of the first records, in their order; null for a record from which
+   * no job can be created.
+   */
+  readonly jobs: (Job | null)[];
 }
 
 /** A write of records that is in flight. */
@@ -1636,6 +1639,7 @@
 
 /** What was done with a job when an error occurred. */
 export type JobStage =
+  | "create"
   | "submit"
   | "admit"
   | "place"
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -161,7 +161,7 @@
     try {
       effects = reduce(state, event);
     } catch (error) {
-      fail(error as Error);
+      fail(error as Error, event);
     }
     for (const effect of effects) performEffect(effect);
   }
@@ -184,12 +184,13 @@
 
   /**
    * Stops this instance, whose state may be damaged: it handles no event any
-   * more. The peers are told which job was handled, if the error names one, so
-   * that the next leader doesn't start with it.
+   * more. The peers are told which job was handled, if the error or the event
+   * names one, so that the next leader doesn't start with it.
    */
-  function fail(error: Error): void {
+  function fail(error: Error, event: EngineEvent): void {
     hasFailed = true;
-    const jobId = error instanceof InvariantError ? error.jobId : undefined;
+    const namedId = error instanceof InvariantError ? error.jobId : undefined;
+    const jobId = namedId ?? submittedJobId(event);
     log.write("error", {
       part: "instance",
       text: "instance ends by an internal error",
@@ -409,3 +410,10 @@
     },
   };
 }
+
+/** Returns the id of the job that an event submits, if it submits one. */
+function submittedJobId(event: EngineEvent): string | undefined {
+  if (event.type === "callerSubmit") return event.jobId;
+  if (event.type !== "peerMessage") return undefined;
+  return event.message.type === "submit" ? event.message.jobId : undefined;
+}
