--- a/src/engine/record_content.ts
+++ b/src/engine/record_content.ts
@@ -28,8 +28,26 @@
 /** Number of tasks of a recorded job that are placed at a time. */
 const MAX_PLACED = 512;
 
+/** Returns the record of a job without its progress and what its tasks returned. */
+function reducedRecordOf(job: Job, record: RecordState): JobRecord {
+  const { jobId, queue, spec, outcome } = job;
+  return {
+    jobId,
+    queue,
+    job: spec,
+    acceptedAtMs: record.acceptedAtMs,
+    outcome: outcome?.kind === "done" ? { kind: "done" } : outcome,
+    endedAtMs: record.endedAtMs,
+    done: [],
+    failures: {},
+    results: {},
+  };
+}
+
 /** Returns the record to store for a job in its present state. */
 export function recordOf(job: Job, record: RecordState): JobRecord {
+  const reduced = reducedRecordOf(job, record);
+  if (record.isReduced) return reduced;
   const failures: Record<string, number> = {};
   const crashes: Record<string, number> = {};
   const unresolvedLosses: Record<string, number> = {};
@@ -48,12 +66,8 @@
     }
   }
   return {
-    jobId: job.jobId,
-    queue: job.queue,
-    job: job.spec,
-    acceptedAtMs: record.acceptedAtMs,
+    ...reduced,
     outcome: job.outcome,
-    endedAtMs: record.endedAtMs,
     ...encodeDone(done, job.tasks.length),
     failures,
     ...(isEmpty(crashes) ? {} : { crashes }),
--- a/src/engine/record_ownership.ts
+++ b/src/engine/record_ownership.ts
@@ -7,9 +7,10 @@
  */
 
 import { emit, logDecision, sendPeer } from "./effects.ts";
-import { isolateJob } from "./job_faults.ts";
+import { faultyJobOutcome, isolateJob } from "./job_faults.ts";
 import { queueReadyTasks } from "./job_state.ts";
 import {
+  finishJob,
   reportOutcome,
   sendDelayedReplies,
   startJob,
@@ -37,6 +38,7 @@
   mayHaveTwoOwners,
   OWNERSHIP_CONFIRM_INTERVAL_MS,
   OWNERSHIP_CONFIRM_TIMEOUT_MS,
+  partOf,
   RECORD_PART_NUMBERS,
   releaseCompletions,
   requeueCompletions,
@@ -269,6 +271,7 @@
 
 interface CompletedWrite {
   readonly scheduler: Scheduler;
+  readonly part: number;
   readonly batch: RecordBatch;
 }
 
@@ -318,6 +321,7 @@
     context.state.recordsZone = availabilityZone;
     scheduler.records.wasReplaced = true;
   },
+  invalid: onBatchRefused,
   unknown: ({ state }, { scheduler, batch }) => {
     const { records } = scheduler;
     if (records.unavailableSinceMs === 0) {
@@ -332,6 +336,69 @@
   },
 };
 
+/**
+ * Divides a batch that the store refuses, so that the row which it can't take is
+ * found and the others are written. The job of that row ends.
+ */
+function onBatchRefused(
+  context: ReduceContext,
+  { scheduler, part, batch: { jobs } }: CompletedWrite,
+): void {
+  const { records } = scheduler;
+  for (const job of jobs) {
+    if (job.record === null) continue;
+    requeueCompletions(job.record);
+    markDirty(scheduler, job);
+  }
+  const [job] = jobs;
+  if (job === undefined) {
+    records.retryAtMs = context.state.nowMs + WRITE_RETRY_DELAY_MS;
+    return;
+  }
+  if (jobs.length === 1) {
+    endUnwritableJob(context, scheduler, job);
+    return;
+  }
+  const middle = Math.ceil(jobs.length / 2);
+  const halves = [jobs.slice(0, middle), jobs.slice(middle)];
+  records.divided.set(part, [...halves, ...records.divided.get(part) ?? []]);
+}
+
+/**
+ * Ends a job of which the store refuses the row. One that was never accepted has
+ * not run; of another one only the outcome is written.
+ */
+function endUnwritableJob(
+  context: ReduceContext,
+  scheduler: Scheduler,
+  job: Job,
+): void {
+  const { record, jobId } = job;
+  if (record === null) return;
+  const { accepted, version, isReduced } = record;
+  logDecision(context, {
+    level: "error",
+    part: "records",
+    text: "job ended: the store refuses its record",
+  }, { jobId, accepted, version, isReduced });
+  const { dirty } = scheduler.records;
+  dirty.get(partOf(jobId))?.delete(job);
+  if (isReduced) {
+    releaseCompletions(record.pendingCompletions);
+    if (job.outcome !== null) reportOutcome(context, job, job.outcome);
+    return;
+  }
+  record.isReduced = true;
+  if (accepted) {
+    if (job.outcome === null) finishJob(context, job, faultyJobOutcome);
+    else markDirty(scheduler, job);
+    return;
+  }
+  record.mayExist = version > 0;
+  const reason = "tooLarge";
+  finishJob(context, job, { kind: "refused", reason, retryAfterMs: 0 });
+}
+
 function markConfirmed(
   records: RecordStoreState,
   { sentAtMs }: RecordBatch,
@@ -392,7 +459,7 @@
       write: CompletedWrite,
       outcome: WriteOutcome,
     ) => void;
-    handler(context, { scheduler, batch }, outcome);
+    handler(context, { scheduler, part, batch }, outcome);
     return;
   }
 }
@@ -409,7 +476,7 @@
   }, {
     writeId,
     reason: outcome.kind,
-    detail: outcome.kind === "unknown" ? outcome.detail : "",
+    detail: "detail" in outcome ? outcome.detail : "",
     jobIds: jobs.slice(0, 5).map((job) => job.jobId),
     jobs: jobs.length,
   });
--- a/src/engine/records.ts
+++ b/src/engine/records.ts
@@ -98,6 +98,7 @@
     publishedAtMs: 0,
     confirmWantedSinceMs: null,
     dirty: new Map(),
+    divided: new Map(),
     inFlightWrites: new Map(),
     retainedJobs: [],
   };
@@ -116,6 +117,7 @@
     acceptedAtMs,
     endedAtMs: 0,
     isRestored: false,
+    isReduced: false,
     troubledCount: 0,
     cancelRequests: [],
   };
@@ -206,9 +208,9 @@
   const { records } = scheduler;
   if (records.dirty.size === 0 || state.nowMs < records.retryAtMs) return;
   for (const [part, jobs] of records.dirty) {
-    if (!records.inFlightWrites.has(part)) {
-      writePart(context, records, { part, jobs });
-    }
+    if (records.inFlightWrites.has(part)) continue;
+    const batch = records.divided.get(part)?.shift() ?? jobs;
+    writePart(context, records, { part, jobs, batch });
   }
 }
 
@@ -223,20 +225,26 @@
   return { record: content, bytes: recordBytes(content) };
 }
 
+/** Writes the dirty jobs of a batch, as many as one transaction takes. */
 function writePart(
   context: ReduceContext,
   records: RecordStoreState,
-  { part, jobs }: { part: number; jobs: Set<Job> },
+  { part, jobs, batch }: {
+    part: number;
+    /** The dirty jobs of the part. */
+    jobs: Set<Job>;
+    batch: Iterable<Job>;
+  },
 ): void {
   const batchJobs: Job[] = [];
   const rows: RecordWrite[] = [];
   let batchBytes = 0;
-  for (const job of jobs) {
+  for (const job of batch) {
     const { record } = job;
     if (
       rows.length >= MAX_BATCH_RECORDS || batchBytes > BATCH_BYTES_THRESHOLD
     ) break;
-    jobs.delete(job);
+    if (!jobs.delete(job)) continue;
     if (record === null || !mayWrite(context.state, job)) continue;
     const content = isolateJob(context, job, {
       stage: "persist",
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -175,6 +175,11 @@
    * release that didn't store it.
    */
   | { readonly kind: "outranked"; readonly availabilityZone: string | null }
+  /**
+   * The store refuses the batch as it is, and would refuse it again; nothing was
+   * written.
+   */
+  | { readonly kind: "invalid"; readonly detail: string }
   /** The store did not answer; the write may still take effect. */
   | { readonly kind: "unknown"; readonly detail: string };
 
@@ -678,6 +683,11 @@
   endedAtMs: number;
   /** The record was read when this leader took over the records. */
   isRestored: boolean;
+  /**
+   * The store refused the row with the job's progress, so that only its outcome
+   * is written.
+   */
+  isReduced: boolean;
   /** Number of tasks whose failures or losses the record had when last written. */
   troubledCount: number;
   /** Cancel requests that are answered once the outcome is persisted. */
@@ -1232,6 +1242,11 @@
   confirmWantedSinceMs: number | null;
   /** Jobs whose records must be written, by part of the records table. */
   readonly dirty: Map<number, Set<Job>>;
+  /**
+   * By part, batches into which one was divided that the store refused as a
+   * whole. They are written before other jobs, which are dirty as well.
+   */
+  readonly divided: Map<number, (readonly Job[])[]>;
   /** The write in flight of each part. */
   readonly inFlightWrites: Map<number, RecordBatch>;
   /** Ended jobs whose records are retained for queries, oldest first. */
--- a/src/instance/hosts.ts
+++ b/src/instance/hosts.ts
@@ -71,7 +71,12 @@
    * The current state of the rows in `expected`; some may be missing, such as
    * rows that do not exist.
    */
-  | { readonly kind: "conflict"; readonly rows: readonly StoreRow[] };
+  | { readonly kind: "conflict"; readonly rows: readonly StoreRow[] }
+  /**
+   * The store refuses the transaction as it is, such as for a row that is too
+   * large. Nothing was written, and it would be refused again.
+   */
+  | { readonly kind: "invalid"; readonly detail: string };
 
 /** What the store tells of the configuration. */
 export type ConfigurationAnswer = Exclude<
--- a/src/instance/list_registry.ts
+++ b/src/instance/list_registry.ts
@@ -4,6 +4,7 @@
  * have started again.
  */
 
+import VError from "verror";
 import { z } from "zod";
 import type { RegisteredList } from "../engine/types.ts";
 import { readRows, type StoreHost, type StoreRow } from "./hosts.ts";
@@ -54,6 +55,9 @@
     writes: [{ table: TABLE, key: cell, value: { term, digest } }],
     removes: [],
   });
+  if (result.kind === "invalid") {
+    throw new VError("registration of the list refused: %s", result.detail);
+  }
   return result.kind === "done"
     ? [{ cell, version: result.version, term, digest }]
     : result.rows.map(decodeRow);
--- a/src/instance/record_store.ts
+++ b/src/instance/record_store.ts
@@ -5,6 +5,7 @@
  * lost the part can no longer write.
  */
 
+import VError from "verror";
 import { z } from "zod";
 import { RECORD_PART_NUMBERS, WATCHED_PART } from "../engine/records.ts";
 import { jobRecordSchema } from "../engine/schemas.ts";
@@ -279,7 +280,8 @@
         record === null ? [recordRowKeys[index]!] : []
       ),
     });
-    if (result.kind !== "done") {
+    if (result.kind === "invalid") return result;
+    if (result.kind === "conflict") {
       return toRejection(result.rows, { part, holderVersion });
     }
     const { version } = result;
@@ -315,6 +317,9 @@
       removes: [],
     });
     if (result.kind === "done") return true;
+    if (result.kind === "invalid") {
+      throw new VError("check of the records refused: %s", result.detail);
+    }
     const row = result.rows.find(({ table }) => table === HOLDER_ROW.table);
     return row !== undefined && recordFlagOf(row) === false;
   }
