Estimates: what one caller declares doesn't decide for the others

Cause: the first declared time that was looked at became the estimate of the queue, whether its job ran or not; until declared times vary an estimate ignored them; and what is refused teaches nothing. Change: a job is judged by its own declared time until a run of its queue is observed; the first 50 runs count alike; without evidence run times are proportional to declared ones; idle workers take a job that by its own time can be done, busy ones the first of each 8 that only the estimate refuses. Weighed: an estimate that expires, which lets the same job mislead again; estimates of each caller, of which there is no name.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -60,7 +60,14 @@
   const isUnsuited = checksSuitability &&
     !hasSuitedWorkers(state, job, { usable: false });
   const plannedMs = isNew ? plannedWaitMs(state, job, waitMs) : waitMs;
-  const endAtMs = state.nowMs + plannedMs + plannedRunMs(job);
+  const runMs = plannedRunMs(job);
+  // While workers are idle, nothing is lost by a run that shows whether what was
+  // learned still holds: a job that is refused teaches nothing.
+  const trustsDeclared = waitMs === 0 || job.doubtsEstimate;
+  const likelyRunMs = trustsDeclared
+    ? Math.min(runMs, job.declaredPathMs)
+    : runMs;
+  const endAtMs = state.nowMs + plannedMs + likelyRunMs;
   const limitAtMs = returningLimitAtMs(job, waitMs) ??
     latestCompletionAtMs(job);
   if (!isUnsuited && endAtMs <= limitAtMs) return null;
--- a/src/engine/expected_run_times.ts
+++ b/src/engine/expected_run_times.ts
@@ -9,6 +9,12 @@
 import type { JobSpec, QueueRule } from "./schemas.ts";
 import type { EngineState } from "./types.ts";
 
+/**
+ * Number of refusals that rest on an estimate for each job that is let through in
+ * spite of it.
+ */
+const DOUBTED_REFUSALS = 8;
+
 /** Returns a queue's estimate, created from the first declared time. */
 export function runEstimateOf(
   { runTimes }: EngineState,
@@ -36,15 +42,19 @@
 }
 
 /**
- * Returns the expected run time of a task on a worker of average speed.
- * `declaredMs` is 0 if no run time was declared.
+ * Returns the expected run time of a task on a worker of average speed: what was
+ * declared for it until a run of its queue was observed. `declaredMs` is 0 if no
+ * run time was declared.
  */
 export function expectedTaskMs(
-  state: EngineState,
+  { runTimes }: EngineState,
   queueName: string,
   declaredMs: number,
 ): number {
-  const estimate = runEstimateOf(state, queueName, declaredMs);
+  const estimate = runTimes.get(queueName);
+  if (estimate === undefined || estimate.runCount === 0) {
+    return Math.max(1, declaredMs);
+  }
   return estimateTaskMs(estimate, declaredMs > 0 ? declaredMs : null);
 }
 
@@ -55,17 +65,48 @@
 export function expectedCriticalPathMs(
   state: EngineState,
   { queue, job }: { queue: QueueRule; job: JobSpec },
+): number {
+  return criticalPathMs(
+    job,
+    (declaredMs) => expectedTaskMs(state, queue.name, declaredMs),
+  );
+}
+
+/**
+ * Whether a job of a queue that would be refused by what was learned of its run
+ * times is let through, to show whether that still holds: the first of each
+ * `DOUBTED_REFUSALS`.
+ */
+export function mayDoubtEstimate(
+  { runTimes }: EngineState,
+  queueName: string,
+): boolean {
+  const estimate = runTimes.get(queueName);
+  if (estimate === undefined) return false;
+  const isFirst = estimate.doubtedRefusals % DOUBTED_REFUSALS === 0;
+  estimate.doubtedRefusals += 1;
+  return isFirst;
+}
+
+/** Returns the critical path of a job by the run times that were declared. */
+export function declaredCriticalPathMs(job: JobSpec): number {
+  return criticalPathMs(job, (declaredMs) => declaredMs);
+}
+
+function criticalPathMs(
+  job: JobSpec,
+  taskMsOf: (declaredMs: number) => number,
 ): number {
   const completionTimesMs: number[] = [];
-  let criticalPathMs = 0;
+  let longestMs = 0;
   for (const step of job.steps) {
     let startMs = 0;
     for (const stepIndex of step.after) {
       startMs = Math.max(startMs, completionTimesMs[stepIndex] ?? 0);
     }
-    const taskMs = expectedTaskMs(state, queue.name, step.estimatedMs);
-    completionTimesMs.push(startMs + taskMs);
-    criticalPathMs = Math.max(criticalPathMs, startMs + taskMs);
+    const completionMs = startMs + taskMsOf(step.estimatedMs);
+    completionTimesMs.push(completionMs);
+    longestMs = Math.max(longestMs, completionMs);
   }
-  return criticalPathMs;
+  return longestMs;
 }
--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -1,6 +1,9 @@
 /** State of a job at the leader: creation, and which of its tasks may start. */
 
-import { expectedCriticalPathMs } from "./expected_run_times.ts";
+import {
+  declaredCriticalPathMs,
+  expectedCriticalPathMs,
+} from "./expected_run_times.ts";
 import type { JobSpec, PreviousListReport, QueueRule } from "./schemas.ts";
 import type {
   EngineState,
@@ -70,6 +73,8 @@
     objectiveAtMs: receivedAtMs + queue.stretch * criticalPathMs +
       queue.objectiveMs - waitedBeforeMs,
     criticalPathMs,
+    declaredPathMs: declaredCriticalPathMs(spec),
+    doubtsEstimate: false,
     tasks,
     firstTaskIndexes: firstTaskIndexesOf(spec),
     unfinished: tasks.filter((task) => task.state !== "done").length,
--- /dev/null
+++ b/src/engine/misleading_estimates_test.ts
@@ -0,0 +1,133 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { observeTaskRun } from "./expected_run_times.ts";
+import type { JobSpec } from "./schemas.ts";
+import {
+  answerPolls,
+  confirmWrites,
+  createTestLeader,
+  effectsOf,
+  messagesOf,
+  openRecords,
+  type TestInstance,
+  testJob,
+  testQueue,
+  testSubmission,
+} from "./testing.ts";
+
+const DEADLINE_MS = 1_500;
+let jobCount = 0;
+
+function jobOf(
+  { declaredMs, cpuMilli = 14_000 }: { declaredMs: number; cpuMilli?: number },
+): JobSpec {
+  const step = { ...testJob(1).steps[0]!, cpuMilli };
+  return { spec: "", steps: [{ ...step, estimatedMs: declaredMs }] };
+}
+
+/** Submits a job; its tasks run for `ranMs` unless it is refused. */
+function runJob(
+  leader: TestInstance,
+  { job, ranMs }: { job: JobSpec; ranMs: number },
+): "refused" | "done" {
+  jobCount += 1;
+  const jobId = jobCount.toString(16).padStart(16, "0");
+  const message = testSubmission({ jobId, job, timeLeftMs: DEADLINE_MS });
+  const submitted = leader.receive("p", message);
+  const effects = [...submitted, ...confirmWrites(leader, submitted)];
+  // Workers that were idle for long are asked for their clocks first.
+  effects.push(...answerPolls(leader, effects));
+  const starts = effectsOf(effects, "startTask");
+  if (starts.length === 0) {
+    expect(messagesOf(effects, "jobEnded").map(({ outcome }) => outcome.kind))
+      .toEqual(["refused"]);
+    return "refused";
+  }
+  for (const start of starts) {
+    leader.acknowledgeStart(start);
+    confirmWrites(leader, leader.tick(ranMs));
+    const finished: [string, "done"][] = [[start.taskName, "done"]];
+    confirmWrites(leader, leader.completePoll(start.workerId, { finished }));
+  }
+  confirmWrites(leader, leader.tick());
+  return "done";
+}
+
+function createLeader(): TestInstance {
+  const leader = createTestLeader();
+  openRecords(leader);
+  leader.tick(2_000);
+  return leader;
+}
+
+const firstJobs = [
+  { name: "a declared time of a day", declaredMs: 86_400_000, ranMs: 50 },
+  { name: "an honest declared time of 30 s", declaredMs: 30_000, ranMs: 50 },
+  { name: "no declared time", declaredMs: 0, ranMs: 50 },
+  {
+    name: "a declared time that is far too short",
+    declaredMs: 1,
+    ranMs: 1_400,
+  },
+];
+
+// The first declared time of a queue became the estimate for all of its callers.
+// What it refused never ran, so that nothing else was learned.
+for (const { name, declaredMs, ranMs } of firstJobs) {
+  for (const isRecorded of [false, true]) {
+    const kind = isRecorded ? "stored" : "unstored";
+    test(`ordinary jobs are served after an ${kind} first job with ${name}`, () => {
+      const leader = createLeader();
+      const job = { ...jobOf({ declaredMs }), isRecorded };
+      runJob(leader, { job, ranMs });
+      const ordinary = jobOf({ declaredMs: 200 });
+      const outcomes = Array.from(
+        { length: 20 },
+        () => runJob(leader, { job: ordinary, ranMs: 200 }),
+      );
+      expect(outcomes.filter((outcome) => outcome === "refused")).toEqual([]);
+    });
+  }
+}
+
+test("a job that can't be done by its own declared time is refused at once", () => {
+  const leader = createLeader();
+  const job = jobOf({ declaredMs: 30_000 });
+  expect(runJob(leader, { job, ranMs: 30_000 })).toEqual("refused");
+});
+
+/** A leader that has learned that the jobs of the queue take 20 s. */
+function createMisledLeader(): TestInstance {
+  const leader = createLeader();
+  for (let run = 0; run < 60; run += 1) {
+    const times = { ranMs: 20_000, declaredMs: 200 };
+    observeTaskRun(leader.state, testQueue.name, times);
+  }
+  return leader;
+}
+
+test("idle workers take jobs that what was learned would refuse", () => {
+  const leader = createMisledLeader();
+  const job = jobOf({ declaredMs: 200 });
+  expect(runJob(leader, { job, ranMs: 200 })).toEqual("done");
+});
+
+// The workers are busy with another queue for a short time only.
+test("a share of the jobs that what was learned refuses is let through", () => {
+  const leader = createMisledLeader();
+  const queue = { ...testQueue, name: "other" };
+  const jobId = "f".repeat(16);
+  leader.receive("p", testSubmission({ jobId, queue, job: testJob(4) }));
+  const outcomes = Array.from({ length: 24 }, (_, index) => {
+    const jobId = `e${index.toString(16).padStart(15, "0")}`;
+    const job = jobOf({ declaredMs: 200 });
+    const message = testSubmission({ jobId, job, timeLeftMs: DEADLINE_MS });
+    const ended = messagesOf(leader.receive("p", message), "jobEnded");
+    leader.receive("p", { type: "withdraw", jobId });
+    return ended.length === 0;
+  });
+  expect(
+    outcomes.map((isLetThrough, index) => isLetThrough ? index : -1)
+      .filter((index) => index >= 0),
+  ).toEqual([0, 8, 16]);
+});
--- a/src/engine/run_estimate.ts
+++ b/src/engine/run_estimate.ts
@@ -12,10 +12,14 @@
 
 /** What has been learned from the runs of one queue's tasks. */
 export interface RunEstimate {
+  /** Number of observed runs; without any, nothing has been learned. */
+  runCount: number;
   /** Moving average of the run time. */
   meanMs: number;
   /** Run times of the latest runs, also of those that were stopped as hung. */
   readonly runTimesMs: RecentQuantiles;
+  /** Number of jobs that the estimate, but not their declared times, refused. */
+  doubtedRefusals: number;
   /** Workers report how far runs of this queue have progressed. */
   reportsProgress: boolean;
   /** Moving average of the logarithm of the run time. */
@@ -28,8 +32,13 @@
   covariance: number;
 }
 
-/** Weight of one run in the moving averages. */
+/** Weight of one run in the moving averages, once there are enough of them. */
 const RUN_WEIGHT = 0.02;
+/**
+ * Weight of the assumption that run times are proportional to declared times,
+ * until runs with different declared times show how far they are.
+ */
+const PRIOR_VARIANCE = 1e-3;
 /** Percentile of the run time that bounds the estimates of single tasks. */
 const HIGH_PERCENTILE = 98;
 /** Percentile of the run time by which nearly every run is done. */
@@ -42,8 +51,10 @@
 /** Creates the estimate of a queue before its first run. */
 export function createEstimate(expectedMs: number): RunEstimate {
   return {
+    runCount: 0,
     meanMs: expectedMs,
     runTimesMs: createRecentQuantiles(),
+    doubtedRefusals: 0,
     reportsProgress: false,
     meanLogRun: Math.log(expectedMs),
     meanLogDeclared: Math.log(expectedMs),
@@ -58,17 +69,26 @@
   ranMs: number,
   declaredMs: number | null,
 ): void {
-  estimate.meanMs += RUN_WEIGHT * (ranMs - estimate.meanMs);
+  const logRun = Math.log(Math.max(1, ranMs));
+  const logDeclared = declaredMs === null ? logRun : Math.log(declaredMs);
+  if (estimate.runCount === 0) {
+    // What was expected before the first run may be what one caller declared.
+    estimate.meanMs = ranMs;
+    estimate.meanLogRun = logRun;
+    estimate.meanLogDeclared = logDeclared;
+  }
+  estimate.runCount += 1;
+  const weight = Math.max(RUN_WEIGHT, 1 / estimate.runCount);
+  estimate.meanMs += weight * (ranMs - estimate.meanMs);
   estimate.runTimesMs.observe(ranMs);
-  const runDelta = Math.log(Math.max(1, ranMs)) - estimate.meanLogRun;
-  estimate.meanLogRun += RUN_WEIGHT * runDelta;
+  const runDelta = logRun - estimate.meanLogRun;
+  estimate.meanLogRun += weight * runDelta;
   if (declaredMs === null) return;
-  const declaredDelta = Math.log(declaredMs) - estimate.meanLogDeclared;
-  estimate.meanLogDeclared += RUN_WEIGHT * declaredDelta;
+  const declaredDelta = logDeclared - estimate.meanLogDeclared;
+  estimate.meanLogDeclared += weight * declaredDelta;
   const square = declaredDelta * declaredDelta;
-  estimate.varianceDeclared += RUN_WEIGHT *
-    (square - estimate.varianceDeclared);
-  estimate.covariance += RUN_WEIGHT *
+  estimate.varianceDeclared += weight * (square - estimate.varianceDeclared);
+  estimate.covariance += weight *
     (declaredDelta * runDelta - estimate.covariance);
 }
 
@@ -92,13 +112,19 @@
   );
 }
 
-/** Returns the run time by which nearly every run is done. */
-export function overdueLimitMs(estimate: RunEstimate): number {
-  return percentileMs(
-    estimate,
-    OVERDUE_PERCENTILE,
-    INITIAL_PERCENTILE_FACTORS.overdue,
-  );
+/**
+ * Returns the run time by which nearly every run of a task is done. While few runs
+ * are known, what was declared for the task counts as well; 0 if nothing was.
+ */
+export function overdueLimitMs(
+  estimate: RunEstimate,
+  declaredMs: number,
+): number {
+  const { overdue } = INITIAL_PERCENTILE_FACTORS;
+  const limitMs = percentileMs(estimate, OVERDUE_PERCENTILE, overdue);
+  return estimate.runTimesMs.count() < MIN_RUNS
+    ? Math.max(limitMs, overdue * declaredMs)
+    : limitMs;
 }
 
 /** Returns the estimated run time of a task, in milliseconds. */
@@ -107,8 +133,10 @@
   declaredMs: number | null,
 ): number {
   const { varianceDeclared, covariance } = estimate;
-  if (declaredMs === null || varianceDeclared === 0) return estimate.meanMs;
-  const slope = Math.min(1, Math.max(0, covariance / varianceDeclared));
+  if (declaredMs === null) return estimate.meanMs;
+  const ratio = (covariance + PRIOR_VARIANCE) /
+    (varianceDeclared + PRIOR_VARIANCE);
+  const slope = Math.min(1, Math.max(0, ratio));
   const shift = slope * (Math.log(declaredMs) - estimate.meanLogDeclared);
   return Math.min(highQuantileMs(estimate), estimate.meanMs * Math.exp(shift));
 }
--- a/src/engine/run_progress.ts
+++ b/src/engine/run_progress.ts
@@ -112,7 +112,7 @@
   { queueName, declaredMs }: { queueName: string; declaredMs: number },
 ): number {
   const estimate = runEstimateOf(state, queueName, declaredMs);
-  const limitMs = overdueLimitMs(estimate) * Math.max(1, slowness);
+  const limitMs = overdueLimitMs(estimate, declaredMs) * Math.max(1, slowness);
   return estimate.reportsProgress ? NO_PROGRESS_SHARE * limitMs : limitMs;
 }
 
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -7,6 +7,7 @@
 import { expectedWaitMs, refusalOf } from "./admission.ts";
 import { updatePeerVersion } from "./configuration.ts";
 import { logDecision, sendPeer } from "./effects.ts";
+import { mayDoubtEstimate } from "./expected_run_times.ts";
 import { isPaused, onFollowerSubmission } from "./followers.ts";
 import {
   faultyJobOutcome,
@@ -249,7 +250,7 @@
     return { kind: "refused", reason: "unknownQueue", retryAfterMs: 0 };
   }
   if (job.record === null) {
-    return refusalOf(state, job, waitMs, { isNew: true });
+    return refusalByEstimate(state, job, waitMs);
   }
   if (!fitsRow(job, job.record)) {
     return { kind: "refused", reason: "tooLarge", retryAfterMs: 0 };
@@ -258,6 +259,25 @@
     refusalOf(state, job, waitMs);
 }
 
+/**
+ * Returns the refusal of a job in memory, or null. A share of those that only the
+ * learned run times refuse is admitted.
+ */
+function refusalByEstimate(
+  state: EngineState,
+  job: Job,
+  waitMs: number,
+): JobOutcome | null {
+  const refusal = refusalOf(state, job, waitMs, { isNew: true });
+  if (refusal === null) return null;
+  job.doubtsEstimate = true;
+  const restsOnEstimate =
+    refusalOf(state, job, waitMs, { isNew: true }) === null;
+  job.doubtsEstimate = restsOnEstimate &&
+    mayDoubtEstimate(state, job.queue.name);
+  return job.doubtsEstimate ? null : refusal;
+}
+
 /**
  * Returns the outcome of a job that can't be recorded since the store has been
  * unavailable for too long, or null. The reason `storeAway` on the wire means
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -715,6 +715,10 @@
   readonly objectiveAtMs: number;
   /** Expected run time of the longest chain of dependent tasks. */
   readonly criticalPathMs: number;
+  /** The same by the run times that the caller declared. */
+  readonly declaredPathMs: number;
+  /** It was admitted by `declaredPathMs`, though the estimate would refuse it. */
+  doubtsEstimate: boolean;
   readonly tasks: Task[];
   /** Index of the first task of each step. */
   readonly firstTaskIndexes: readonly number[];
