Hung runs: a run isn't hung before the time that its task declares

Seen: stored jobs of 60 s in a queue whose other jobs take 20 ms were stopped after 0.4 s as hung, their workers suspended, and then all jobs of the service refused with 503 (process test of single requests, traced by the leader's log). Cause: once runs are known, the limit on a run that shows no progress was learned from the other callers of the queue alone. Change: the limit is at least the declared time of the task. Test: misleading_estimates_test.ts, one more case, which failed before.

--- a/src/engine/misleading_estimates_test.ts
+++ b/src/engine/misleading_estimates_test.ts
@@ -14,6 +14,7 @@
   testQueue,
   testSubmission,
 } from "./testing.ts";
+import type { Effect } from "./types.ts";
 
 const DEADLINE_MS = 1_500;
 let jobCount = 0;
@@ -131,3 +132,28 @@
       .filter((index) => index >= 0),
   ).toEqual([0, 8, 16]);
 });
+
+// Its run counted as hung after a multiple of the other callers' run times, and its
+// worker as a bad one.
+test("a run is not hung before its declared time, however short others are", () => {
+  const leader = createLeader();
+  for (let run = 0; run < 60; run += 1) {
+    const times = { ranMs: 20, declaredMs: 20 };
+    observeTaskRun(leader.state, testQueue.name, times);
+  }
+  const job = { ...jobOf({ declaredMs: 10_000 }), isRecorded: true };
+  const message = testSubmission({ jobId: "d".repeat(16), job });
+  const [start] = effectsOf(
+    confirmWrites(leader, leader.receive("p", message)),
+    "startTask",
+  );
+  leader.acknowledgeStart(start!);
+  const { taskName, run, workerId } = start!;
+  const effects: Effect[] = [];
+  for (let ms = 0; ms < 5_000; ms += 100) {
+    effects.push(...leader.tick(100));
+    const running = [{ taskName, run, percent: 0 }];
+    effects.push(...leader.completePoll(workerId, { running }));
+  }
+  expect(effectsOf(effects, "stopTask")).toEqual([]);
+});
--- a/src/engine/run_estimate.ts
+++ b/src/engine/run_estimate.ts
@@ -113,8 +113,9 @@
 }
 
 /**
- * Returns the run time by which nearly every run of a task is done. While few runs
- * are known, what was declared for the task counts as well; 0 if nothing was.
+ * Returns the run time by which nearly every run of a task is done, and at least
+ * what was declared for the task, which is 0 if nothing was. While few runs are
+ * known, a multiple of that counts.
  */
 export function overdueLimitMs(
   estimate: RunEstimate,
@@ -122,9 +123,8 @@
 ): number {
   const { overdue } = INITIAL_PERCENTILE_FACTORS;
   const limitMs = percentileMs(estimate, OVERDUE_PERCENTILE, overdue);
-  return estimate.runTimesMs.count() < MIN_RUNS
-    ? Math.max(limitMs, overdue * declaredMs)
-    : limitMs;
+  const factor = estimate.runTimesMs.count() < MIN_RUNS ? overdue : 1;
+  return Math.max(limitMs, factor * declaredMs);
 }
 
 /** Returns the estimated run time of a task, in milliseconds. */
