Placement: a task that no worker is large enough for holds up no others

Callers: a stored job whose tasks need a label, CPU or memory that no worker has is accepted and waits.

Cause: the queued CPU counted such tasks as load ahead of each later job, and placeJob returned at the first task without a worker.

Change: the leader derives what the workers of a service offer at most from its list. Tasks beyond that are no load, and placement skips them; they start once a listed worker is large enough. Two tests of the overload policies set a label on a worker behind the list's back; they now list it, with the same expectations.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -18,6 +18,7 @@
   type ServiceCapacity,
   waitBehindMs,
 } from "./service_capacity.ts";
+import { exceedsOffer } from "./task_fit.ts";
 import type {
   EngineState,
   Job,
@@ -292,7 +293,10 @@
     : MAX_REPORTED_WAIT_MS;
 }
 
-/** Returns the CPU that the queued tasks of a job need together. */
+/**
+ * Returns the CPU that the queued tasks of a job need together, without those that
+ * no worker is large enough for.
+ */
 export function queuedCpuMilli(context: ReduceContext, job: Job): number {
   if (job.outcome !== null) return 0;
   return isolateJob(context, job, {
@@ -300,7 +304,10 @@
     fallback: 0,
     run: () => {
       let cpuMilli = 0;
-      for (const task of queuedTasks(job)) cpuMilli += task.demand.cpuMilli;
+      const offer = context.state.scheduler?.offers.get(job.queue.service);
+      for (const task of queuedTasks(job)) {
+        if (!exceedsOffer(offer, task)) cpuMilli += task.demand.cpuMilli;
+      }
       return cpuMilli;
     },
   });
--- a/src/engine/leadership.ts
+++ b/src/engine/leadership.ts
@@ -354,6 +354,7 @@
     endedJobs: [],
     lostRuns: [],
     startsInFlight: new Set(),
+    offers: new Map(),
     queueCrashesAtMs: new Map(),
     records: createRecordStoreState(term),
     loans: createWorkerLoans(),
--- a/src/engine/overload/overload_test.ts
+++ b/src/engine/overload/overload_test.ts
@@ -10,6 +10,7 @@
   testJob,
   testQueue,
   testSubmission,
+  testWorker,
 } from "../testing.ts";
 import { expectedWaitMs } from "../admission.ts";
 import type { Effect, Job, ReduceContext } from "../types.ts";
@@ -26,9 +27,11 @@
 
 /**
  * Creates a leader with two workers of 32 cores and two queues that share them.
- * With `isCell` it is the leader of a zone of a large fleet.
+ * With `isCell` it is the leader of a zone of a large fleet. `w1` has the labels.
  */
-function createLeader({ isCell }: { isCell: boolean }): TestInstance {
+function createLeader(
+  { isCell, labels = [] }: { isCell: boolean; labels?: string[] },
+): TestInstance {
   const leader = createTestLeader();
   // Until runs of leaders before this instance's start have expired.
   for (let poll = 0; poll < 5; poll += 1) {
@@ -43,6 +46,8 @@
       queues: [urgentQueue, laterQueue, soonQueue],
     },
   });
+  const workers = [{ ...testWorker("w1"), labels }, testWorker("w2")];
+  leader.after(0, { type: "workersRead", workers });
   // As with a list of more than 100 workers.
   leader.state.hasZoneCells = isCell;
   return leader;
@@ -224,10 +229,9 @@
 
 for (const { name, steps } of stuckCases) {
   test(`a job that waits for a suspended worker and ${name} holds back no other`, () => {
-    const leader = createLeader({ isCell: true });
+    const leader = createLeader({ isCell: true, labels: ["gpu"] });
     const worker = leader.state.scheduler?.workers.get("w1");
     if (worker === undefined) throw new Error("no worker");
-    worker.info = { ...worker.info, labels: ["gpu"] };
     const large = jobOf(1, { cpuMilli: 28_000, requiredLabel: "gpu" });
     submit(leader, "0", { queue: urgentQueue, job: large });
     if (steps.length === 1) {
@@ -373,10 +377,9 @@
 }
 
 test("a job whose only suited worker is suspended waits, and is then refused as noWorker", () => {
-  const leader = createLeader({ isCell: true });
+  const leader = createLeader({ isCell: true, labels: ["gpu"] });
   const worker = leader.state.scheduler?.workers.get("w1");
   if (worker === undefined) throw new Error("no worker");
-  worker.info = { ...worker.info, labels: ["gpu"] };
   worker.suspendedUntilMs = leader.state.nowMs + 4_000;
   const job = jobOf(1, { requiredLabel: "gpu" });
   const submitted = submit(leader, "a", { queue: laterQueue, job });
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -30,7 +30,12 @@
   Task,
   WorkerRoom,
 } from "./types.ts";
-import { isLargeEnough, isUsable, meetsRequirements } from "./task_fit.ts";
+import {
+  exceedsOffer,
+  isLargeEnough,
+  isUsable,
+  meetsRequirements,
+} from "./task_fit.ts";
 import { createStartableWorkers } from "./zones/evacuation.ts";
 import { isHeldElsewhere } from "./zones/job_claims.ts";
 
@@ -238,7 +243,10 @@
   return state.guards.hasRoom(candidates.room, task);
 }
 
-/** Starts the queued tasks of a job, up to the first that fits nowhere. */
+/**
+ * Starts the queued tasks of a job, up to the first that has to wait for room. One
+ * that no worker is large enough for doesn't hold up the others.
+ */
 function placeJob(
   context: ReduceContext,
   candidates: Candidates,
@@ -246,9 +254,10 @@
 ): void {
   const isSuspected = isSuspectedQueue(context.state, job.queue.name);
   if (isSuspected && isHeldBack(context.state, job)) return;
+  const offer = context.state.scheduler?.offers.get(job.queue.service);
   for (const task of queuedTasks(job)) {
     if (!mayStartMore(context.state) || isPlacedEnough(job)) return;
-    if (!hasRoomForCounts(job, task)) continue;
+    if (!hasRoomForCounts(job, task) || exceedsOffer(offer, task)) continue;
     if (task.mayHaveStarted && !context.state.guards.mayRunAgain(job, "lost")) {
       continue;
     }
--- a/src/engine/task_fit.ts
+++ b/src/engine/task_fit.ts
@@ -3,7 +3,7 @@
 import { jobIdOf } from "./job_state.ts";
 import { mayGrantLease } from "./leases.ts";
 import { MAX_RUNS_PER_WORKER } from "./load_limits.ts";
-import type { EngineState, OwnedWorker, Task } from "./types.ts";
+import type { EngineState, OwnedWorker, ServiceOffer, Task } from "./types.ts";
 
 /**
  * Whether a worker may get tasks. Its clock may have to be read before the next
@@ -51,3 +51,39 @@
   }
   return present < maxPerWorker;
 }
+
+/** Returns what the workers of each service offer at most. */
+export function offersOf(
+  workers: Iterable<OwnedWorker>,
+): Map<string, ServiceOffer> {
+  const offers = new Map<string, ServiceOffer>();
+  for (const { info } of workers) {
+    let offer = offers.get(info.service);
+    if (offer === undefined) {
+      const labels = new Set<string>();
+      offer = { cpuMilli: 0, memoryMb: 0, accelerators: 0, labels };
+      offers.set(info.service, offer);
+    }
+    offer.cpuMilli = Math.max(offer.cpuMilli, info.cpuMilli);
+    offer.memoryMb = Math.max(offer.memoryMb, info.memoryMb);
+    offer.accelerators = Math.max(offer.accelerators, info.accelerators);
+    for (const label of info.labels) offer.labels.add(label);
+  }
+  return offers;
+}
+
+/**
+ * Whether a task needs more than any worker of its service has, so that it waits
+ * without delaying others.
+ */
+export function exceedsOffer(
+  offer: ServiceOffer | undefined,
+  { demand }: Task,
+): boolean {
+  if (offer === undefined) return false;
+  const { requiredLabel } = demand;
+  return demand.cpuMilli > offer.cpuMilli ||
+    demand.memoryMb > offer.memoryMb ||
+    demand.accelerators > offer.accelerators ||
+    (requiredLabel !== undefined && !offer.labels.has(requiredLabel));
+}
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -876,6 +876,14 @@
   readonly usedAccelerators: number;
 }
 
+/** The most of each resource that any worker of a service has, and all labels. */
+export interface ServiceOffer {
+  cpuMilli: number;
+  memoryMb: number;
+  accelerators: number;
+  readonly labels: Set<string>;
+}
+
 /** A worker that this instance as the leader owns, is acquiring or has lost. */
 export interface OwnedWorker {
   info: WorkerInfo;
@@ -1014,6 +1022,8 @@
   lostRuns: LostRun[];
   /** Keys of the starts without an outcome. */
   readonly startsInFlight: Set<string>;
+  /** What the workers of each service offer at most; see `task_fit.ts`. */
+  offers: ReadonlyMap<string, ServiceOffer>;
   /** Times of the recent crashes that each queue is blamed for. */
   readonly queueCrashesAtMs: Map<string, number[]>;
   records: RecordStoreState;
--- a/src/engine/workers.ts
+++ b/src/engine/workers.ts
@@ -33,6 +33,7 @@
 import { stalledMs } from "./run_progress.ts";
 import type { WorkerInfo } from "./schemas.ts";
 import { forgetOldCrashes } from "./suspected_queues.ts";
+import { offersOf } from "./task_fit.ts";
 import type {
   AcquisitionCause,
   EngineEventOf,
@@ -133,6 +134,7 @@
     onWorkerListed(context, info);
     acquireWorker(context, worker, "listed");
   }
+  scheduler.offers = offersOf(scheduler.workers.values());
 }
 
 function updateWorker(
