Randomised runs: callers whose jobs are at and beyond each bound

The world refuses rows of more than 65,536 bytes, and reports such rows, more than 256 starts by one event, and messages that the receiver's schema would refuse. Two bounds are guards now, so that runs without them can be played.

--- a/bench/engine_runs.ts
+++ b/bench/engine_runs.ts
@@ -39,6 +39,7 @@
   type MomentFaultName,
   momentRows,
 } from "./moment_faults.ts";
+import { submitUntrustedJobs } from "./untrusted_jobs.ts";
 import { zoneFaultHandlers, type ZoneFaultName } from "./zone_faults.ts";
 
 /** Start of the load; the instances have elected a leader by then. */
@@ -133,6 +134,7 @@
 
 /** The name of a fault; see {@linkcode faultHandlers}. */
 export type FaultName =
+  | "untrustedJobs"
   | "kill"
   | "killAll"
   | "freeze"
@@ -267,6 +269,7 @@
   ...crossedFaultHandlers,
   ...zoneFaultHandlers,
   ...evacuationFaultHandlers,
+  untrustedJobs: submitUntrustedJobs,
 };
 
 /** Jobs that were damaged; reading them again may throw. */
@@ -491,6 +494,20 @@
   };
 }
 
+/**
+ * Draws a run in which callers that are not trusted submit jobs at and beyond each
+ * bound, beside the other faults.
+ */
+export function drawUntrustedRun(seed: number): EngineRun {
+  const { faults, ...run } = drawRecordedRun(seed);
+  const atMs = LOAD_START_MS + 2_000;
+  return {
+    ...run,
+    load: 0.4,
+    faults: [...faults, { atMs, name: "untrustedJobs", forMs: 6_000 }],
+  };
+}
+
 /** Draws a run with enough workers for each zone to have its own leader. */
 export function drawCellsRun(seed: number): EngineRun {
   const { load, ...run } = seed % 2 === 0
--- a/bench/engine_world.ts
+++ b/bench/engine_world.ts
@@ -11,13 +11,15 @@
 import { defaultGuards } from "../src/engine/guards.ts";
 import { jobIdOf } from "../src/engine/job_state.ts";
 import { createEngine, reduce } from "../src/engine/reduce.ts";
-import type {
-  Configuration,
-  JobQuery,
-  JobSpec,
-  QueueRule,
-  Reply,
-  WorkerInfo,
+import {
+  type Configuration,
+  type JobQuery,
+  type JobSpec,
+  jobSpecSchema,
+  peerMessageSchema,
+  type QueueRule,
+  type Reply,
+  type WorkerInfo,
 } from "../src/engine/schemas.ts";
 import type {
   CallerReply,
@@ -28,7 +30,12 @@
   JobOutcome,
 } from "../src/engine/types.ts";
 import { createFakeStore } from "../src/host/fake_store.ts";
-import type { EffectOf, StoreHost } from "../src/instance/hosts.ts";
+import type {
+  EffectOf,
+  StoreHost,
+  StoreTransaction,
+  TransactionResult,
+} from "../src/instance/hosts.ts";
 import { MIN_DELAY_MS } from "../src/instance/pause_detector.ts";
 import {
   createRecordStore,
@@ -113,6 +120,12 @@
  * seconds and one report of the worker.
  */
 const SHRINK_GRACE_MS = 4_500;
+/** Run time of the tasks of jobs whose callers are not trusted. */
+const UNTRUSTED_RUN_MS = 20;
+/** Starts that one event of an instance may leave to send. */
+const MAX_STARTS_PER_EVENT = 256;
+/** Size of a row that the store takes, in bytes of base64. */
+const MAX_ROW_BYTES = 65_536;
 /** Wall-clock time at the start of the simulation. */
 const EPOCH_MS = 1_700_000_000_000;
 
@@ -410,6 +423,8 @@
 /** A simulated world. */
 export interface World {
   readonly queue: EventQueue;
+  /** The queues of jobs in the configuration. */
+  readonly queueRules: readonly QueueRule[];
   readonly instances: readonly SimulatedInstance[];
   readonly workers: readonly FakeWorker[];
   readonly jobs: ReadonlyMap<string, CallerRecord>;
@@ -423,6 +438,14 @@
    * instance is not running.
    */
   readonly submit: (instanceId: string, kind: JobKind) => CallerRecord | null;
+  /**
+   * Submits a job whose caller is not trusted to an instance, unless the schema
+   * rejects it. Nothing is expected of the job itself.
+   */
+  readonly submitUntrusted: (
+    instanceId: string,
+    submission: { readonly queue: QueueRule; readonly job: JobSpec },
+  ) => void;
   /** Submits a job once more, to a random running instance. */
   readonly resubmit: (record: CallerRecord) => void;
   /**
@@ -597,6 +620,7 @@
   const violations: string[] = [];
   const jobs = new Map<string, CallerRecord>();
   const simulatedTasks = new Map<string, SimulatedTask>();
+  const untrustedJobs = new Map<string, JobSpec>();
   const startCountByJob = new Map<string, number>();
   const startCountByTask = new Map<string, number>();
   const startMsByTask = new Map<string, number>();
@@ -673,7 +697,8 @@
           runTimeFactor: workerSizeAt(index).runTimeFactor,
           leaseMs: LEASE_MS,
           clockRate: 1 - (options.maxClockDrift ?? 0) * clockRandom(),
-          taskOf: ({ taskName }) => simulatedTasks.get(taskName),
+          taskOf: ({ taskName }) =>
+            simulatedTasks.get(taskName) ?? untrustedTaskOf(taskName),
           onStart: checkStart,
           onCompletion: (worker, run, outcome) => {
             if (outcome === "done") doneTasks.add(run.taskName);
@@ -951,6 +976,7 @@
     }
     const busyMs = restoredCount * (options.restoreMs ?? 0) + instance.eventMs;
     if (busyMs > 0) block(instance, incarnation, busyMs);
+    checkBounds(instance, effects);
     for (const effect of effects) perform(instance, incarnation, effect);
   }
 
@@ -1467,7 +1493,7 @@
         yield await call(() => store.readRows(tablePart));
       },
       transact: (transaction) =>
-        call(() => store.transact(transaction), { isWrite: true }),
+        call(() => transact(transaction), { isWrite: true }),
       close: () => Promise.resolve(),
     };
   }
@@ -1829,6 +1855,68 @@
     return record;
   }
 
+  function submitUntrusted(
+    instanceId: string,
+    { queue: rule, job }: { queue: QueueRule; job: JobSpec },
+  ): void {
+    const instance = instancesById.get(instanceId);
+    const parsed = jobSpecSchema.safeParse(job);
+    if (instance === undefined || instance.state === null) return;
+    if (!parsed.success) return;
+    const jobId = `f${untrustedJobs.size.toString(16).padStart(15, "0")}`;
+    untrustedJobs.set(jobId, parsed.data);
+    dispatch(instance, instance.incarnation, {
+      type: "callerSubmit",
+      nowMs: queue.nowMs(),
+      requestId: jobId,
+      jobId,
+      queue: rule,
+      job: parsed.data,
+      timeoutMs: rule.timeoutMs,
+      answerAt: job.isRecorded === true ? "accepted" : "ended",
+    });
+  }
+
+  /** Returns a task of a job whose caller is not trusted. */
+  function untrustedTaskOf(taskName: string): SimulatedTask | undefined {
+    const job = untrustedJobs.get(jobIdOf(taskName));
+    const step = job?.steps[Number(taskName.split(".")[2])];
+    if (step === undefined) return undefined;
+    const { cpuMilli } = step;
+    return { cpuMilli, runMs: UNTRUSTED_RUN_MS, fails: false, isDeadly: false };
+  }
+
+  /** Reports what an event leaves to do if one process can't do it at a time. */
+  function checkBounds(instance: SimulatedInstance, effects: Effect[]): void {
+    if (untrustedJobs.size === 0) return;
+    const { instanceId } = instance;
+    const startCount =
+      effects.filter(({ type }) => type === "startTask").length;
+    if (startCount > MAX_STARTS_PER_EVENT) {
+      violations.push(
+        `bounds: ${instanceId} sends ${startCount} starts at once`,
+      );
+    }
+    for (const effect of effects) {
+      if (effect.type !== "sendPeer") continue;
+      const { message } = effect;
+      const received: unknown = JSON.parse(JSON.stringify(message));
+      if (peerMessageSchema.safeParse(received).success) continue;
+      violations.push(`bounds: ${instanceId} sends an invalid ${message.type}`);
+    }
+  }
+
+  /** Applies a transaction, unless a row is larger than the store takes. */
+  function transact(transaction: StoreTransaction): TransactionResult {
+    for (const { key, value } of transaction.writes) {
+      const bytes = Math.ceil(Buffer.byteLength(JSON.stringify(value)) / 3) * 4;
+      if (bytes <= MAX_ROW_BYTES) continue;
+      violations.push(`bounds: a row of ${bytes} bytes for ${key}`);
+      return { kind: "invalid", detail: "row too large" };
+    }
+    return store.transact(transaction);
+  }
+
   function dispatchSubmission(
     instance: SimulatedInstance,
     record: CallerRecord,
@@ -1942,6 +2030,8 @@
     violations,
     random,
     submit,
+    submitUntrusted,
+    queueRules: configuration.queues,
     resubmit,
     submitBeside(record) {
       const { entryId, availabilityZone } = record;
--- a/bench/prove.ts
+++ b/bench/prove.ts
@@ -20,6 +20,7 @@
   drawSharingRun,
   drawStepsRun,
   drawTakeoverRun,
+  drawUntrustedRun,
   drawZonesRun,
   type EngineRun,
   simulateRun,
@@ -77,6 +78,7 @@
   sharing: play(drawSharingRun),
   leaving: play(drawLeavingRun),
   idle: play(drawIdleRun),
+  untrusted: play(drawUntrustedRun),
   configuration: playConfiguration,
 };
 let runs = 0;
--- a/src/engine/guards.ts
+++ b/src/engine/guards.ts
@@ -5,8 +5,10 @@
 
 import { GIVE_UP_CRASHES, MAX_CRASHES } from "./crashes.ts";
 import { faultyJobOutcome } from "./job_faults.ts";
+import { MAX_STARTS_IN_FLIGHT } from "./load_limits.ts";
 import { LEADER_TIMEOUT_MS } from "./membership.ts";
 import { WITHDRAWAL_RETENTION_MS } from "./previous_runs.ts";
+import { MAX_RECORD_BYTES } from "./record_content.ts";
 import { OWNERSHIP_CONFIRM_TIMEOUT_MS } from "./records.ts";
 import type { Guards } from "./types.ts";
 
@@ -29,6 +31,13 @@
 
 /** The conditions that apply in production. */
 export const defaultGuards: Guards = {
+  /**
+   * A bounded number of starts is without an outcome. Each holds a call, which
+   * takes far more memory than its task.
+   */
+  mayStartMore: (startsInFlight) => startsInFlight < MAX_STARTS_IN_FLIGHT,
+  /** The store refuses a larger row, and with it all writes of the same batch. */
+  fitsRow: (bytes) => bytes <= MAX_RECORD_BYTES,
   /** A recorded job starts only after its record has been persisted. */
   mayStartJob: (record) => record === null || record.accepted,
   /**
--- a/src/engine/load_limits.ts
+++ b/src/engine/load_limits.ts
@@ -23,11 +23,8 @@
  * since they may have run.
  */
 const HARD_LIMIT_FACTOR = 1.5;
-/**
- * Starts without an outcome at a time. Each holds a call, which takes far more
- * memory than its task.
- */
-const MAX_STARTS_IN_FLIGHT = 256;
+/** Starts without an outcome at a time. */
+export const MAX_STARTS_IN_FLIGHT = 256;
 /** Runs on one worker, which lists all of them in each answer to a poll. */
 export const MAX_RUNS_PER_WORKER = 128;
 /** Calls to stop runs that are sent to one worker within the resend interval. */
@@ -42,9 +39,9 @@
 };
 
 /** Whether a leader may start further tasks before earlier starts are answered. */
-export function mayStartMore({ scheduler }: EngineState): boolean {
+export function mayStartMore({ scheduler, guards }: EngineState): boolean {
   return scheduler !== null &&
-    scheduler.startsInFlight.size < MAX_STARTS_IN_FLIGHT;
+    guards.mayStartMore(scheduler.startsInFlight.size);
 }
 
 /**
--- a/src/engine/record_content.ts
+++ b/src/engine/record_content.ts
@@ -11,7 +11,7 @@
  * Maximum size of a record's JSON text in UTF-8. The store accepts 65,536 bytes
  * of base64 in a row.
  */
-const MAX_RECORD_BYTES = 48_000;
+export const MAX_RECORD_BYTES = 48_000;
 /** Number of tasks that are done up to which the record lists their indexes. */
 const MAX_LISTED_DONE = 256;
 /** Size of an index in a list. */
@@ -117,16 +117,16 @@
 }
 
 /**
- * Whether the record of a job fits in a row of the store as long as the job
- * lasts. Values that its tasks return are not included.
+ * Returns the largest size that the record of a job can have. Values that its
+ * tasks return are not included.
  */
-export function fitsRow(job: Job, record: RecordState): boolean {
+export function maxRecordBytes(job: Job, record: RecordState): number {
   const taskCount = job.tasks.length;
   const listBytes = INDEX_BYTES * Math.min(MAX_LISTED_DONE, taskCount);
   const doneBytes = Math.max(listBytes, Math.ceil(taskCount / 6));
   const troubled = Math.min(MAX_TROUBLED + MAX_PLACED, taskCount);
   const growthBytes = doneBytes + TROUBLE_BYTES * troubled + OUTCOME_BYTES;
-  return recordBytes(recordOf(job, record)) + growthBytes <= MAX_RECORD_BYTES;
+  return recordBytes(recordOf(job, record)) + growthBytes;
 }
 
 /**
--- a/src/engine/record_content_test.ts
+++ b/src/engine/record_content_test.ts
@@ -2,9 +2,9 @@
 import { expect } from "earl";
 import { createJob, setTaskState } from "./job_state.ts";
 import {
-  fitsRow,
   hasRoomForCounts,
   isPlacedEnough,
+  maxRecordBytes,
   mergeRecord,
   recordOf,
 } from "./record_content.ts";
@@ -89,7 +89,8 @@
 for (const { name, fits, ...options } of sizes) {
   test(`the record of a job of ${name} ${fits ? "fits a row in each state" : "is known not to fit"}`, () => {
     const { job, record } = createRecordedJob(options);
-    expect(fitsRow(job, record)).toEqual(fits);
+    const { fitsRow } = leader.state.guards;
+    expect(fitsRow(maxRecordBytes(job, record))).toEqual(fits);
     if (!fits) return;
     failAll(job, record);
     expect(encodedBytes(job, record) <= ROW_BYTES).toEqual(true);
--- a/src/engine/submissions.ts
+++ b/src/engine/submissions.ts
@@ -25,7 +25,7 @@
 import { countArrival, isSurplus } from "./queue_demand.ts";
 import { cameAfterDrop, learnRule, newestRule } from "./queue_rules.ts";
 import { createRecordState, knowsAllRecords, markDirty } from "./records.ts";
-import { fitsRow } from "./record_content.ts";
+import { maxRecordBytes } from "./record_content.ts";
 import type { JobOutcome, PeerMessageOf } from "./schemas.ts";
 import type {
   EngineState,
@@ -252,7 +252,7 @@
   if (job.record === null) {
     return refusalByEstimate(state, job, waitMs);
   }
-  if (!fitsRow(job, job.record)) {
+  if (!state.guards.fitsRow(maxRecordBytes(job, job.record))) {
     return { kind: "refused", reason: "tooLarge", retryAfterMs: 0 };
   }
   return storeUnavailableOutcome(state, scheduler) ??
--- a/src/engine/types.ts
+++ b/src/engine/types.ts
@@ -1424,6 +1424,8 @@
 
 /** The conditions that guarantee safety; `guards.ts` documents each of them. */
 export interface Guards {
+  readonly mayStartMore: (startsInFlight: number) => boolean;
+  readonly fitsRow: (bytes: number) => boolean;
   readonly mayStartJob: (record: RecordState | null) => boolean;
   readonly mustRetainCompletion: (job: Job) => boolean;
   readonly mayComplete: (task: Pick<Task, "state">) => boolean;
