Jobs of many tasks: a large job leaves a share of the runs to others

Callers: beside a stored job of 60,000 tasks that need no CPU, an ordinary job waited 10 s for its first start and got 504 (process_tests/single_requests_test.ts, on the code without this change).

Cause: the limits on starts and on the runs of a worker count all jobs alike, and the tasks of one job held all of them; nothing else ends the wait of the next job, since the tasks need no CPU and are placed first again.

Change: a job with 64 placed tasks or more may use three quarters of both limits.

--- a/src/engine/load_limits.ts
+++ b/src/engine/load_limits.ts
@@ -9,7 +9,9 @@
 import type { JobOutcome, PeerMessageOf } from "./schemas.ts";
 import type {
   EngineState,
+  Job,
   LoadLimits,
+  OwnedWorker,
   ReduceContext,
   Scheduler,
 } from "./types.ts";
@@ -27,6 +29,13 @@
 export const MAX_STARTS_IN_FLIGHT = 256;
 /** Runs on one worker, which lists all of them in each answer to a poll. */
 export const MAX_RUNS_PER_WORKER = 128;
+/**
+ * Number of placed tasks from which on a job leaves a share of the starts and of
+ * the runs on each worker to other jobs.
+ */
+const LARGE_JOB_PLACED = 64;
+/** Share of these limits that such a job may use. */
+const LARGE_JOB_SHARE = 0.75;
 /** Calls to stop runs that are sent to one worker within the resend interval. */
 export const MAX_STOPS_IN_FLIGHT = 16;
 /** Cancellations of one job that wait until its outcome is persisted. */
@@ -38,10 +47,27 @@
   maxQueries: Infinity,
 };
 
-/** Whether a leader may start further tasks before earlier starts are answered. */
-export function mayStartMore({ scheduler, guards }: EngineState): boolean {
-  return scheduler !== null &&
-    guards.mayStartMore(scheduler.startsInFlight.size);
+/** Returns the share of a limit of the leader that a job may use. */
+function shareOf({ placedCount }: Job): number {
+  return placedCount < LARGE_JOB_PLACED ? 1 : LARGE_JOB_SHARE;
+}
+
+/**
+ * Whether a leader may start further tasks, of a job or of any one, before earlier
+ * starts are answered.
+ */
+export function mayStartMore(
+  { scheduler, guards }: EngineState,
+  job?: Job,
+): boolean {
+  if (scheduler === null) return false;
+  const share = job === undefined ? 1 : shareOf(job);
+  return guards.mayStartMore(scheduler.startsInFlight.size / share);
+}
+
+/** Whether a job may have one more run on a worker. */
+export function hasRunSlot({ runs }: OwnedWorker, job: Job): boolean {
+  return runs.size < shareOf(job) * MAX_RUNS_PER_WORKER;
 }
 
 /**
--- a/src/engine/placement.ts
+++ b/src/engine/placement.ts
@@ -8,7 +8,7 @@
 import { cellWorkers, hasVanishedWorkers } from "./cells.ts";
 import { awaitsEvidence } from "./crashes.ts";
 import { isPaused } from "./followers.ts";
-import { mayStartMore } from "./load_limits.ts";
+import { hasRunSlot, mayStartMore } from "./load_limits.ts";
 import { isolateJob } from "./job_faults.ts";
 import { hasStarted, queuedTasks } from "./job_state.ts";
 import { listsSameWorkers } from "./leader_lists.ts";
@@ -256,7 +256,7 @@
   if (isSuspected && isHeldBack(context.state, job)) return;
   const offer = context.state.scheduler?.offers.get(job.queue.service);
   for (const task of queuedTasks(job)) {
-    if (!mayStartMore(context.state) || isPlacedEnough(job)) return;
+    if (!mayStartMore(context.state, job) || isPlacedEnough(job)) return;
     if (!hasRoomForCounts(job, task) || exceedsOffer(offer, task)) continue;
     if (task.mayHaveStarted && !context.state.guards.mayRunAgain(job, "lost")) {
       continue;
@@ -267,6 +267,7 @@
     }
     if (!mayFit(context.state, candidates, task)) return;
     const worker = chooseWorker(context.state, candidates.workers, {
+      job,
       task,
       isSuspected,
     });
@@ -293,7 +294,7 @@
     isLargeEnough(worker, task)
   );
   const empty = suited.filter(({ runs }) => runs.size === 0);
-  const worker = chooseWorker(state, empty, { task, isSuspected: true });
+  const worker = chooseWorker(state, empty, { job, task, isSuspected: true });
   if (worker === null) reserveWorker(state, suited);
   else startRun(context, worker, { job, task });
 }
@@ -307,7 +308,7 @@
 function chooseWorker(
   state: EngineState,
   workers: OwnedWorker[],
-  { task, isSuspected }: { task: Task; isSuspected: boolean },
+  { job, task, isSuspected }: { job: Job; task: Task; isSuspected: boolean },
 ): OwnedWorker | null {
   let best: OwnedWorker | null = null;
   let bestCost = Infinity;
@@ -315,7 +316,7 @@
     if (!state.guards.hasRoom(worker, task) || !acceptsTasks(state, worker)) {
       continue;
     }
-    if (!meetsRequirements(worker, task)) continue;
+    if (!hasRunSlot(worker, job) || !meetsRequirements(worker, task)) continue;
     if (isReserved(state, worker) && !task.runsAlone) continue;
     const cost = placementCost(worker, task) +
       Number(isMixed(state, worker, isSuspected)) * MIXED_COST;
