--- a/process_tests/fleet.ts
+++ b/process_tests/fleet.ts
@@ -218,20 +218,24 @@
   return line === undefined ? undefined : Number(line.split(" ")[1]);
 }
 
-/** Submits one job of 20 ms in memory, and returns the status. */
-export async function callOrdinary({ ip, ports }: TestInstance) {
-  const body = JSON.stringify(encodeJob({
-    spec: JSON.stringify({ runMs: 20, cpuMilli: 100 }),
-    tasks: 1,
-    cpuMilli: 100,
-    runMs: 20,
-  }));
-  const jobId = Math.floor(Math.random() * 2 ** 48).toString(16)
-    .padStart(16, "0");
+/** Returns a random job ID. */
+export function newJobId(): string {
+  return Math.floor(Math.random() * 2 ** 48).toString(16).padStart(16, "0");
+}
+
+/** Sends one request about a job, and returns the status of the response. */
+export async function callJob(
+  { ip, ports }: TestInstance,
+  { method, jobId, body = "" }: {
+    method: "POST" | "GET" | "DELETE";
+    jobId: string;
+    body?: string;
+  },
+): Promise<number> {
   const sent = request({
     host: ip,
     port: ports.callers,
-    method: "POST",
+    method,
     path: `/${SERVICE}/${jobId}`,
     agent: false,
     headers: { host: HOST, "timeout-ms": "10000" },
@@ -243,3 +247,14 @@
   response.resume();
   return response.statusCode as number;
 }
+
+/** Submits one job of 20 ms in memory, and returns the status. */
+export async function callOrdinary(instance: TestInstance): Promise<number> {
+  const body = JSON.stringify(encodeJob({
+    spec: JSON.stringify({ runMs: 20, cpuMilli: 100 }),
+    tasks: 1,
+    cpuMilli: 100,
+    runMs: 20,
+  }));
+  return await callJob(instance, { method: "POST", jobId: newJobId(), body });
+}
