Bounds: the capacity in use is exact beside fractions

Cause: sums of fractions depend on their order. A worker's capacity in use is added to and subtracted from, and is compared with the sum over its runs after the fault of any job; a difference by rounding ends the leader.

Change: what a task needs is rounded up when its job is created, so that sums of whole numbers within the bounds are exact.

--- a/src/engine/job_state.ts
+++ b/src/engine/job_state.ts
@@ -4,7 +4,12 @@
   declaredCriticalPathMs,
   expectedCriticalPathMs,
 } from "./expected_run_times.ts";
-import type { JobSpec, PreviousListReport, QueueRule } from "./schemas.ts";
+import type {
+  JobSpec,
+  PreviousListReport,
+  QueueRule,
+  Step,
+} from "./schemas.ts";
 import type {
   EngineState,
   Job,
@@ -99,19 +104,30 @@
   };
 }
 
+/** Rounds what a task needs up, so that sums over runs are exact. */
+function wholeDemand(step: Step): Step {
+  return {
+    ...step,
+    cpuMilli: Math.ceil(step.cpuMilli),
+    memoryMb: Math.ceil(step.memoryMb),
+    accelerators: Math.ceil(step.accelerators),
+  };
+}
+
 function createTasks(
   { jobId, spec, isResumed, doneTasks = [] }: JobOptions,
 ): Task[] {
   const done = new Set(doneTasks);
   const tasks: Task[] = [];
   for (const [stepIndex, step] of spec.steps.entries()) {
+    const demand = wholeDemand(step);
     for (let index = 0; index < step.count; index += 1) {
       const name = `${jobId}.0.${stepIndex}.${index}`;
       tasks.push({
         name,
         index: tasks.length,
         stepIndex,
-        demand: step,
+        demand,
         state: done.has(name) ? "done" : "waiting",
         run: 0,
         mayHaveStarted: isResumed,
--- a/src/engine/large_numbers_test.ts
+++ b/src/engine/large_numbers_test.ts
@@ -1,10 +1,13 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { jobBounds } from "./job_bounds.ts";
+import { checkCapacityInUse } from "./job_faults.ts";
 import { type JobSpec, jobSpecSchema, peerMessageSchema } from "./schemas.ts";
 import {
   confirmWrites,
   createTestInstance,
+  createTestLeader,
+  effectsOf,
   messagesOf,
   openRecords,
   testHeartbeat,
@@ -115,3 +118,29 @@
     expect(error?.issues[0]?.path).toEqual(["steps", 0, field]);
   });
 }
+
+// The check of this sum ended leaders after the fault of any job.
+test("the capacity in use is the sum of the runs beside fractions", () => {
+  const leader = createTestLeader();
+  const starts = [0.1, 0.1, 0.2, 0.2, 0.7, 0.7].flatMap((cpuMilli, index) =>
+    effectsOf(
+      leader.receive(
+        "p",
+        testSubmission({
+          jobId: `000000000000000${index}`,
+          job: { spec: "", steps: [{ ...step, cpuMilli }] },
+        }),
+      ),
+      "startTask",
+    )
+  );
+  expect(starts.length).toEqual(6);
+  for (const start of starts) {
+    leader.acknowledgeStart(start);
+    leader.tick();
+    leader.completePoll(start.workerId, {
+      finished: [[start.taskName, "done"]],
+    });
+    checkCapacityInUse(leader.state.scheduler?.workers.values() ?? []);
+  }
+});
