Clock reads: tasks that no worker is large enough for hold up no others

Callers: none reported it; found by reading placement beside the reads of clocks.

Cause: before the first start on workers that were idle for long, their clocks are read for the first 32 queued tasks of a job. If no worker is large enough for these, no clock was read, and the job's other tasks didn't start.

Change: the reads skip the tasks that placement skips.

Result: in hopeless_tasks_test.ts, which now has idle workers, 3 of 8 cases fail before, all pass.

--- a/src/engine/admission.ts
+++ b/src/engine/admission.ts
@@ -284,8 +284,8 @@
 }
 
 /**
- * Returns an expected wait as peers and callers are told of it. Peers ignore a heartbeat with
- * a number that JSON has no form for, and take its sender for lost.
+ * Returns an expected wait as peers and callers are told of it. Peers ignore a
+ * heartbeat with a number that JSON has no form for, and take its sender for lost.
  */
 export function reportedWaitMs(waitMs: number): number {
   return waitMs < MAX_REPORTED_WAIT_MS
--- a/src/engine/clock_reads.ts
+++ b/src/engine/clock_reads.ts
@@ -7,7 +7,12 @@
 import { isolateJob } from "./job_faults.ts";
 import { queuedTasks } from "./job_state.ts";
 import { knowsClock } from "./leases.ts";
-import { isLargeEnough, isUsable, meetsRequirements } from "./task_fit.ts";
+import {
+  exceedsOffer,
+  isLargeEnough,
+  isUsable,
+  meetsRequirements,
+} from "./task_fit.ts";
 import type {
   Job,
   OwnedWorker,
@@ -58,8 +63,10 @@
   unread: Set<OwnedWorker>,
   { job, limit }: { job: Job; limit: number },
 ): number {
+  const offer = context.state.scheduler?.offers.get(job.queue.service);
   const tasks: Task[] = [];
   for (const task of queuedTasks(job)) {
+    if (exceedsOffer(offer, task)) continue;
     if (tasks.push(task) === limit) break;
   }
   let reads = 0;
--- a/src/engine/hopeless_tasks_test.ts
+++ b/src/engine/hopeless_tasks_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import type { Step } from "./schemas.ts";
 import {
+  answerPolls,
   confirmWrites,
   createTestLeader,
   effectsOf,
@@ -23,13 +24,17 @@
   { name: "a label", demand: { requiredLabel: "unknown", count: 60_000 } },
 ];
 
+/** Submits a stored job to a leader whose workers have been idle for a minute. */
 function submitStored(steps: readonly Step[]) {
   const leader = createTestLeader();
   openRecords(leader);
-  leader.tick(2_000);
+  for (let ms = 0; ms < 60_000; ms += 500) {
+    answerPolls(leader, leader.tick(500));
+  }
   const job = { spec: "", steps: [...steps], isRecorded: true };
   const message = testSubmission({ jobId: JOB_ID, job });
   const effects = confirmWrites(leader, leader.receive("p", message));
+  effects.push(...answerPolls(leader, effects));
   return { leader, effects };
 }
 
@@ -43,6 +48,7 @@
       "p",
       testSubmission({ jobId: OTHER_JOB_ID, timeLeftMs: 1_500 }),
     );
+    effects.push(...answerPolls(leader, effects));
     expect(messagesOf(effects, "jobEnded")).toEqual([]);
     expect(effectsOf(effects, "startTask").length).toEqual(1);
   });
