--- a/src/engine/testing.ts
+++ b/src/engine/testing.ts
@@ -309,6 +309,14 @@
   });
 }
 
+/** Creates a leader that has read all records and has been one for a while. */
+export function createRecordsLeader(): TestInstance {
+  const leader = createTestLeader();
+  openRecords(leader);
+  leader.tick(2_000);
+  return leader;
+}
+
 /**
  * Completes the writes of records among the effects of a leader's events;
  * returns the effects that follow.
