--- a/bench/engine_mutants.ts
+++ b/bench/engine_mutants.ts
@@ -212,7 +212,7 @@
   // Nothing is violated in these runs without a mutant.
   startBesideClaim: (seed) => drawLeavingRun(2 + seed),
   // A zone has a new leader while callers come again.
-  startBeforeClaims: (seed) => drawLeavingRun(94 + seed),
+  startBeforeClaims: (seed) => drawLeavingRun(88 + seed),
   restoreAtOnce: (seed) => drawTakeoverRun(TAKEOVER_ROWS * seed + 4),
 };
 
