Run lists: a run that never started is dropped by any later list

Cause: only the first list under a new token showed that a start can't take effect any more.

Change: a start under a lower token than the present one can't take effect, whichever list lacks its run.

--- a/src/engine/run_lists_test.ts
+++ b/src/engine/run_lists_test.ts
@@ -71,6 +71,21 @@
   expect(startsOf([...ended, ...leader.tick(400)])).toEqual([]);
 });
 
+// Only the first list under a new token counted. If it lacked some completions, the
+// run stayed as starting for good.
+test("a run that never started is dropped by a later list under its new token", () => {
+  const { leader, start } = createLeaderWithStart();
+  completeStart(leader, start, { kind: "unknown", detail: "timeout" });
+  const finished = Array.from(
+    { length: 500 },
+    (_, index): [string, "done"] => [`00000000000000bb.0.0.${index}`, "done"],
+  );
+  const first = leader.completePoll(start.workerId, { finished });
+  expect(startsOf([...first, ...leader.tick(20)])).toEqual([]);
+  const later = leader.completePoll(start.workerId);
+  expect(startsOf(later).map(({ run }) => run)).toEqual([2]);
+});
+
 test("a listed run has started, though its start gets no answer", () => {
   const job = { ...testJob(1), isRecorded: true, isAtMostOnce: true };
   const { leader, start } = createLeaderWithStart(job);
--- a/src/engine/runs.ts
+++ b/src/engine/runs.ts
@@ -556,7 +556,11 @@
       : run.ackedAtMs;
     const isGone = run.state !== "starting" && goneAtMs < sentAtMs;
     const requestedBefore = run.placedAtMs < sentAtMs;
-    if (isGone || (underNewFence && requestedBefore)) {
+    // The first list under the present token may have lacked some completions.
+    const isFencedOff = underNewFence ||
+      (run.state === "starting" &&
+        (run.startFence ?? worker.fence) < worker.fence);
+    if (isGone || (isFencedOff && requestedBefore)) {
       if (run.state === "starting") dropUnstartedRun(context, worker, run);
       else dropGoneRun(context, worker, run);
     }
